Add the whole request path over real daemons and stand-ins

Cause: the repository was empty; no request could be served. Claims are not built yet, so one booking key sent to two hosts still books twice.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: install demo test lint bench capacity
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps -e .
+	touch $@
+
+demo: install
+	$(BIN)/python -m standins.demo
+
+test: install
+	$(BIN)/python -m pytest
+
+lint: install
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+bench: install
+	$(BIN)/python -m bench
+
+capacity: install
+	$(BIN)/python -m bench.capacity
--- /dev/null
+++ b/persimmonwell/__init__.py
@@ -0,0 +1,1 @@
+"""Route language-model requests and service calls over mixed accelerators."""
--- /dev/null
+++ b/persimmonwell/cli/__main__.py
@@ -0,0 +1,7 @@
+"""Run the tool with python -m persimmonwell.cli."""
+
+import sys
+
+from persimmonwell.cli import main
+
+sys.exit(main())
--- /dev/null
+++ b/persimmonwell/core/__init__.py
@@ -0,0 +1,31 @@
+"""Provide the decision logic: state, typed events in, typed decisions out."""
+
+from persimmonwell.core._types import (
+    Chain,
+    LayerRange,
+    LinkCapacity,
+    ModelRequest,
+    Outcome,
+    Rank,
+    ServiceCall,
+    ServiceReplica,
+    Stage,
+    Upstream,
+    UpstreamRole,
+    covers_all_layers,
+)
+
+__all__ = [
+    "Chain",
+    "LayerRange",
+    "LinkCapacity",
+    "ModelRequest",
+    "Outcome",
+    "Rank",
+    "ServiceCall",
+    "ServiceReplica",
+    "Stage",
+    "Upstream",
+    "UpstreamRole",
+    "covers_all_layers",
+]
--- /dev/null
+++ b/persimmonwell/core/config/__init__.py
@@ -0,0 +1,51 @@
+"""Define the fleet configuration and fold it from the platform's log."""
+
+from persimmonwell.core.config._fold import (
+    CONFIG_SCHEMA,
+    Accepted,
+    ConfigFold,
+    Conflict,
+    Duplicate,
+    FoldResult,
+    Gap,
+    Invalid,
+    LogRecord,
+    Snapshotted,
+    UnknownSchema,
+    document_digest,
+    merge_patch,
+)
+from persimmonwell.core.config._model import (
+    FleetConfig,
+    ModelConfig,
+    RankConfig,
+    RetryConfig,
+    ServiceConfig,
+    UpstreamOverride,
+    WorkspaceConfig,
+    parse_config,
+)
+
+__all__ = [
+    "CONFIG_SCHEMA",
+    "Accepted",
+    "ConfigFold",
+    "Conflict",
+    "Duplicate",
+    "FleetConfig",
+    "FoldResult",
+    "Gap",
+    "Invalid",
+    "LogRecord",
+    "ModelConfig",
+    "RankConfig",
+    "RetryConfig",
+    "ServiceConfig",
+    "Snapshotted",
+    "UnknownSchema",
+    "UpstreamOverride",
+    "WorkspaceConfig",
+    "document_digest",
+    "merge_patch",
+    "parse_config",
+]
--- /dev/null
+++ b/persimmonwell/daemon/_daemon.py
@@ -0,0 +1,234 @@
+"""Wire the parts of one entry host together."""
+
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from persimmonwell._exceptions import PlatformUnavailableError
+from persimmonwell.core.config import FleetConfig
+from persimmonwell.core.control import (
+    CONFIG_STREAM,
+    AppendConfirmed,
+    AppendRecords,
+    AppendUncertain,
+    Control,
+    ControlDecision,
+    HostListRead,
+    PlatformFailed,
+    PutConfigInForce,
+    RecordsRead,
+    UpdateFleet,
+)
+from persimmonwell.core.router import (
+    CancelAttempt,
+    ConfigChanged,
+    FleetChanged,
+    Router,
+    RouterDecision,
+)
+from persimmonwell.daemon._control_actor import ControlActor, ControlPort
+from persimmonwell.daemon._operator_service import OperatorService
+from persimmonwell.daemon._router_actor import (
+    TICK_S,
+    ActorRouterPort,
+    RouterActor,
+    cancel_targets,
+)
+from persimmonwell.front import CallerService, HttpServer
+from persimmonwell.observe import part_logger
+from persimmonwell.platform import HostListClient, LogClient
+from persimmonwell.settings import Settings
+from persimmonwell.upstream import EngineClient, ServiceClient
+
+LOG_WAIT_S = 0.5
+"""Long-poll time of one read; also bounds the time to stop."""
+RETRY_PAUSE_S = 0.2
+WORKER_THREADS = 8
+OPERATOR_THREADS = 16
+OPERATOR_BODY_BYTES = 1024 * 1024
+
+
+class Daemon:
+    """Hold every part of one running entry host."""
+
+    def __init__(self, settings: Settings, *, seed: int) -> None:
+        self._settings = settings
+        self._log = part_logger("daemon")
+        self._stopping = threading.Event()
+        self._config: FleetConfig | None = None
+        self._log_client = LogClient(
+            url=settings.platform.log_url, timeout_s=settings.platform.timeout_s
+        )
+        self._host_list = HostListClient(
+            url=settings.platform.host_list_url, timeout_s=settings.platform.timeout_s
+        )
+        engines = settings.engines
+        self._engines = EngineClient(
+            connect_timeout_s=engines.connect_timeout_s,
+            first_frame_timeout_s=engines.first_frame_timeout_s,
+            stall_timeout_s=engines.stall_timeout_s,
+        )
+        self._services = ServiceClient(connect_timeout_s=engines.connect_timeout_s)
+        self._workers = ThreadPoolExecutor(WORKER_THREADS, "worker")
+        router = Router(
+            host_id=settings.host_id,
+            availability_zone=settings.availability_zone,
+            seed=seed,
+        )
+        control = Control(
+            host_id=settings.host_id, availability_zone=settings.availability_zone
+        )
+        self._router = ActorRouterPort(
+            RouterActor.start(router, carry_out=self._carry_out_router)
+        )
+        self._control = ControlPort(
+            ControlActor.start(control, carry_out=self._carry_out_control)
+        )
+        self._callers = self._build_caller_server()
+        self._operators = self._build_operator_server()
+        self._threads: list[threading.Thread] = []
+
+    @property
+    def caller_address(self) -> str:
+        """Return the bound address of the callers' port."""
+        return self._callers.address
+
+    @property
+    def operator_address(self) -> str:
+        """Return the bound address of the operators' port."""
+        return self._operators.address
+
+    def _build_caller_server(self) -> HttpServer:
+        callers = self._settings.callers
+        service = CallerService(
+            router=self._router,
+            engines=self._engines,
+            services=self._services,
+            current_config=lambda: self._config,
+        )
+        return HttpServer(
+            address=callers.address,
+            threads=callers.threads,
+            max_body_bytes=callers.max_body_bytes,
+            io_timeout_s=callers.io_timeout_s,
+            handler=service.handle,
+            tls=callers.tls,
+            drain_timeout_s=self._settings.drain_timeout_s,
+        )
+
+    def _build_operator_server(self) -> HttpServer:
+        service = OperatorService(
+            settings=self._settings,
+            control=self._control,
+            is_draining=self._stopping.is_set,
+        )
+        return HttpServer(
+            address=self._settings.operators.address,
+            threads=OPERATOR_THREADS,
+            max_body_bytes=OPERATOR_BODY_BYTES,
+            io_timeout_s=self._settings.callers.io_timeout_s,
+            handler=service.handle,
+            tls=self._settings.operators.tls,
+        )
+
+    def start(self) -> None:
+        """Start the loops and open the ports."""
+        loops = (self._read_config_loop, self._read_hosts_loop, self._tick_loop)
+        for loop in loops:
+            thread = threading.Thread(target=loop, daemon=True, name=loop.__name__)
+            thread.start()
+            self._threads.append(thread)
+        self._operators.start()
+        self._callers.start()
+        self._log.info("started, callers at {}", self.caller_address)
+
+    def close(self) -> None:
+        """Stop accepting, finish requests in flight, and release everything."""
+        self._stopping.set()
+        self._log.info("draining")
+        self._callers.close()
+        self._wait_until_idle()
+        self._operators.close()
+        for thread in self._threads:
+            thread.join()
+        self._workers.shutdown(wait=True, cancel_futures=True)
+        self._engines.close()
+        self._services.close()
+        self._log_client.close()
+        self._host_list.close()
+        self._router.close()
+        self._control.close()
+        self._log.info("stopped")
+
+    def _wait_until_idle(self) -> None:
+        deadline_s = time.monotonic() + self._settings.drain_timeout_s
+        while self._router.in_flight() and time.monotonic() < deadline_s:
+            time.sleep(TICK_S)
+
+    def _carry_out_router(self, decision: RouterDecision) -> None:
+        if isinstance(decision, CancelAttempt):
+            for address in cancel_targets(decision):
+                self._workers.submit(
+                    self._engines.cancel, address, decision.request_id, decision.attempt
+                )
+
+    def _carry_out_control(self, decision: ControlDecision) -> None:
+        match decision:
+            case PutConfigInForce(config):
+                self._config = config
+                self._router.tell(ConfigChanged(config))
+                part_logger("config").info("version {} in force", config.version)
+            case UpdateFleet(upstreams, replicas, live_hosts):
+                self._router.tell(FleetChanged(upstreams, replicas, live_hosts))
+            case AppendRecords():
+                self._workers.submit(self._append, decision)
+
+    def _append(self, decision: AppendRecords) -> None:
+        try:
+            offsets = self._log_client.append(decision.stream, decision.records)
+        except PlatformUnavailableError as error:
+            part_logger("platform").warning("append failed, {}", error)
+            self._stopping.wait(RETRY_PAUSE_S)
+            self._control.tell(AppendUncertain(decision.append_id))
+            return
+        self._control.tell(AppendConfirmed(decision.append_id, offsets))
+
+    def _read_config_loop(self) -> None:
+        self._loop(self._read_config, pause_s=0.0)
+
+    def _read_config(self) -> None:
+        offset = self._control.inspect(lambda control: control.config_fold.next_offset)
+        part = self._log_client.read(
+            CONFIG_STREAM, from_offset=offset, wait_s=LOG_WAIT_S
+        )
+        self._control.tell(
+            RecordsRead(
+                stream=CONFIG_STREAM,
+                first_offset=part.first_offset,
+                next_offset=part.next_offset,
+                records=part.records,
+            )
+        )
+
+    def _read_hosts_loop(self) -> None:
+        interval_s = self._settings.platform.host_list_interval_s
+        self._loop(self._read_hosts, pause_s=interval_s)
+
+    def _read_hosts(self) -> None:
+        self._control.tell(HostListRead(self._host_list.read()))
+
+    def _tick_loop(self) -> None:
+        while not self._stopping.wait(TICK_S):
+            self._router.tick()
+
+    def _loop(self, step: Callable[[], None], *, pause_s: float) -> None:
+        """Repeat a platform read until the daemon stops."""
+        while not self._stopping.is_set():
+            try:
+                step()
+            except PlatformUnavailableError as error:
+                self._control.tell(PlatformFailed(error.service))
+                self._stopping.wait(RETRY_PAUSE_S)
+                continue
+            self._stopping.wait(pause_s)
--- /dev/null
+++ b/persimmonwell/front/__init__.py
@@ -0,0 +1,40 @@
+"""Serve callers and operators over HTTP."""
+
+from persimmonwell.front._caller_service import (
+    CallerService,
+    ClaimPort,
+    ClaimVerdict,
+    Mailbox,
+    RequestDecision,
+    RouterPort,
+)
+from persimmonwell.front._http_server import Handler, HttpServer
+from persimmonwell.front._parsing import (
+    HttpRequest,
+    ParsedModelRequest,
+    ParsedServiceCall,
+    parse_request,
+)
+from persimmonwell.front._responses import (
+    HttpResponse,
+    error_response,
+    json_response,
+)
+
+__all__ = [
+    "CallerService",
+    "ClaimPort",
+    "ClaimVerdict",
+    "Handler",
+    "HttpRequest",
+    "HttpResponse",
+    "HttpServer",
+    "Mailbox",
+    "ParsedModelRequest",
+    "ParsedServiceCall",
+    "RequestDecision",
+    "RouterPort",
+    "error_response",
+    "json_response",
+    "parse_request",
+]
--- /dev/null
+++ b/persimmonwell/front/_responses.py
@@ -0,0 +1,135 @@
+"""Build the answers that callers receive."""
+
+import json
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+
+from persimmonwell._exceptions import OverloadedError, PersimmonwellError
+from persimmonwell.core._types import Outcome
+
+OUTCOME_HEADER = "Persimmonwell-Outcome"
+REQUEST_ID_HEADER = "Persimmonwell-Request-Id"
+
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    403: "Forbidden",
+    404: "Not Found",
+    409: "Conflict",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+@attrs.frozen
+class HttpResponse:
+    """Hold one answer; the body may be produced while it is sent."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: Iterable[bytes]
+
+    @property
+    def status_line(self) -> str:
+        """Return the status code with its reason phrase."""
+        return f"{self.status} {REASONS.get(self.status, 'Status')}"
+
+
+def json_response(
+    document: Any, *, status: int = 200, headers: tuple[tuple[str, str], ...] = ()
+) -> HttpResponse:
+    """Build an answer from a JSON document."""
+    body = json.dumps(document, separators=(",", ":")).encode()
+    fixed = (
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+    )
+    return HttpResponse(status, (*fixed, *headers), (body,))
+
+
+def error_document(error: PersimmonwellError, outcome: Outcome) -> dict[str, Any]:
+    """Build the JSON form of an error."""
+    document: dict[str, Any] = {
+        "code": error.code,
+        "message": error.message(),
+        "outcome": outcome.value,
+    }
+    faults = getattr(error, "faults", None)
+    if faults:
+        document["faults"] = [attrs.asdict(fault) for fault in faults]
+    current = getattr(error, "current_version", None)
+    if current is not None:
+        document["current_version"] = current
+    return {"error": document}
+
+
+def error_response(
+    error: PersimmonwellError, outcome: Outcome, request_id: str = ""
+) -> HttpResponse:
+    """Build the answer that reports an error and the request's outcome."""
+    headers = [(OUTCOME_HEADER, outcome.value)]
+    if request_id:
+        headers.append((REQUEST_ID_HEADER, request_id))
+    if isinstance(error, OverloadedError):
+        headers.append(("Retry-After", str(max(1, round(error.retry_after_s)))))
+    return json_response(
+        error_document(error, outcome), status=error.status, headers=tuple(headers)
+    )
+
+
+def sse_event(document: Any) -> bytes:
+    """Encode one server-sent event."""
+    return b"data: " + json.dumps(document, separators=(",", ":")).encode() + b"\n\n"
+
+
+SSE_DONE = b"data: [DONE]\n\n"
+
+
+def completion_chunk(
+    *, request_id: str, model: str, chat: bool, text: str, finish_reason: str | None
+) -> dict[str, Any]:
+    """Build one chunk of a streamed completion."""
+    choice: dict[str, Any] = {"index": 0, "finish_reason": finish_reason}
+    if chat:
+        choice["delta"] = {"content": text} if text else {}
+    else:
+        choice["text"] = text
+    kind = "chat.completion.chunk" if chat else "text_completion"
+    return {"id": request_id, "object": kind, "model": model, "choices": [choice]}
+
+
+def completion_document(
+    *,
+    request_id: str,
+    model: str,
+    chat: bool,
+    text: str,
+    finish_reason: str,
+    prompt_tokens: int,
+    completion_tokens: int,
+) -> dict[str, Any]:
+    """Build a whole completion."""
+    choice: dict[str, Any] = {"index": 0, "finish_reason": finish_reason}
+    if chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    return {
+        "id": request_id,
+        "object": "chat.completion" if chat else "text_completion",
+        "model": model,
+        "choices": [choice],
+        "usage": {
+            "prompt_tokens": prompt_tokens,
+            "completion_tokens": completion_tokens,
+            "total_tokens": prompt_tokens + completion_tokens,
+        },
+    }
--- /dev/null
+++ b/persimmonwell/platform/_host_list.py
@@ -0,0 +1,37 @@
+"""Read the platform's list of live and leaving hosts."""
+
+import json
+
+import urllib3
+
+from persimmonwell._exceptions import DocumentError, PlatformUnavailableError
+from persimmonwell.core._fleet import HostList, parse_host_list
+
+
+class HostListClient:
+    """Hold the connection to the host list."""
+
+    def __init__(self, *, url: str, timeout_s: float) -> None:
+        self._url = url
+        self._timeout = urllib3.Timeout(total=timeout_s)
+        self._pool = urllib3.PoolManager(maxsize=1, retries=False)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._pool.clear()
+
+    def read(self) -> HostList:
+        """Read the list; raise PlatformUnavailableError when it cannot be had."""
+        try:
+            response = self._pool.request(
+                "GET", f"{self._url}/hosts", timeout=self._timeout
+            )
+            if response.status != 200:
+                reason = f"status {response.status}"
+                raise PlatformUnavailableError("host-list", reason)
+            return parse_host_list(json.loads(response.data))
+        except urllib3.exceptions.HTTPError as error:
+            reason = type(error).__name__
+            raise PlatformUnavailableError("host-list", reason) from error
+        except (ValueError, DocumentError) as error:
+            raise PlatformUnavailableError("host-list", str(error)) from error
--- /dev/null
+++ b/persimmonwell/settings/__init__.py
@@ -0,0 +1,29 @@
+"""Read and check the JSON settings of one daemon."""
+
+from persimmonwell.settings._settings import (
+    CallerSettings,
+    CurveSettings,
+    EngineSettings,
+    LogSettings,
+    OperatorSettings,
+    PeerSettings,
+    PlatformSettings,
+    Settings,
+    TlsSettings,
+    load_settings,
+    parse_settings,
+)
+
+__all__ = [
+    "CallerSettings",
+    "CurveSettings",
+    "EngineSettings",
+    "LogSettings",
+    "OperatorSettings",
+    "PeerSettings",
+    "PlatformSettings",
+    "Settings",
+    "TlsSettings",
+    "load_settings",
+    "parse_settings",
+]
--- /dev/null
+++ b/persimmonwell/settings/_settings.py
@@ -0,0 +1,251 @@
+"""Define and check the settings of one daemon."""
+
+import json
+import re
+from pathlib import Path
+
+import attrs
+
+from persimmonwell._exceptions import DocumentError, Fault
+from persimmonwell.core._documents import FaultList, JsonValue, ObjectReader
+
+_ADDRESS = re.compile(r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):(\d{1,5})$")
+
+
+@attrs.frozen
+class TlsSettings:
+    """Name the certificate and key files of one listener."""
+
+    certificate: str
+    key: str
+
+
+@attrs.frozen
+class CallerSettings:
+    """Configure the callers' port."""
+
+    address: str
+    threads: int = 256
+    """Requests in flight at once; each holds a thread."""
+    max_body_bytes: int = 4 * 1024 * 1024
+    io_timeout_s: float = 30.0
+    """Longest wait for a slow caller to send or read, seconds."""
+    tls: TlsSettings | None = None
+
+
+@attrs.frozen
+class OperatorSettings:
+    """Configure the operators' port."""
+
+    address: str
+    token: str | None = None
+    """Bearer token of operator calls; None accepts every caller."""
+    tls: TlsSettings | None = None
+
+
+@attrs.frozen
+class CurveSettings:
+    """Hold the CURVE keys of the peers' port, Z85 text."""
+
+    public_key: str
+    secret_key: str
+    peer_public_keys: tuple[str, ...]
+
+
+@attrs.frozen
+class PeerSettings:
+    """Configure the peers' port."""
+
+    address: str
+    heartbeat_s: float = 0.5
+    curve: CurveSettings | None = None
+
+
+@attrs.frozen
+class PlatformSettings:
+    """Configure the platform's services."""
+
+    log_url: str
+    host_list_url: str
+    timeout_s: float = 2.0
+    host_list_interval_s: float = 1.0
+
+
+@attrs.frozen
+class EngineSettings:
+    """Configure connections to engines."""
+
+    connect_timeout_s: float = 0.5
+    stall_timeout_s: float = 0.8
+    """Longest gap between two frames of an answer, seconds."""
+    first_frame_timeout_s: float = 10.0
+    """Longest wait for the first frame of an attempt, seconds."""
+    load_interval_s: float = 0.5
+
+
+@attrs.frozen
+class LogSettings:
+    """Configure the daemon's log output."""
+
+    level: str = "INFO"
+    json: bool = False
+
+
+@attrs.frozen
+class Settings:
+    """Hold the checked settings of one daemon."""
+
+    host_id: str
+    availability_zone: str
+    callers: CallerSettings
+    operators: OperatorSettings
+    peers: PeerSettings
+    platform: PlatformSettings
+    engines: EngineSettings = EngineSettings()
+    log: LogSettings = LogSettings()
+    region: str = "default"
+    expected_hosts: int = 4
+    """Entry hosts of the whole fleet; sets the safe share of limits."""
+    drain_timeout_s: float = 60.0
+    """Longest wait for requests in flight after SIGTERM, seconds."""
+    timeline_events: int = 20_000
+    """Events kept in the timeline's ring buffer."""
+
+
+def load_settings(path: Path) -> Settings:
+    """Read a settings file; raise DocumentError naming every fault."""
+    try:
+        document = json.loads(path.read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        fault = Fault(path="/", reason=f"cannot read {path}: {error}")
+        raise DocumentError(faults=(fault,)) from error
+    return parse_settings(document)
+
+
+def parse_settings(document: JsonValue) -> Settings:
+    """Read a settings document; raise DocumentError naming every fault."""
+    faults = FaultList()
+    root = ObjectReader(document, "", faults)
+    settings = Settings(
+        host_id=root.text("host_id", max_length=64),
+        availability_zone=root.text("availability_zone", max_length=64),
+        region=root.text("region", "default", max_length=64),
+        callers=_read_callers(root.child("callers")),
+        operators=_read_operators(root.child("operators")),
+        peers=_read_peers(root.child("peers")),
+        platform=_read_platform(root.child("platform")),
+        engines=_read_engines(root.child("engines")),
+        log=_read_log(root.child("log")),
+        expected_hosts=root.integer("expected_hosts", 4, minimum=1),
+        drain_timeout_s=root.number("drain_timeout_s", 60.0),
+        timeline_events=root.integer("timeline_events", 20_000, minimum=100),
+    )
+    root.finish()
+    faults.raise_if_any()
+    return settings
+
+
+def _read_address(reader: ObjectReader) -> str:
+    address = reader.text("address")
+    match = _ADDRESS.match(address)
+    if address and (match is None or int(match.group(3)) > 65535):
+        reader.fault("address", f"must be a numeric IP and port, got {address!r}")
+    return address
+
+
+def _read_url(reader: ObjectReader, name: str) -> str:
+    url = reader.text(name)
+    if url and not re.match(r"^https?://[^/\s]+", url):
+        reader.fault(name, f"must be an http or https URL, got {url!r}")
+    return url.rstrip("/")
+
+
+def _read_tls(reader: ObjectReader) -> TlsSettings | None:
+    if not reader.has("tls"):
+        return None
+    child = reader.child("tls")
+    tls = TlsSettings(certificate=child.text("certificate"), key=child.text("key"))
+    child.finish()
+    return tls
+
+
+def _read_callers(reader: ObjectReader) -> CallerSettings:
+    callers = CallerSettings(
+        address=_read_address(reader),
+        threads=reader.integer("threads", 256, minimum=4, maximum=4096),
+        max_body_bytes=reader.integer("max_body_bytes", 4 * 1024 * 1024, minimum=1024),
+        io_timeout_s=reader.number("io_timeout_s", 30.0, minimum=0.1),
+        tls=_read_tls(reader),
+    )
+    reader.finish()
+    return callers
+
+
+def _read_operators(reader: ObjectReader) -> OperatorSettings:
+    operators = OperatorSettings(
+        address=_read_address(reader),
+        token=reader.optional_text("token"),
+        tls=_read_tls(reader),
+    )
+    reader.finish()
+    return operators
+
+
+def _read_peers(reader: ObjectReader) -> PeerSettings:
+    curve = None
+    if reader.has("curve"):
+        child = reader.child("curve")
+        curve = CurveSettings(
+            public_key=child.text("public_key"),
+            secret_key=child.text("secret_key"),
+            peer_public_keys=child.texts("peer_public_keys"),
+        )
+        child.finish()
+    peers = PeerSettings(
+        address=_read_address(reader),
+        heartbeat_s=reader.number("heartbeat_s", 0.5, minimum=0.05),
+        curve=curve,
+    )
+    reader.finish()
+    return peers
+
+
+def _read_platform(reader: ObjectReader) -> PlatformSettings:
+    platform = PlatformSettings(
+        log_url=_read_url(reader, "log_url"),
+        host_list_url=_read_url(reader, "host_list_url"),
+        timeout_s=reader.number("timeout_s", 2.0, minimum=0.05),
+        host_list_interval_s=reader.number("host_list_interval_s", 1.0, minimum=0.05),
+    )
+    reader.finish()
+    return platform
+
+
+def _read_engines(reader: ObjectReader) -> EngineSettings:
+    default = EngineSettings()
+    engines = EngineSettings(
+        connect_timeout_s=reader.number(
+            "connect_timeout_s", default.connect_timeout_s, minimum=0.01
+        ),
+        stall_timeout_s=reader.number(
+            "stall_timeout_s", default.stall_timeout_s, minimum=0.05
+        ),
+        first_frame_timeout_s=reader.number(
+            "first_frame_timeout_s", default.first_frame_timeout_s, minimum=0.05
+        ),
+        load_interval_s=reader.number(
+            "load_interval_s", default.load_interval_s, minimum=0.05
+        ),
+    )
+    reader.finish()
+    return engines
+
+
+def _read_log(reader: ObjectReader) -> LogSettings:
+    levels = ("DEBUG", "INFO", "WARNING", "ERROR")
+    log = LogSettings(
+        level=reader.text("level", "INFO", choices=levels),
+        json=reader.boolean("json", False),
+    )
+    reader.finish()
+    return log
--- /dev/null
+++ b/persimmonwell/upstream/__init__.py
@@ -0,0 +1,25 @@
+"""Talk to model engines and plain services."""
+
+from persimmonwell.upstream._engine_client import (
+    Attempt,
+    AttemptFailedError,
+    EngineCacheEvent,
+    EngineClient,
+    EngineLoad,
+)
+from persimmonwell.upstream._service_client import (
+    ServiceAnswer,
+    ServiceCallError,
+    ServiceClient,
+)
+
+__all__ = [
+    "Attempt",
+    "AttemptFailedError",
+    "EngineCacheEvent",
+    "EngineClient",
+    "EngineLoad",
+    "ServiceAnswer",
+    "ServiceCallError",
+    "ServiceClient",
+]
--- /dev/null
+++ b/persimmonwell/upstream/_engine_client.py
@@ -0,0 +1,284 @@
+"""Send attempts to engine chains and read their token frames."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+import msgspec
+import urllib3
+
+from persimmonwell.core._types import Chain, Rank
+from persimmonwell.core.retry import EndFrame, TokenFrame
+from persimmonwell.core.router import FailureKind
+
+CANCEL_TIMEOUT_S = 1.0
+MAX_FRAME_BYTES = 256 * 1024
+
+
+class _Frame(msgspec.Struct):
+    request_id: str = ""
+    attempt: int = -1
+    index: int = -1
+    text: str = ""
+    layers: list[tuple[int, int]] = []
+    done: bool = False
+    count: int = -1
+    finish_reason: str = "stop"
+    error: str | None = None
+    stage: str = ""
+
+
+class _Load(msgspec.Struct):
+    running: int
+    queued: int
+    age_s: float = 0.0
+
+
+class _CacheEvent(msgspec.Struct):
+    sequence: int
+    stored: list[int] = []
+    evicted: list[int] = []
+
+
+class _CacheEvents(msgspec.Struct):
+    events: list[_CacheEvent]
+
+
+@attrs.frozen
+class AttemptFailedError(Exception):
+    """Report an attempt that ended before its end frame."""
+
+    failure: FailureKind
+    address: str
+    """Address of the failed stage, or of the first one where not known."""
+    reason: str
+
+
+@attrs.frozen
+class EngineLoad:
+    """Hold the load that an engine published."""
+
+    running: int
+    queued: int
+    age_s: float
+
+
+@attrs.frozen
+class EngineCacheEvent:
+    """Hold one prefix-cache event of an engine."""
+
+    sequence: int
+    stored: tuple[int, ...]
+    evicted: tuple[int, ...]
+
+
+@attrs.frozen
+class Attempt:
+    """Hold what an engine chain needs to run one attempt."""
+
+    request_id: str
+    attempt: int
+    model: str
+    prompt: str
+    tokens: tuple[str, ...]
+    """Tokens accepted by earlier attempts."""
+    max_tokens: int
+    rank: Rank
+    chain: Chain
+    parameters: dict[str, Any] = attrs.field(factory=dict)
+    """Sampling parameters passed on unchanged."""
+
+    def encode(self) -> bytes:
+        """Return the JSON body of the generate call."""
+        return msgspec.json.encode(
+            {
+                "request_id": self.request_id,
+                "attempt": self.attempt,
+                "model": self.model,
+                "prompt": self.prompt,
+                "tokens": self.tokens,
+                "first_index": len(self.tokens),
+                "max_tokens": self.max_tokens,
+                "priority": int(self.rank),
+                "parameters": self.parameters,
+                "chain": _encode_stages(self.chain.stages),
+                "prefill_chain": _encode_stages(self.chain.prefill_stages),
+            }
+        )
+
+
+def _encode_stages(stages: tuple[Any, ...]) -> list[dict[str, object]]:
+    return [
+        {"address": s.address, "layers": [s.layers.start, s.layers.stop]}
+        for s in stages
+    ]
+
+
+class EngineClient:
+    """Hold the connections to all engines."""
+
+    def __init__(
+        self,
+        *,
+        connect_timeout_s: float,
+        first_frame_timeout_s: float,
+        stall_timeout_s: float,
+    ) -> None:
+        self._connect_timeout_s = connect_timeout_s
+        self._first_frame_timeout_s = first_frame_timeout_s
+        self._stall_timeout_s = stall_timeout_s
+        self._pool = urllib3.PoolManager(num_pools=2048, maxsize=64, retries=False)
+        self._short = urllib3.Timeout(total=CANCEL_TIMEOUT_S)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._pool.clear()
+
+    def stream(self, attempt: Attempt) -> Iterator[TokenFrame | EndFrame]:
+        """Run an attempt and yield its frames up to the end frame.
+
+        Raise AttemptFailedError when the answer breaks off.
+        """
+        head = attempt.chain.stages[0].address
+        response = self._open(head, attempt.encode())
+        try:
+            yield from self._frames(head, response)
+        finally:
+            # A connection with unread frames must not be reused.
+            response.close()
+            response.release_conn()
+
+    def _open(self, address: str, body: bytes) -> urllib3.BaseHTTPResponse:
+        timeout = urllib3.Timeout(
+            connect=self._connect_timeout_s, read=self._first_frame_timeout_s
+        )
+        try:
+            response = self._pool.request(
+                "POST",
+                f"http://{address}/v1/generate",
+                body=body,
+                headers={"Content-Type": "application/json"},
+                timeout=timeout,
+                preload_content=False,
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            kind = FailureKind.NOT_SENT
+            raise AttemptFailedError(kind, address, type(error).__name__) from error
+        except urllib3.exceptions.ReadTimeoutError as error:
+            kind = FailureKind.TIMEOUT
+            raise AttemptFailedError(kind, address, "no first frame") from error
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            kind = FailureKind.LOST
+            raise AttemptFailedError(kind, address, type(error).__name__) from error
+        if response.status != 200:
+            response.close()
+            busy = response.status in (429, 503)
+            kind = FailureKind.BUSY if busy else FailureKind.INVALID_ANSWER
+            raise AttemptFailedError(kind, address, f"status {response.status}")
+        return response
+
+    def _frames(
+        self, head: str, response: urllib3.BaseHTTPResponse
+    ) -> Iterator[TokenFrame | EndFrame]:
+        try:
+            for line in _lines(response):
+                if not line.startswith(b"data: "):
+                    continue
+                frame = _decode_frame(head, line[6:])
+                self._expect_next_frame_within(response, self._stall_timeout_s)
+                yield frame
+                if isinstance(frame, EndFrame):
+                    return
+        except TimeoutError as error:
+            kind = FailureKind.TIMEOUT
+            raise AttemptFailedError(kind, head, "no frame in time") from error
+        except urllib3.exceptions.ReadTimeoutError as error:
+            kind = FailureKind.TIMEOUT
+            raise AttemptFailedError(kind, head, "no frame in time") from error
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            kind = FailureKind.LOST
+            raise AttemptFailedError(kind, head, type(error).__name__) from error
+        raise AttemptFailedError(FailureKind.LOST, head, "answer ended early")
+
+    @staticmethod
+    def _expect_next_frame_within(
+        response: urllib3.BaseHTTPResponse, timeout_s: float
+    ) -> None:
+        connection = getattr(response, "connection", None)
+        sock = getattr(connection, "sock", None)
+        if sock is not None:
+            sock.settimeout(timeout_s)
+
+    def cancel(self, address: str, request_id: str, attempt: int) -> None:
+        """Ask an engine to cancel an attempt; failures are ignored."""
+        body = msgspec.json.encode({"request_id": request_id, "attempt": attempt})
+        try:
+            self._pool.request(
+                "POST", f"http://{address}/v1/cancel", body=body, timeout=self._short
+            )
+        except (urllib3.exceptions.HTTPError, OSError):
+            return
+
+    def load(self, address: str) -> EngineLoad | None:
+        """Return the load that an engine publishes, or None without an answer."""
+        data = self._get(address, "/v1/load")
+        if data is None:
+            return None
+        try:
+            load = msgspec.json.decode(data, type=_Load)
+        except msgspec.MsgspecError:
+            return None
+        return EngineLoad(load.running, load.queued, load.age_s)
+
+    def cache_events(self, address: str, since: int) -> tuple[EngineCacheEvent, ...]:
+        """Return the cache events after a sequence number, or none."""
+        data = self._get(address, f"/v1/cache_events?since={since}")
+        if data is None:
+            return ()
+        try:
+            answer = msgspec.json.decode(data, type=_CacheEvents)
+        except msgspec.MsgspecError:
+            return ()
+        return tuple(
+            EngineCacheEvent(e.sequence, tuple(e.stored), tuple(e.evicted))
+            for e in answer.events
+        )
+
+    def _get(self, address: str, path: str) -> bytes | None:
+        try:
+            response = self._pool.request(
+                "GET", f"http://{address}{path}", timeout=self._short
+            )
+        except (urllib3.exceptions.HTTPError, OSError):
+            return None
+        return response.data if response.status == 200 else None
+
+
+def _lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    pending = b""
+    for chunk in response.stream(None):
+        pending += chunk
+        *lines, pending = pending.split(b"\n")
+        yield from lines
+        if len(pending) > MAX_FRAME_BYTES:
+            raise urllib3.exceptions.ProtocolError("frame too large")
+
+
+def _decode_frame(head: str, data: bytes) -> TokenFrame | EndFrame:
+    try:
+        frame = msgspec.json.decode(data, type=_Frame)
+    except msgspec.MsgspecError as error:
+        kind = FailureKind.INVALID_ANSWER
+        raise AttemptFailedError(kind, head, "malformed frame") from error
+    if frame.error is not None:
+        failed = frame.stage or head
+        raise AttemptFailedError(FailureKind.LOST, failed, frame.error[:200])
+    if frame.done:
+        return EndFrame(
+            frame.request_id, frame.attempt, frame.count, frame.finish_reason
+        )
+    layers = tuple((start, stop) for start, stop in frame.layers)
+    return TokenFrame(frame.request_id, frame.attempt, frame.index, frame.text, layers)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Provide small stand-ins for engines, services, the log and the host list."""
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,206 @@
+"""Run stand-ins and daemons in one process for tests."""
+
+import json
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import urllib3
+
+from persimmonwell.daemon import Daemon
+from persimmonwell.settings import parse_settings
+from standins.engine import Engine
+from standins.hosts import HostDirectory
+from standins.log import Log
+from standins.service import Service
+
+MODEL = "coach"
+LAYERS = 8
+BASE_DOCUMENT: dict[str, Any] = {
+    "models": {MODEL: {"layers": LAYERS}},
+    "services": {"booking": {}},
+    "workspaces": {"range-a": {}, "range-b": {}},
+}
+
+
+def wait_until(check: Callable[[], bool], *, timeout_s: float = 15.0) -> None:
+    """Poll a condition; fail when it does not hold in time."""
+    limit_s = time.monotonic() + timeout_s
+    while not check():
+        if time.monotonic() > limit_s:
+            raise AssertionError("condition not reached in time")
+        time.sleep(0.01)
+
+
+class SmallFleet:
+    """Hold two availability zones on loopback."""
+
+    def __init__(self, *, zones: int = 2, token_s: float = 0.001) -> None:
+        self.http = urllib3.PoolManager(maxsize=32, retries=False)
+        self.log = Log()
+        self.hosts = HostDirectory()
+        self.engines: dict[str, Engine] = {}
+        self.services: dict[str, Service] = {}
+        self.daemons: dict[str, Daemon] = {}
+        self._zones = tuple(f"zone-{number}" for number in range(1, zones + 1))
+        self._token_s = token_s
+
+    def start(self) -> None:
+        """Start everything and wait until every entry host is ready."""
+        self.log.start()
+        self.hosts.start()
+        for zone in self._zones:
+            self.add_engine(zone, (0, LAYERS // 2))
+            self.add_engine(zone, (LAYERS // 2, LAYERS))
+            self.add_service(zone)
+        for zone in self._zones:
+            self.add_daemon(zone)
+        self.publish(BASE_DOCUMENT, base_version=0)
+        wait_until(lambda: all(self.config_version(h) >= 1 for h in self.daemons))
+
+    def close(self) -> None:
+        """Stop everything."""
+        with ThreadPoolExecutor(32) as pool:
+            list(pool.map(lambda daemon: daemon.close(), self.daemons.values()))
+            standins = (
+                *self.engines.values(),
+                *self.services.values(),
+                self.hosts,
+                self.log,
+            )
+            list(pool.map(lambda standin: standin.close(), standins))
+
+    def add_engine(self, zone: str, layers: tuple[int, int]) -> str:
+        """Start an engine and list it; return its id."""
+        engine = Engine(layers=layers, token_s=self._token_s)
+        engine.start()
+        engine_id = f"engine-{len(self.engines) + 1}"
+        self.engines[engine_id] = engine
+        self.hosts.put(
+            {
+                "id": engine_id,
+                "kind": "engine",
+                "address": engine.server.address,
+                "availability_zone": zone,
+                "model": MODEL,
+                "layers": {"start": layers[0], "stop": layers[1]},
+            }
+        )
+        return engine_id
+
+    def add_service(self, zone: str) -> str:
+        """Start a booking service replica and list it; return its id."""
+        service = Service()
+        service.start()
+        replica_id = f"booking-{len(self.services) + 1}"
+        self.services[replica_id] = service
+        self.hosts.put(
+            {
+                "id": replica_id,
+                "kind": "service",
+                "address": service.server.address,
+                "availability_zone": zone,
+                "service": "booking",
+            }
+        )
+        return replica_id
+
+    def settings_document(self, zone: str, host_id: str) -> dict[str, Any]:
+        """Return the settings of one entry host."""
+        return {
+            "host_id": host_id,
+            "availability_zone": zone,
+            "callers": {"address": "127.0.0.1:0", "threads": 32},
+            "operators": {"address": "127.0.0.1:0"},
+            "peers": {"address": "127.0.0.1:0"},
+            "platform": {
+                "log_url": self.log.server.url,
+                "host_list_url": self.hosts.server.url,
+                "host_list_interval_s": 0.1,
+            },
+            "log": {"level": "ERROR"},
+            "expected_hosts": len(self._zones),
+            "drain_timeout_s": 10,
+        }
+
+    def add_daemon(self, zone: str) -> str:
+        """Start an entry host; return its id."""
+        host_id = f"host-{len(self.daemons) + 1}"
+        settings = parse_settings(self.settings_document(zone, host_id))
+        daemon = Daemon(settings, seed=len(self.daemons))
+        daemon.start()
+        self.daemons[host_id] = daemon
+        return host_id
+
+    def publish(self, merge: dict[str, Any], *, base_version: int) -> None:
+        """Append a patch to the config stream as an operator would."""
+        record = {
+            "type": "patch",
+            "schema": 1,
+            "id": f"test-{base_version}",
+            "base_version": base_version,
+            "merge": merge,
+            "author": "test",
+        }
+        body = json.dumps({"records": [record]})
+        url = f"{self.log.server.url}/streams/config/records"
+        assert self.http.request("POST", url, body=body).status == 200
+
+    def config_version(self, host_id: str) -> int:
+        """Return the version in force on one entry host."""
+        url = f"http://{self.daemons[host_id].operator_address}/config"
+        version = self.http.request("GET", url).json()["version"]
+        return int(version)
+
+    def call(
+        self,
+        host_id: str,
+        path: str,
+        document: dict[str, Any],
+        *,
+        method: str = "POST",
+        headers: dict[str, str] | None = None,
+    ) -> urllib3.BaseHTTPResponse:
+        """Send one caller's request to one entry host."""
+        address = self.daemons[host_id].caller_address
+        sent = {
+            "Content-Type": "application/json",
+            "Persimmonwell-Workspace": "range-a",
+            **(headers or {}),
+        }
+        body = json.dumps(document).encode()
+        return self.http.request(
+            method,
+            f"http://{address}{path}",
+            body=body,
+            headers=sent,
+            timeout=60.0,
+        )
+
+    def complete(
+        self, host_id: str, prompt: str, *, max_tokens: int = 16, stream: bool = False
+    ) -> urllib3.BaseHTTPResponse:
+        """Send one urgent completion request."""
+        document = {
+            "model": MODEL,
+            "prompt": prompt,
+            "max_tokens": max_tokens,
+            "stream": stream,
+        }
+        headers = {"Persimmonwell-Rank": "urgent"}
+        return self.call(host_id, "/v1/completions", document, headers=headers)
+
+
+def stream_text(body: bytes) -> tuple[str, str]:
+    """Return the text and the outcome of a streamed answer."""
+    text, outcome = "", ""
+    for line in body.decode().split("\n"):
+        if not line.startswith("data: ") or line == "data: [DONE]":
+            continue
+        event = json.loads(line[6:])
+        if "choices" in event:
+            text += event["choices"][0].get("text", "")
+        else:
+            outcome = event.get("persimmonwell", event.get("error"))["outcome"]
+    return text, outcome
