Harden callers' front and upstream clients against broken peers

Cause: a service answer cut before its Content-Length was passed on as whole, seen with a scripted upstream; urllib3 reports the missing end only on the read after the last data. An engine stream delimited by close was buffered until its end. Callers that left while queued kept their request alive, and a flood of one rank could hold every request thread. Change: read service answers to the end, read engine frames as they arrive, check the caller's connection while waiting, bound threads by rank, poll engines for load and cache events, run probes, give notice before draining. Conclusion: every broken answer of the table ends in a typed failure.

--- a/persimmonwell/daemon/_daemon.py
+++ b/persimmonwell/daemon/_daemon.py
@@ -24,10 +24,13 @@
     CancelAttempt,
     ConfigChanged,
     FleetChanged,
+    Probe,
     Router,
     RouterDecision,
+    RouterEvent,
 )
 from persimmonwell.daemon._control_actor import ControlActor, ControlPort
+from persimmonwell.daemon._engine_monitor import EngineMonitor
 from persimmonwell.daemon._operator_service import OperatorService
 from persimmonwell.daemon._router_actor import (
     TICK_S,
@@ -35,7 +38,7 @@
     RouterActor,
     cancel_targets,
 )
-from persimmonwell.front import CallerService, HttpServer
+from persimmonwell.front import CallerService, HttpServer, ThreadGate
 from persimmonwell.observe import part_logger
 from persimmonwell.platform import HostListClient, LogClient
 from persimmonwell.settings import Settings
@@ -55,6 +58,7 @@
     def __init__(self, settings: Settings, *, seed: int) -> None:
         self._settings = settings
         self._log = part_logger("daemon")
+        self._draining = threading.Event()
         self._stopping = threading.Event()
         self._config: FleetConfig | None = None
         self._log_client = LogClient(
@@ -71,6 +75,13 @@
         )
         self._services = ServiceClient(connect_timeout_s=engines.connect_timeout_s)
         self._workers = ThreadPoolExecutor(WORKER_THREADS, "worker")
+        self._monitor = EngineMonitor(
+            engines=self._engines,
+            workers=self._workers,
+            tell=self._tell_router,
+            availability_zone=settings.availability_zone,
+            polls_per_s=engines.load_polls_per_s,
+        )
         router = Router(
             host_id=settings.host_id,
             availability_zone=settings.availability_zone,
@@ -106,6 +117,7 @@
             engines=self._engines,
             services=self._services,
             current_config=lambda: self._config,
+            threads=ThreadGate(threads=callers.threads),
         )
         return HttpServer(
             address=callers.address,
@@ -121,7 +133,7 @@
         service = OperatorService(
             settings=self._settings,
             control=self._control,
-            is_draining=self._stopping.is_set,
+            is_draining=self._draining.is_set,
         )
         return HttpServer(
             address=self._settings.operators.address,
@@ -139,16 +151,21 @@
             thread = threading.Thread(target=loop, daemon=True, name=loop.__name__)
             thread.start()
             self._threads.append(thread)
+        self._monitor.start()
         self._operators.start()
         self._callers.start()
         self._log.info("started, callers at {}", self.caller_address)
 
     def close(self) -> None:
         """Stop accepting, finish requests in flight, and release everything."""
-        self._stopping.set()
+        self._draining.set()
         self._log.info("draining")
+        # The load balancer sends new requests until it sees the host unready.
+        time.sleep(self._settings.drain_notice_s)
         self._callers.close()
         self._wait_until_idle()
+        self._stopping.set()
+        self._monitor.close()
         self._operators.close()
         for thread in self._threads:
             thread.join()
@@ -167,11 +184,17 @@
             time.sleep(TICK_S)
 
     def _carry_out_router(self, decision: RouterDecision) -> None:
-        if isinstance(decision, CancelAttempt):
-            for address in cancel_targets(decision):
-                self._workers.submit(
-                    self._engines.cancel, address, decision.request_id, decision.attempt
-                )
+        match decision:
+            case CancelAttempt(request_id, attempt, _):
+                for address in cancel_targets(decision):
+                    self._workers.submit(
+                        self._engines.cancel, address, request_id, attempt
+                    )
+            case Probe():
+                self._monitor.probe(decision)
+
+    def _tell_router(self, event: RouterEvent) -> None:
+        self._router.tell(event)
 
     def _carry_out_control(self, decision: ControlDecision) -> None:
         match decision:
@@ -180,6 +203,7 @@
                 self._router.tell(ConfigChanged(config))
                 part_logger("config").info("version {} in force", config.version)
             case UpdateFleet(upstreams, replicas, live_hosts):
+                self._monitor.update_fleet(upstreams)
                 self._router.tell(FleetChanged(upstreams, replicas, live_hosts))
             case AppendRecords():
                 self._workers.submit(self._append, decision)
--- a/persimmonwell/front/__init__.py
+++ b/persimmonwell/front/__init__.py
@@ -1,13 +1,6 @@
 """Serve callers and operators over HTTP."""
 
-from persimmonwell.front._caller_service import (
-    CallerService,
-    ClaimPort,
-    ClaimVerdict,
-    Mailbox,
-    RequestDecision,
-    RouterPort,
-)
+from persimmonwell.front._caller_service import CallerService
 from persimmonwell.front._http_server import Handler, HttpServer
 from persimmonwell.front._parsing import (
     HttpRequest,
@@ -15,11 +8,19 @@
     ParsedServiceCall,
     parse_request,
 )
+from persimmonwell.front._ports import (
+    ClaimPort,
+    ClaimVerdict,
+    Mailbox,
+    RequestDecision,
+    RouterPort,
+)
 from persimmonwell.front._responses import (
     HttpResponse,
     error_response,
     json_response,
 )
+from persimmonwell.front._thread_gate import ThreadGate
 
 __all__ = [
     "CallerService",
@@ -34,6 +35,7 @@
     "ParsedServiceCall",
     "RequestDecision",
     "RouterPort",
+    "ThreadGate",
     "error_response",
     "json_response",
     "parse_request",
--- a/persimmonwell/front/_http_server.py
+++ b/persimmonwell/front/_http_server.py
@@ -1,8 +1,12 @@
 """Serve HTTP with cheroot on one address."""
 
 import math
+import select
+import socket
+import ssl
 import threading
 from collections.abc import Callable, Iterable
+from functools import partial
 from typing import Any
 from urllib.parse import unquote_to_bytes
 
@@ -18,6 +22,7 @@
 Handler = Callable[[HttpRequest], HttpResponse]
 
 ACCEPT_BACKLOG = 1024
+CONNECTION_KEY = "persimmonwell.connection"
 STOP_POLL_S = 0.1
 """Longest time until the server notices that it was closed, seconds."""
 
@@ -46,6 +51,7 @@
             shutdown_timeout=math.ceil(drain_timeout_s),
             server_name="persimmonwell",
         )
+        self._server.gateway = _Gateway
         self._server.expiration_interval = STOP_POLL_S
         if tls is not None:
             self._server.ssl_adapter = BuiltinSSLAdapter(tls.certificate, tls.key)
@@ -68,6 +74,28 @@
         self._thread.join(timeout=5.0)
 
 
+class _Gateway(wsgi.Gateway_10):
+    """Add a check of the caller's connection to the WSGI environment."""
+
+    def get_environ(self) -> Any:
+        """Return the WSGI environment of the request."""
+        environ: Any = super().get_environ()  # type: ignore[no-untyped-call]
+        environ[CONNECTION_KEY] = self.req.conn.socket
+        return environ
+
+
+def _is_open(connection: socket.socket) -> bool:
+    """Return whether the caller still holds its side of the connection."""
+    if isinstance(connection, ssl.SSLSocket):
+        # TLS sockets cannot be peeked; a failed write reveals a closed one.
+        return True
+    try:
+        readable, _, _ = select.select([connection], [], [], 0)
+        return not readable or bool(connection.recv(1, socket.MSG_PEEK))
+    except (OSError, ValueError):
+        return False
+
+
 def _wsgi_application(handler: Handler, max_body_bytes: int) -> Callable[..., Any]:
     def application(
         environ: dict[str, Any], start_response: Callable[..., Any]
@@ -107,4 +135,5 @@
         query=environ.get("QUERY_STRING", ""),
         headers=headers,
         body=body,
+        caller_is_open=partial(_is_open, environ[CONNECTION_KEY]),
     )
--- a/persimmonwell/front/_parsing.py
+++ b/persimmonwell/front/_parsing.py
@@ -43,6 +43,8 @@
     headers: Mapping[str, str]
     """Header values by lower-case name."""
     body: bytes
+    caller_is_open: Callable[[], bool] = lambda: True
+    """Whether the caller still holds its side of the connection."""
 
 
 @attrs.frozen
@@ -53,6 +55,7 @@
     prompt: str
     stream: bool
     chat: bool
+    deadline_ms: float
     parameters: dict[str, Any]
 
 
@@ -124,6 +127,7 @@
     stream = document.get("stream", False)
     if not isinstance(stream, bool):
         raise BadRequestError("stream", "must be true or false")
+    deadline_ms = _deadline_ms(http)
     request = ModelRequest(
         request_id=uuid.uuid4().hex,
         workspace=workspace,
@@ -132,7 +136,7 @@
         digest=digest_of(workspace, model, prompt, str(max_tokens)),
         prompt_tokens=max(1, len(prompt) // CHARS_PER_TOKEN),
         max_tokens=max_tokens,
-        deadline_s=now_s + _deadline_ms(http) / 1000,
+        deadline_s=now_s + deadline_ms / 1000,
         prefix_blocks=prefix_blocks(model, prompt),
     )
     return ParsedModelRequest(
@@ -140,6 +144,7 @@
         prompt=prompt,
         stream=stream,
         chat=chat,
+        deadline_ms=deadline_ms,
         parameters={k: document[k] for k in PASSED_PARAMETERS if k in document},
     )
 
--- a/persimmonwell/settings/_settings.py
+++ b/persimmonwell/settings/_settings.py
@@ -80,7 +80,8 @@
     """Longest gap between two frames of an answer, seconds."""
     first_frame_timeout_s: float = 10.0
     """Longest wait for the first frame of an attempt, seconds."""
-    load_interval_s: float = 0.5
+    load_polls_per_s: float = 4.0
+    """Load reports read per second over all engines."""
 
 
 @attrs.frozen
@@ -106,6 +107,8 @@
     region: str = "default"
     expected_hosts: int = 4
     """Entry hosts of the whole fleet; sets the safe share of limits."""
+    drain_notice_s: float = 2.0
+    """Time between becoming unready and closing the callers' port, seconds."""
     drain_timeout_s: float = 60.0
     """Longest wait for requests in flight after SIGTERM, seconds."""
     timeline_events: int = 20_000
@@ -137,6 +140,7 @@
         engines=_read_engines(root.child("engines")),
         log=_read_log(root.child("log")),
         expected_hosts=root.integer("expected_hosts", 4, minimum=1),
+        drain_notice_s=root.number("drain_notice_s", 2.0),
         drain_timeout_s=root.number("drain_timeout_s", 60.0),
         timeline_events=root.integer("timeline_events", 20_000, minimum=100),
     )
@@ -233,8 +237,8 @@
         first_frame_timeout_s=reader.number(
             "first_frame_timeout_s", default.first_frame_timeout_s, minimum=0.05
         ),
-        load_interval_s=reader.number(
-            "load_interval_s", default.load_interval_s, minimum=0.05
+        load_polls_per_s=reader.number(
+            "load_polls_per_s", default.load_polls_per_s, minimum=0.1, maximum=100.0
         ),
     )
     reader.finish()
--- a/persimmonwell/upstream/_engine_client.py
+++ b/persimmonwell/upstream/_engine_client.py
@@ -13,6 +13,7 @@
 
 CANCEL_TIMEOUT_S = 1.0
 MAX_FRAME_BYTES = 256 * 1024
+READ_BYTES = 64 * 1024
 
 
 class _Frame(msgspec.Struct):
@@ -259,7 +260,9 @@
 
 def _lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
     pending = b""
-    for chunk in response.stream(None):
+    # read1 returns what has arrived; stream() would wait for the end of an answer
+    # that is delimited by closing the connection.
+    while chunk := response.read1(READ_BYTES):
         pending += chunk
         *lines, pending = pending.split(b"\n")
         yield from lines
--- a/persimmonwell/upstream/_service_client.py
+++ b/persimmonwell/upstream/_service_client.py
@@ -6,6 +6,7 @@
 from persimmonwell.core.router import FailureKind
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+READ_BYTES = 256 * 1024
 FORWARDED_HEADERS = frozenset(
     {"content-type", "location", "etag", "cache-control", "retry-after"}
 )
@@ -65,7 +66,7 @@
                 redirect=False,
                 preload_content=False,
             )
-            data = response.read(MAX_ANSWER_BYTES + 1, decode_content=False)
+            data = _read_whole(response)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
@@ -85,3 +86,18 @@
             if name.lower() in FORWARDED_HEADERS
         )
         return ServiceAnswer(response.status, kept, data)
+
+
+def _read_whole(response: urllib3.BaseHTTPResponse) -> bytes:
+    """Read up to the end or just past the size limit.
+
+    urllib3 notices a missing end of the body only on the read that follows the
+    last data, so a single sized read would accept a truncated answer.
+    """
+    data = b""
+    while len(data) <= MAX_ANSWER_BYTES:
+        chunk = response.read(READ_BYTES, decode_content=False)
+        if not chunk:
+            break
+        data += chunk
+    return data
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -121,6 +121,7 @@
             },
             "log": {"level": "ERROR"},
             "expected_hosts": len(self._zones),
+            "drain_notice_s": 0,
             "drain_timeout_s": 10,
         }
 
--- /dev/null
+++ b/tests/upstream/test_engine_client.py
@@ -0,0 +1,172 @@
+"""Check the engine and service clients against broken upstreams."""
+
+import socket
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from persimmonwell.core import Chain, LayerRange, Rank, Stage
+from persimmonwell.core.router import FailureKind
+from persimmonwell.upstream import (
+    Attempt,
+    AttemptFailedError,
+    EngineClient,
+    ServiceCallError,
+    ServiceClient,
+)
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+FRAME = b'data: {"request_id":"r","attempt":1,"index":0,"text":"a","layers":[[0,4]]}\n'
+END = b'data: {"request_id":"r","attempt":1,"done":true,"count":1}\n'
+
+
+def _read_request(connection: socket.socket) -> None:
+    """Read headers and body; closing with unread data would reset the answer."""
+    received = b""
+    while b"\r\n\r\n" not in received:
+        received += connection.recv(65536)
+    head, _, body = received.partition(b"\r\n\r\n")
+    length = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0])
+    while len(body) < length:
+        body += connection.recv(65536)
+
+
+@contextmanager
+def scripted_upstream(answer: bytes, *, hold_open_s: float = 0.0) -> Iterator[str]:
+    """Accept connections, read once, send fixed bytes, and close."""
+    server = socket.create_server(("127.0.0.1", 0))
+    released = threading.Event()
+
+    def serve() -> None:
+        while True:
+            try:
+                connection, _ = server.accept()
+            except OSError:
+                return
+            with connection:
+                _read_request(connection)
+                connection.sendall(answer)
+                released.wait(hold_open_s)
+
+    thread = threading.Thread(target=serve, daemon=True)
+    thread.start()
+    host, port = server.getsockname()
+    try:
+        yield f"{host}:{port}"
+    finally:
+        released.set()
+        server.shutdown(socket.SHUT_RDWR)
+        server.close()
+        thread.join(timeout=2.0)
+
+
+def _client(stall_s: float = 0.3) -> EngineClient:
+    return EngineClient(
+        connect_timeout_s=0.3, first_frame_timeout_s=0.5, stall_timeout_s=stall_s
+    )
+
+
+def _attempt(address: str) -> Attempt:
+    chain = Chain(stages=(Stage("e", address, LayerRange(0, 4)),))
+    return Attempt(
+        request_id="r",
+        attempt=1,
+        model="m",
+        prompt="p",
+        tokens=(),
+        max_tokens=1,
+        rank=Rank.URGENT,
+        chain=chain,
+    )
+
+
+def _read(answer: bytes, *, hold_open_s: float = 0.0) -> list[object]:
+    client = _client()
+    with scripted_upstream(answer, hold_open_s=hold_open_s) as address:
+        frames: list[object] = list(client.stream(_attempt(address)))
+    client.close()
+    return frames
+
+
+@pytest.mark.parametrize(
+    ("answer", "hold_open_s", "failure"),
+    [
+        (HEAD + b"\r\n" + FRAME, 0.0, FailureKind.LOST),
+        (HEAD + b"\r\n" + FRAME, 2.0, FailureKind.TIMEOUT),
+        (b"", 0.0, FailureKind.LOST),
+        (b"", 2.0, FailureKind.TIMEOUT),
+        (b"nonsense\r\n\r\n", 0.0, FailureKind.LOST),
+        (HEAD + b"\r\ndata: {oops\n", 0.0, FailureKind.INVALID_ANSWER),
+        (HEAD + b"\r\ndata: [1]\n", 0.0, FailureKind.INVALID_ANSWER),
+        (HEAD + b"\r\n" + b"x" * 600_000, 0.0, FailureKind.LOST),
+        (b"HTTP/1.1 503 Busy\r\n\r\n", 0.0, FailureKind.BUSY),
+        (b"HTTP/1.1 404 No\r\n\r\n", 0.0, FailureKind.INVALID_ANSWER),
+        (HEAD + b"Content-Length: 500\r\n\r\n" + FRAME, 0.0, FailureKind.LOST),
+        (HEAD + b'\r\ndata: {"error":"x","stage":"s"}\n', 0.0, FailureKind.LOST),
+    ],
+)
+def test_broken_answers_are_classified(
+    answer: bytes, hold_open_s: float, failure: FailureKind
+) -> None:
+    """Guards against a broken answer that looks whole or is classified wrongly."""
+    with pytest.raises(AttemptFailedError) as caught:
+        _read(answer, hold_open_s=hold_open_s)
+    assert caught.value.failure is failure
+
+
+def test_whole_answer_ends_without_waiting_for_the_close() -> None:
+    """Guards against waiting on an engine that keeps its connection open."""
+    started_s = time.monotonic()
+    frames = _read(HEAD + b"\r\n" + FRAME + END, hold_open_s=5.0)
+    assert len(frames) == 2
+    assert time.monotonic() - started_s < 3.0
+
+
+def test_refused_connection_is_not_sent() -> None:
+    """Guards against a refused connection that counts as possibly run."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        host, port = server.getsockname()
+    with pytest.raises(AttemptFailedError) as caught:
+        list(_client().stream(_attempt(f"{host}:{port}")))
+    assert caught.value.failure is FailureKind.NOT_SENT
+
+
+@settings(max_examples=40)
+@given(garbage=st.binary(max_size=200))
+def test_any_bytes_end_in_a_typed_failure(garbage: bytes) -> None:
+    """Guards against an untyped exception from an upstream's garbage."""
+    with pytest.raises(AttemptFailedError):
+        _read(HEAD + b"\r\n" + garbage)
+
+
+@pytest.mark.parametrize(
+    ("answer", "hold_open_s", "failure"),
+    [
+        (b"", 0.0, FailureKind.LOST),
+        (b"", 2.0, FailureKind.TIMEOUT),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", 0.0, FailureKind.LOST),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", 2.0, FailureKind.TIMEOUT),
+    ],
+)
+def test_service_answer_without_an_end_is_a_failure(
+    answer: bytes, hold_open_s: float, failure: FailureKind
+) -> None:
+    """Guards against a cut answer of a service that is passed on as whole."""
+    client = ServiceClient(connect_timeout_s=0.3)
+    with scripted_upstream(answer, hold_open_s=hold_open_s) as address:
+        with pytest.raises(ServiceCallError) as caught:
+            client.call(
+                address=address,
+                method="POST",
+                path="/x",
+                headers={},
+                body=b"{}",
+                timeout_s=0.3,
+            )
+    assert caught.value.failure is failure
+    client.close()
