Test entry hosts as processes under SIGTERM and SIGKILL

Cause: graceful shutdown was only checked in one process, where signals and exit statuses do not show.

--- a/persimmonwell/daemon/_daemon.py
+++ b/persimmonwell/daemon/_daemon.py
@@ -105,6 +105,11 @@
         """Return the bound address of the callers' port."""
         return self._callers.address
 
+    @property
+    def addresses(self) -> dict[str, str]:
+        """Return the bound address of each port by its settings name."""
+        return {"callers": self.caller_address, "operators": self.operator_address}
+
     @property
     def operator_address(self) -> str:
         """Return the bound address of the operators' port."""
--- a/persimmonwell/daemon/_main.py
+++ b/persimmonwell/daemon/_main.py
@@ -1,6 +1,7 @@
 """Run the daemon from the command line."""
 
 import argparse
+import json
 import signal
 import sys
 import threading
@@ -40,6 +41,8 @@
     signal.signal(signal.SIGINT, lambda *_: stop.set())
     daemon = Daemon(settings, seed=time.time_ns())
     daemon.start()
+    # With port 0 in the settings only the process knows its addresses.
+    print(json.dumps(daemon.addresses), flush=True)
     stop.wait()
     daemon.close()
     return 0
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -2,81 +2,21 @@
 
 import json
 import os
-import socket
 import subprocess
 import sys
 import tempfile
-import time
-from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import urllib3
 
 from standins.engine import expected_tokens
+from standins.processes import HostProcess, ProcessGroup, wait_for
 
 HTTP = urllib3.PoolManager(retries=False)
 ZONES = ("zone-1", "zone-2")
 LAYERS = 32
 PROMPT = "Shots 1 to 3 drift left; what changes first?"
-START_LIMIT_S = 30.0
-
-
-class ProcessGroup:
-    """Hold the processes that the demo started."""
-
-    def __init__(self) -> None:
-        self._processes: list[subprocess.Popen[str]] = []
-
-    def start_standin(self, kind: str, *arguments: str) -> str:
-        """Start a stand-in and return its address."""
-        command = [sys.executable, "-m", "standins", kind, *arguments]
-        process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
-        self._processes.append(process)
-        assert process.stdout is not None
-        return process.stdout.readline().strip()
-
-    def start_daemon(self, settings: Path) -> subprocess.Popen[str]:
-        """Start an entry host."""
-        command = [sys.executable, "-m", "persimmonwell.daemon"]
-        process = subprocess.Popen([*command, "--settings", str(settings)], text=True)
-        self._processes.append(process)
-        return process
-
-    def close(self) -> list[int]:
-        """End every process and return the exit statuses, newest first."""
-        statuses = []
-        for process in reversed(self._processes):
-            process.terminate()
-            try:
-                statuses.append(process.wait(timeout=20))
-            except subprocess.TimeoutExpired:
-                process.kill()
-                statuses.append(process.wait())
-        return statuses
-
-
-def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [int(s.getsockname()[1]) for s in sockets]
-    for s in sockets:
-        s.close()
-    return ports
-
-
-def wait_for(check: Callable[[], bool], what: str) -> None:
-    """Poll a condition; end the demo when it does not hold in time."""
-    limit_s = time.monotonic() + START_LIMIT_S
-    while True:
-        try:
-            if check():
-                return
-        except urllib3.exceptions.HTTPError:
-            pass
-        if time.monotonic() > limit_s:
-            raise SystemExit(f"demo: {what} not reached in {START_LIMIT_S:.0f} s")
-        time.sleep(0.05)
 
 
 def read_stream(address: str, body: dict[str, Any]) -> tuple[str, str]:
@@ -125,56 +65,56 @@
     return {**entry, "availability_zone": zone, **rest}
 
 
-def start_fleet(group: ProcessGroup, folder: Path) -> tuple[list[str], list[str]]:
-    """Start all processes; return callers' and operators' addresses."""
+def start_fleet(group: ProcessGroup, folder: Path) -> list[HostProcess]:
+    """Start all processes; return the entry hosts."""
     log = group.start_standin("log")
     hosts = group.start_standin("hosts")
+    url = f"http://{hosts}/hosts"
     for number, zone in enumerate(ZONES, start=1):
         halves = ((0, LAYERS // 2), (LAYERS // 2, LAYERS))
         for part, (start, stop) in enumerate(halves, start=1):
             address = group.start_standin("engine", "--layers", str(start), str(stop))
-            layers = {"start": start, "stop": stop}
             entry = host_entry(
                 "engine",
                 f"engine-{number}-{part}",
                 address,
                 zone,
                 model="coach",
-                layers=layers,
+                layers={"start": start, "stop": stop},
             )
-            HTTP.request("POST", f"http://{hosts}/hosts", json=entry)
+            HTTP.request("POST", url, json=entry)
         address = group.start_standin("service")
         entry = host_entry(
             "service", f"book-{number}", address, zone, service="booking"
         )
-        HTTP.request("POST", f"http://{hosts}/hosts", json=entry)
-    callers: list[str] = []
-    operators: list[str] = []
+        HTTP.request("POST", url, json=entry)
+    entry_hosts = []
     for number, zone in enumerate(ZONES, start=1):
-        caller, operator, peer = (f"127.0.0.1:{port}" for port in free_ports(3))
-        entry = host_entry(
-            "entry", f"host-{number}", peer, zone, operator_address=operator
-        )
-        HTTP.request("POST", f"http://{hosts}/hosts", json=entry)
         settings = {
             "host_id": f"host-{number}",
             "availability_zone": zone,
-            "callers": {"address": caller},
-            "operators": {"address": operator},
-            "peers": {"address": peer},
+            "callers": {"address": "127.0.0.1:0"},
+            "operators": {"address": "127.0.0.1:0"},
+            "peers": {"address": "127.0.0.1:0"},
             "platform": {
                 "log_url": f"http://{log}",
                 "host_list_url": f"http://{hosts}",
             },
             "expected_hosts": len(ZONES),
+            "drain_notice_s": 0.2,
             "log": {"level": "WARNING"},
         }
-        path = folder / f"host-{number}.json"
-        path.write_text(json.dumps(settings), encoding="utf-8")
-        group.start_daemon(path)
-        callers.append(caller)
-        operators.append(operator)
-    return callers, operators
+        host = group.start_host(settings, folder)
+        entry = host_entry(
+            "entry",
+            f"host-{number}",
+            host.peers or host.operators,
+            zone,
+            operator_address=host.operators,
+        )
+        HTTP.request("POST", url, json=entry)
+        entry_hosts.append(host)
+    return entry_hosts
 
 
 def tool(folder: Path, *arguments: str) -> int:
@@ -185,7 +125,9 @@
 
 def run(group: ProcessGroup, folder: Path) -> None:
     """Run every step of the demo; end with a message when one fails."""
-    callers, operators = start_fleet(group, folder)
+    entry_hosts = start_fleet(group, folder)
+    callers = [host.callers for host in entry_hosts]
+    operators = [host.operators for host in entry_hosts]
     for operator in operators:
         url = f"http://{operator}/readyz"
         wait_for(lambda u=url: HTTP.request("GET", u).status == 200, "readiness")
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -48,16 +48,38 @@
 
     def start(self) -> None:
         """Start everything and wait until every entry host is ready."""
+        self.start_standins()
+        for zone in self._zones:
+            self.add_daemon(zone)
+        self.publish_base()
+        wait_until(lambda: all(self.config_version(h) >= 1 for h in self.daemons))
+
+    def start_standins(self) -> None:
+        """Start the platform's stand-ins, the engines and the services."""
         self.log.start()
         self.hosts.start()
         for zone in self._zones:
             self.add_engine(zone, (0, LAYERS // 2))
             self.add_engine(zone, (LAYERS // 2, LAYERS))
             self.add_service(zone)
-        for zone in self._zones:
-            self.add_daemon(zone)
+
+    def publish_base(self) -> None:
+        """Publish the first version of the configuration."""
         self.publish(BASE_DOCUMENT, base_version=0)
-        wait_until(lambda: all(self.config_version(h) >= 1 for h in self.daemons))
+
+    def list_entry_host(
+        self, host_id: str, zone: str, address: str, operator_address: str
+    ) -> None:
+        """Add an entry host to the host list."""
+        self.hosts.put(
+            {
+                "id": host_id,
+                "kind": "entry",
+                "address": address,
+                "operator_address": operator_address,
+                "availability_zone": zone,
+            }
+        )
 
     def close(self) -> None:
         """Stop everything."""
