Let the daemon run any router core

Cause: a run over real daemons could not compare the naive router with ours. Change: Daemon takes an optional core with the router's handle method. Conclusion: the live comparison can start two fleets that differ in the core only.

--- a/persimmonwell/daemon/_daemon.py
+++ b/persimmonwell/daemon/_daemon.py
@@ -36,6 +36,7 @@
     TICK_S,
     ActorRouterPort,
     RouterActor,
+    RoutingCore,
     cancel_targets,
 )
 from persimmonwell.front import CallerService, HttpServer, ThreadGate
@@ -55,7 +56,9 @@
 class Daemon:
     """Hold every part of one running entry host."""
 
-    def __init__(self, settings: Settings, *, seed: int) -> None:
+    def __init__(
+        self, settings: Settings, *, seed: int, core: RoutingCore | None = None
+    ) -> None:
         self._settings = settings
         self._log = part_logger("daemon")
         self._draining = threading.Event()
@@ -82,7 +85,7 @@
             availability_zone=settings.availability_zone,
             polls_per_s=engines.load_polls_per_s,
         )
-        router = Router(
+        router = core or Router(
             host_id=settings.host_id,
             availability_zone=settings.availability_zone,
             seed=seed,
--- a/persimmonwell/daemon/_router_actor.py
+++ b/persimmonwell/daemon/_router_actor.py
@@ -3,6 +3,7 @@
 import queue
 import time
 from collections.abc import Callable
+from typing import Protocol
 
 import attrs
 import pykka
@@ -13,7 +14,6 @@
     Dispatch,
     DispatchService,
     Refuse,
-    Router,
     RouterDecision,
     RouterEvent,
     Tick,
@@ -23,6 +23,14 @@
 TICK_S = 0.05
 
 
+class RoutingCore(Protocol):
+    """Describe the decision state that the actor runs."""
+
+    def handle(self, event: RouterEvent, now_s: float) -> tuple[RouterDecision, ...]:
+        """Apply one event and return the decisions that follow from it."""
+        ...
+
+
 @attrs.frozen
 class _Submit:
     request_id: str
@@ -52,7 +60,7 @@
 
     def __init__(
         self,
-        router: Router,
+        router: RoutingCore,
         *,
         carry_out: Callable[[RouterDecision], None],
     ) -> None:
