Route over the maximum flow of the layer graph

Cause: chains were drawn by a shuffle and sorted by own in-flight counts alone, with a search over all upstreams and no view of links, zones, health or caches. Change: maximum flow of least cost over layer boundaries and zones, walks drawn from it, costs by backlog and links, health tracking, prefix index, in-flight estimates, a link gate; the router passes its clock, links and layers on.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the project against bounds and its own earlier versions."""
--- a/persimmonwell/core/router/__init__.py
+++ b/persimmonwell/core/router/__init__.py
@@ -1,5 +1,6 @@
 """Drive routing decisions event by event."""
 
+from persimmonwell.core._types import InflightCount
 from persimmonwell.core.router._decisions import (
     AnnounceBlame,
     CancelAttempt,
@@ -18,7 +19,6 @@
     FailureKind,
     FirstToken,
     FleetChanged,
-    InflightCount,
     LoadReported,
     PeerInflight,
     ProbeResult,
--- a/persimmonwell/core/router/_router.py
+++ b/persimmonwell/core/router/_router.py
@@ -61,7 +61,9 @@
         self._host_id = host_id
         self._availability_zone = availability_zone
         self._random = random.Random(seed)
-        self._chains = ChainRouter(seed=seed)
+        self._chains = ChainRouter(seed=seed, availability_zone=availability_zone)
+        self._upstreams: tuple[Upstream, ...] = ()
+        self._now_s = 0.0
         self._config = FleetConfig()
         self._replicas: dict[str, list[ServiceReplica]] = {}
         self._active: dict[str, _Active] = {}
@@ -75,6 +77,7 @@
 
     def handle(self, event: ev.RouterEvent, now_s: float) -> tuple[RouterDecision, ...]:
         """Apply one event and return the decisions that follow from it."""
+        self._now_s = now_s
         match event:
             case ev.RequestArrived(request):
                 return self._arrived(request, now_s)
@@ -96,7 +99,8 @@
                 return self._dispatch_waiting()
             case ev.ConfigChanged(config):
                 self._config = config
-                return ()
+                self._update_chains()
+                return self._dispatch_waiting()
             case ev.Tick():
                 return self._expire(now_s)
             case _:
@@ -129,13 +133,13 @@
 
     def _try_dispatch(self, active: _Active) -> Dispatch | None:
         request = active.request
-        layers = self._config.models[request.model].layers
-        chain = self._chains.choose(request.model, layers, excluded=active.excluded)
+        chain = self._chains.choose(request, self._now_s, excluded=active.excluded)
         if isinstance(chain, NoRoute):
             return None
         active.chain = chain
         active.attempt += 1
-        self._chains.started(chain)
+        tokens = request.max_tokens - active.tokens
+        self._chains.started(chain, tokens=tokens, now_s=self._now_s)
         return Dispatch(
             request_id=request.request_id,
             attempt=active.attempt,
@@ -179,7 +183,7 @@
 
     def _release(self, active: _Active) -> None:
         if active.chain is not None:
-            self._chains.finished(active.chain)
+            self._chains.finished(active.chain, now_s=self._now_s)
             active.chain = None
 
     def _cancelled(self, request_id: str) -> tuple[RouterDecision, ...]:
@@ -210,13 +214,19 @@
     def _fleet_changed(
         self, upstreams: tuple[Upstream, ...], replicas: tuple[ServiceReplica, ...]
     ) -> None:
-        self._chains.update_fleet(upstreams)
+        self._upstreams = upstreams
+        self._update_chains()
         by_service: dict[str, list[ServiceReplica]] = {}
         for replica in replicas:
             if not replica.leaving:
                 by_service.setdefault(replica.service, []).append(replica)
         self._replicas = by_service
 
+    def _update_chains(self) -> None:
+        layers = {name: model.layers for name, model in self._config.models.items()}
+        links = self._config.links
+        self._chains.update_fleet(self._upstreams, links, layers, self._now_s)
+
     def _call_arrived(self, call: ServiceCall) -> tuple[RouterDecision, ...]:
         active = _ActiveCall(call)
         self._calls[call.request_id] = active
--- /dev/null
+++ b/persimmonwell/core/routing/_groups.py
@@ -0,0 +1,163 @@
+"""Hold upstreams by layer range and zone, and pick one of a group."""
+
+import random
+
+import attrs
+
+from persimmonwell.core._types import LayerRange, Stage, Upstream
+from persimmonwell.core.routing._bound import GroupKey
+from persimmonwell.core.routing._inflight import UpstreamLoad
+
+PICK_TRIES = 4
+"""Draws for one weighted sample before the last usable draw is taken as it is."""
+
+
+@attrs.define(eq=False)
+class Member:
+    """Hold one live upstream with what choosing it needs."""
+
+    upstream: Upstream
+    upstream_id: str
+    zone: str
+    stage: Stage
+    load: UpstreamLoad
+    speed: float
+    """Throughput weighed by health, tokens per second; 0 when ejected."""
+    limit: int
+    """Requests it may have in flight: its slots, fewer during slow start."""
+    fair_limit: int
+    """Own requests it may have in flight when others seem to fill the rest."""
+    planned_share: float = 1.0
+    """Share of its throughput that the flow counts on."""
+
+    @property
+    def planned_tokens_per_s(self) -> float:
+        """Return the capacity that the flow counts on."""
+        return self.upstream.tokens_per_s * self.planned_share
+
+    @property
+    def in_service(self) -> bool:
+        """Return whether the upstream is not ejected."""
+        return self.speed > 0
+
+    @property
+    def free_slots(self) -> int:
+        """Return the estimated number of requests it could start now."""
+        if self.speed <= 0:
+            return 0
+        load = self.load
+        free = self.limit - load.total
+        # The estimate of others lags. Without this share, a slot that another
+        # host gave up would idle until the next report.
+        if free <= 0 and not load.reported_queued:
+            free = min(self.fair_limit, self.limit) - load.own
+        return max(0, free)
+
+
+def member_of(upstream: Upstream, load: UpstreamLoad) -> Member:
+    """Return a member in full health."""
+    layers = LayerRange(upstream.layers.start, upstream.layers.stop)
+    stage = Stage(upstream.upstream_id, upstream.address, layers)
+    return Member(
+        upstream=upstream,
+        upstream_id=upstream.upstream_id,
+        zone=upstream.availability_zone,
+        stage=stage,
+        load=load,
+        speed=upstream.tokens_per_s,
+        limit=upstream.slots,
+        fair_limit=upstream.slots,
+    )
+
+
+class Group:
+    """Hold the members of one layer range and zone, those with free slots apart."""
+
+    def __init__(self, key: GroupKey) -> None:
+        self.key = key
+        self.members: list[Member] = []
+        self._free: list[Member] = []
+        self._positions: dict[str, int] = {}
+        self._slots: dict[str, int] = {}
+        self._free_slots = 0
+        self._top_speed = 0.0
+
+    @property
+    def free_slots(self) -> int:
+        """Return the free slots of all members."""
+        return self._free_slots
+
+    def add(self, member: Member) -> None:
+        """Add a member."""
+        self.members.append(member)
+        self._top_speed = max(self._top_speed, member.upstream.tokens_per_s)
+        self.refresh(member)
+
+    def refresh(self, member: Member) -> bool:
+        """Recount a member's free slots; return whether the group ran out or opened."""
+        key = member.upstream_id
+        slots = member.free_slots
+        before = bool(self._free)
+        self._free_slots += slots - self._slots.get(key, 0)
+        self._slots[key] = slots
+        position = self._positions.get(key)
+        if slots and position is None:
+            self._positions[key] = len(self._free)
+            self._free.append(member)
+        elif not slots and position is not None:
+            self._remove(key, position)
+        return before != bool(self._free)
+
+    def _remove(self, key: str, position: int) -> None:
+        last = self._free.pop()
+        del self._positions[key]
+        if position < len(self._free):
+            self._free[position] = last
+            self._positions[last.upstream_id] = position
+
+    def has_free(self, excluded: frozenset[str]) -> bool:
+        """Return whether a member outside the excluded ones has a free slot."""
+        return self._scan(0, excluded) is not None
+
+    def is_free(self, upstream_id: str) -> bool:
+        """Return whether this member has a free slot."""
+        return upstream_id in self._positions
+
+    def pick(self, rng: random.Random, excluded: frozenset[str]) -> Member | None:
+        """Return the less loaded of two members drawn in proportion to speed."""
+        first = self._draw(rng, excluded)
+        if first is None or len(self._free) == 1:
+            return first
+        second = self._draw(rng, excluded)
+        if second is None or second is first:
+            return first
+        first_load = (first.load.total + 1) / first.speed
+        second_load = (second.load.total + 1) / second.speed
+        return first if first_load <= second_load else second
+
+    def _draw(self, rng: random.Random, excluded: frozenset[str]) -> Member | None:
+        free = self._free
+        if not free:
+            return None
+        drawn: Member | None = None
+        for _ in range(PICK_TRIES):
+            member = free[int(rng.random() * len(free))]
+            if excluded and member.upstream_id in excluded:
+                continue
+            drawn = member
+            if rng.random() * self._top_speed <= member.speed:
+                break
+        return drawn or self._scan(int(rng.random() * len(free)), excluded)
+
+    def _scan(self, offset: int, excluded: frozenset[str]) -> Member | None:
+        # One more step than there are excluded ids meets every usable case.
+        free = self._free
+        for step in range(min(len(free), len(excluded) + 1)):
+            member = free[(offset + step) % len(free)]
+            if member.upstream_id not in excluded:
+                return member
+        return None
+
+    def is_covered(self, excluded: frozenset[str]) -> bool:
+        """Return whether a member in service is outside the excluded ones."""
+        return any(m.in_service and m.upstream_id not in excluded for m in self.members)
--- /dev/null
+++ b/persimmonwell/core/routing/_prefix.py
@@ -0,0 +1,116 @@
+"""Index which upstreams probably hold the cache of a prompt prefix."""
+
+from collections import OrderedDict
+
+MAX_HOLDERS = 16
+"""Upstreams kept for each block: a few chains of the usual four stages."""
+MAX_DEPTHS = 10
+"""Prefix depths looked up for each request, at doubling distance."""
+GAP_CONFIDENCE = 0.5
+"""Factor for each gap in an upstream's events, which may hide evictions."""
+CONFIDENCE_STEP = 0.1
+"""Regained by each event in sequence."""
+MIN_CONFIDENCE = 0.05
+
+
+class PrefixIndex:
+    """Hold (block, upstream) pairs, least recently used first, up to a bound.
+
+    Blocks of a request are indexed at the depths 1, 2, 4, 8, ... only: a match is
+    found within a factor of two of its length, at a cost that does not grow with
+    the prompt.
+    """
+
+    def __init__(self, *, max_entries: int) -> None:
+        self._max_entries = max_entries
+        self._entries = 0
+        self._holders: OrderedDict[int, tuple[str, ...]] = OrderedDict()
+        self._sequences: dict[str, int] = {}
+        self._confidence: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        """Return the number of (block, upstream) pairs."""
+        return self._entries
+
+    def routed(self, blocks: tuple[int, ...], upstream_ids: tuple[str, ...]) -> None:
+        """Record that a prompt was sent to these upstreams."""
+        for depth in _depths(len(blocks)):
+            self._store(blocks[depth - 1], upstream_ids)
+
+    def cache_event(
+        self,
+        upstream_id: str,
+        *,
+        sequence: int,
+        stored: tuple[int, ...],
+        evicted: tuple[int, ...],
+    ) -> None:
+        """Apply one event; of a late one only the evictions still hold."""
+        last = self._sequences.get(upstream_id)
+        for block in evicted:
+            self._discard(block, upstream_id)
+        if last is not None and sequence <= last:
+            return
+        for block in stored:
+            self._store(block, (upstream_id,))
+        confidence = self.confidence(upstream_id)
+        if last is not None and sequence > last + 1:
+            confidence = max(MIN_CONFIDENCE, confidence * GAP_CONFIDENCE)
+        else:
+            confidence = min(1.0, confidence + CONFIDENCE_STEP)
+        self._sequences[upstream_id] = sequence
+        self._confidence[upstream_id] = confidence
+
+    def confidence(self, upstream_id: str) -> float:
+        """Return how far matches at an upstream are trusted, 0 to 1."""
+        return self._confidence.get(upstream_id, 1.0)
+
+    def matches(self, blocks: tuple[int, ...]) -> dict[str, int]:
+        """Return the matched prefix length in blocks by upstream."""
+        found: dict[str, int] = {}
+        for depth in _depths(len(blocks)):
+            holders = self._holders.get(blocks[depth - 1])
+            if holders is None:
+                break
+            found.update(dict.fromkeys(holders, depth))
+        return found
+
+    def forget(self, upstream_id: str) -> None:
+        """Drop what is known of an upstream that left or restarted."""
+        self._sequences.pop(upstream_id, None)
+        self._confidence.pop(upstream_id, None)
+        held = [b for b, holders in self._holders.items() if upstream_id in holders]
+        for block in held:
+            self._discard(block, upstream_id)
+
+    def _store(self, block: int, upstream_ids: tuple[str, ...]) -> None:
+        old = self._holders.get(block, ())
+        if old[: len(upstream_ids)] == upstream_ids and old:
+            self._holders.move_to_end(block)
+            return
+        if old:
+            del self._holders[block]
+        kept = tuple(u for u in old if u not in upstream_ids)
+        holders = (*upstream_ids, *kept)[:MAX_HOLDERS]
+        self._holders[block] = holders
+        self._entries += len(holders) - len(old)
+        while self._entries > self._max_entries:
+            _, dropped = self._holders.popitem(last=False)
+            self._entries -= len(dropped)
+
+    def _discard(self, block: int, upstream_id: str) -> None:
+        old = self._holders.get(block)
+        if old is None or upstream_id not in old:
+            return
+        holders = tuple(u for u in old if u != upstream_id)
+        self._entries -= 1
+        if holders:
+            self._holders[block] = holders
+        else:
+            del self._holders[block]
+
+
+def _depths(blocks: int) -> tuple[int, ...]:
+    """Return the depths 1, 2, 4, ... that a prompt of so many blocks reaches."""
+    count = min(blocks.bit_length(), MAX_DEPTHS)
+    return tuple(1 << step for step in range(count))
