--- /dev/null
+++ b/bench/driver.py
@@ -0,0 +1,479 @@
+"""Drive routers with a virtual clock and a model of engine service times."""
+
+import heapq
+import random
+from collections import OrderedDict, deque
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+import attrs
+
+from persimmonwell.core import Chain, ModelRequest, Outcome, Upstream
+from persimmonwell.core.config import FleetConfig
+from persimmonwell.core.router import (
+    AnnounceBlame,
+    AttemptFinished,
+    BlameLearned,
+    CancelAttempt,
+    ConfigChanged,
+    Dispatch,
+    FailureKind,
+    FirstToken,
+    FleetChanged,
+    InflightCount,
+    LoadReported,
+    PeerInflight,
+    Probe,
+    ProbeResult,
+    Refuse,
+    RequestArrived,
+    RequestCancelled,
+    RouterDecision,
+    RouterEvent,
+    StageFailed,
+    Tick,
+    TokensProgressed,
+)
+
+TICK_S = 0.05
+LOAD_INTERVAL_S = 0.5
+LOAD_LAG_S = 0.5
+PEER_INTERVAL_S = 0.5
+HOP_S = 0.00025
+LOSS_DETECTION_S = 0.02
+"""Time until a broken connection is seen."""
+STALL_TIMEOUT_S = 0.8
+"""Silence after which the I/O layer gives an attempt up."""
+CONNECT_REFUSED_S = 0.002
+HOST_LIST_LAG_S = 5.0
+PREFILL_SPEEDUP = 20.0
+"""Prompt tokens prefilled in the time of one decoded token of the batch."""
+CACHED_PREFIXES = 64
+PROGRESS_INTERVAL_S = 0.5
+
+
+class RoutingCore(Protocol):
+    """Describe a router that the driver can drive."""
+
+    def handle(self, event: RouterEvent, now_s: float) -> tuple[RouterDecision, ...]:
+        """Apply one event and return decisions."""
+        ...
+
+
+@attrs.define
+class Result:
+    """Hold what the caller of one request saw."""
+
+    request: ModelRequest
+    arrived_s: float
+    first_token_s: float | None = None
+    finished_s: float | None = None
+    refused_s: float | None = None
+    outcome: Outcome | None = None
+    error_code: str = ""
+    attempts: int = 0
+    longest_pause_s: float = 0.0
+    """Longest time without tokens because of a failed attempt, seconds."""
+
+    @property
+    def gap_s(self) -> float | None:
+        """Return the mean inter-token latency, or None when unfinished."""
+        if self.finished_s is None or self.first_token_s is None:
+            return None
+        tokens = max(1, self.request.max_tokens - 1)
+        return (self.finished_s - self.first_token_s) / tokens
+
+
+@attrs.define(eq=False)
+class _Attempt:
+    request: ModelRequest
+    number: int
+    host: int
+    chain: Chain
+    done_tokens: float
+    engines: "list[_Engine]" = attrs.field(factory=list)
+    links: "list[_Link]" = attrs.field(factory=list)
+    held: int = 0
+    decoding: bool = False
+    rate: float = 0.0
+    settled_s: float = 0.0
+    schedule: int = 0
+    over: bool = False
+
+
+@attrs.define(eq=False)
+class _Engine:
+    upstream: Upstream
+    slowdown: float = 1.0
+    alive: bool = True
+    running: dict[int, _Attempt] = attrs.field(factory=dict)
+    queue: deque[_Attempt] = attrs.field(factory=deque)
+    prefixes: OrderedDict[int, None] = attrs.field(factory=OrderedDict)
+
+    def share(self) -> float:
+        """Return the tokens per second that one running request gets."""
+        base = self.upstream.tokens_per_s / self.slowdown
+        return base / max(len(self.running), self.upstream.slots / 4)
+
+
+@attrs.define(eq=False)
+class _Link:
+    """Hold the attempts whose activations cross between two zones."""
+
+    capacity: float
+    latency_s: float
+    running: dict[int, _Attempt] = attrs.field(factory=dict)
+
+    def share(self) -> float:
+        """Return the tokens per second that one running request gets."""
+        return self.capacity / max(1, len(self.running))
+
+
+class Driver:
+    """Hold the virtual clock, the engines and the results."""
+
+    def __init__(
+        self,
+        *,
+        routers: tuple[RoutingCore, ...],
+        upstreams: tuple[Upstream, ...],
+        config: FleetConfig,
+        seed: int,
+    ) -> None:
+        self.now_s = 0.0
+        self.results: dict[str, Result] = {}
+        self.token_log: list[tuple[float, float, str]] = []
+        self.prefill_log: list[tuple[float, float]] = []
+        self.crash_digests: set[str] = set()
+        self._routers = routers
+        self._random = random.Random(seed)
+        self._engines = {u.upstream_id: _Engine(u) for u in upstreams}
+        self._links = {
+            (link.from_zone, link.to_zone): _Link(link.tokens_per_s, link.latency_s)
+            for link in config.links
+        }
+        self._listed = dict(self._engines)
+        self._agenda: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = 0
+        self._live: dict[str, _Attempt] = {}
+        self._paused_since: dict[str, float] = {}
+        self._host_of: dict[str, int] = {}
+        for host in range(len(routers)):
+            self._tell(host, ConfigChanged(config))
+        self._publish_fleet()
+        self._every(TICK_S, lambda: self._tell_all(Tick()))
+        self._every(LOAD_INTERVAL_S, self._report_load)
+        self._every(PEER_INTERVAL_S, self._exchange_inflight)
+        self._every(PROGRESS_INTERVAL_S, self._report_progress)
+
+    def at(self, time_s: float, action: Callable[[], None]) -> None:
+        """Run an action at a virtual time."""
+        self._sequence += 1
+        heapq.heappush(self._agenda, (time_s, self._sequence, action))
+
+    def run(self, until_s: float) -> None:
+        """Advance the virtual clock."""
+        while self._agenda and self._agenda[0][0] <= until_s:
+            self.now_s, _, action = heapq.heappop(self._agenda)
+            action()
+        self.now_s = until_s
+
+    def submit(self, request: ModelRequest) -> None:
+        """Send a request to a random host now."""
+        host = self._random.randrange(len(self._routers))
+        self._host_of[request.request_id] = host
+        self.results[request.request_id] = Result(request, self.now_s)
+        self._tell(host, RequestArrived(request))
+
+    def kill(self, upstream_id: str, *, back_after_s: float | None = None) -> None:
+        """End an engine; the host list notices after its lag."""
+        engine = self._engines[upstream_id]
+        engine.alive = False
+        victims = [*engine.running.values(), *engine.queue]
+        engine.running.clear()
+        engine.queue.clear()
+        engine.prefixes.clear()
+        for attempt in victims:
+            self._fail(attempt, engine, FailureKind.LOST, LOSS_DETECTION_S)
+        if back_after_s is not None:
+            self.at(self.now_s + back_after_s, lambda: self._revive(engine))
+            return
+        self.at(self.now_s + HOST_LIST_LAG_S, lambda: self._unlist(upstream_id))
+
+    def slow_down(self, upstream_id: str, factor: float) -> None:
+        """Divide an engine's speed by a factor."""
+        engine = self._engines[upstream_id]
+        engine.slowdown = factor
+        self._rebalance([engine])
+
+    def _revive(self, engine: _Engine) -> None:
+        engine.alive = True
+
+    def _unlist(self, upstream_id: str) -> None:
+        self._listed.pop(upstream_id, None)
+        self._publish_fleet()
+
+    def _publish_fleet(self) -> None:
+        upstreams = tuple(engine.upstream for engine in self._listed.values())
+        self._tell_all(FleetChanged(upstreams, (), len(self._routers)))
+
+    def _every(self, interval_s: float, action: Callable[[], None]) -> None:
+        def repeat() -> None:
+            action()
+            self.at(self.now_s + interval_s, repeat)
+
+        self.at(self.now_s + interval_s, repeat)
+
+    def _report_load(self) -> None:
+        for engine in self._engines.values():
+            if engine.alive:
+                report = LoadReported(
+                    engine.upstream.upstream_id,
+                    running=len(engine.running),
+                    queued=len(engine.queue),
+                    age_s=LOAD_LAG_S,
+                )
+                self.at(self.now_s + LOAD_LAG_S, lambda r=report: self._tell_all(r))
+
+    def _exchange_inflight(self) -> None:
+        counts: list[dict[str, int]] = [{} for _ in self._routers]
+        for attempt in self._live.values():
+            for upstream_id in attempt.chain.upstream_ids:
+                own = counts[attempt.host]
+                own[upstream_id] = own.get(upstream_id, 0) + 1
+        for sender, own in enumerate(counts):
+            report = PeerInflight(
+                f"host-{sender}",
+                tuple(InflightCount(u, n) for u, n in sorted(own.items())),
+            )
+            for receiver in range(len(self._routers)):
+                if receiver != sender:
+                    self._tell(receiver, report)
+
+    def _report_progress(self) -> None:
+        for attempt in list(self._live.values()):
+            if attempt.decoding:
+                before = int(attempt.done_tokens)
+                self._settle(attempt)
+                tokens = int(attempt.done_tokens) - before
+                self._tell(
+                    attempt.host,
+                    TokensProgressed(
+                        attempt.request.request_id, attempt.number, tokens
+                    ),
+                )
+
+    def _tell_all(self, event: RouterEvent) -> None:
+        for host in range(len(self._routers)):
+            self._tell(host, event)
+
+    def _tell(self, host: int, event: RouterEvent) -> None:
+        for decision in self._routers[host].handle(event, self.now_s):
+            self._carry_out(host, decision)
+
+    def _carry_out(self, host: int, decision: RouterDecision) -> None:
+        match decision:
+            case Dispatch():
+                self.at(
+                    self.now_s + decision.delay_s,
+                    lambda: self._start(host, decision),
+                )
+            case Refuse(request_id, error, outcome):
+                result = self.results[request_id]
+                result.refused_s, result.outcome = self.now_s, outcome
+                result.error_code = error.code
+            case CancelAttempt(request_id, _, _):
+                attempt = self._live.get(request_id)
+                if attempt is not None:
+                    self._release(attempt)
+            case Probe(upstream_id, _):
+                alive = self._engines[upstream_id].alive
+                result_event = ProbeResult(upstream_id, alive, 0.001)
+                self.at(self.now_s + 0.001, lambda: self._tell(host, result_event))
+            case AnnounceBlame(digest, upstream_id):
+                for other in range(len(self._routers)):
+                    if other != host:
+                        learned = BlameLearned(digest, upstream_id)
+                        self.at(
+                            self.now_s + HOP_S,
+                            lambda o=other, e=learned: self._tell(o, e),
+                        )
+
+    def _start(self, host: int, dispatch: Dispatch) -> None:
+        result = self.results[dispatch.request_id]
+        if result.refused_s is not None:
+            return
+        result.attempts += 1
+        attempt = _Attempt(
+            request=result.request,
+            number=dispatch.attempt,
+            host=host,
+            chain=dispatch.chain,
+            done_tokens=float(dispatch.resume_index),
+            engines=[
+                self._engines[s.upstream_id]
+                for s in (*dispatch.chain.prefill_stages, *dispatch.chain.stages)
+            ],
+        )
+        zones = [engine.upstream.availability_zone for engine in attempt.engines]
+        for hop in zip(zones, zones[1:], strict=False):
+            if hop in self._links:
+                attempt.links.append(self._links[hop])
+        self._live[dispatch.request_id] = attempt
+        self._acquire(attempt)
+
+    def _acquire(self, attempt: _Attempt) -> None:
+        """Take a slot at each stage in order, waiting where none is free."""
+        while attempt.held < len(attempt.engines):
+            engine = attempt.engines[attempt.held]
+            if not engine.alive:
+                kind = FailureKind.NOT_SENT if attempt.held == 0 else FailureKind.LOST
+                self._fail(attempt, engine, kind, CONNECT_REFUSED_S)
+                return
+            if len(engine.running) >= engine.upstream.slots:
+                engine.queue.append(attempt)
+                return
+            engine.running[id(attempt)] = attempt
+            attempt.held += 1
+        self._prefill(attempt)
+
+    def _prefill(self, attempt: _Attempt) -> None:
+        request = attempt.request
+        if request.digest in self.crash_digests:
+            self.kill(attempt.engines[0].upstream.upstream_id, back_after_s=20.0)
+            return
+        head = attempt.engines[0]
+        blocks = request.prefix_blocks
+        known = sum(1 for block in blocks if block in head.prefixes)
+        for block in blocks:
+            head.prefixes[block] = None
+            head.prefixes.move_to_end(block)
+        while len(head.prefixes) > CACHED_PREFIXES:
+            head.prefixes.popitem(last=False)
+        cached = known / len(blocks) if blocks else 0.0
+        tokens = request.prompt_tokens * (1 - cached) + attempt.done_tokens
+        for link in attempt.links:
+            link.running[id(attempt)] = attempt
+        rate = self._slowest_share(attempt) * PREFILL_SPEEDUP
+        self.prefill_log.append((self.now_s, tokens / PREFILL_SPEEDUP))
+        duration_s = tokens / rate + self._hops_s(attempt)
+        self.at(self.now_s + duration_s, lambda: self._decode(attempt))
+        self._rebalance_around(attempt)
+
+    @staticmethod
+    def _slowest_share(attempt: _Attempt) -> float:
+        return min(part.share() for part in (*attempt.engines, *attempt.links))
+
+    @staticmethod
+    def _hops_s(attempt: _Attempt) -> float:
+        local_hops = len(attempt.engines) - len(attempt.links)
+        return HOP_S * local_hops + sum(link.latency_s for link in attempt.links)
+
+    def _decode(self, attempt: _Attempt) -> None:
+        if attempt.over:
+            return
+        result = self.results[attempt.request.request_id]
+        if result.first_token_s is None:
+            result.first_token_s = self.now_s
+        since = self._paused_since.pop(attempt.request.request_id, None)
+        if since is not None:
+            pause_s = self.now_s - since
+            result.longest_pause_s = max(result.longest_pause_s, pause_s)
+        attempt.decoding = True
+        attempt.done_tokens += 1
+        attempt.settled_s = self.now_s
+        self._tell(attempt.host, FirstToken(attempt.request.request_id, attempt.number))
+        self._rebalance_around(attempt)
+
+    def _rebalance_around(self, attempt: _Attempt) -> None:
+        self._rebalance([*attempt.engines, *attempt.links])
+
+    def _rebalance(self, parts: Sequence[_Engine | _Link]) -> None:
+        affected = {id(a): a for part in parts for a in part.running.values()}
+        for attempt in affected.values():
+            if attempt.decoding and not attempt.over:
+                self._settle(attempt)
+                self._schedule_finish(attempt)
+
+    def _settle(self, attempt: _Attempt) -> None:
+        elapsed_s = self.now_s - attempt.settled_s
+        tokens = attempt.rate * elapsed_s
+        if tokens:
+            rank = attempt.request.rank.name.lower()
+            self.token_log.append((self.now_s, tokens, rank))
+        attempt.done_tokens = min(
+            attempt.done_tokens + tokens, float(attempt.request.max_tokens)
+        )
+        attempt.settled_s = self.now_s
+
+    def _schedule_finish(self, attempt: _Attempt) -> None:
+        token_s = 1.0 / self._slowest_share(attempt) + self._hops_s(attempt)
+        attempt.rate = 1.0 / token_s
+        attempt.schedule += 1
+        schedule = attempt.schedule
+        left = attempt.request.max_tokens - attempt.done_tokens
+        at_s = self.now_s + max(0.0, left) / attempt.rate
+
+        def finish() -> None:
+            if not attempt.over and attempt.schedule == schedule:
+                self._finish(attempt)
+
+        self.at(at_s, finish)
+
+    def _finish(self, attempt: _Attempt) -> None:
+        self._settle(attempt)
+        result = self.results[attempt.request.request_id]
+        result.finished_s, result.outcome = self.now_s, Outcome.COMPLETE
+        self._release(attempt)
+        tokens = attempt.request.max_tokens
+        self._tell(
+            attempt.host,
+            AttemptFinished(attempt.request.request_id, attempt.number, tokens),
+        )
+
+    def _release(self, attempt: _Attempt) -> None:
+        """Give back the attempt's slots and start waiting attempts."""
+        attempt.over = True
+        if self._live.get(attempt.request.request_id) is attempt:
+            del self._live[attempt.request.request_id]
+        for link in attempt.links:
+            link.running.pop(id(attempt), None)
+        for engine in attempt.engines:
+            if attempt in engine.queue:
+                engine.queue.remove(attempt)
+            if engine.running.pop(id(attempt), None) is None:
+                continue
+            if engine.queue and engine.alive:
+                waiting = engine.queue.popleft()
+                engine.running[id(waiting)] = waiting
+                waiting.held += 1
+                self.at(self.now_s, lambda w=waiting: self._resume_acquire(w))
+        self._rebalance_around(attempt)
+
+    def _resume_acquire(self, attempt: _Attempt) -> None:
+        if not attempt.over:
+            self._acquire(attempt)
+
+    def _fail(
+        self, attempt: _Attempt, engine: _Engine, kind: FailureKind, after_s: float
+    ) -> None:
+        if attempt.over:
+            return
+        if attempt.decoding:
+            self._settle(attempt)
+        request_id = attempt.request.request_id
+        if self.results[request_id].first_token_s is not None:
+            self._paused_since.setdefault(request_id, self.now_s)
+        self._release(attempt)
+        event = StageFailed(
+            request_id=request_id,
+            attempt=attempt.number,
+            upstream_id=engine.upstream.upstream_id,
+            failure=kind,
+            tokens_so_far=int(attempt.done_tokens),
+        )
+        self.at(self.now_s + after_s, lambda: self._tell(attempt.host, event))
+
+    def cancel(self, request_id: str) -> None:
+        """Let the caller of a request leave."""
+        self._tell(self._host_of[request_id], RequestCancelled(request_id))
