Queue, retry and quarantine requests in the router

Cause: the router dispatched first come first served, without ranks, fairness, limits, budgets or quarantine, and its refusals counted a refused attempt as run. Change: core/admission (ranks with floors, fair queueing per workspace, limits, wait estimates), core/retry (budget, backoff, quarantine by digest), and core/router split into admission, dispatch, failures and endings over one queue per model and service. The daemon carries out Probe and passes expected_hosts. Five property tests over random event sequences through Router.handle pass.

--- a/persimmonwell/core/__init__.py
+++ b/persimmonwell/core/__init__.py
@@ -2,6 +2,7 @@
 
 from persimmonwell.core._types import (
     Chain,
+    InflightCount,
     LayerRange,
     LinkCapacity,
     ModelRequest,
@@ -17,6 +18,7 @@
 
 __all__ = [
     "Chain",
+    "InflightCount",
     "LayerRange",
     "LinkCapacity",
     "ModelRequest",
--- a/persimmonwell/core/_types.py
+++ b/persimmonwell/core/_types.py
@@ -136,6 +136,14 @@
     latency_s: float
 
 
+@attrs.frozen
+class InflightCount:
+    """Count the requests one host has in flight at one upstream."""
+
+    upstream_id: str
+    requests: int
+
+
 @attrs.frozen
 class ModelRequest:
     """Hold what admission and routing need to know of a model request."""
--- a/persimmonwell/core/retry/__init__.py
+++ b/persimmonwell/core/retry/__init__.py
@@ -9,13 +9,21 @@
     TokenAssembler,
     TokenFrame,
 )
+from persimmonwell.core.retry._backoff import backoff_s
+from persimmonwell.core.retry._budget import RetryBudget
+from persimmonwell.core.retry._quarantine import Blame, Quarantine, Verdict
 
 __all__ = [
     "AcceptedEnd",
     "AcceptedToken",
+    "Blame",
     "DropReason",
     "Dropped",
     "EndFrame",
+    "Quarantine",
+    "RetryBudget",
     "TokenAssembler",
     "TokenFrame",
+    "Verdict",
+    "backoff_s",
 ]
--- a/persimmonwell/core/router/__init__.py
+++ b/persimmonwell/core/router/__init__.py
@@ -1,5 +1,6 @@
 """Drive routing decisions event by event."""
 
+from persimmonwell.core._types import InflightCount
 from persimmonwell.core.router._decisions import (
     AnnounceBlame,
     CancelAttempt,
@@ -18,7 +19,6 @@
     FailureKind,
     FirstToken,
     FleetChanged,
-    InflightCount,
     LoadReported,
     PeerInflight,
     ProbeResult,
@@ -33,7 +33,7 @@
     Tick,
     TokensProgressed,
 )
-from persimmonwell.core.router._router import Router
+from persimmonwell.core.router._router import QueueLength, Router
 
 __all__ = [
     "AnnounceBlame",
@@ -52,6 +52,7 @@
     "PeerInflight",
     "Probe",
     "ProbeResult",
+    "QueueLength",
     "QuarantineCleared",
     "RecordEvent",
     "Refuse",
--- /dev/null
+++ b/persimmonwell/core/router/_dispatch.py
@@ -0,0 +1,163 @@
+"""Dispatch waiting requests while there is capacity."""
+
+from collections.abc import Sequence
+from enum import Enum
+
+from persimmonwell.core._types import ModelRequest, Rank, ServiceCall
+from persimmonwell.core.router._active import Active, Phase
+from persimmonwell.core.router._decisions import Dispatch, DispatchService
+from persimmonwell.core.router._state import Lane, RouterState
+from persimmonwell.core.routing import NoRoute
+
+RESUME_SCAN = 4
+"""Requests tried per round when the first cannot be placed, so that one with
+many excluded upstreams does not hold up the others."""
+EXCLUSION_S = 1.0
+"""Time after which a waiting request may go back to an upstream that failed it."""
+
+
+class _Round(Enum):
+    PLACED = 0
+    NOTHING = 1
+    SATURATED = 2
+
+
+def dispatch_waiting(state: RouterState, lane: Lane, now_s: float) -> None:
+    """Dispatch the waiting requests of a target until its capacity is used."""
+    while _dispatch_one(state, lane, now_s) is _Round.PLACED:
+        pass
+    lane.queue.settle(now_s)
+
+
+def _dispatch_one(state: RouterState, lane: Lane, now_s: float) -> _Round:
+    waiting = [
+        rank
+        for rank in Rank
+        if lane.resumes[rank] or lane.queue.head(rank, now_s) is not None
+    ]
+    for rank in lane.queue.floors.order(waiting):
+        for attempt in (_resume, _start):
+            result = attempt(state, lane, rank, waiting, now_s)
+            if result is not _Round.NOTHING:
+                return result
+    return _Round.NOTHING
+
+
+def _resume(
+    state: RouterState, lane: Lane, rank: Rank, waiting: Sequence[Rank], now_s: float
+) -> _Round:
+    for request_id in lane.first_resumes(rank, RESUME_SCAN):
+        active = state.table.get(request_id)
+        assert active is not None, f"{request_id} ended but waits"
+        if not state.quarantine.is_held(active.work.digest):
+            if _place(state, active, now_s) is None:
+                del lane.resumes[rank][request_id]
+                lane.queue.floors.charge(rank, active.remaining_tokens, waiting)
+                return _Round.PLACED
+        lane.resumes[rank].move_to_end(request_id)
+    return _Round.NOTHING
+
+
+def _start(
+    state: RouterState, lane: Lane, rank: Rank, waiting: Sequence[Rank], now_s: float
+) -> _Round:
+    entry = lane.queue.head(rank, now_s)
+    if entry is None:
+        return _Round.NOTHING
+    active = state.table.get(entry.request_id)
+    assert active is not None, f"{entry.request_id} ended but is queued"
+    if not state.quarantine.is_held(active.work.digest):
+        blocked = _place(state, active, now_s)
+        if blocked is not None and not state.quarantine.is_suspect(active.work.digest):
+            return _Round.SATURATED
+    lane.queue.take(entry, now_s)
+    lane.queue.floors.charge(rank, entry.cost_tokens, waiting)
+    state.limits.started(entry.workspace, entry.cost_tokens, now_s)
+    active.charged = True
+    if active.phase is Phase.QUEUED:
+        # A suspect waits apart so that the requests behind it go on.
+        active.phase = Phase.RESUMING
+        lane.resumes[rank][entry.request_id] = None
+    return _Round.PLACED
+
+
+def _place(state: RouterState, active: Active, now_s: float) -> NoRoute | None:
+    """Start an attempt; return why none can start now."""
+    if isinstance(active.work, ServiceCall):
+        blocked = _place_call(state, active, active.work, now_s)
+    else:
+        blocked = _place_request(state, active, active.work, now_s)
+    if blocked is None:
+        active.uncovered = None
+    else:
+        active.uncovered = None if blocked.covered else blocked.reason
+    return blocked
+
+
+def _may_forgive(active: Active, blocked: NoRoute, now_s: float) -> bool:
+    waited = now_s - active.failed_s > EXCLUSION_S
+    return bool(active.excluded) and (waited or not blocked.covered)
+
+
+def _place_request(
+    state: RouterState, active: Active, request: ModelRequest, now_s: float
+) -> NoRoute | None:
+    isolated = state.quarantine.excluded_for(request.digest)
+    excluded = active.excluded | isolated
+    chain = state.chains.choose(request, now_s, excluded=excluded)
+    if isinstance(chain, NoRoute) and _may_forgive(active, chain, now_s):
+        chain = state.chains.choose(request, now_s, excluded=isolated)
+    if isinstance(chain, NoRoute):
+        return chain
+    active.chain = chain
+    delay_s = _begin_attempt(state, active, now_s)
+    state.chains.started(chain, tokens=active.remaining_tokens, now_s=now_s)
+    state.quarantine.started(active.request_id, request.digest, chain.upstream_ids)
+    state.emit(
+        Dispatch(
+            request_id=active.request_id,
+            attempt=active.attempt,
+            chain=chain,
+            resume_index=active.tokens,
+            rank=active.rank,
+            delay_s=delay_s,
+        )
+    )
+    _record_attempt(state, active, chain.upstream_ids[0])
+    return None
+
+
+def _place_call(
+    state: RouterState, active: Active, call: ServiceCall, now_s: float
+) -> NoRoute | None:
+    sound_only = not call.repeatable
+    replica = state.pool.choose(
+        call.service, now_s, excluded=active.excluded, sound_only=sound_only
+    )
+    if isinstance(replica, NoRoute) and _may_forgive(active, replica, now_s):
+        replica = state.pool.choose(call.service, now_s, sound_only=sound_only)
+    if isinstance(replica, NoRoute):
+        return replica
+    active.replica = replica
+    delay_s = _begin_attempt(state, active, now_s)
+    state.pool.started(replica)
+    state.emit(DispatchService(active.request_id, active.attempt, replica, delay_s))
+    _record_attempt(state, active, replica.replica_id)
+    return None
+
+
+def _begin_attempt(state: RouterState, active: Active, now_s: float) -> float:
+    delay_s = max(0.0, active.not_before_s - now_s)
+    active.attempt += 1
+    active.sent_s = now_s + delay_s
+    active.generated = active.tokens
+    state.table.run(active)
+    return delay_s
+
+
+def _record_attempt(state: RouterState, active: Active, upstream_id: str) -> None:
+    kind = "dispatched"
+    if active.failures:
+        kind = "resumed" if active.may_have_run else "retried"
+    detail = f"attempt {active.attempt}"
+    state.record(kind, active, upstream_id=upstream_id, detail=detail)
--- a/persimmonwell/core/router/_events.py
+++ b/persimmonwell/core/router/_events.py
@@ -5,6 +5,7 @@
 import attrs
 
 from persimmonwell.core._types import (
+    InflightCount,
     ModelRequest,
     ServiceCall,
     ServiceReplica,
@@ -145,14 +146,6 @@
     config: FleetConfig
 
 
-@attrs.frozen
-class InflightCount:
-    """Count the requests one host has in flight at one upstream."""
-
-    upstream_id: str
-    requests: int
-
-
 @attrs.frozen
 class PeerInflight:
     """Report the in-flight requests of another entry host."""
--- a/persimmonwell/core/router/_router.py
+++ b/persimmonwell/core/router/_router.py
@@ -1,252 +1,357 @@
 """Compose admission, routing and retries into one event-driven router."""
 
 import random
-from collections import deque
+from collections.abc import Mapping
 
 import attrs
 
-from persimmonwell._exceptions import (
-    DeadlineExceededError,
-    NoRouteError,
-    NotReadyError,
-    OverloadedError,
-    UpstreamFailedError,
-)
-from persimmonwell.core._types import (
-    Chain,
-    ModelRequest,
-    Outcome,
-    ServiceCall,
-    ServiceReplica,
-    Upstream,
-)
+from persimmonwell._exceptions import NotReadyError
+from persimmonwell.core._types import InflightCount, ModelRequest, Rank
+from persimmonwell.core.admission import AdmissionQueue, LimitShare
 from persimmonwell.core.config import FleetConfig
+from persimmonwell.core.retry import Blame
 from persimmonwell.core.router import _events as ev
-from persimmonwell.core.router._decisions import (
-    CancelAttempt,
-    Dispatch,
-    DispatchService,
-    RecordEvent,
-    Refuse,
-    RouterDecision,
+from persimmonwell.core.router._active import Active, Phase
+from persimmonwell.core.router._admit import arrive, bound_waiting
+from persimmonwell.core.router._decisions import Probe, RouterDecision
+from persimmonwell.core.router._dispatch import dispatch_waiting
+from persimmonwell.core.router._endings import (
+    apply_verdict,
+    cancel,
+    end_request,
+    expire,
+    refuse,
 )
-from persimmonwell.core.routing import ChainRouter, NoRoute
-
-
-@attrs.define
-class _Active:
-    """Track one admitted model request."""
-
-    request: ModelRequest
-    attempt: int = 0
-    chain: Chain | None = None
-    excluded: frozenset[str] = frozenset()
-    may_have_run: bool = False
-    tokens: int = 0
+from persimmonwell.core.router._failures import call_failed, stage_failed
+from persimmonwell.core.router._replicas import ReplicaPool
+from persimmonwell.core.router._state import (
+    Lane,
+    RouterState,
+    model_target,
+    service_target,
+)
+from persimmonwell.core.routing import ChainRouter
 
 
-@attrs.define
-class _ActiveCall:
-    """Track one admitted service call."""
+@attrs.frozen
+class QueueLength:
+    """Count the waiting requests of one target and rank."""
 
-    call: ServiceCall
-    attempt: int = 0
-    excluded: frozenset[str] = frozenset()
+    target: str
+    """"model:NAME" or "service:NAME"."""
+    rank: Rank
+    waiting: int
 
 
 class Router:
     """Hold the state of one entry host's routing decisions."""
 
-    def __init__(self, *, host_id: str, availability_zone: str, seed: int) -> None:
+    def __init__(
+        self,
+        *,
+        host_id: str,
+        availability_zone: str,
+        seed: int,
+        expected_hosts: int = 1,
+    ) -> None:
         self._host_id = host_id
-        self._availability_zone = availability_zone
-        self._random = random.Random(seed)
-        self._chains = ChainRouter(seed=seed)
-        self._config = FleetConfig()
-        self._replicas: dict[str, list[ServiceReplica]] = {}
-        self._active: dict[str, _Active] = {}
-        self._calls: dict[str, _ActiveCall] = {}
-        self._waiting: deque[str] = deque()
+        self._state = RouterState(
+            chains=ChainRouter(seed=seed, availability_zone=availability_zone),
+            pool=ReplicaPool(availability_zone=availability_zone, seed=seed),
+            random=random.Random(seed),
+            expected_hosts=expected_hosts,
+        )
+
+    @property
+    def host_id(self) -> str:
+        """Return the id of this entry host."""
+        return self._host_id
 
     @property
     def in_flight(self) -> int:
         """Return the number of requests queued or running."""
-        return len(self._active) + len(self._calls)
+        return len(self._state.table)
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of requests that wait for an attempt."""
+        return self._state.table.waiting_total
+
+    @property
+    def queue_lengths(self) -> tuple[QueueLength, ...]:
+        """Return the waiting requests of every target and rank."""
+        return tuple(
+            QueueLength(lane.target, rank, lane.waiting(rank))
+            for lane in self._state.lanes.values()
+            for rank in Rank
+        )
+
+    @property
+    def refusals(self) -> Mapping[str, int]:
+        """Return the refusals since the start by error code."""
+        return dict(self._state.refusals)
+
+    @property
+    def quarantined(self) -> tuple[str, ...]:
+        """Return the quarantined digests."""
+        return self._state.quarantine.digests
+
+    @property
+    def suspects(self) -> tuple[Blame, ...]:
+        """Return the digests suspected of losing upstreams."""
+        return self._state.quarantine.suspects
+
+    @property
+    def retry_budget(self) -> float:
+        """Return the repeats that all workspaces together may make now."""
+        return self._state.budget.fleet_level
+
+    @property
+    def inflight_counts(self) -> tuple[InflightCount, ...]:
+        """Return what this host has in flight at each upstream, largest first."""
+        return self._state.chains.inflight()
+
+    def limits_in_force(self, now_s: float) -> tuple[LimitShare, ...]:
+        """Return this host's share of each limited workspace's limits."""
+        return self._state.limits.in_force(now_s)
 
     def handle(self, event: ev.RouterEvent, now_s: float) -> tuple[RouterDecision, ...]:
         """Apply one event and return the decisions that follow from it."""
+        state = self._state
+        state.decisions = []
+        arrival = self._apply(event, now_s)
+        expire(state, now_s)
+        self._dispatch(now_s)
+        if arrival is not None:
+            bound_waiting(state, arrival, now_s)
+            self._dispatch(now_s)
+        return tuple(state.decisions)
+
+    def _dispatch(self, now_s: float) -> None:
+        state = self._state
+        while state.unsettled:
+            targets = sorted(state.unsettled)
+            state.unsettled.clear()
+            for target in targets:
+                lane = state.lanes.get(target)
+                if lane is not None:
+                    dispatch_waiting(state, lane, now_s)
+
+    def _apply(self, event: ev.RouterEvent, now_s: float) -> Active | None:
+        """Apply one event; return the request when it is a new one."""
+        state = self._state
         match event:
             case ev.RequestArrived(request):
-                return self._arrived(request, now_s)
+                return arrive(state, request, now_s)
             case ev.ServiceCallArrived(call):
-                return self._call_arrived(call)
+                return arrive(state, call, now_s)
             case ev.RequestCancelled(request_id):
-                return self._cancelled(request_id)
-            case ev.AttemptFinished(request_id, attempt, _):
-                return self._attempt_finished(request_id, attempt)
+                active = state.table.get(request_id)
+                if active is not None:
+                    cancel(state, active, now_s)
+            case ev.FirstToken():
+                self._first_token(event, now_s)
+            case ev.TokensProgressed():
+                self._tokens_progressed(event, now_s)
+            case ev.AttemptFinished():
+                self._attempt_finished(event, now_s)
             case ev.StageFailed():
-                return self._stage_failed(event)
-            case ev.ServiceCallFinished(request_id, _):
-                self._calls.pop(request_id, None)
-                return ()
+                stage_failed(state, event, now_s)
+            case ev.ServiceCallFinished():
+                self._call_finished(event, now_s)
             case ev.ServiceCallFailed():
-                return self._call_failed(event)
-            case ev.FleetChanged(upstreams, replicas, _):
-                self._fleet_changed(upstreams, replicas)
-                return self._dispatch_waiting()
+                call_failed(state, event, now_s)
+            case _:
+                self._apply_evidence(event, now_s)
+        return None
+
+    def _apply_evidence(self, event: ev.RouterEvent, now_s: float) -> None:
+        """Apply an event that concerns no single request."""
+        state = self._state
+        match event:
+            case ev.LoadReported(upstream_id, running, queued, age_s):
+                state.chains.load_reported(
+                    upstream_id,
+                    running=running,
+                    queued=queued,
+                    age_s=age_s,
+                    now_s=now_s,
+                )
+                self._unsettle_upstream(upstream_id)
+            case ev.CacheReported(upstream_id, sequence, stored, evicted):
+                state.chains.cache_reported(
+                    upstream_id, sequence=sequence, stored=stored, evicted=evicted
+                )
+            case ev.PeerInflight(host_id, counts):
+                state.chains.peer_inflight(host_id, counts, now_s=now_s)
+                state.unsettle_all()
+            case ev.FleetChanged():
+                self._fleet_changed(event, now_s)
             case ev.ConfigChanged(config):
-                self._config = config
-                return ()
+                self._config_changed(config, now_s)
+            case ev.BlameLearned(digest, upstream_id):
+                verdict = state.quarantine.learn(digest, upstream_id, now_s)
+                apply_verdict(state, verdict, now_s)
+            case ev.QuarantineCleared(digest):
+                state.quarantine.clear(digest)
+                state.unsettle_all()
+            case ev.ProbeResult():
+                self._probe_result(event, now_s)
             case ev.Tick():
-                return self._expire(now_s)
-            case _:
-                return ()
-
-    def _arrived(
-        self, request: ModelRequest, now_s: float
-    ) -> tuple[RouterDecision, ...]:
-        if request.model not in self._config.models:
-            error = NotReadyError(reason=f"model {request.model!r} not configured")
-            return (Refuse(request.request_id, error, Outcome.NOT_RUN),)
-        rank = self._config.ranks[request.rank]
-        if len(self._waiting) >= rank.queue_entries:
-            full = OverloadedError(rank=request.rank.name.lower(), reason="queue full")
-            return (Refuse(request.request_id, full, Outcome.NOT_RUN),)
-        self._active[request.request_id] = _Active(request)
-        self._waiting.append(request.request_id)
-        return self._dispatch_waiting()
-
-    def _dispatch_waiting(self) -> tuple[RouterDecision, ...]:
-        decisions: list[RouterDecision] = []
-        while self._waiting:
-            active = self._active[self._waiting[0]]
-            dispatch = self._try_dispatch(active)
-            if dispatch is None:
-                break
-            self._waiting.popleft()
-            decisions.append(dispatch)
-        return tuple(decisions)
-
-    def _try_dispatch(self, active: _Active) -> Dispatch | None:
-        request = active.request
-        layers = self._config.models[request.model].layers
-        chain = self._chains.choose(request.model, layers, excluded=active.excluded)
-        if isinstance(chain, NoRoute):
-            return None
-        active.chain = chain
-        active.attempt += 1
-        self._chains.started(chain)
-        return Dispatch(
-            request_id=request.request_id,
-            attempt=active.attempt,
-            chain=chain,
-            resume_index=active.tokens,
-            rank=request.rank,
+                self._tick(now_s)
+
+    def _unsettle_upstream(self, upstream_id: str) -> None:
+        upstream = self._state.upstreams.get(upstream_id)
+        if upstream is not None:
+            self._state.unsettled.add(model_target(upstream.model))
+
+    def _first_token(self, event: ev.FirstToken, now_s: float) -> None:
+        state = self._state
+        active = state.table.running(event.request_id, event.attempt)
+        if active is None or active.chain is None or active.first_token_s is not None:
+            return
+        active.first_token_s = now_s
+        latency_s = max(0.0, now_s - active.sent_s)
+        state.chains.first_token(active.chain, latency_s=latency_s, now_s=now_s)
+        state.quarantine.progressed(
+            active.request_id, active.work.digest, active.upstream_ids
         )
+        if state.quarantine.is_suspect(active.work.digest):
+            state.unsettled.add(active.target)
+        detail = f"attempt {active.attempt}"
+        state.record("first-token", active, detail=detail)
 
-    def _attempt_finished(
-        self, request_id: str, attempt: int
-    ) -> tuple[RouterDecision, ...]:
-        active = self._active.get(request_id)
-        if active is None or active.attempt != attempt:
-            return ()
-        self._release(active)
-        del self._active[request_id]
-        return self._dispatch_waiting()
-
-    def _stage_failed(self, event: ev.StageFailed) -> tuple[RouterDecision, ...]:
-        active = self._active.get(event.request_id)
-        if active is None or active.attempt != event.attempt:
-            return ()
-        self._release(active)
-        active.tokens = event.tokens_so_far
-        active.may_have_run |= event.failure is not ev.FailureKind.NOT_SENT
-        active.excluded |= {event.upstream_id}
-        if active.attempt < self._config.retry.max_attempts:
-            dispatch = self._try_dispatch(active)
-            if dispatch is not None:
-                resumed = RecordEvent(
-                    kind="resumed",
-                    request_id=event.request_id,
-                    upstream_id=event.upstream_id,
-                )
-                return (resumed, dispatch, *self._dispatch_waiting())
-        del self._active[event.request_id]
-        error = UpstreamFailedError(event.upstream_id, event.failure.value)
-        outcome = Outcome.MAY_HAVE_RUN if active.may_have_run else Outcome.NOT_RUN
-        refuse = Refuse(event.request_id, error, outcome)
-        return (refuse, *self._dispatch_waiting())
-
-    def _release(self, active: _Active) -> None:
-        if active.chain is not None:
-            self._chains.finished(active.chain)
-            active.chain = None
-
-    def _cancelled(self, request_id: str) -> tuple[RouterDecision, ...]:
-        self._calls.pop(request_id, None)
-        active = self._active.pop(request_id, None)
-        if active is None:
-            return ()
-        if request_id in self._waiting:
-            self._waiting.remove(request_id)
-        if active.chain is None:
-            return ()
-        cancel = CancelAttempt(request_id, active.attempt, active.chain)
-        self._release(active)
-        return (cancel, *self._dispatch_waiting())
-
-    def _expire(self, now_s: float) -> tuple[RouterDecision, ...]:
-        decisions: list[RouterDecision] = []
-        for request_id in tuple(self._waiting):
-            request = self._active[request_id].request
-            if request.deadline_s > now_s:
-                continue
-            self._waiting.remove(request_id)
-            del self._active[request_id]
-            error = DeadlineExceededError(deadline_ms=0.0)
-            decisions.append(Refuse(request_id, error, Outcome.NOT_RUN))
-        return tuple(decisions)
-
-    def _fleet_changed(
-        self, upstreams: tuple[Upstream, ...], replicas: tuple[ServiceReplica, ...]
+    def _tokens_progressed(self, event: ev.TokensProgressed, now_s: float) -> None:
+        active = self._state.table.running(event.request_id, event.attempt)
+        if active is not None and active.chain is not None:
+            active.generated += event.tokens
+            self._state.chains.progressed(
+                active.chain, tokens=event.tokens, now_s=now_s
+            )
+
+    def _attempt_finished(self, event: ev.AttemptFinished, now_s: float) -> None:
+        state = self._state
+        active = state.table.running(event.request_id, event.attempt)
+        if active is None or not isinstance(active.work, ModelRequest):
+            return
+        self._take_latencies(active, active.work, event.tokens, now_s)
+        for upstream_id in active.upstream_ids:
+            state.chains.upstream_succeeded(upstream_id, now_s=now_s)
+        end_request(state, active, active.work.prompt_tokens + event.tokens, now_s)
+        state.quarantine.completed(active.work.digest)
+        state.record("finished", active, detail="complete")
+
+    def _take_latencies(
+        self, active: Active, request: ModelRequest, tokens: int, now_s: float
     ) -> None:
-        self._chains.update_fleet(upstreams)
-        by_service: dict[str, list[ServiceReplica]] = {}
-        for replica in replicas:
-            if not replica.leaving:
-                by_service.setdefault(replica.service, []).append(replica)
-        self._replicas = by_service
-
-    def _call_arrived(self, call: ServiceCall) -> tuple[RouterDecision, ...]:
-        active = _ActiveCall(call)
-        self._calls[call.request_id] = active
-        return (self._dispatch_call(active),)
-
-    def _dispatch_call(self, active: _ActiveCall) -> RouterDecision:
-        call = active.call
-        candidates = [
-            r
-            for r in self._replicas.get(call.service, ())
-            if r.replica_id not in active.excluded
-        ]
-        if not candidates:
-            self._calls.pop(call.request_id, None)
-            error = NoRouteError(target=call.service, reason="no live replica")
-            return Refuse(call.request_id, error, Outcome.NOT_RUN)
-        active.attempt += 1
-        replica = self._random.choice(candidates)
-        return DispatchService(call.request_id, active.attempt, replica)
-
-    def _call_failed(self, event: ev.ServiceCallFailed) -> tuple[RouterDecision, ...]:
-        active = self._calls.get(event.request_id)
-        if active is None or active.attempt != event.attempt:
-            return ()
-        active.excluded |= {event.replica_id}
-        not_sent = event.failure is ev.FailureKind.NOT_SENT
-        if not_sent or active.call.repeatable:
-            decision = self._dispatch_call(active)
-            if isinstance(decision, DispatchService) or not_sent:
-                return (decision,)
-        self._calls.pop(event.request_id, None)
-        error = UpstreamFailedError(event.replica_id, event.failure.value)
-        return (Refuse(event.request_id, error, Outcome.MAY_HAVE_RUN),)
+        if active.chain is None or active.first_token_s is None:
+            return
+        gaps = tokens - active.tokens - 1
+        running_s = max(0.0, now_s - active.first_token_s)
+        gap_s = running_s / gaps if gaps > 0 else 0.0
+        if gaps > 0:
+            self._state.chains.token_gap(active.chain, gap_s=gap_s, now_s=now_s)
+            self._state.lanes[active.target].queue.times.finished(
+                first_token_s=max(0.0, active.first_token_s - active.sent_s),
+                gap_s=gap_s,
+                output_ratio=min(1.0, tokens / max(1, request.max_tokens)),
+                now_s=now_s,
+            )
+
+    def _call_finished(self, event: ev.ServiceCallFinished, now_s: float) -> None:
+        state = self._state
+        active = state.table.running(event.request_id, event.attempt)
+        if active is None or active.replica is None:
+            return
+        state.pool.succeeded(active.replica)
+        state.lanes[active.target].queue.times.finished(
+            first_token_s=max(0.0, now_s - active.sent_s),
+            gap_s=0.0,
+            output_ratio=1.0,
+            now_s=now_s,
+        )
+        end_request(state, active, active.entry.cost_tokens, now_s)
+        state.record("finished", active, detail="complete")
+
+    def _probe_result(self, event: ev.ProbeResult, now_s: float) -> None:
+        state = self._state
+        state.chains.probe_result(
+            event.upstream_id,
+            succeeded=event.succeeded,
+            latency_s=event.latency_s,
+            now_s=now_s,
+        )
+        verdict = state.quarantine.resolve(
+            event.upstream_id, lost=not event.succeeded, now_s=now_s
+        )
+        apply_verdict(state, verdict, now_s)
+        self._unsettle_upstream(event.upstream_id)
+
+    def _tick(self, now_s: float) -> None:
+        state = self._state
+        apply_verdict(state, state.quarantine.expire(now_s), now_s)
+        for upstream_id in state.chains.probes_due(now_s):
+            upstream = state.upstreams.get(upstream_id)
+            if upstream is not None:
+                state.emit(Probe(upstream_id, upstream.address))
+        for target, lane in tuple(state.lanes.items()):
+            if lane.requests:
+                state.unsettled.add(target)
+            elif not self._is_configured(target):
+                del state.lanes[target]
+
+    def _fleet_changed(self, event: ev.FleetChanged, now_s: float) -> None:
+        state = self._state
+        before = state.upstreams
+        state.upstreams = {u.upstream_id: u for u in event.upstreams}
+        state.replicas = event.replicas
+        state.live_hosts = event.live_hosts
+        state.pool.update(event.replicas)
+        self._update_chains(now_s)
+        self._configure_limits()
+        for upstream_id in state.quarantine.unconfirmed():
+            old, new = before.get(upstream_id), state.upstreams.get(upstream_id)
+            if new is None or (old is not None and old.incarnation != new.incarnation):
+                verdict = state.quarantine.resolve(upstream_id, lost=True, now_s=now_s)
+                apply_verdict(state, verdict, now_s)
+        state.unsettle_all()
+
+    def _update_chains(self, now_s: float) -> None:
+        state = self._state
+        layers = {name: model.layers for name, model in state.config.models.items()}
+        state.chains.update_fleet(
+            tuple(state.upstreams.values()), state.config.links, layers, now_s
+        )
+
+    def _configure_limits(self) -> None:
+        state = self._state
+        hosts = max(1, state.live_hosts, state.expected_hosts)
+        state.limits.configure(state.config.workspaces, hosts)
+        for lane in state.lanes.values():
+            lane.queue.configure(state.config.ranks)
+
+    def _config_changed(self, config: FleetConfig, now_s: float) -> None:
+        state = self._state
+        state.config = config
+        state.budget.configure(config.retry.ratio)
+        for target in self._configured_targets():
+            if target not in state.lanes:
+                state.lanes[target] = Lane(target, AdmissionQueue(state.limits))
+        self._update_chains(now_s)
+        self._configure_limits()
+        for active in state.table:
+            waits = active.phase is not Phase.RUNNING
+            if waits and not self._is_configured(active.target):
+                reason = f"{active.target} was removed"
+                refuse(state, active, NotReadyError(reason), now_s)
+        state.unsettle_all()
+
+    def _configured_targets(self) -> tuple[str, ...]:
+        config = self._state.config
+        models = (model_target(name) for name in config.models)
+        return (*models, *(service_target(name) for name in config.services))
+
+    def _is_configured(self, target: str) -> bool:
+        kind, _, name = target.partition(":")
+        config = self._state.config
+        return name in (config.models if kind == "model" else config.services)
--- a/persimmonwell/daemon/_daemon.py
+++ b/persimmonwell/daemon/_daemon.py
@@ -24,6 +24,8 @@
     CancelAttempt,
     ConfigChanged,
     FleetChanged,
+    Probe,
+    ProbeResult,
     Router,
     RouterDecision,
 )
@@ -75,6 +77,7 @@
             host_id=settings.host_id,
             availability_zone=settings.availability_zone,
             seed=seed,
+            expected_hosts=settings.expected_hosts,
         )
         control = Control(
             host_id=settings.host_id, availability_zone=settings.availability_zone
@@ -172,6 +175,14 @@
                 self._workers.submit(
                     self._engines.cancel, address, decision.request_id, decision.attempt
                 )
+        elif isinstance(decision, Probe):
+            self._workers.submit(self._probe, decision)
+
+    def _probe(self, probe: Probe) -> None:
+        started_s = time.monotonic()
+        succeeded = self._engines.load(probe.address) is not None
+        latency_s = time.monotonic() - started_s
+        self._router.tell(ProbeResult(probe.upstream_id, succeeded, latency_s))
 
     def _carry_out_control(self, decision: ControlDecision) -> None:
         match decision:
