--- a/persimmonwell/core/router/__init__.py
+++ b/persimmonwell/core/router/__init__.py
@@ -33,7 +33,7 @@
     Tick,
     TokensProgressed,
 )
-from persimmonwell.core.router._router import Router
+from persimmonwell.core.router._router import QueueLength, Router
 
 __all__ = [
     "AnnounceBlame",
@@ -52,6 +52,7 @@
     "PeerInflight",
     "Probe",
     "ProbeResult",
+    "QueueLength",
     "QuarantineCleared",
     "RecordEvent",
     "Refuse",
--- a/persimmonwell/daemon/_daemon.py
+++ b/persimmonwell/daemon/_daemon.py
@@ -89,6 +89,7 @@
             host_id=settings.host_id,
             availability_zone=settings.availability_zone,
             seed=seed,
+            expected_hosts=settings.expected_hosts,
         )
         control = Control(
             host_id=settings.host_id, availability_zone=settings.availability_zone
