Model engine priorities and memory-bound decoding in the bench

Cause: a lone request ran four times faster than one in a full batch, and the engine queue ignored the rank that the router passes on; engines honour priorities, and decoding is bound by memory bandwidth. Change: inter-token latency of a lone request is 0.9 of a full batch; engines take waiting attempts by rank; the naive router passes no rank.

--- a/bench/driver.py
+++ b/bench/driver.py
@@ -49,6 +49,11 @@
 PREFILL_SPEEDUP = 20.0
 """Prompt tokens prefilled in the time of one decoded token of the batch."""
 CACHED_PREFIXES = 64
+LONE_GAP_SHARE = 0.9
+"""Inter-token latency of a lone request relative to a full batch.
+
+Decoding is bound by memory bandwidth, so batching costs each request little.
+"""
 PROGRESS_INTERVAL_S = 0.5
 
 
@@ -88,6 +93,7 @@
 class _Attempt:
     request: ModelRequest
     number: int
+    rank: int
     host: int
     chain: Chain
     done_tokens: float
@@ -112,8 +118,10 @@
 
     def share(self) -> float:
         """Return the tokens per second that one running request gets."""
-        base = self.upstream.tokens_per_s / self.slowdown
-        return base / max(len(self.running), self.upstream.slots / 4)
+        slots = self.upstream.slots
+        full_share = self.upstream.tokens_per_s / self.slowdown / slots
+        filled = len(self.running) / slots
+        return full_share / (LONE_GAP_SHARE + (1 - LONE_GAP_SHARE) * filled)
 
 
 @attrs.define(eq=False)
@@ -307,6 +315,7 @@
         attempt = _Attempt(
             request=result.request,
             number=dispatch.attempt,
+            rank=int(dispatch.rank),
             host=host,
             chain=dispatch.chain,
             done_tokens=float(dispatch.resume_index),
@@ -444,7 +453,8 @@
             if engine.running.pop(id(attempt), None) is None:
                 continue
             if engine.queue and engine.alive:
-                waiting = engine.queue.popleft()
+                waiting = min(engine.queue, key=lambda a: a.rank)
+                engine.queue.remove(waiting)
                 engine.running[id(waiting)] = waiting
                 waiting.held += 1
                 self.at(self.now_s, lambda w=waiting: self._resume_acquire(w))
--- a/bench/naive.py
+++ b/bench/naive.py
@@ -9,6 +9,7 @@
     LayerRange,
     ModelRequest,
     Outcome,
+    Rank,
     Stage,
     Upstream,
 )
@@ -75,7 +76,7 @@
             del self._active[request_id]
             return (Refuse(request_id, DeadlineExceededError(0), Outcome.NOT_RUN),)
         self._active[request_id] = (request, attempt + 1)
-        return (Dispatch(request_id, attempt + 1, chain, tokens, request.rank),)
+        return (Dispatch(request_id, attempt + 1, chain, tokens, Rank.NORMAL),)
 
     def _random_chain(self, model: str) -> Chain | None:
         total = self._config.models[model].layers
