Send keyed non-repeatable calls at most once by claims in the log

Cause: a repeat with the same idempotency key, sent to another host or after a lost answer, ran the call again.

Settings claim_window_s, claim_timeout_s and claim_send_limit_s; operators look up /claims/{workspace}/{service}/{key}. The stand-in log also answers 503 to a read that was waiting when the outage began, and takes down_after.

--- a/persimmonwell/_exceptions.py
+++ b/persimmonwell/_exceptions.py
@@ -234,6 +234,25 @@
         return f"key {self.key!r} was used with another request body"
 
 
+@attrs.frozen
+class ResultNotKeptError(PersimmonwellError):
+    """Report a key whose call ended but whose answer was too large to record."""
+
+    key: str
+    result_status: int
+    """HTTP status of the answer that the first caller received."""
+
+    code: ClassVar[str] = "result_not_kept"
+    status: ClassVar[int] = 409
+
+    def message(self) -> str:
+        """Return the key and the status of the lost answer."""
+        return (
+            f"call under key {self.key!r} was answered with status "
+            f"{self.result_status}; its body was too large to keep"
+        )
+
+
 @attrs.frozen
 class ConfigConflictError(PersimmonwellError):
     """Report a patch whose base version is not the current version."""
--- /dev/null
+++ b/persimmonwell/core/claims/_records.py
@@ -0,0 +1,164 @@
+"""Define the records of the claims stream and their JSON form."""
+
+import base64
+import binascii
+
+import attrs
+
+from persimmonwell.core._documents import JsonObject, JsonValue
+from persimmonwell.core._types import Outcome
+
+MAX_RESULT_BODY_BYTES = 4096
+MAX_RESULT_HEADER_BYTES = 1024
+
+
+@attrs.frozen(cache_hash=True)
+class ClaimKey:
+    """Name one non-repeatable call."""
+
+    workspace: str
+    service: str
+    key: str
+
+
+@attrs.frozen
+class CallResult:
+    """Hold the recorded answer of a call."""
+
+    status: int
+    outcome: Outcome
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes | None = b""
+    """None when the body exceeded the size that a record may hold."""
+
+
+@attrs.frozen
+class ClaimRecord:
+    """Claim a key for one host and incarnation."""
+
+    claim_id: str
+    key: ClaimKey
+    digest: str
+    host: str
+    incarnation: str
+
+
+@attrs.frozen
+class ResultRecord:
+    """Record the answer of a claimed call."""
+
+    claim_id: str
+    result: CallResult
+
+
+@attrs.frozen
+class ReleaseRecord:
+    """Withdraw a claim whose call was not sent and never will be."""
+
+    claim_id: str
+
+
+Record = ClaimRecord | ResultRecord | ReleaseRecord
+
+
+def limit_result(result: CallResult) -> CallResult:
+    """Drop the body or the headers when a record may not hold them."""
+    body, headers = result.body, result.headers
+    if body is not None and len(body) > MAX_RESULT_BODY_BYTES:
+        body = None
+    if sum(len(name) + len(value) for name, value in headers) > MAX_RESULT_HEADER_BYTES:
+        headers = ()
+    return attrs.evolve(result, body=body, headers=headers)
+
+
+def encode_record(record: Record) -> JsonObject:
+    """Return the JSON form of a record."""
+    match record:
+        case ClaimRecord(claim_id, key, digest, host, incarnation):
+            return {
+                "type": "claim",
+                "claim_id": claim_id,
+                "workspace": key.workspace,
+                "service": key.service,
+                "key": key.key,
+                "digest": digest,
+                "host": host,
+                "incarnation": incarnation,
+            }
+        case ResultRecord(claim_id, result):
+            return {"type": "result", "claim_id": claim_id, **_encode_result(result)}
+        case ReleaseRecord(claim_id):
+            return {"type": "released", "claim_id": claim_id}
+
+
+def _encode_result(result: CallResult) -> JsonObject:
+    document: JsonObject = {
+        "status": result.status,
+        "outcome": result.outcome.value,
+        "headers": [[name, value] for name, value in result.headers],
+    }
+    if result.body is not None:
+        try:
+            document["body"] = result.body.decode("utf-8")
+        except UnicodeDecodeError:
+            document["body_base64"] = base64.b64encode(result.body).decode("ascii")
+    return document
+
+
+def decode_record(data: JsonObject) -> Record | None:
+    """Return the record, or None when it is malformed or of another type."""
+    kind, claim_id = data.get("type"), data.get("claim_id")
+    if not isinstance(claim_id, str) or not claim_id:
+        return None
+    if kind == "claim":
+        return _decode_claim(claim_id, data)
+    if kind == "result":
+        result = _decode_result(data)
+        return None if result is None else ResultRecord(claim_id, result)
+    return ReleaseRecord(claim_id) if kind == "released" else None
+
+
+def _decode_claim(claim_id: str, data: JsonObject) -> ClaimRecord | None:
+    names = ("workspace", "service", "key", "digest", "host", "incarnation")
+    texts = [value for name in names if isinstance(value := data.get(name), str)]
+    if len(texts) != len(names):
+        return None
+    workspace, service, key, digest, host, incarnation = texts
+    return ClaimRecord(
+        claim_id, ClaimKey(workspace, service, key), digest, host, incarnation
+    )
+
+
+def _decode_result(data: JsonObject) -> CallResult | None:
+    status, outcome = data.get("status"), data.get("outcome")
+    if isinstance(status, bool) or not isinstance(status, int):
+        return None
+    if outcome not in tuple(Outcome):
+        return None
+    return CallResult(
+        status=status,
+        outcome=Outcome(str(outcome)),
+        headers=_decode_headers(data.get("headers")),
+        body=_decode_body(data),
+    )
+
+
+def _decode_headers(value: JsonValue) -> tuple[tuple[str, str], ...]:
+    pairs = value if isinstance(value, list) else []
+    return tuple(
+        (str(pair[0]), str(pair[1]))
+        for pair in pairs
+        if isinstance(pair, list) and len(pair) == 2
+    )
+
+
+def _decode_body(data: JsonObject) -> bytes | None:
+    text, encoded = data.get("body"), data.get("body_base64")
+    if isinstance(text, str):
+        return text.encode("utf-8", "replace")
+    if isinstance(encoded, str):
+        try:
+            return base64.b64decode(encoded, validate=True)
+        except (binascii.Error, ValueError):
+            return None
+    return None
--- a/persimmonwell/daemon/_daemon.py
+++ b/persimmonwell/daemon/_daemon.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+import uuid
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
@@ -27,6 +28,7 @@
     Router,
     RouterDecision,
 )
+from persimmonwell.daemon._claims_part import ClaimsPart, claim_limits
 from persimmonwell.daemon._control_actor import ControlActor, ControlPort
 from persimmonwell.daemon._operator_service import OperatorService
 from persimmonwell.daemon._router_actor import (
@@ -85,6 +87,12 @@
         self._control = ControlPort(
             ControlActor.start(control, carry_out=self._carry_out_control)
         )
+        self._claims = ClaimsPart(
+            log=self._log_client,
+            host_id=settings.host_id,
+            incarnation=uuid.uuid4().hex,
+            limits=claim_limits(settings.platform),
+        )
         self._callers = self._build_caller_server()
         self._operators = self._build_operator_server()
         self._threads: list[threading.Thread] = []
@@ -106,6 +114,7 @@
             engines=self._engines,
             services=self._services,
             current_config=lambda: self._config,
+            claims=self._claims,
         )
         return HttpServer(
             address=callers.address,
@@ -122,6 +131,7 @@
             settings=self._settings,
             control=self._control,
             is_draining=self._stopping.is_set,
+            claims=self._claims,
         )
         return HttpServer(
             address=self._settings.operators.address,
@@ -139,6 +149,7 @@
             thread = threading.Thread(target=loop, daemon=True, name=loop.__name__)
             thread.start()
             self._threads.append(thread)
+        self._claims.start()
         self._operators.start()
         self._callers.start()
         self._log.info("started, callers at {}", self.caller_address)
@@ -149,6 +160,7 @@
         self._log.info("draining")
         self._callers.close()
         self._wait_until_idle()
+        self._claims.close()
         self._operators.close()
         for thread in self._threads:
             thread.join()
--- a/persimmonwell/daemon/_operator_service.py
+++ b/persimmonwell/daemon/_operator_service.py
@@ -15,7 +15,9 @@
     UnauthorizedError,
 )
 from persimmonwell.core import Outcome
+from persimmonwell.core.claims import ClaimKey
 from persimmonwell.core.control import Control, PatchSubmitted
+from persimmonwell.daemon._claims_part import ClaimsPart
 from persimmonwell.daemon._control_actor import ControlPort
 from persimmonwell.front import HttpRequest, HttpResponse, error_response, json_response
 from persimmonwell.settings import Settings
@@ -33,6 +35,7 @@
     settings: Settings
     control: ControlPort
     is_draining: Callable[[], bool]
+    claims: ClaimsPart
 
     def handle(self, http: HttpRequest) -> HttpResponse:
         """Answer one HTTP request."""
@@ -47,6 +50,8 @@
             ("GET", "/upstreams"): self._show_upstreams,
         }
         route = routes.get((http.method, http.path))
+        if http.method == "GET" and http.path.startswith("/claims/"):
+            route = self._show_claim
         if route is None:
             raise NotFoundError("route", f"{http.method} {http.path[:200]}")
         return route(http)
@@ -103,6 +108,24 @@
         replicas = [attrs.asdict(replica) for replica in hosts.replicas]
         return json_response({"upstreams": upstreams, "replicas": replicas})
 
+    def _show_claim(self, http: HttpRequest) -> HttpResponse:
+        """Show the winning claim of /claims/{workspace}/{service}/{key}."""
+        parts = http.path.split("/", 4)[2:]
+        claim = self.claims.find(ClaimKey(*parts)) if len(parts) == 3 else None
+        if claim is None:
+            raise NotFoundError("claim", "/".join(parts)[:200])
+        result = claim.result
+        return json_response(
+            {
+                **{n: getattr(claim, n) for n in ("claim_id", "host", "incarnation")},
+                "offset": claim.offset,
+                "digest": claim.digest,
+                "state": "running" if result is None else "ended",
+                "status": None if result is None else result.status,
+                "outcome": None if result is None else result.outcome.value,
+            }
+        )
+
 
 def _read_patch(body: bytes) -> PatchSubmitted:
     try:
--- a/persimmonwell/front/__init__.py
+++ b/persimmonwell/front/__init__.py
@@ -16,12 +16,16 @@
     parse_request,
 )
 from persimmonwell.front._responses import (
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
     HttpResponse,
     error_response,
     json_response,
 )
 
 __all__ = [
+    "OUTCOME_HEADER",
+    "REQUEST_ID_HEADER",
     "CallerService",
     "ClaimPort",
     "ClaimVerdict",
--- a/persimmonwell/front/_caller_service.py
+++ b/persimmonwell/front/_caller_service.py
@@ -1,5 +1,6 @@
 """Serve callers' requests: admit, relay tokens, and state the outcome."""
 
+import math
 import queue
 import time
 from collections.abc import Callable, Iterator
@@ -11,6 +12,7 @@
     DeadlineExceededError,
     NotReadyError,
     PersimmonwellError,
+    UpstreamFailedError,
 )
 from persimmonwell.core._types import Chain, ModelRequest, Outcome, ServiceCall
 from persimmonwell.core.config import FleetConfig
@@ -99,10 +101,12 @@
 
 @attrs.frozen
 class ClaimVerdict:
-    """Hold the verdict on a claim: exactly one field is set."""
+    """Hold the verdict on a claim: either claim_id or response is set."""
 
     claim_id: str | None = None
     """Set when this call won and must be dispatched by this host."""
+    send_before_s: float = math.inf
+    """Time on the host's monotonic clock after which the call must not be sent."""
     response: HttpResponse | None = None
     """Set when the call must not be dispatched; the answer to give."""
 
@@ -140,19 +144,25 @@
 
     def _serve_call(self, http: HttpRequest, parsed: ParsedServiceCall) -> HttpResponse:
         call = parsed.call
-        claim_id = None
+        claim_id, send_before_s = None, math.inf
         if not call.repeatable and call.idempotency_key and self.claims is not None:
             verdict = self.claims.settle(parsed)
             if verdict.response is not None:
                 return verdict.response
-            claim_id = verdict.claim_id
-        response, sent = self._dispatch_call(http, parsed)
-        if claim_id is not None and self.claims is not None:
-            self.claims.finish(claim_id, response if sent else None)
+            claim_id, send_before_s = verdict.claim_id, verdict.send_before_s
+        unknown = UpstreamFailedError(call.service, "call ended without an answer")
+        response = error_response(unknown, Outcome.MAY_HAVE_RUN, call.request_id)
+        sent = True
+        try:
+            response, sent = self._dispatch_call(http, parsed, send_before_s)
+        finally:
+            # Without a result the claim would block its key until retention.
+            if claim_id is not None and self.claims is not None:
+                self.claims.finish(claim_id, response if sent else None)
         return response
 
     def _dispatch_call(
-        self, http: HttpRequest, parsed: ParsedServiceCall
+        self, http: HttpRequest, parsed: ParsedServiceCall, send_before_s: float
     ) -> tuple[HttpResponse, bool]:
         """Return the answer and whether the call may have reached a replica."""
         call = parsed.call
@@ -170,6 +180,12 @@
                     continue
                 if decision.delay_s:
                     time.sleep(decision.delay_s)
+                if time.monotonic() >= send_before_s:
+                    # The process may have been paused since the claim was won.
+                    self.router.tell(RequestCancelled(call.request_id))
+                    late = DeadlineExceededError(0.0)
+                    response = error_response(late, Outcome.NOT_RUN, call.request_id)
+                    return response, False
                 answer = self._call_replica(http, parsed, decision)
                 if answer is not None:
                     return answer, True
--- a/persimmonwell/settings/_settings.py
+++ b/persimmonwell/settings/_settings.py
@@ -69,6 +69,13 @@
     host_list_url: str
     timeout_s: float = 2.0
     host_list_interval_s: float = 1.0
+    claim_window_s: float = 0.02
+    """Shortest time between two appends of claims by this host, seconds."""
+    claim_timeout_s: float = 5.0
+    """Longest wait until a claim is recorded and read back, seconds."""
+    claim_send_limit_s: float = 30.0
+    """Longest time from a claim's append to its send, seconds; together with the
+    longest service timeout it must stay below the log's retention."""
 
 
 @attrs.frozen
@@ -216,6 +223,9 @@
         host_list_url=_read_url(reader, "host_list_url"),
         timeout_s=reader.number("timeout_s", 2.0, minimum=0.05),
         host_list_interval_s=reader.number("host_list_interval_s", 1.0, minimum=0.05),
+        claim_window_s=reader.number("claim_window_s", 0.02, maximum=10.0),
+        claim_timeout_s=reader.number("claim_timeout_s", 5.0, minimum=0.05),
+        claim_send_limit_s=reader.number("claim_send_limit_s", 30.0, minimum=0.1),
     )
     reader.finish()
     return platform
--- a/standins/log.py
+++ b/standins/log.py
@@ -11,8 +11,8 @@
 class Log:
     """Hold append-only streams with offsets, retention and faults.
 
-    Faults: down, lose_answers (appends that take effect without an answer),
-    delay_s.
+    Faults: down, down_after (appends until down is set), delay_s, lose_answers
+    (appends that take effect without an answer).
     """
 
     def __init__(self, *, port: int = 0, address: str = "127.0.0.1") -> None:
@@ -58,6 +58,9 @@
             self._streams[name].extend(body["records"])
             lose = self.faults.get("lose_answers", 0)
             self.faults["lose_answers"] = max(0, lose - 1)
+            if self.faults.get("down_after"):
+                self.faults["down_after"] -= 1
+                self.faults["down"] = not self.faults["down_after"]
             self._changed.notify_all()
         if lose:
             return drop_connection()
@@ -74,6 +77,8 @@
             self._changed.wait_for(
                 lambda: len(self._streams[name]) > start, timeout=wait_s
             )
+            if self.faults.get("down"):
+                return 503, {"error": "unavailable"}
             stream, first = self._streams[name], self._first[name]
             start = max(start, first)
             records = [
--- /dev/null
+++ b/tests/daemon/test_claims.py
@@ -0,0 +1,134 @@
+"""Check at-most-once calls over real daemons, the log and a booking service."""
+
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import pytest
+
+from tests.fleet import SmallFleet, wait_until
+
+PATH = "/services/booking/lanes"
+
+
+def book(
+    fleet: SmallFleet,
+    host: str,
+    key: str,
+    attempt: int = 1,
+    *,
+    deadline_ms: int = 8000,
+    **body: Any,
+) -> Any:
+    headers = {
+        "Idempotency-Key": key,
+        "Idempotency-Attempt": str(attempt),
+        "Persimmonwell-Deadline-Ms": str(deadline_ms),
+    }
+    return fleet.call(host, PATH, {"lane": 3, **body}, headers=headers)
+
+
+def booked(fleet: SmallFleet, key: str) -> int:
+    bookings = [b for s in fleet.services.values() for b in s.bookings]
+    return sum(b["key"] == key for b in bookings)
+
+
+def outcome(response: Any) -> tuple[int, str]:
+    return response.status, response.headers["Persimmonwell-Outcome"]
+
+
+def test_one_booking_for_concurrent_and_later_repeats(fleet: SmallFleet) -> None:
+    """Guards against a second booking and against an answer that differs."""
+    for service in fleet.services.values():
+        service.faults["delay_s"] = 0.3
+    with ThreadPoolExecutor(8) as pool:
+        hosts = ["host-1", "host-2"] * 4
+        answers = list(pool.map(lambda host: book(fleet, host, "k"), hosts))
+    answers += [book(fleet, host, "k", 2) for host in ("host-1", "host-2")]
+    assert booked(fleet, "k") == 1
+    assert {outcome(a) for a in answers} == {(200, "complete")}
+    assert len({a.data for a in answers}) == 1
+    assert len({a.headers["Persimmonwell-Request-Id"] for a in answers}) == 10
+    reused = book(fleet, "host-2", "k", 2, lane=9)
+    assert outcome(reused) == (422, "not-run") and booked(fleet, "k") == 1
+    address = fleet.daemons["host-2"].operator_address
+    url = f"http://{address}/claims/range-a/booking/k"
+    claim = fleet.http.request("GET", url).json()
+    assert (claim["state"], claim["status"]) == ("ended", 200)
+    assert fleet.http.request("GET", url + "-none").status == 404
+
+
+@pytest.mark.parametrize(("attempt", "told"), [(1, "not-run"), (2, "may-have-run")])
+def test_log_outage_refuses_and_frees_the_key(
+    fleet: SmallFleet, attempt: int, told: str
+) -> None:
+    """Guards against a send without a recorded claim and a key left blocked."""
+    fleet.log.faults["lose_answers"] = 1
+    fleet.log.faults["down_after"] = 1
+    refused = book(fleet, "host-1", "k", attempt, deadline_ms=1000)
+    assert outcome(refused) == (503, told) and booked(fleet, "k") == 0
+    claims = [r["type"] for r in fleet.log.records("claims")]
+    assert claims == ["claim"], "the append took effect and its answer was lost"
+    fleet.log.faults["down"] = False
+    assert outcome(book(fleet, "host-2", "k", 2)) == (200, "complete")
+    assert booked(fleet, "k") == 1
+
+
+def test_lost_append_answer_is_retried(fleet: SmallFleet) -> None:
+    """Guards against a claim that loses to its own repeated record."""
+    fleet.log.faults["lose_answers"] = 1
+    assert outcome(book(fleet, "host-1", "k")) == (200, "complete")
+    assert booked(fleet, "k") == 1
+
+
+def test_lost_upstream_answer_is_recorded(fleet: SmallFleet) -> None:
+    """Guards against a repeat that runs a call whose answer was lost."""
+    for service in fleet.services.values():
+        service.faults["lose_answers"] = 1
+    answers = [book(fleet, host, "k") for host in ("host-1", "host-2", "host-1")]
+    assert {outcome(a) for a in answers} == {(502, "may-have-run")}
+    assert booked(fleet, "k") == 1
+
+
+def test_unsent_call_frees_the_key(fleet: SmallFleet) -> None:
+    """Guards against a key blocked by a call that found no replica."""
+    replicas = list(fleet.services)
+    entries = {replica: fleet.hosts._entries[replica] for replica in replicas}
+    for replica in replicas:
+        fleet.hosts.remove(replica)
+    keys = (f"probe-{number}" for number in range(1000))
+    wait_until(lambda: outcome(book(fleet, "host-1", next(keys)))[0] == 503)
+    assert outcome(book(fleet, "host-1", "k"))[1] == "not-run"
+    for entry in entries.values():
+        fleet.hosts.put(entry)
+    wait_until(lambda: outcome(book(fleet, "host-2", "k", 2)) == (200, "complete"))
+    assert booked(fleet, "k") == 1
+
+
+def test_holder_without_result_blocks_until_the_deadline(fleet: SmallFleet) -> None:
+    """Guards against a dispatch while another holder may have sent."""
+    record = {
+        "type": "claim",
+        "claim_id": "lost-1",
+        "workspace": "range-a",
+        "service": "booking",
+        "key": "k",
+        "digest": "",
+        "host": "host-9",
+        "incarnation": "lost",
+    }
+    url = f"{fleet.log.server.url}/streams/claims/records"
+    first = book(fleet, "host-1", "other")
+    assert first.status == 200
+    record["digest"] = fleet.log.records("claims")[0]["digest"]
+    fleet.http.request("POST", url, json={"records": [record]})
+    lost = book(fleet, "host-1", "k", 2, deadline_ms=800)
+    assert outcome(lost) == (409, "may-have-run") and booked(fleet, "k") == 0
+
+
+def test_close_appends_what_is_owed(fleet: SmallFleet) -> None:
+    """Guards against results lost at a graceful shutdown."""
+    book(fleet, "host-1", "k")
+    daemon = fleet.daemons.pop("host-1")
+    daemon.close()
+    kinds = [r["type"] for r in fleet.log.records("claims")]
+    assert kinds == ["claim", "result"]
