--- a/persimmonwell/daemon/_daemon.py
+++ b/persimmonwell/daemon/_daemon.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+import uuid
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
@@ -29,6 +30,7 @@
     RouterDecision,
     RouterEvent,
 )
+from persimmonwell.daemon._claims_part import ClaimsPart, claim_limits
 from persimmonwell.daemon._control_actor import ControlActor, ControlPort
 from persimmonwell.daemon._engine_monitor import EngineMonitor
 from persimmonwell.daemon._operator_service import OperatorService
@@ -100,6 +102,12 @@
         self._control = ControlPort(
             ControlActor.start(control, carry_out=self._carry_out_control)
         )
+        self._claims = ClaimsPart(
+            log=self._log_client,
+            host_id=settings.host_id,
+            incarnation=uuid.uuid4().hex,
+            limits=claim_limits(settings.platform),
+        )
         self._callers = self._build_caller_server()
         self._operators = self._build_operator_server()
         self._threads: list[threading.Thread] = []
@@ -127,6 +135,7 @@
             services=self._services,
             current_config=lambda: self._config,
             threads=ThreadGate(threads=callers.threads),
+            claims=self._claims,
         )
         return HttpServer(
             address=callers.address,
@@ -143,6 +152,7 @@
             settings=self._settings,
             control=self._control,
             is_draining=self._draining.is_set,
+            claims=self._claims,
         )
         return HttpServer(
             address=self._settings.operators.address,
@@ -161,6 +171,7 @@
             thread.start()
             self._threads.append(thread)
         self._monitor.start()
+        self._claims.start()
         self._operators.start()
         self._callers.start()
         self._log.info("started, callers at {}", self.caller_address)
@@ -173,6 +184,7 @@
         time.sleep(self._settings.drain_notice_s)
         self._callers.close()
         self._wait_until_idle()
+        self._claims.close()
         self._stopping.set()
         self._monitor.close()
         self._operators.close()
--- a/persimmonwell/front/__init__.py
+++ b/persimmonwell/front/__init__.py
@@ -16,6 +16,8 @@
     RouterPort,
 )
 from persimmonwell.front._responses import (
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
     HttpResponse,
     error_response,
     json_response,
@@ -23,6 +25,8 @@
 from persimmonwell.front._thread_gate import ThreadGate
 
 __all__ = [
+    "OUTCOME_HEADER",
+    "REQUEST_ID_HEADER",
     "CallerService",
     "ClaimPort",
     "ClaimVerdict",
--- a/persimmonwell/front/_caller_service.py
+++ b/persimmonwell/front/_caller_service.py
@@ -1,12 +1,15 @@
 """Serve callers' requests: admit, relay tokens, and state the outcome."""
 
+import math
 import time
 from collections.abc import Callable, Iterable, Iterator
 
 import attrs
 
 from persimmonwell._exceptions import (
+    DeadlineExceededError,
     NotReadyError,
+    UpstreamFailedError,
 )
 from persimmonwell.core._types import Outcome
 from persimmonwell.core.config import FleetConfig
@@ -16,6 +19,7 @@
 from persimmonwell.core.router import (
     DispatchService,
     Refuse,
+    RequestCancelled,
     ServiceCallArrived,
     ServiceCallFailed,
     ServiceCallFinished,
@@ -89,19 +93,25 @@
 
     def _serve_call(self, http: HttpRequest, parsed: ParsedServiceCall) -> HttpResponse:
         call = parsed.call
-        claim_id = None
+        claim_id, send_before_s = None, math.inf
         if not call.repeatable and call.idempotency_key and self.claims is not None:
             verdict = self.claims.settle(parsed)
             if verdict.response is not None:
                 return verdict.response
-            claim_id = verdict.claim_id
-        response, sent = self._dispatch_call(http, parsed)
-        if claim_id is not None and self.claims is not None:
-            self.claims.finish(claim_id, response if sent else None)
+            claim_id, send_before_s = verdict.claim_id, verdict.send_before_s
+        unknown = UpstreamFailedError(call.service, "call ended without an answer")
+        response = error_response(unknown, Outcome.MAY_HAVE_RUN, call.request_id)
+        sent = True
+        try:
+            response, sent = self._dispatch_call(http, parsed, send_before_s)
+        finally:
+            # Without a result the claim would block its key until retention.
+            if claim_id is not None and self.claims is not None:
+                self.claims.finish(claim_id, response if sent else None)
         return response
 
     def _dispatch_call(
-        self, http: HttpRequest, parsed: ParsedServiceCall
+        self, http: HttpRequest, parsed: ParsedServiceCall, send_before_s: float
     ) -> tuple[HttpResponse, bool]:
         """Return the answer and whether the call may have reached a replica."""
         call = parsed.call
@@ -119,6 +129,12 @@
                     continue
                 if decision.delay_s:
                     time.sleep(decision.delay_s)
+                if time.monotonic() >= send_before_s:
+                    # The process may have been paused since the claim was won.
+                    self.router.tell(RequestCancelled(call.request_id))
+                    late = DeadlineExceededError(0.0)
+                    response = error_response(late, Outcome.NOT_RUN, call.request_id)
+                    return response, False
                 answer = self._call_replica(http, parsed, decision)
                 if answer is not None:
                     return answer, True
--- a/persimmonwell/front/_ports.py
+++ b/persimmonwell/front/_ports.py
@@ -1,5 +1,6 @@
 """Define what the callers' front needs of the router and the claims part."""
 
+import math
 import queue
 import time
 from collections.abc import Callable
@@ -51,10 +52,12 @@
 
 @attrs.frozen
 class ClaimVerdict:
-    """Hold the verdict on a claim: exactly one field is set."""
+    """Hold the verdict on a claim: either claim_id or response is set."""
 
     claim_id: str | None = None
     """Set when this call won and must be dispatched by this host."""
+    send_before_s: float = math.inf
+    """Time on the host's monotonic clock after which the call must not be sent."""
     response: HttpResponse | None = None
     """Set when the call must not be dispatched; the answer to give."""
 
