--- a/persimmonwell/core/config/__init__.py
+++ b/persimmonwell/core/config/__init__.py
@@ -1,20 +1,24 @@
 """Define the fleet configuration and fold it from the platform's log."""
 
 from persimmonwell.core.config._fold import (
-    CONFIG_SCHEMA,
-    Accepted,
     ConfigFold,
-    Conflict,
     Duplicate,
     FoldResult,
     Gap,
-    Invalid,
-    LogRecord,
+    SnapshotRejected,
     Snapshotted,
     UnknownSchema,
     document_digest,
     merge_patch,
 )
+from persimmonwell.core.config._history import (
+    Accepted,
+    Conflict,
+    HistoryEntry,
+    Invalid,
+    PatchResult,
+    entry_to_json,
+)
 from persimmonwell.core.config._model import (
     FleetConfig,
     ModelConfig,
@@ -25,27 +29,47 @@
     WorkspaceConfig,
     parse_config,
 )
+from persimmonwell.core.config._records import (
+    LogRecord,
+    RecentRecords,
+    normalize_record,
+)
+from persimmonwell.core.config._snapshot import (
+    CONFIG_SCHEMA,
+    Snapshot,
+    SnapshotFault,
+    verify_snapshot,
+)
 
 __all__ = [
-    "CONFIG_SCHEMA",
     "Accepted",
+    "CONFIG_SCHEMA",
     "ConfigFold",
     "Conflict",
     "Duplicate",
     "FleetConfig",
     "FoldResult",
     "Gap",
+    "HistoryEntry",
     "Invalid",
     "LogRecord",
     "ModelConfig",
+    "PatchResult",
     "RankConfig",
+    "RecentRecords",
     "RetryConfig",
     "ServiceConfig",
+    "Snapshot",
+    "SnapshotFault",
+    "SnapshotRejected",
     "Snapshotted",
     "UnknownSchema",
     "UpstreamOverride",
     "WorkspaceConfig",
     "document_digest",
+    "entry_to_json",
     "merge_patch",
+    "normalize_record",
     "parse_config",
+    "verify_snapshot",
 ]
--- a/persimmonwell/core/config/_fold.py
+++ b/persimmonwell/core/config/_fold.py
@@ -8,49 +8,48 @@
 
 from persimmonwell._exceptions import DocumentError, Fault
 from persimmonwell.core._documents import JsonObject, JsonValue
+from persimmonwell.core.config._history import (
+    Accepted,
+    Conflict,
+    HistoryEntry,
+    Invalid,
+    PatchResult,
+)
 from persimmonwell.core.config._model import FleetConfig, parse_config
+from persimmonwell.core.config._records import LogRecord, normalize_record
+from persimmonwell.core.config._snapshot import (
+    CONFIG_SCHEMA,
+    RECENT_IDS_KEPT,
+    Snapshot,
+    SnapshotFault,
+    verify_snapshot,
+    write_snapshot,
+)
 
-CONFIG_SCHEMA = 1
-RECENT_IDS_KEPT = 4096
-
-
-@attrs.frozen
-class Accepted:
-    """Report a patch that took effect."""
-
-    patch_id: str
-    version: int
-
-
-@attrs.frozen
-class Conflict:
-    """Report a patch whose base version was no longer current."""
-
-    patch_id: str
-    base_version: int
-    current_version: int
+MAX_ID_CHARACTERS = 128
+MAX_AUTHOR_CHARACTERS = 128
 
 
 @attrs.frozen
-class Invalid:
-    """Report a record that does not yield a valid configuration."""
+class Duplicate:
+    """Report a record that was folded before."""
 
     patch_id: str
-    faults: tuple[Fault, ...]
 
 
 @attrs.frozen
-class Duplicate:
-    """Report a record that was folded before."""
+class Snapshotted:
+    """Report a valid snapshot record."""
 
-    patch_id: str
+    offset: int
+    """Offset of the first record that the snapshot does not contain."""
 
 
 @attrs.frozen
-class Snapshotted:
-    """Report a snapshot record."""
+class SnapshotRejected:
+    """Report a snapshot record that is damaged or contradicts the fold."""
 
-    version: int
+    reason: str
 
 
 @attrs.frozen
@@ -69,18 +68,17 @@
 
 
 FoldResult = (
-    Accepted | Conflict | Invalid | Duplicate | Snapshotted | Gap | UnknownSchema
+    Accepted
+    | Conflict
+    | Invalid
+    | Duplicate
+    | Snapshotted
+    | SnapshotRejected
+    | Gap
+    | UnknownSchema
 )
 
 
-@attrs.frozen
-class LogRecord:
-    """Hold one record of a log stream."""
-
-    offset: int
-    data: JsonObject
-
-
 def merge_patch(target: JsonValue, patch: JsonValue) -> JsonValue:
     """Apply an RFC 7396 merge patch and return the new value."""
     if not isinstance(patch, dict):
@@ -106,8 +104,9 @@
     def __init__(self) -> None:
         self._next_offset = 0
         self._document: JsonObject = {}
+        self._digest = document_digest({})
         self._config = parse_config({}, 0)
-        self._results: OrderedDict[str, Accepted | Conflict | Invalid] = OrderedDict()
+        self._entries: OrderedDict[str, HistoryEntry] = OrderedDict()
 
     @property
     def next_offset(self) -> int:
@@ -129,40 +128,92 @@
         """Return the current document."""
         return self._document
 
-    def result_of(self, patch_id: str) -> Accepted | Conflict | Invalid | None:
+    @property
+    def digest(self) -> str:
+        """Return the digest of the current document."""
+        return self._digest
+
+    @property
+    def history(self) -> tuple[HistoryEntry, ...]:
+        """Return the latest folded patches, oldest first."""
+        return tuple(self._entries.values())
+
+    def result_of(self, patch_id: str) -> PatchResult | None:
         """Return the result of a folded patch, or None when not seen."""
-        return self._results.get(patch_id)
+        entry = self._entries.get(patch_id)
+        return None if entry is None else entry.result
+
+    def snapshot_record(self) -> JsonObject:
+        """Return a snapshot record of the current state."""
+        return write_snapshot(
+            Snapshot(self._next_offset, self._document, self._config, self.history)
+        )
+
+    def start_from(self, snapshot: Snapshot) -> bool:
+        """Take over a verified state; False when it would step back."""
+        if snapshot.offset <= self._next_offset:
+            return False
+        if snapshot.config.version < self.version:
+            return False
+        self._next_offset = snapshot.offset
+        self._document, self._config = snapshot.document, snapshot.config
+        self._digest = document_digest(snapshot.document)
+        self._entries = OrderedDict((e.patch_id, e) for e in snapshot.entries)
+        return True
 
     def apply(self, record: LogRecord) -> FoldResult:
         """Fold one record; on Gap or UnknownSchema the state is unchanged."""
+        data = normalize_record(record.data)
         if record.offset < self._next_offset:
-            return Duplicate(patch_id=str(record.data.get("id", "")))
+            return Duplicate(patch_id=str(data.get("id", ""))[:MAX_ID_CHARACTERS])
         if record.offset > self._next_offset:
             return Gap(expected=self._next_offset, got=record.offset)
-        schema = record.data.get("schema", CONFIG_SCHEMA)
-        if schema != CONFIG_SCHEMA:
-            return UnknownSchema(schema=schema if isinstance(schema, int) else -1)
+        schema = data.get("schema")
+        if type(schema) is int and schema > CONFIG_SCHEMA:
+            return UnknownSchema(schema=schema)
+        result = self._fold(data, record.offset)
         self._next_offset = record.offset + 1
-        if record.data.get("type") == "snapshot":
-            return Snapshotted(version=self.version)
-        return self._apply_patch(record.data)
+        return result
 
-    def _apply_patch(self, data: JsonObject) -> FoldResult:
+    def _fold(self, data: JsonObject, offset: int) -> FoldResult:
+        if data.get("type") == "snapshot":
+            return self._check_snapshot(data, offset)
         patch_id, base = data.get("id"), data.get("base_version")
-        if not isinstance(patch_id, str) or not isinstance(base, int):
-            fault = Fault(path="/", reason="patch needs id and base_version")
-            return Invalid(patch_id=str(patch_id), faults=(fault,))
-        if patch_id in self._results:
+        if (
+            data.get("type") != "patch"
+            or type(data.get("schema")) is not int
+            or data.get("schema") != CONFIG_SCHEMA
+            or not isinstance(patch_id, str)
+            or not 0 < len(patch_id) <= MAX_ID_CHARACTERS
+            or type(base) is not int
+        ):
+            fault = Fault(path="/", reason="patch needs type, schema, id, base_version")
+            return Invalid(patch_id="", faults=(fault,))
+        if patch_id in self._entries:
             return Duplicate(patch_id=patch_id)
         result = self._evaluate(patch_id, base, data.get("merge"))
-        self._results[patch_id] = result
-        while len(self._results) > RECENT_IDS_KEPT:
-            self._results.popitem(last=False)
+        author = str(data.get("author", ""))[:MAX_AUTHOR_CHARACTERS]
+        self._entries[patch_id] = HistoryEntry(
+            patch_id, author, offset, self.version, result
+        )
+        while len(self._entries) > RECENT_IDS_KEPT:
+            self._entries.popitem(last=False)
         return result
 
-    def _evaluate(
-        self, patch_id: str, base: int, merge: JsonValue
-    ) -> Accepted | Conflict | Invalid:
+    def _check_snapshot(self, data: JsonObject, offset: int) -> FoldResult:
+        found = verify_snapshot(data)
+        if isinstance(found, SnapshotFault):
+            return SnapshotRejected(found.reason)
+        if found.offset > offset:
+            return SnapshotRejected("snapshot claims records after itself")
+        if (
+            found.offset == offset
+            and data.get("digest") != (self.snapshot_record()["digest"])
+        ):
+            return SnapshotRejected("snapshot differs from the folded records")
+        return Snapshotted(offset=found.offset)
+
+    def _evaluate(self, patch_id: str, base: int, merge: JsonValue) -> PatchResult:
         if base != self.version:
             return Conflict(
                 patch_id=patch_id, base_version=base, current_version=self.version
@@ -176,4 +227,5 @@
         except DocumentError as error:
             return Invalid(patch_id=patch_id, faults=error.faults)
         self._document, self._config = document, config
+        self._digest = document_digest(document)
         return Accepted(patch_id=patch_id, version=config.version)
--- a/persimmonwell/core/control/_events.py
+++ b/persimmonwell/core/control/_events.py
@@ -5,6 +5,8 @@
 from persimmonwell.core._documents import JsonObject
 from persimmonwell.core._fleet import HostList
 from persimmonwell.core.config import LogRecord
+from persimmonwell.core.membership import PeerMessage
+from persimmonwell.core.router import InflightCount
 
 
 @attrs.frozen
@@ -59,6 +61,45 @@
     append_id: int
 
 
+@attrs.frozen
+class PeerMessageReceived:
+    """Report a message from another entry host."""
+
+    message: PeerMessage
+
+
+@attrs.frozen
+class UpstreamEvidence:
+    """Report what the data path saw of one upstream or service replica."""
+
+    upstream_id: str
+    succeeded: bool
+
+
+@attrs.frozen
+class InflightObserved:
+    """Report this host's in-flight requests by upstream and its load."""
+
+    counts: tuple[InflightCount, ...]
+    load: int
+    """Requests queued or running on this host."""
+
+
+@attrs.frozen
+class BlameAnnounced:
+    """Report that this host's router blamed a digest for a lost upstream."""
+
+    digest: str
+    upstream_id: str
+
+
+@attrs.frozen
+class QuarantineClearRequested:
+    """Report that an operator clears a digest."""
+
+    digest: str
+
+
 @attrs.frozen
 class ControlTick:
     """Let time-driven work run."""
@@ -71,5 +112,10 @@
     | PatchSubmitted
     | AppendConfirmed
     | AppendUncertain
+    | PeerMessageReceived
+    | UpstreamEvidence
+    | InflightObserved
+    | BlameAnnounced
+    | QuarantineClearRequested
     | ControlTick
 )
--- a/persimmonwell/daemon/_daemon.py
+++ b/persimmonwell/daemon/_daemon.py
@@ -9,18 +9,20 @@
 from persimmonwell.core.config import FleetConfig
 from persimmonwell.core.control import (
     CONFIG_STREAM,
+    QUARANTINE_STREAM,
     AppendConfirmed,
     AppendRecords,
     AppendUncertain,
+    BlameAnnounced,
     Control,
     ControlDecision,
     HostListRead,
     PlatformFailed,
     PutConfigInForce,
-    RecordsRead,
     UpdateFleet,
 )
 from persimmonwell.core.router import (
+    AnnounceBlame,
     CancelAttempt,
     ConfigChanged,
     FleetChanged,
@@ -29,20 +31,20 @@
 )
 from persimmonwell.daemon._control_actor import ControlActor, ControlPort
 from persimmonwell.daemon._operator_service import OperatorService
+from persimmonwell.daemon._peer_loop import PeerLoop
 from persimmonwell.daemon._router_actor import (
     TICK_S,
     ActorRouterPort,
     RouterActor,
     cancel_targets,
 )
+from persimmonwell.daemon._stream_reader import StreamReader
 from persimmonwell.front import CallerService, HttpServer
 from persimmonwell.observe import part_logger
 from persimmonwell.platform import HostListClient, LogClient
 from persimmonwell.settings import Settings
 from persimmonwell.upstream import EngineClient, ServiceClient
 
-LOG_WAIT_S = 0.5
-"""Long-poll time of one read; also bounds the time to stop."""
 RETRY_PAUSE_S = 0.2
 WORKER_THREADS = 8
 OPERATOR_THREADS = 16
@@ -76,12 +78,22 @@
             availability_zone=settings.availability_zone,
             seed=seed,
         )
-        control = Control(
-            host_id=settings.host_id, availability_zone=settings.availability_zone
-        )
         self._router = ActorRouterPort(
             RouterActor.start(router, carry_out=self._carry_out_router)
         )
+        self._peers = PeerLoop(
+            settings.peers,
+            tell_control=lambda event: self._control.tell(event),
+            tell_router=self._router.tell,
+        )
+        control = Control(
+            host_id=settings.host_id,
+            availability_zone=settings.availability_zone,
+            address=self._peers.address,
+            operator_address=settings.operators.address,
+            incarnation=time.time_ns() // 1_000_000,
+            heartbeat_s=settings.peers.heartbeat_s,
+        )
         self._control = ControlPort(
             ControlActor.start(control, carry_out=self._carry_out_control)
         )
@@ -99,6 +111,11 @@
         """Return the bound address of the operators' port."""
         return self._operators.address
 
+    @property
+    def peer_address(self) -> str:
+        """Return the bound address of the peers' port."""
+        return self._peers.address
+
     def _build_caller_server(self) -> HttpServer:
         callers = self._settings.callers
         service = CallerService(
@@ -134,7 +151,14 @@
 
     def start(self) -> None:
         """Start the loops and open the ports."""
-        loops = (self._read_config_loop, self._read_hosts_loop, self._tick_loop)
+        loops = (
+            self._stream_loop(CONFIG_STREAM),
+            self._stream_loop(QUARANTINE_STREAM),
+            self._read_hosts_loop,
+            self._tick_loop,
+            self._peer_loop,
+        )
+        self._peers.start()
         for loop in loops:
             thread = threading.Thread(target=loop, daemon=True, name=loop.__name__)
             thread.start()
@@ -157,6 +181,7 @@
         self._services.close()
         self._log_client.close()
         self._host_list.close()
+        self._peers.close()
         self._router.close()
         self._control.close()
         self._log.info("stopped")
@@ -167,6 +192,9 @@
             time.sleep(TICK_S)
 
     def _carry_out_router(self, decision: RouterDecision) -> None:
+        if isinstance(decision, AnnounceBlame):
+            blame = BlameAnnounced(decision.digest, decision.upstream_id)
+            self._control.tell(blame)
         if isinstance(decision, CancelAttempt):
             for address in cancel_targets(decision):
                 self._workers.submit(
@@ -183,6 +211,8 @@
                 self._router.tell(FleetChanged(upstreams, replicas, live_hosts))
             case AppendRecords():
                 self._workers.submit(self._append, decision)
+            case _:
+                self._peers.carry_out(decision)
 
     def _append(self, decision: AppendRecords) -> None:
         try:
@@ -194,23 +224,19 @@
             return
         self._control.tell(AppendConfirmed(decision.append_id, offsets))
 
-    def _read_config_loop(self) -> None:
-        self._loop(self._read_config, pause_s=0.0)
-
-    def _read_config(self) -> None:
-        offset = self._control.inspect(lambda control: control.config_fold.next_offset)
-        part = self._log_client.read(
-            CONFIG_STREAM, from_offset=offset, wait_s=LOG_WAIT_S
-        )
-        self._control.tell(
-            RecordsRead(
-                stream=CONFIG_STREAM,
-                first_offset=part.first_offset,
-                next_offset=part.next_offset,
-                records=part.records,
-            )
+    def _stream_loop(self, stream: str) -> Callable[[], None]:
+        reader = StreamReader(
+            stream=stream, log=self._log_client, control=self._control
         )
 
+        def read_stream() -> None:
+            reader.run(self._stopping)
+
+        return read_stream
+
+    def _peer_loop(self) -> None:
+        self._peers.run(self._stopping)
+
     def _read_hosts_loop(self) -> None:
         interval_s = self._settings.platform.host_list_interval_s
         self._loop(self._read_hosts, pause_s=interval_s)
--- a/persimmonwell/daemon/_operator_service.py
+++ b/persimmonwell/daemon/_operator_service.py
@@ -72,12 +72,12 @@
 
     def _show_config(self, http: HttpRequest) -> HttpResponse:
         def read(control: Control) -> dict[str, Any]:
-            fold = control.config_fold
             return {
                 "host": self.settings.host_id,
-                "version": fold.version,
-                "next_offset": fold.next_offset,
-                "document": fold.document,
+                "version": control.config.version,
+                "next_offset": control.config_fold.next_offset,
+                "document": control.config_document,
+                "in_force": {h.host_id: h.version for h in control.host_versions},
             }
 
         return json_response(self.control.inspect(read))
--- /dev/null
+++ b/persimmonwell/daemon/_peer_loop.py
@@ -0,0 +1,111 @@
+"""Connect the control state to the other entry hosts and to the router."""
+
+import threading
+import time
+from collections.abc import Callable
+
+from persimmonwell.core.control import (
+    ControlDecision,
+    ControlEvent,
+    ControlTick,
+    InflightObserved,
+    LearnBlame,
+    LearnInflight,
+    PeerMessageReceived,
+    ReleaseDigest,
+    ReportFault,
+    SendToPeer,
+)
+from persimmonwell.core.membership import PeerMessage
+from persimmonwell.core.router import (
+    BlameLearned,
+    InflightCount,
+    PeerInflight,
+    QuarantineCleared,
+    RouterEvent,
+)
+from persimmonwell.observe import part_logger
+from persimmonwell.peers import CurveKeys, PeerLinks
+from persimmonwell.settings import PeerSettings
+
+CONTROL_TICK_S = 0.05
+INFLIGHT_INTERVAL_S = 0.5
+
+ReadInflight = Callable[[], tuple[InflightCount, ...]]
+
+
+class PeerLoop:
+    """Hold the links to other hosts and drive the control state's clock."""
+
+    def __init__(
+        self,
+        settings: PeerSettings,
+        *,
+        tell_control: Callable[[ControlEvent], None],
+        tell_router: Callable[[RouterEvent], None],
+        read_inflight: ReadInflight = lambda: (),
+    ) -> None:
+        self._tell_control = tell_control
+        self._tell_router = tell_router
+        self._read_inflight = read_inflight
+        self._links = PeerLinks(
+            address=settings.address,
+            on_message=self._received,
+            curve=_curve_keys(settings),
+        )
+
+    @property
+    def address(self) -> str:
+        """Return the bound address of the peers' port."""
+        return self._links.address
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Return frames and bytes sent, received, dropped and refused by reason."""
+        return self._links.counts
+
+    def start(self) -> None:
+        """Begin to exchange messages."""
+        self._links.start()
+
+    def close(self) -> None:
+        """Release the peers' port."""
+        self._links.close()
+
+    def run(self, stopping: threading.Event) -> None:
+        """Let the control state's time-driven work run until the event is set."""
+        observed_s = float("-inf")
+        while not stopping.wait(CONTROL_TICK_S):
+            now_s = time.monotonic()
+            if now_s - observed_s >= INFLIGHT_INTERVAL_S:
+                observed_s = now_s
+                counts = self._read_inflight()
+                load = sum(count.requests for count in counts)
+                self._tell_control(InflightObserved(counts, load))
+            self._tell_control(ControlTick())
+
+    def carry_out(self, decision: ControlDecision) -> None:
+        """Carry out the decisions that concern peers, the router and reports."""
+        match decision:
+            case SendToPeer(host_id, address, message):
+                self._links.send(host_id, address, message)
+            case LearnInflight(host_id, counts):
+                self._tell_router(PeerInflight(host_id, counts))
+            case LearnBlame(digest, upstream_id):
+                self._tell_router(BlameLearned(digest, upstream_id))
+            case ReleaseDigest(digest):
+                self._tell_router(QuarantineCleared(digest))
+            case ReportFault(part, kind, detail):
+                part_logger(part).warning("{}, {}", kind, detail)
+            case _:
+                pass
+
+    def _received(self, message: PeerMessage) -> None:
+        self._tell_control(PeerMessageReceived(message))
+
+
+def _curve_keys(settings: PeerSettings) -> CurveKeys | None:
+    curve = settings.curve
+    if curve is None:
+        return None
+    return CurveKeys(curve.public_key, curve.secret_key, curve.peer_public_keys)
--- /dev/null
+++ b/persimmonwell/peers/_links.py
@@ -0,0 +1,345 @@
+"""Exchange messages with the other entry hosts over ZeroMQ."""
+
+import contextlib
+import socket
+import threading
+import time
+from collections import Counter, deque
+from collections.abc import Callable
+
+import attrs
+import zmq
+from zmq.utils.monitor import recv_monitor_message
+from zmq.utils.z85 import encode as z85_encode
+
+from persimmonwell.core.membership import PeerMessage
+from persimmonwell.peers._messages import (
+    MAX_FRAME_BYTES,
+    MalformedFrameError,
+    decode_message,
+    encode_message,
+)
+
+HIGH_WATER_MESSAGES = 256
+"""Queued messages per peer; more are dropped, since newer state replaces older."""
+OUTBOX_MESSAGES = 4096
+IDLE_LINK_S = 60.0
+ROUTES_KEPT = 2048
+KEY_TRY_S = 10.0
+"""A link that does not come up within this time is tried with the next key."""
+POLL_MS = 500
+BATCH_FRAMES = 64
+"""Frames read from one socket before the others get their turn."""
+ZAP_ENDPOINT = "inproc://zeromq.zap.01"
+HANDSHAKE_FAILURES = (
+    zmq.Event.HANDSHAKE_FAILED_AUTH,
+    zmq.Event.HANDSHAKE_FAILED_PROTOCOL,
+    zmq.Event.HANDSHAKE_FAILED_NO_DETAIL,
+)
+
+
+@attrs.frozen
+class CurveKeys:
+    """Hold the keys of one host and the keys it accepts, Z85 text."""
+
+    public_key: str
+    secret_key: str
+    peer_public_keys: tuple[str, ...]
+    """Accepted public keys. "host-id key" binds a key to one host; a key alone
+    is shared by hosts and tried, in this order, on links to unnamed hosts."""
+
+    def name_of(self, public_key: str) -> str | None:
+        """Return the host a key is bound to, "" when shared, None when refused."""
+        for entry in self.peer_public_keys:
+            name, _, key = entry.rpartition(" ")
+            if key == public_key:
+                return name
+        return None
+
+    def keys_for(self, host_id: str) -> tuple[str, ...]:
+        """Return the keys that a host may listen with."""
+        entries = [entry.rpartition(" ") for entry in self.peer_public_keys]
+        bound = tuple(key for name, _, key in entries if name == host_id)
+        return bound or tuple(key for name, _, key in entries if not name)
+
+
+@attrs.frozen
+class _Outgoing:
+    host_id: str
+    address: str
+    frame: bytes
+
+
+@attrs.define
+class _Link:
+    socket: "zmq.Socket[bytes]"
+    address: str
+    used_s: float
+    """When a message was last handed to it."""
+    sent_s: float
+    """When it last accepted a message, or was opened."""
+
+
+class PeerLinks:
+    """Hold the peers' port and the links to other hosts.
+
+    All sockets belong to one thread; other threads hand messages over through a
+    bounded queue.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        on_message: Callable[[PeerMessage], None],
+        curve: CurveKeys | None = None,
+    ) -> None:
+        self._curve = curve
+        self._on_message = on_message
+        self._counts: Counter[str] = Counter()
+        self._outbox: deque[_Outgoing] = deque()
+        self._links: dict[str, _Link] = {}
+        self._routes: dict[str, tuple[bytes, float]] = {}
+        self._key_tries: Counter[str] = Counter()
+        self._stopping = threading.Event()
+        self._context = zmq.Context()
+        self._wake_read, self._wake_write = socket.socketpair()
+        self._wake_read.setblocking(False)
+        self._wake_write.setblocking(False)
+        self._zap = self._open_zap() if curve is not None else None
+        self._router = self._open_router(address)
+        self._monitor = self._router.get_monitor_socket(sum(HANDSHAKE_FAILURES))
+        self._thread = threading.Thread(target=self._run, daemon=True, name="peers")
+
+    @property
+    def address(self) -> str:
+        """Return the bound address, numeric IP and port."""
+        endpoint = self._router.getsockopt_string(zmq.LAST_ENDPOINT)
+        return endpoint.removeprefix("tcp://")
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Return frames and bytes sent, received, dropped and refused by reason."""
+        return dict(self._counts)
+
+    def start(self) -> None:
+        """Begin to exchange messages."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop the thread and release every socket."""
+        self._stopping.set()
+        self._wake()
+        if self._thread.is_alive():
+            self._thread.join()
+        self._router.disable_monitor()
+        self._context.destroy(linger=0)
+        self._wake_read.close()
+        self._wake_write.close()
+
+    def send(self, host_id: str, address: str, message: PeerMessage) -> None:
+        """Queue a message; it is dropped when the queue or the link is full.
+
+        Without an address it goes back on the link on which the host was heard.
+        """
+        if len(self._outbox) >= OUTBOX_MESSAGES:
+            self._counts["outbox_full"] += 1
+            return
+        self._outbox.append(_Outgoing(host_id, address, encode_message(message)))
+        self._wake()
+
+    def _wake(self) -> None:
+        with contextlib.suppress(OSError):
+            self._wake_write.send(b"\0")
+
+    def _open_zap(self) -> "zmq.Socket[bytes]":
+        zap = self._context.socket(zmq.REP)
+        zap.bind(ZAP_ENDPOINT)
+        return zap
+
+    def _open_router(self, address: str) -> "zmq.Socket[bytes]":
+        router = self._context.socket(zmq.ROUTER)
+        _bound_queues(router)
+        router.setsockopt(zmq.ROUTER_MANDATORY, 1)
+        if self._curve is not None:
+            router.setsockopt(zmq.CURVE_SERVER, 1)
+            router.setsockopt_string(zmq.CURVE_SECRETKEY, self._curve.secret_key)
+            router.setsockopt_string(zmq.CURVE_PUBLICKEY, self._curve.public_key)
+        router.bind(f"tcp://{address}")
+        return router
+
+    def _open_dealer(self, host_id: str, address: str) -> "zmq.Socket[bytes]":
+        dealer = self._context.socket(zmq.DEALER)
+        _bound_queues(dealer)
+        # Messages queue only for a completed connection; older state is useless.
+        dealer.setsockopt(zmq.IMMEDIATE, 1)
+        dealer.setsockopt(zmq.RECONNECT_IVL, 100)
+        dealer.setsockopt(zmq.RECONNECT_IVL_MAX, 2000)
+        if self._curve is not None:
+            keys = self._curve.keys_for(host_id) or (self._curve.public_key,)
+            key = keys[self._key_tries[host_id] % len(keys)]
+            dealer.setsockopt_string(zmq.CURVE_SERVERKEY, key)
+            dealer.setsockopt_string(zmq.CURVE_SECRETKEY, self._curve.secret_key)
+            dealer.setsockopt_string(zmq.CURVE_PUBLICKEY, self._curve.public_key)
+        dealer.connect(f"tcp://{address}")
+        return dealer
+
+    def _run(self) -> None:
+        housekeeping_s = 0.0
+        while not self._stopping.is_set():
+            try:
+                self._serve_once()
+                now_s = time.monotonic()
+                if now_s - housekeeping_s > 1.0:
+                    housekeeping_s = now_s
+                    self._close_idle(now_s)
+            except zmq.ContextTerminated:
+                return
+            except Exception:
+                # One bad frame or peer must not end the exchange with the others.
+                self._counts["loop_errors"] += 1
+                self._stopping.wait(0.01)
+
+    def _serve_once(self) -> None:
+        poller = zmq.Poller()
+        readable = [self._router, self._monitor]
+        readable += [link.socket for link in self._links.values()]
+        if self._zap is not None:
+            readable.append(self._zap)
+        for source in readable:
+            poller.register(source, zmq.POLLIN)
+        poller.register(self._wake_read.fileno(), zmq.POLLIN)
+        ready = {source for source, _ in poller.poll(POLL_MS)}
+        if self._zap is not None and self._zap in ready:
+            self._authenticate(self._zap)
+        if self._monitor in ready:
+            recv_monitor_message(self._monitor)
+            self._counts["refused_handshakes"] += 1
+        if self._router in ready:
+            self._read(self._router, routed=True)
+        for link in tuple(self._links.values()):
+            if link.socket in ready:
+                self._read(link.socket, routed=False)
+        if self._wake_read.fileno() in ready:
+            with contextlib.suppress(BlockingIOError):
+                self._wake_read.recv(4096)
+        self._flush()
+
+    def _authenticate(self, zap: "zmq.Socket[bytes]") -> None:
+        """Answer one ZAP request (RFC 27) from the allow-list."""
+        version, request_id, _, _, _, mechanism, *credentials = zap.recv_multipart()
+        name: str | None = None
+        if self._curve is not None and mechanism == b"CURVE" and credentials:
+            name = self._curve.name_of(z85_encode(credentials[0]).decode())
+        if name is None:
+            self._counts["refused_keys"] += 1
+            reply = [version, request_id, b"400", b"key refused", b"", b""]
+        else:
+            reply = [version, request_id, b"200", b"", name.encode(), b""]
+        zap.send_multipart(reply)
+
+    def _read(self, source: "zmq.Socket[bytes]", *, routed: bool) -> None:
+        for _ in range(BATCH_FRAMES):
+            try:
+                frames = source.recv_multipart(zmq.NOBLOCK, copy=False)
+            except zmq.Again:
+                return
+            if len(frames) != (2 if routed else 1):
+                self._counts["refused_frames"] += 1
+                continue
+            route = frames[0].bytes if routed else None
+            self._receive(frames[-1], route)
+
+    def _receive(self, frame: zmq.Frame, route: bytes | None) -> None:
+        try:
+            message = decode_message(frame.bytes)
+        except MalformedFrameError:
+            self._counts["refused_frames"] += 1
+            return
+        name = _user_id(frame)
+        if name and name != message.host_id:
+            self._counts["refused_names"] += 1
+            return
+        self._counts["received_messages"] += 1
+        self._counts["received_bytes"] += len(frame.bytes)
+        if route is not None:
+            now_s = time.monotonic()
+            self._routes[message.host_id] = (route, now_s)
+        self._on_message(message)
+
+    def _flush(self) -> None:
+        while self._outbox:
+            outgoing = self._outbox.popleft()
+            try:
+                sent = self._send(outgoing)
+            except zmq.Again:
+                sent = False
+            if sent:
+                self._counts["sent_messages"] += 1
+                self._counts["sent_bytes"] += len(outgoing.frame)
+            else:
+                self._counts["dropped_messages"] += 1
+
+    def _send(self, outgoing: _Outgoing) -> bool:
+        now_s = time.monotonic()
+        if outgoing.address:
+            link = self._link(outgoing.host_id, outgoing.address, now_s)
+            link.used_s = now_s
+            link.socket.send(outgoing.frame, zmq.NOBLOCK)
+            link.sent_s = now_s
+            return True
+        link_back = self._links.get(outgoing.host_id)
+        route = self._routes.get(outgoing.host_id)
+        if route is not None:
+            try:
+                parts = [route[0], outgoing.frame]
+                self._router.send_multipart(parts, zmq.NOBLOCK)
+                return True
+            except zmq.ZMQError as error:
+                if error.errno != zmq.EHOSTUNREACH:
+                    raise
+                del self._routes[outgoing.host_id]
+        if link_back is None:
+            return False
+        link_back.socket.send(outgoing.frame, zmq.NOBLOCK)
+        return True
+
+    def _link(self, host_id: str, address: str, now_s: float) -> _Link:
+        link = self._links.get(host_id)
+        if link is not None and link.address != address:
+            self._close_link(host_id)
+            link = None
+        if link is None:
+            dealer = self._open_dealer(host_id, address)
+            link = self._links[host_id] = _Link(dealer, address, now_s, now_s)
+        return link
+
+    def _close_link(self, host_id: str) -> None:
+        self._links.pop(host_id).socket.close(linger=0)
+
+    def _close_idle(self, now_s: float) -> None:
+        for host_id, link in tuple(self._links.items()):
+            if now_s - link.used_s > IDLE_LINK_S:
+                self._close_link(host_id)
+            elif self._curve is not None and now_s - link.sent_s > KEY_TRY_S:
+                self._key_tries[host_id] += 1
+                self._close_link(host_id)
+        for host_id, (_, heard_s) in tuple(self._routes.items()):
+            if now_s - heard_s > IDLE_LINK_S or len(self._routes) > ROUTES_KEPT:
+                del self._routes[host_id]
+
+
+def _bound_queues(target: "zmq.Socket[bytes]") -> None:
+    target.setsockopt(zmq.SNDHWM, HIGH_WATER_MESSAGES)
+    target.setsockopt(zmq.RCVHWM, HIGH_WATER_MESSAGES)
+    target.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
+    target.setsockopt(zmq.LINGER, 0)
+    target.setsockopt(zmq.IPV6, 1)
+
+
+def _user_id(frame: zmq.Frame) -> str:
+    """Return the host that the sender's key is bound to, or an empty text."""
+    try:
+        return str(frame.get("User-Id"))
+    except (zmq.ZMQError, KeyError):
+        return ""
--- a/persimmonwell/platform/_log_client.py
+++ b/persimmonwell/platform/_log_client.py
@@ -1,14 +1,12 @@
 """Append to and read from the platform's log service."""
 
-from typing import Any
-
 import attrs
 import msgspec
 import urllib3
 
 from persimmonwell._exceptions import PlatformUnavailableError
 from persimmonwell.core._documents import JsonObject
-from persimmonwell.core.config import LogRecord
+from persimmonwell.core.config import LogRecord, normalize_record
 
 READ_LIMIT_RECORDS = 500
 
@@ -19,7 +17,7 @@
 
 class _ReadRecord(msgspec.Struct):
     offset: int
-    data: dict[str, Any]
+    data: msgspec.Raw
 
 
 class _ReadAnswer(msgspec.Struct):
@@ -77,12 +75,9 @@
         data = self._request("GET", path, timeout_s=self._timeout_s + wait_s)
         try:
             answer = msgspec.json.decode(data, type=_ReadAnswer)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise PlatformUnavailableError("log", str(error)) from error
-        records = tuple(
-            LogRecord(offset=record.offset, data=record.data)
-            for record in answer.records
-        )
+        records = tuple(_decode_record(record) for record in answer.records)
         return StreamSlice(answer.first, answer.next, records)
 
     def _request(
@@ -101,3 +96,12 @@
         if response.status != 200:
             raise PlatformUnavailableError("log", f"status {response.status}")
         return response.data
+
+
+def _decode_record(record: _ReadRecord) -> LogRecord:
+    """Decode one record; an unusable one must not hide those after it."""
+    try:
+        data = msgspec.json.decode(record.data)
+    except (msgspec.MsgspecError, RecursionError):
+        data = None
+    return LogRecord(offset=record.offset, data=normalize_record(data))
--- a/persimmonwell/settings/_settings.py
+++ b/persimmonwell/settings/_settings.py
@@ -9,6 +9,7 @@
 from persimmonwell._exceptions import DocumentError, Fault
 from persimmonwell.core._documents import FaultList, JsonValue, ObjectReader
 
+Z85_KEY_CHARACTERS = 40
 _ADDRESS = re.compile(r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):(\d{1,5})$")
 
 
@@ -50,6 +51,7 @@
     public_key: str
     secret_key: str
     peer_public_keys: tuple[str, ...]
+    """Accepted keys; "host-id key" binds a key to one host."""
 
 
 @attrs.frozen
@@ -200,6 +202,10 @@
             secret_key=child.text("secret_key"),
             peer_public_keys=child.texts("peer_public_keys"),
         )
+        for name in ("public_key", "secret_key", "peer_public_keys"):
+            for entry in _texts_of(getattr(curve, name)):
+                if len(entry.rpartition(" ")[2]) != Z85_KEY_CHARACTERS:
+                    child.fault(name, "must hold keys of 40 Z85 characters")
         child.finish()
     peers = PeerSettings(
         address=_read_address(reader),
@@ -210,6 +216,10 @@
     return peers
 
 
+def _texts_of(value: str | tuple[str, ...]) -> tuple[str, ...]:
+    return (value,) if isinstance(value, str) else value
+
+
 def _read_platform(reader: ObjectReader) -> PlatformSettings:
     platform = PlatformSettings(
         log_url=_read_url(reader, "log_url"),
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -106,7 +106,9 @@
         )
         return replica_id
 
-    def settings_document(self, zone: str, host_id: str) -> dict[str, Any]:
+    def settings_document(
+        self, zone: str, host_id: str, *, log_url: str | None = None
+    ) -> dict[str, Any]:
         """Return the settings of one entry host."""
         return {
             "host_id": host_id,
@@ -115,7 +117,7 @@
             "operators": {"address": "127.0.0.1:0"},
             "peers": {"address": "127.0.0.1:0"},
             "platform": {
-                "log_url": self.log.server.url,
+                "log_url": log_url or self.log.server.url,
                 "host_list_url": self.hosts.server.url,
                 "host_list_interval_s": 0.1,
             },
@@ -124,13 +126,23 @@
             "drain_timeout_s": 10,
         }
 
-    def add_daemon(self, zone: str) -> str:
-        """Start an entry host; return its id."""
+    def add_daemon(self, zone: str, *, log_url: str | None = None) -> str:
+        """Start an entry host and list it; return its id."""
         host_id = f"host-{len(self.daemons) + 1}"
-        settings = parse_settings(self.settings_document(zone, host_id))
+        document = self.settings_document(zone, host_id, log_url=log_url)
+        settings = parse_settings(document)
         daemon = Daemon(settings, seed=len(self.daemons))
         daemon.start()
         self.daemons[host_id] = daemon
+        self.hosts.put(
+            {
+                "id": host_id,
+                "kind": "entry",
+                "address": daemon.peer_address,
+                "operator_address": daemon.operator_address,
+                "availability_zone": zone,
+            }
+        )
         return host_id
 
     def publish(self, merge: dict[str, Any], *, base_version: int) -> None:
