Share free slots among the hosts that see the same report

Cause: with four hosts on reports half a second old, each host took every slot that a report showed free. Change: a host takes its part of the slots free at the last count, rounded by a draw, or gives up its part of an excess. Conclusion: hosts no longer swing on a stale report. At the start, before any report, all hosts still overfill.

--- a/persimmonwell/core/routing/_inflight.py
+++ b/persimmonwell/core/routing/_inflight.py
@@ -1,5 +1,7 @@
 """Estimate the requests in flight and the backlog of each upstream."""
 
+import math
+import random
 from collections import defaultdict, deque
 from collections.abc import Iterable
 
@@ -33,7 +35,10 @@
     history: deque[tuple[float, int]] = attrs.field(
         factory=lambda: deque(maxlen=HISTORY_ENTRIES)
     )
-
+    own_then: int = 0
+    """Own requests when the requests of others were counted."""
+    rounding: float = 0.0
+    """Drawn from 0 to 1 at each count, so that hosts round differently."""
     others: int = 0
     """Estimated requests of other hosts."""
     total: int = 0
@@ -48,6 +53,26 @@
         self.others = max(self.reported_others, self.peer_requests)
         self.total = self.own + self.others
 
+    def free_for_host(self, limit: int, *, hosts: int) -> int:
+        """Return how many more requests this host should start.
+
+        Of the slots that were free at the last count each host takes its part, or
+        gives up its part of an excess: hosts that all took every free slot would
+        overfill the upstream until the next report, and drain it after. One free
+        slot is open to all, and so is an equal share of the slots while none
+        queues, so that a host that starts late is not shut out.
+        """
+        if not self.others:
+            return limit - self.own
+        free_then = limit - self.own_then - self.others
+        part = math.floor(free_then / hosts + self.rounding)
+        if free_then > 0:
+            part = max(1, part)
+        allowed = self.own_then + part
+        if not self.reported_queued:
+            allowed = max(allowed, limit // hosts)
+        return min(limit, allowed) - self.own
+
     def change_own(self, change: int, now_s: float) -> None:
         """Count own requests that started or ended."""
         self.own += change
@@ -83,7 +108,8 @@
 class InflightTracker:
     """Hold the load estimate of every upstream."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, seed: int) -> None:
+        self._random = random.Random(seed)
         self._loads: dict[str, UpstreamLoad] = defaultdict(UpstreamLoad)
         self._chains: dict[tuple[str, ...], _ChainLoad] = {}
         self._peers: dict[str, _PeerCounts] = {}
@@ -148,7 +174,9 @@
         if taken_s < load.report_taken_s:
             return
         load.report_taken_s = taken_s
-        load.reported_others = max(0, running + queued - load.own_at(taken_s))
+        load.own_then = load.own_at(taken_s)
+        load.rounding = self._random.random()
+        load.reported_others = max(0, running + queued - load.own_then)
         load.reported_queued = queued
         load.recount()
 
@@ -162,6 +190,9 @@
         for upstream_id, count in requests.items():
             load = self._loads[upstream_id]
             load.peer_requests += count
+            if load.peer_requests > load.others:
+                load.own_then = load.own
+                load.rounding = self._random.random()
             load.recount()
         return affected
 
