Fold claims without intermediate objects and bound the fleet's append rate

Cause: one folded record took 16.4 us, and 340 hosts with a 20 ms window made 10,585 appends/s at 21.5 keyed calls/s each, where the log takes several hundred.

Change: the fold reads records straight into one slotted object per claim and decodes results on demand. The window is at least expected_hosts divided by the new setting claim_appends_per_s. Add bench/claims_cost.

--- /dev/null
+++ b/bench/claims_cost.py
@@ -0,0 +1,174 @@
+"""Measure what claims cost: fold, memory, appends and added latency.
+
+Run with python -m bench.claims_cost. Appends per second come from the claims
+state on a virtual clock; latency comes from real daemons on loopback.
+"""
+
+import gc
+import random
+import statistics
+import time
+import tracemalloc
+from collections.abc import Iterator
+
+import msgspec
+
+from persimmonwell.core import Outcome
+from persimmonwell.core.claims import (
+    AppendClaims,
+    CallFinished,
+    CallResult,
+    ClaimFold,
+    ClaimKey,
+    ClaimLimits,
+    ClaimRecord,
+    ClaimRequested,
+    ClaimsAppended,
+    ClaimsRead,
+    ClaimsState,
+    ClaimsTick,
+    ClaimWon,
+    ResultRecord,
+    encode_record,
+)
+from persimmonwell.core.config import LogRecord
+from tests.fleet import SmallFleet
+
+KEYS = 50_000
+BODY = b'{"booking": 17, "lane": 4, "from": "18:00", "to": "19:00"}' * 3
+APPEND_S = 0.004
+SECONDS = 60
+CALLS = 300
+LOG_APPENDS_PER_S = 300
+
+
+def records() -> Iterator[LogRecord]:
+    """Yield a claim and a result for each key."""
+    for number in range(KEYS):
+        key = ClaimKey("range-a", "booking", f"{number:032x}")
+        claim = ClaimRecord(
+            claim_id=f"{'i' * 32}-{number}",
+            key=key,
+            digest=f"{number:032x}",
+            host="host-1",
+            incarnation="i" * 32,
+        )
+        result = CallResult(200, Outcome.COMPLETE, (("Content-Type", "a/b"),), BODY)
+        yield LogRecord(2 * number, encode_record(claim))
+        done = ResultRecord(claim.claim_id, result)
+        yield LogRecord(2 * number + 1, encode_record(done))
+
+
+def measure_fold() -> None:
+    """Print the cost of decoding and folding one record and of one key."""
+    wire = [msgspec.json.encode(record.data) for record in records()]
+    started_s = time.process_time()
+    decoded = [msgspec.json.decode(data) for data in wire]
+    decode_s = time.process_time() - started_s
+    size = sum(map(len, wire)) / len(wire)
+    del wire
+    fold = ClaimFold()
+    started_s = time.process_time()
+    for offset in range(0, len(decoded), 500):
+        part = decoded[offset : offset + 500]
+        fold.read(0, (LogRecord(offset + i, data) for i, data in enumerate(part)))
+    fold_s = time.process_time() - started_s
+    del decoded, fold
+    gc.collect()
+    tracemalloc.start()
+    fold = ClaimFold()
+    for record in records():
+        fold.read(0, (record,))
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    print(f"record {size:.0f} bytes on the wire")
+    print(f"decode {decode_s / KEYS / 2 * 1e6:.1f} us/record")
+    print(f"fold {fold_s / KEYS / 2 * 1e6:.1f} us/record")
+    print(f"memory {held / KEYS:.0f} bytes/key with a {len(BODY)}-byte result")
+
+
+def appends_per_s(rate: float, window_s: float) -> tuple[float, float]:
+    """Return appends/s of one host and the mean wait until a claim is won."""
+    rng = random.Random(1)
+    state = ClaimsState(
+        host_id="h", incarnation="i", limits=ClaimLimits(window_s=window_s)
+    )
+    now_s, next_call_s, offset, appends, calls = 0.0, rng.expovariate(rate), 0, 0, 0
+    landing: tuple[float, AppendClaims] | None = None
+    arrived: dict[str, float] = {}
+    waits: list[float] = []
+    while now_s < SECONDS:
+        times = [next_call_s, state.next_wake_s or 1e9, landing[0] if landing else 1e9]
+        now_s = min(times)
+        if landing is not None and now_s == landing[0]:
+            batch = landing[1]
+            landing = None
+            read = tuple(
+                LogRecord(offset + i, record) for i, record in enumerate(batch.records)
+            )
+            offset += len(read)
+            decisions = state.handle(ClaimsAppended(batch.batch_id), now_s)
+            decisions += state.handle(ClaimsRead(0, read, now_s), now_s)
+        elif now_s == next_call_s:
+            calls += 1
+            next_call_s = now_s + rng.expovariate(rate)
+            key = ClaimKey("w", "s", str(calls))
+            request = ClaimRequested(str(calls), key, "d", now_s + 60, True)
+            arrived[str(calls)] = now_s
+            decisions = state.handle(request, now_s)
+        else:
+            decisions = state.handle(ClaimsTick(), now_s)
+        queue = list(decisions)
+        while queue:
+            decision = queue.pop()
+            if isinstance(decision, AppendClaims):
+                appends += 1
+                landing = (now_s + APPEND_S, decision)
+            elif isinstance(decision, ClaimWon):
+                waits.append(now_s - arrived.pop(decision.request_id))
+                result = CallResult(200, Outcome.COMPLETE)
+                queue.extend(
+                    state.handle(CallFinished(decision.claim_id, result), now_s)
+                )
+    return appends / SECONDS, statistics.mean(waits)
+
+
+def measure_appends() -> None:
+    """Print appends per second by call rate and window."""
+    print(f"append time {APPEND_S * 1e3:.0f} ms; calls/s and appends/s of one host")
+    print("window_ms  calls/s  appends/s  won_after_ms   4 hosts  340 hosts")
+    for window_s in (0.02, 340 / 250):
+        for rate in (1.0, 5.0, 21.5, 100.0, 500.0):
+            appends, wait_s = appends_per_s(rate, window_s)
+            print(
+                f"{window_s * 1e3:9.0f} {rate:8.1f} {appends:10.1f} "
+                f"{wait_s * 1e3:13.1f} {4 * appends:9.0f} {340 * appends:10.0f}"
+            )
+    print(f"the log takes about {LOG_APPENDS_PER_S} appends/s")
+
+
+def measure_latency() -> None:
+    """Print the latency of keyed and unkeyed calls from one run."""
+    fleet = SmallFleet()
+    fleet.start()
+    times: dict[bool, list[float]] = {False: [], True: []}
+    for number in range(CALLS):
+        for keyed in (False, True):
+            headers = {"Idempotency-Key": f"k{number}"} if keyed else {}
+            started_s = time.perf_counter()
+            response = fleet.call(
+                "host-1", "/services/booking/lanes", {"lane": 1}, headers=headers
+            )
+            times[keyed].append(time.perf_counter() - started_s)
+            assert response.status == 200
+    fleet.close()
+    for keyed, values in times.items():
+        cuts = statistics.quantiles(values, n=20)
+        name = "keyed" if keyed else "unkeyed"
+        print(f"{name} call: p50 {cuts[9] * 1e3:.1f} ms, p95 {cuts[18] * 1e3:.1f} ms")
+
+
+if __name__ == "__main__":
+    measure_fold()
+    measure_appends()
+    measure_latency()
--- a/persimmonwell/core/claims/__init__.py
+++ b/persimmonwell/core/claims/__init__.py
@@ -24,7 +24,6 @@
     ClaimRecord,
     ReleaseRecord,
     ResultRecord,
-    decode_record,
     encode_record,
 )
 from persimmonwell.core.claims._state import CLAIMS_STREAM, ClaimLimits, ClaimsState
@@ -54,6 +53,5 @@
     "KnownClaim",
     "ReleaseRecord",
     "ResultRecord",
-    "decode_record",
     "encode_record",
 ]
--- a/persimmonwell/core/claims/_fold.py
+++ b/persimmonwell/core/claims/_fold.py
@@ -1,20 +1,22 @@
 """Fold the claims stream into the winner and the result of each key."""
 
+import sys
 from collections import deque
 from collections.abc import Iterable
 
 import attrs
 
+from persimmonwell.core._documents import JsonObject
 from persimmonwell.core.claims._records import (
     CallResult,
     ClaimKey,
-    ClaimRecord,
-    ReleaseRecord,
-    ResultRecord,
-    decode_record,
+    decode_result,
 )
 from persimmonwell.core.config import LogRecord
 
+_Key = tuple[str, str, str]
+_CLAIM_TEXTS = ("workspace", "service", "key", "digest", "host", "incarnation")
+
 
 @attrs.frozen
 class KnownClaim:
@@ -32,6 +34,22 @@
     result: CallResult | None = None
 
 
+@attrs.define
+class _Held:
+    """Hold one claim in the form that is cheap to fold.
+
+    Most results are never asked for on a host, so they are decoded on demand.
+    """
+
+    key: _Key
+    digest: str
+    host: str
+    incarnation: str
+    offset: int
+    last_offset: int
+    result: JsonObject | None = None
+
+
 @attrs.frozen
 class FoldChange:
     """Report what one slice of the stream changed."""
@@ -53,8 +71,8 @@
     def __init__(self) -> None:
         self._first_offset = 0
         self._next_offset = 0
-        self._claims: dict[str, KnownClaim] = {}
-        self._by_key: dict[ClaimKey, tuple[str, ...]] = {}
+        self._claims: dict[str, _Held] = {}
+        self._by_key: dict[_Key, str | tuple[str, ...]] = {}
         self._withdrawn: dict[str, int] = {}
         self._landed: deque[tuple[int, str]] = deque()
 
@@ -80,11 +98,17 @@
 
     def claims_of(self, key: ClaimKey) -> tuple[KnownClaim, ...]:
         """Return the claims of a key in offset order."""
-        return tuple(self._claims[c] for c in self._by_key.get(key, ()))
+        claim_ids = self._ids((key.workspace, key.service, key.key))
+        return tuple(_decode(c, self._claims[c]) for c in claim_ids)
 
     def claim(self, claim_id: str) -> KnownClaim | None:
         """Return a claim that is neither withdrawn nor past retention."""
-        return self._claims.get(claim_id)
+        held = self._claims.get(claim_id)
+        return None if held is None else _decode(claim_id, held)
+
+    def _ids(self, key: _Key) -> tuple[str, ...]:
+        claim_ids = self._by_key.get(key, ())
+        return (claim_ids,) if isinstance(claim_ids, str) else claim_ids
 
     def is_withdrawn(self, claim_id: str) -> bool:
         """Return whether a withdrawal of the claim was folded."""
@@ -92,7 +116,7 @@
 
     def read(self, first_offset: int, records: Iterable[LogRecord]) -> FoldChange:
         """Fold the records that follow the last folded one; skip others."""
-        keys: dict[ClaimKey, None] = {}
+        keys: set[_Key] = set()
         relanded: list[str] = []
         if first_offset > self._first_offset:
             self._first_offset = first_offset
@@ -102,60 +126,58 @@
             if record.offset != self._next_offset:
                 continue
             self._next_offset += 1
-            self._apply(record, keys, relanded)
-        return FoldChange(tuple(keys), tuple(relanded))
+            self._apply(record.offset, record.data, keys, relanded)
+        # Sorted, because the order of a set of strings differs between processes.
+        return FoldChange(tuple(ClaimKey(*k) for k in sorted(keys)), tuple(relanded))
 
     def _apply(
-        self, record: LogRecord, keys: dict[ClaimKey, None], relanded: list[str]
+        self, offset: int, data: JsonObject, keys: set[_Key], relanded: list[str]
     ) -> None:
-        match decode_record(record.data):
-            case ClaimRecord() as claim:
-                self._landed.append((record.offset, claim.claim_id))
-                if claim.claim_id in self._withdrawn:
-                    self._withdrawn[claim.claim_id] = record.offset
-                    relanded.append(claim.claim_id)
-                else:
-                    self._add(claim, record.offset)
-                    keys[claim.key] = None
-            case ResultRecord(claim_id, result):
-                known = self._claims.get(claim_id)
-                if known is not None and known.result is None:
-                    self._claims[claim_id] = attrs.evolve(known, result=result)
-                    keys[known.key] = None
-            case ReleaseRecord(claim_id):
-                self._landed.append((record.offset, claim_id))
-                self._withdrawn[claim_id] = record.offset
-                self._remove(claim_id, keys)
-
-    def _add(self, claim: ClaimRecord, offset: int) -> None:
-        known = self._claims.get(claim.claim_id)
+        kind, claim_id = data.get("type"), data.get("claim_id")
+        if not isinstance(claim_id, str) or not claim_id:
+            return
+        if kind == "claim":
+            held = _read_claim(data, offset)
+            if held is None:
+                return
+            self._landed.append((offset, claim_id))
+            if claim_id in self._withdrawn:
+                self._withdrawn[claim_id] = offset
+                relanded.append(claim_id)
+            else:
+                self._add(claim_id, held)
+                keys.add(held.key)
+        elif kind == "result":
+            known = self._claims.get(claim_id)
+            if known is not None and known.result is None:
+                known.result = data
+                keys.add(known.key)
+        elif kind == "released":
+            self._landed.append((offset, claim_id))
+            self._withdrawn[claim_id] = offset
+            self._remove(claim_id, keys)
+
+    def _add(self, claim_id: str, held: _Held) -> None:
+        known = self._claims.get(claim_id)
         if known is not None:
-            self._claims[claim.claim_id] = attrs.evolve(known, last_offset=offset)
+            known.last_offset = held.offset
             return
-        self._claims[claim.claim_id] = KnownClaim(
-            claim_id=claim.claim_id,
-            key=claim.key,
-            digest=claim.digest,
-            host=claim.host,
-            incarnation=claim.incarnation,
-            offset=offset,
-            last_offset=offset,
-        )
-        earlier = self._by_key.get(claim.key, ())
-        self._by_key[claim.key] = (*earlier, claim.claim_id)
-
-    def _remove(self, claim_id: str, keys: dict[ClaimKey, None]) -> None:
-        known = self._claims.pop(claim_id, None)
-        if known is None:
+        self._claims[claim_id] = held
+        earlier = self._ids(held.key)
+        self._by_key[held.key] = (*earlier, claim_id) if earlier else claim_id
+
+    def _remove(self, claim_id: str, keys: set[_Key]) -> None:
+        held = self._claims.pop(claim_id, None)
+        if held is None:
             return
-        keys[known.key] = None
-        rest = tuple(c for c in self._by_key[known.key] if c != claim_id)
+        keys.add(held.key)
+        rest = tuple(c for c in self._ids(held.key) if c != claim_id)
         if rest:
-            self._by_key[known.key] = rest
+            self._by_key[held.key] = rest
         else:
-            del self._by_key[known.key]
+            del self._by_key[held.key]
 
-    def _drop_unretained(self, keys: dict[ClaimKey, None]) -> None:
+    def _drop_unretained(self, keys: set[_Key]) -> None:
         while self._landed and self._landed[0][0] < self._first_offset:
             offset, claim_id = self._landed.popleft()
             if self._withdrawn.get(claim_id) == offset:
@@ -163,3 +185,33 @@
             known = self._claims.get(claim_id)
             if known is not None and known.last_offset == offset:
                 self._remove(claim_id, keys)
+
+
+def _read_claim(data: JsonObject, offset: int) -> _Held | None:
+    texts = [value for name in _CLAIM_TEXTS if isinstance(value := data.get(name), str)]
+    if len(texts) != len(_CLAIM_TEXTS):
+        return None
+    workspace, service, key, digest, host, incarnation = texts
+    # A few values repeat in every record; interned, each is held once.
+    intern = sys.intern
+    return _Held(
+        key=(intern(workspace), intern(service), key),
+        digest=digest,
+        host=intern(host),
+        incarnation=intern(incarnation),
+        offset=offset,
+        last_offset=offset,
+    )
+
+
+def _decode(claim_id: str, held: _Held) -> KnownClaim:
+    return KnownClaim(
+        claim_id=claim_id,
+        key=ClaimKey(*held.key),
+        digest=held.digest,
+        host=held.host,
+        incarnation=held.incarnation,
+        offset=held.offset,
+        last_offset=held.last_offset,
+        result=None if held.result is None else decode_result(held.result),
+    )
--- a/persimmonwell/core/claims/_records.py
+++ b/persimmonwell/core/claims/_records.py
@@ -105,31 +105,8 @@
     return document
 
 
-def decode_record(data: JsonObject) -> Record | None:
-    """Return the record, or None when it is malformed or of another type."""
-    kind, claim_id = data.get("type"), data.get("claim_id")
-    if not isinstance(claim_id, str) or not claim_id:
-        return None
-    if kind == "claim":
-        return _decode_claim(claim_id, data)
-    if kind == "result":
-        result = _decode_result(data)
-        return None if result is None else ResultRecord(claim_id, result)
-    return ReleaseRecord(claim_id) if kind == "released" else None
-
-
-def _decode_claim(claim_id: str, data: JsonObject) -> ClaimRecord | None:
-    names = ("workspace", "service", "key", "digest", "host", "incarnation")
-    texts = [value for name in names if isinstance(value := data.get(name), str)]
-    if len(texts) != len(names):
-        return None
-    workspace, service, key, digest, host, incarnation = texts
-    return ClaimRecord(
-        claim_id, ClaimKey(workspace, service, key), digest, host, incarnation
-    )
-
-
-def _decode_result(data: JsonObject) -> CallResult | None:
+def decode_result(data: JsonObject) -> CallResult | None:
+    """Return the result of a result record, or None when it is malformed."""
     status, outcome = data.get("status"), data.get("outcome")
     if isinstance(status, bool) or not isinstance(status, int):
         return None
--- a/persimmonwell/daemon/_claims_part.py
+++ b/persimmonwell/daemon/_claims_part.py
@@ -70,10 +70,15 @@
     run: Callable[[], None]
 
 
-def claim_limits(settings: PlatformSettings) -> ClaimLimits:
-    """Return the limits that the settings state."""
+def claim_limits(settings: PlatformSettings, expected_hosts: int) -> ClaimLimits:
+    """Return the limits that the settings state.
+
+    The window grows with the number of hosts, so that all of them together stay
+    below the number of appends that the log takes.
+    """
+    share_s = expected_hosts / settings.claim_appends_per_s
     return ClaimLimits(
-        window_s=settings.claim_window_s,
+        window_s=max(settings.claim_window_s, share_s),
         record_timeout_s=settings.claim_timeout_s,
         send_limit_s=settings.claim_send_limit_s,
     )
--- a/persimmonwell/daemon/_daemon.py
+++ b/persimmonwell/daemon/_daemon.py
@@ -91,7 +91,7 @@
             log=self._log_client,
             host_id=settings.host_id,
             incarnation=uuid.uuid4().hex,
-            limits=claim_limits(settings.platform),
+            limits=claim_limits(settings.platform, settings.expected_hosts),
         )
         self._callers = self._build_caller_server()
         self._operators = self._build_operator_server()
--- a/persimmonwell/settings/_settings.py
+++ b/persimmonwell/settings/_settings.py
@@ -71,6 +71,8 @@
     host_list_interval_s: float = 1.0
     claim_window_s: float = 0.02
     """Shortest time between two appends of claims by this host, seconds."""
+    claim_appends_per_s: float = 250.0
+    """Appends of claims that all expected hosts together may make per second."""
     claim_timeout_s: float = 5.0
     """Longest wait until a claim is recorded and read back, seconds."""
     claim_send_limit_s: float = 30.0
@@ -224,6 +226,7 @@
         timeout_s=reader.number("timeout_s", 2.0, minimum=0.05),
         host_list_interval_s=reader.number("host_list_interval_s", 1.0, minimum=0.05),
         claim_window_s=reader.number("claim_window_s", 0.02, maximum=10.0),
+        claim_appends_per_s=reader.number("claim_appends_per_s", 250.0, minimum=1.0),
         claim_timeout_s=reader.number("claim_timeout_s", 5.0, minimum=0.05),
         claim_send_limit_s=reader.number("claim_send_limit_s", 30.0, minimum=0.1),
     )
--- a/tests/core/claims/test_claims.py
+++ b/tests/core/claims/test_claims.py
@@ -16,6 +16,7 @@
     CallResult,
     ClaimAnswered,
     ClaimDecision,
+    ClaimFold,
     ClaimKey,
     ClaimLimits,
     ClaimRefused,
@@ -438,3 +439,19 @@
     assert [(r.error.code, r.outcome) for r in refused] == [
         ("idempotency_key_reused", outcome)
     ]
+
+
+def test_repeated_record_keeps_its_claim_past_the_first_cut() -> None:
+    """Guards against hosts that disagree on a claim recorded twice."""
+    record = {"type": "claim", "claim_id": "c", "workspace": "w", "service": "s"}
+    record.update(key="k", digest="d", host="h", incarnation="i")
+    early, late = ClaimFold(), ClaimFold()
+    records = tuple(LogRecord(offset, dict(record)) for offset in range(3))
+    early.read(0, records)
+    early.read(2, ())
+    late.read(2, records[2:])
+    for fold in (early, late):
+        winner = fold.winner(ClaimKey("w", "s", "k"))
+        assert winner is not None and winner.claim_id == "c"
+        fold.read(3, ())
+        assert fold.key_count == 0
