--- /dev/null
+++ b/tests/core/config/test_fold.py
@@ -0,0 +1,177 @@
+"""Check the fold of the config stream and its snapshots."""
+
+import copy
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from persimmonwell.core.config import (
+    Accepted,
+    ConfigFold,
+    Duplicate,
+    Gap,
+    Invalid,
+    LogRecord,
+    Snapshot,
+    SnapshotFault,
+    SnapshotRejected,
+    Snapshotted,
+    UnknownSchema,
+    verify_snapshot,
+)
+from persimmonwell.core.config._snapshot import RECENT_IDS_KEPT
+
+
+def patch(name: Any, base: Any, weight: Any = 1.0, **rest: Any) -> dict[str, Any]:
+    merge = {"workspaces": {"a": {"weight": weight}}}
+    record = {"type": "patch", "schema": 1, "id": name, "base_version": base}
+    return {**record, "merge": merge, "author": "op", **rest}
+
+
+def fold_all(records: list[Any], fold: ConfigFold | None = None) -> ConfigFold:
+    fold = fold or ConfigFold()
+    for offset, data in enumerate(records):
+        if offset >= fold.next_offset:
+            fold.apply(LogRecord(offset, data))
+    return fold
+
+
+def deep(levels: int) -> Any:
+    value: Any = {}
+    for _ in range(levels):
+        value = {"x": value}
+    return value
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        {},
+        [],
+        "text",
+        {"type": "other", "schema": 1},
+        patch(3, 0),
+        patch("", 0),
+        patch("x" * 1000, 0),
+        patch("p", True),
+        patch("p", "0"),
+        patch("p", 0, schema=True),
+        patch("p", 0, schema=0),
+        patch("p", 0, schema=[2]),
+        patch("p", 0, merge=None),
+        patch("p", 0, merge=deep(5000)),
+        patch("p", 0, weight=-1),
+        patch("p", 0, merge={"unknown": 1}),
+    ],
+)
+def test_bad_shape_never_stops_the_fold(data: Any) -> None:
+    """Guards against a malformed record that blocks every later patch."""
+    fold = ConfigFold()
+    assert isinstance(fold.apply(LogRecord(0, data)), Invalid)
+    assert fold.apply(LogRecord(1, patch("late", 0))) == Accepted("late", 1)
+
+
+def test_gap_and_newer_schema_leave_the_state_unchanged() -> None:
+    """Guards against folding over a gap or past a record of a newer release."""
+    fold = ConfigFold()
+    assert fold.apply(LogRecord(1, patch("a", 0))) == Gap(expected=0, got=1)
+    assert fold.apply(LogRecord(0, patch("a", 0, schema=2))) == UnknownSchema(2)
+    assert (fold.next_offset, fold.version) == (0, 0)
+
+
+Steps = st.lists(
+    st.tuples(st.integers(0, 12), st.integers(-1, 1), st.integers(-1, 3)), max_size=30
+)
+
+
+def build_records(steps: list[tuple[int, int, int]]) -> list[Any]:
+    """Write patches whose ids repeat and whose bases are stale or invalid."""
+    fold, records = ConfigFold(), []
+    for number, drift, weight in steps:
+        records.append(patch(f"p{number}", max(0, fold.version + drift), weight))
+        fold = fold_all(records, fold)
+    return records
+
+
+@given(Steps, st.data())
+def test_start_from_snapshot_equals_full_fold(
+    steps: list[tuple[int, int, int]], data: st.DataObject
+) -> None:
+    """Guards against a late starter that folds later duplicates differently."""
+    records = build_records(steps)
+    cut = data.draw(st.integers(0, len(records)))
+    record = json.loads(json.dumps(fold_all(records[:cut]).snapshot_record()))
+    late = ConfigFold()
+    found = verify_snapshot(record)
+    assert isinstance(found, Snapshot)
+    assert late.start_from(found) == (cut > 0)
+    whole, late = fold_all(records), fold_all(records, late)
+    assert (whole.document, whole.version) == (late.document, late.version)
+    assert [(e.patch_id, e.offset) for e in whole.history] == [
+        (e.patch_id, e.offset) for e in late.history
+    ]
+    assert whole.snapshot_record() == late.snapshot_record()
+
+
+@given(Steps)
+def test_one_patch_per_base_version_wins(steps: list[tuple[int, int, int]]) -> None:
+    """Guards against two patches on one base or one id accepted twice."""
+    fold, accepted = ConfigFold(), []
+    for offset, data in enumerate(build_records(steps)):
+        result = fold.apply(LogRecord(offset, data))
+        if isinstance(result, Accepted):
+            accepted.append((data["id"], data["base_version"], result.version))
+        if any(name == data["id"] for name, _, _ in accepted[:-1]):
+            assert isinstance(result, Duplicate | Accepted)
+    assert [base for _, base, _ in accepted] == list(range(len(accepted)))
+    assert len({name for name, _, _ in accepted}) == len(accepted)
+
+
+def test_remembered_ids_are_bounded_and_stay_safe() -> None:
+    """Guards against unbounded memory, and against a second acceptance later."""
+    records = [patch(f"p{n}", n) for n in range(RECENT_IDS_KEPT + 5)]
+    fold = fold_all(records)
+    assert len(fold.history) == RECENT_IDS_KEPT
+    result = fold.apply(LogRecord(fold.next_offset, patch("p0", 0)))
+    assert not isinstance(result, Accepted)
+
+
+def tampered(**changes: Any) -> dict[str, Any]:
+    record = fold_all([patch("a", 0), patch("b", 1)]).snapshot_record()
+    return {**copy.deepcopy(record), **changes}
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"document": {}},
+        {"version": 1},
+        {"version": 3},
+        {"offset": 1},
+        {"offset": 9},
+        {"recent_ids": []},
+        {"recent_ids": [{"id": "a"}, 5]},
+        {"digest": "0" * 32},
+        {"document": {"models": 1}},
+        {"schema": 2},
+        {"version": True},
+        {"recent_ids": None},
+    ],
+)
+def test_damaged_snapshot_is_ignored(changes: dict[str, Any]) -> None:
+    """Guards against a start from a snapshot that was damaged or forged."""
+    assert isinstance(verify_snapshot(tampered(**changes)), SnapshotFault)
+
+
+def test_snapshot_in_sequence_is_compared_and_changes_nothing() -> None:
+    """Guards against a snapshot record that alters a host already in sequence."""
+    fold = fold_all([patch("a", 0), patch("b", 1)])
+    good = fold.snapshot_record()
+    assert fold.apply(LogRecord(2, good)) == Snapshotted(2)
+    other = fold_all([patch("c", 0), patch("d", 1), {}]).snapshot_record()
+    assert isinstance(fold.apply(LogRecord(3, other)), SnapshotRejected)
+    assert isinstance(fold.apply(LogRecord(4, tampered(version=9))), SnapshotRejected)
+    assert (fold.version, fold.next_offset) == (2, 5)
