Add the timeline and its recorder

Cause: no event of a request, claim or configuration change was kept anywhere. Change: hybrid logical clock with a drift bound, typed events, bounded ring with a count of overwritten events, merge by hybrid time, filters, JSON form, and a recorder that several threads share. Measured: 20,000 calls of Recorder.record with 6 fields, best of 5: 4.2 us and 232 bytes per event with attrs entries -> 3.0 us and 175 bytes with tuple entries (tracemalloc, strings of the caller not counted). Conclusion: recording costs little enough for every request's events.

--- /dev/null
+++ b/persimmonwell/core/timeline/__init__.py
@@ -0,0 +1,28 @@
+"""Order the events of all hosts by hybrid logical time."""
+
+from persimmonwell.core.timeline._clock import HybridClock, HybridTimestamp
+from persimmonwell.core.timeline._documents import (
+    ring_from_document,
+    ring_to_document,
+)
+from persimmonwell.core.timeline._events import EventFilter, EventKind, TimelineEvent
+from persimmonwell.core.timeline._merge import merge_rings
+from persimmonwell.core.timeline._ring import (
+    RingSnapshot,
+    TimelineRing,
+    select,
+)
+
+__all__ = [
+    "EventFilter",
+    "EventKind",
+    "HybridClock",
+    "HybridTimestamp",
+    "RingSnapshot",
+    "TimelineEvent",
+    "TimelineRing",
+    "merge_rings",
+    "ring_from_document",
+    "ring_to_document",
+    "select",
+]
--- /dev/null
+++ b/persimmonwell/core/timeline/_ring.py
@@ -0,0 +1,77 @@
+"""Keep the newest events of one host."""
+
+from collections import deque
+
+import attrs
+
+from persimmonwell.core.timeline._clock import HybridTimestamp
+from persimmonwell.core.timeline._events import EventFilter, EventKind, TimelineEvent
+
+
+@attrs.frozen
+class RingSnapshot:
+    """Hold what one host's ring contained at one time."""
+
+    host: str
+    overwritten: int
+    """Events lost because newer ones took their place."""
+    events: tuple[TimelineEvent, ...]
+    truncated: bool = False
+    """Whether older matching events were left out of the answer."""
+
+
+_Entry = tuple[HybridTimestamp, EventKind, str, str, tuple[str, ...], str]
+
+
+class TimelineRing:
+    """Hold the newest events up to a fixed number.
+
+    Entries are plain tuples, and events are built when they are read. Building
+    them on append measured 4.2 us and 232 bytes per event, against 3.0 us and
+    175 bytes.
+    """
+
+    def __init__(self, *, host: str, capacity: int) -> None:
+        self._host = host
+        self._entries: deque[_Entry] = deque(maxlen=capacity)
+        self._appended = 0
+
+    @property
+    def overwritten(self) -> int:
+        """Return how many events newer ones have replaced."""
+        return self._appended - len(self._entries)
+
+    def append(
+        self,
+        stamp: HybridTimestamp,
+        kind: EventKind,
+        *,
+        request_id: str = "",
+        workspace: str = "",
+        upstream_ids: tuple[str, ...] = (),
+        detail: str = "",
+    ) -> None:
+        """Add an event with the next sequence number."""
+        self._entries.append((stamp, kind, request_id, workspace, upstream_ids, detail))
+        self._appended += 1
+
+    def copy(self) -> "TimelineRing":
+        """Return a ring with the same events; cheap enough to do under a lock."""
+        ring = TimelineRing(host=self._host, capacity=self._entries.maxlen or 0)
+        ring._entries, ring._appended = self._entries.copy(), self._appended
+        return ring
+
+    def snapshot(self) -> RingSnapshot:
+        """Return all events kept, oldest first."""
+        first = self.overwritten
+        events = tuple(
+            TimelineEvent(self._host, first + index, *entry)
+            for index, entry in enumerate(self._entries)
+        )
+        return RingSnapshot(self._host, first, events)
+
+
+def select(snapshot: RingSnapshot, wanted: EventFilter, limit: int) -> RingSnapshot:
+    """Return the newest matching events of a snapshot, at most limit of them."""
+    events = tuple(event for event in snapshot.events if wanted.matches(event))
+    return attrs.evolve(snapshot, events=events[-limit:], truncated=len(events) > limit)
--- /dev/null
+++ b/persimmonwell/observe/_recorder.py
@@ -0,0 +1,88 @@
+"""Record timeline events from any thread."""
+
+import threading
+import time
+from collections.abc import Callable
+
+from persimmonwell.core.timeline import (
+    EventFilter,
+    EventKind,
+    HybridClock,
+    HybridTimestamp,
+    RingSnapshot,
+    TimelineRing,
+    select,
+)
+
+MAX_DRIFT_S = 5.0
+"""Hosts keep time by NTP; a clock further ahead than this is faulty."""
+MAX_DETAIL_LENGTH = 160
+
+
+class Recorder:
+    """Hold the ring and the hybrid clock of one process."""
+
+    def __init__(
+        self,
+        *,
+        host_id: str,
+        capacity: int,
+        wall_clock: Callable[[], float] = time.time,
+        max_drift_s: float = MAX_DRIFT_S,
+    ) -> None:
+        self._wall_clock = wall_clock
+        self._clock = HybridClock(max_drift_s=max_drift_s)
+        self._ring = TimelineRing(host=host_id, capacity=capacity)
+        self._lock = threading.Lock()
+
+    @property
+    def overwritten(self) -> int:
+        """Return how many events newer ones have replaced."""
+        return self._ring.overwritten
+
+    @property
+    def rejected_stamps(self) -> int:
+        """Return how many remote instants were too far ahead to be adopted."""
+        return self._clock.rejected_stamps
+
+    def record(
+        self,
+        kind: EventKind | str,
+        *,
+        request_id: str = "",
+        workspace: str = "",
+        upstream_ids: tuple[str, ...] = (),
+        detail: str = "",
+    ) -> None:
+        """Add an event; the detail must not contain request text."""
+        if not isinstance(kind, EventKind):
+            name, kind = kind, EventKind.parse(kind)
+            if kind is EventKind.OTHER:
+                detail = f"{name}: {detail}" if detail else name
+        if len(detail) > MAX_DETAIL_LENGTH:
+            detail = detail[:MAX_DETAIL_LENGTH]
+        with self._lock:
+            self._ring.append(
+                self._clock.tick(self._wall_clock()),
+                kind,
+                request_id=request_id,
+                workspace=workspace,
+                upstream_ids=upstream_ids,
+                detail=detail,
+            )
+
+    def stamp(self) -> HybridTimestamp:
+        """Return the current instant, to be sent with a message to a peer."""
+        with self._lock:
+            return self._clock.tick(self._wall_clock())
+
+    def observe(self, remote: HybridTimestamp) -> bool:
+        """Adopt the instant of a received message; False when too far ahead."""
+        with self._lock:
+            return self._clock.observe(remote, self._wall_clock())
+
+    def read(self, wanted: EventFilter, *, limit: int) -> RingSnapshot:
+        """Return the newest matching events, at most limit of them."""
+        with self._lock:
+            ring = self._ring.copy()
+        return select(ring.snapshot(), wanted, limit)
--- /dev/null
+++ b/tests/observe/test_recorder.py
@@ -0,0 +1,63 @@
+"""Check recording from several threads."""
+
+import threading
+
+import pytest
+
+from persimmonwell.core.timeline import EventFilter, EventKind, HybridTimestamp
+from persimmonwell.observe import Recorder
+
+ALL = EventFilter()
+
+
+def test_concurrent_recording_loses_nothing() -> None:
+    """Guards against lost or unordered events when threads record at once."""
+    recorder = Recorder(host_id="host-1", capacity=10_000, wall_clock=lambda: 5.0)
+    barrier = threading.Barrier(8)
+
+    def work(name: str) -> None:
+        barrier.wait()
+        for number in range(500):
+            recorder.record(EventKind.RECEIVED, request_id=name, detail=str(number))
+            recorder.read(ALL, limit=1) if number % 100 == 0 else None
+
+    threads = [threading.Thread(target=work, args=(str(n),)) for n in range(8)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    events = recorder.read(ALL, limit=10_000).events
+    assert [event.sequence for event in events] == list(range(4000))
+    assert all(a.stamp < b.stamp for a, b in zip(events, events[1:], strict=False))
+    for name in map(str, range(8)):
+        details = [event.detail for event in events if event.request_id == name]
+        assert details == [str(number) for number in range(500)]
+
+
+@pytest.mark.parametrize(
+    ("kind", "expected", "detail"),
+    [
+        ("claim won", EventKind.CLAIM_WON, "d"),
+        ("first_token", EventKind.FIRST_TOKEN, "d"),
+        (EventKind.HOST_LEFT, EventKind.HOST_LEFT, "d"),
+        ("ejected", EventKind.OTHER, "ejected: d"),
+    ],
+)
+def test_kinds_are_typed(kind: str, expected: EventKind, detail: str) -> None:
+    """Guards against events of other parts that are dropped or untyped."""
+    recorder = Recorder(host_id="host-1", capacity=10)
+    recorder.record(kind, detail="d")
+    (event,) = recorder.read(ALL, limit=10).events
+    assert (event.kind, event.detail) == (expected, detail)
+
+
+def test_details_are_bounded_and_remote_stamps_adopted() -> None:
+    """Guards against unbounded ring memory and effects stamped before causes."""
+    recorder = Recorder(host_id="host-1", capacity=10, wall_clock=lambda: 5.0)
+    remote = HybridTimestamp(6_000_000, 4)
+    assert recorder.observe(remote)
+    assert not recorder.observe(HybridTimestamp(60_000_000))
+    recorder.record(EventKind.REFUSED, detail="x" * 1000)
+    (event,) = recorder.read(ALL, limit=10).events
+    assert event.stamp > remote and len(event.detail) == 160
+    assert (recorder.rejected_stamps, recorder.stamp() > event.stamp) == (1, True)
