Add metrics, token timing and limits on repeated log messages

Cause: nothing was counted, and one lasting fault wrote a line per attempt. Change: counters with bounded and escaped labels rendered by aioprometheus, token times counted per request and flushed in batches, the most active workspaces by a space-saving count, log lines with fields and a repeat limit. aioprometheus writes label values unescaped, so they are escaped before.

--- a/persimmonwell/observe/__init__.py
+++ b/persimmonwell/observe/__init__.py
@@ -1,6 +1,23 @@
 """Make the daemon's behaviour visible."""
 
-from persimmonwell.observe._logs import configure_logs, part_logger
+from persimmonwell.observe._logs import (
+    RepeatLimiter,
+    configure_logs,
+    log_suppressed,
+    part_logger,
+)
+from persimmonwell.observe._metrics import Metrics, Readings, RenderedMetrics
 from persimmonwell.observe._recorder import Recorder
+from persimmonwell.observe._token_timer import TokenTimer
 
-__all__ = ["Recorder", "configure_logs", "part_logger"]
+__all__ = [
+    "Metrics",
+    "Readings",
+    "Recorder",
+    "RenderedMetrics",
+    "RepeatLimiter",
+    "TokenTimer",
+    "configure_logs",
+    "log_suppressed",
+    "part_logger",
+]
--- a/persimmonwell/observe/_logs.py
+++ b/persimmonwell/observe/_logs.py
@@ -1,7 +1,14 @@
 """Configure structured logs."""
 
+import json
 import sys
-from typing import TYPE_CHECKING
+import threading
+import time
+import traceback
+from collections.abc import Callable
+from datetime import UTC
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, TextIO
 
 from loguru import logger
 
@@ -10,21 +17,78 @@
 if TYPE_CHECKING:
     from loguru import Logger
 
-TEXT_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSS!UTC}Z {level} {message} {extra}"
 
+class RepeatLimiter:
+    """Hold how often each message appeared in the current interval."""
+
+    def __init__(
+        self, *, limit: int, interval_s: float, clock: Callable[[], float]
+    ) -> None:
+        self._limit = limit
+        self._interval_s = interval_s
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._windows: dict[tuple[str, int], tuple[float, int]] = {}
+
+    def admit(self, key: tuple[str, int]) -> int | None:
+        """Return how many repeats were suppressed before; None to suppress."""
+        now_s = self._clock()
+        with self._lock:
+            start_s, count = self._windows.get(key, (now_s, 0))
+            suppressed = 0
+            if now_s - start_s >= self._interval_s:
+                suppressed = max(0, count - self._limit)
+                start_s, count = now_s, 0
+            self._windows[key] = (start_s, count + 1)
+            return suppressed if count < self._limit else None
+
+    def take_suppressed(self) -> dict[tuple[str, int], int]:
+        """Return the repeats not yet reported, by message, and forget them."""
+        with self._lock:
+            windows, self._windows = self._windows, {}
+        counts = {key: count - self._limit for key, (_, count) in windows.items()}
+        return {key: count for key, count in counts.items() if count > 0}
+
+
+def configure_logs(
+    settings: LogSettings,
+    *,
+    host_id: str,
+    stream: TextIO | None = None,
+    clock: Callable[[], float] = time.monotonic,
+) -> RepeatLimiter:
+    """Send logs to a stream, standard error by default, as text or JSON lines.
+
+    The key of a message is the place in the code that logs it, so that repeats
+    with other values count as the same message.
+    """
+    limiter = RepeatLimiter(
+        limit=settings.repeat_limit, interval_s=settings.repeat_interval_s, clock=clock
+    )
+    form = format_json if settings.json else format_text
+
+    def keep(record: Any) -> bool:
+        suppressed = limiter.admit((str(record["name"]), record["line"]))
+        if suppressed:
+            record["extra"]["suppressed"] = suppressed
+        return suppressed is not None
+
+    def write(message: Any) -> None:
+        out = stream if stream is not None else sys.stderr
+        out.write(form(message.record) + "\n")
+        out.flush()
 
-def configure_logs(settings: LogSettings, *, host_id: str) -> None:
-    """Send logs to standard error as text or JSON lines."""
     logger.remove()
     logger.configure(extra={"host": host_id})
-    logger.add(
-        sys.stderr,
-        level=settings.level,
-        format=TEXT_FORMAT,
-        serialize=settings.json,
-        backtrace=False,
-        diagnose=False,
-    )
+    logger.add(write, level=settings.level, filter=keep, format="{message}")
+    return limiter
+
+
+def log_suppressed(limiter: RepeatLimiter) -> None:
+    """Log the repeats that no later message has reported."""
+    for (module, line), count in limiter.take_suppressed().items():
+        log = part_logger("logs").bind(suppressed=count)
+        log.info("repeats of the message at {}:{} left out", module, line)
 
 
 def part_logger(part: str) -> "Logger":
@@ -34,3 +98,43 @@
         record["message"] = f"{part}: {record['message']}"
 
     return logger.patch(add_prefix)  # type: ignore[arg-type]
+
+
+def format_text(record: Any) -> str:
+    """Return one line: time, level, sentence, fields."""
+    fields = " ".join(f"{name}={value}" for name, value in record["extra"].items())
+    line = f"{_time_of(record)} {record['level'].name} {record['message']} {fields}"
+    return _one_line(line + _exception_of(record))
+
+
+def format_json(record: Any) -> str:
+    """Return one JSON object with the fields beside time, level and message."""
+    fields = {
+        **record["extra"],
+        "time": _time_of(record),
+        "level": record["level"].name,
+        "message": record["message"] + _exception_of(record),
+    }
+    return json.dumps(fields, default=str)
+
+
+def _time_of(record: Any) -> str:
+    time_utc: str = record["time"].astimezone(UTC).isoformat(timespec="milliseconds")
+    return time_utc
+
+
+def _exception_of(record: Any) -> str:
+    # Only the type and the places: an exception's value may hold request text.
+    exception = record["exception"]
+    if exception is None:
+        return ""
+    frames = traceback.extract_tb(exception.traceback)
+    places = " > ".join(f"{Path(f.filename).name}:{f.lineno}" for f in frames)
+    return f" ({exception.type.__name__} at {places})"
+
+
+def _one_line(text: str) -> str:
+    # A line break in a value would let a caller forge a log line.
+    return "".join(
+        c if c.isprintable() else c.encode("unicode_escape").decode() for c in text
+    )
--- /dev/null
+++ b/persimmonwell/observe/_metrics.py
@@ -0,0 +1,227 @@
+"""Count what the daemon does and render it for Prometheus."""
+
+import threading
+import time
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import attrs
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.histogram import Histogram as HistogramValue
+from aioprometheus.renderer import render
+
+from persimmonwell.core import Outcome, Rank
+from persimmonwell.observe._token_timer import (
+    FIRST_TOKEN_BOUNDS_S,
+    TOKEN_GAP_BOUNDS_S,
+    Buckets,
+    TokenTimer,
+    TokenTimes,
+)
+from persimmonwell.observe._top import TopNames
+
+MAX_LABEL_VALUES = 64
+"""Distinct values of one label; further ones are counted as "other"."""
+OTHER_LABEL = "other"
+TOP_WORKSPACES = 10
+TRACKED_WORKSPACES = 64
+
+_COUNTERS: dict[str, tuple[str, tuple[str, ...]]] = {
+    "requests_total": ("Ended requests", ("rank", "model", "outcome")),
+    "dropped_frames_total": ("Engine frames not accepted", ("reason",)),
+    "retries_total": ("Attempts that started over", ("rank",)),
+    "resumes_total": ("Attempts that continued an answer", ("rank",)),
+    "refusals_total": ("Requests refused before or during service", ("reason",)),
+    "platform_failures_total": ("Platform calls without an answer", ("service",)),
+}
+_GAUGES: dict[str, tuple[str, tuple[str, ...]]] = {
+    "queued_requests": ("Requests that wait for an attempt", ("rank",)),
+    "in_flight_requests": ("Requests with an attempt", ("rank",)),
+    "threads_in_use": ("Server threads in use", ("port",)),
+    "config_version": ("Configuration version in force", ()),
+    "peers": ("Other entry hosts known", ()),
+    "timeline_overwritten_events": ("Timeline events replaced by newer ones", ()),
+    "rejected_clock_stamps": ("Peer clock stamps beyond the drift bound", ()),
+    "top_workspace_requests": ("Requests of the most active ones", ("workspace",)),
+}
+
+
+@attrs.frozen
+class Readings:
+    """Hold the values that are read when metrics are rendered."""
+
+    queued: Mapping[Rank, int]
+    in_flight: Mapping[Rank, int]
+    threads_in_use: Mapping[str, int]
+    """Busy threads by name of the port."""
+    config_version: int
+    peers: int
+    timeline_overwritten: int
+    rejected_stamps: int
+
+
+@attrs.frozen
+class RenderedMetrics:
+    """Hold one rendering of all metrics."""
+
+    content_type: str
+    body: bytes
+
+
+class _LabelValues:
+    """Hold the label values seen, up to a bound."""
+
+    def __init__(self) -> None:
+        self._seen: set[str] = set()
+
+    def bounded(self, value: str) -> str:
+        if value in self._seen:
+            return value
+        if len(self._seen) >= MAX_LABEL_VALUES:
+            return OTHER_LABEL
+        self._seen.add(value)
+        return value
+
+
+class Metrics:
+    """Hold the counters of one process.
+
+    Counts are kept in plain dictionaries and copied under the lock, so that a
+    rendering does not delay the threads that count.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._counts: dict[str, dict[tuple[str, ...], int]] = {
+            name: {} for name in _COUNTERS
+        }
+        self._models = _LabelValues()
+        self._reasons = _LabelValues()
+        self._workspaces = TopNames(TRACKED_WORKSPACES)
+        self._first_token = {rank: Buckets(FIRST_TOKEN_BOUNDS_S) for rank in Rank}
+        self._gaps = {rank: Buckets(TOKEN_GAP_BOUNDS_S) for rank in Rank}
+
+    def request_arrived(self, workspace: str) -> None:
+        """Count a request for the list of most active workspaces."""
+        with self._lock:
+            self._workspaces.add(workspace)
+
+    def request_ended(self, rank: Rank, model: str, outcome: Outcome) -> None:
+        """Count an ended request; a service counts as model service/NAME."""
+        with self._lock:
+            labels = (_rank_label(rank), self._models.bounded(model), outcome.value)
+            self._count("requests_total", labels)
+
+    def frame_dropped(self, reason: str) -> None:
+        """Count an engine frame that was not accepted."""
+        with self._lock:
+            self._count("dropped_frames_total", (self._reasons.bounded(reason),))
+
+    def retried(self, rank: Rank) -> None:
+        """Count an attempt that started over."""
+        with self._lock:
+            self._count("retries_total", (_rank_label(rank),))
+
+    def resumed(self, rank: Rank) -> None:
+        """Count an attempt that continued an answer."""
+        with self._lock:
+            self._count("resumes_total", (_rank_label(rank),))
+
+    def refused(self, reason: str) -> None:
+        """Count a refusal by the code of its error."""
+        with self._lock:
+            self._count("refusals_total", (self._reasons.bounded(reason),))
+
+    def platform_failed(self, service: str) -> None:
+        """Count a platform call without an answer."""
+        with self._lock:
+            labels = (self._reasons.bounded(service),)
+            self._count("platform_failures_total", labels)
+
+    def token_timer(self, rank: Rank) -> TokenTimer:
+        """Return a timer for one request that arrives now."""
+        return TokenTimer(rank, started_s=time.monotonic(), flush=self.add_times)
+
+    def add_times(self, times: TokenTimes) -> None:
+        """Add the token times of one request."""
+        with self._lock:
+            if times.first_token_s is not None:
+                self._first_token[times.rank].add(times.first_token_s)
+            self._gaps[times.rank].merge(times.gaps)
+
+    def _count(self, name: str, labels: tuple[str, ...]) -> None:
+        counts = self._counts[name]
+        counts[labels] = counts.get(labels, 0) + 1
+
+    def render(self, readings: Readings, *, accept: str = "") -> RenderedMetrics:
+        """Return all metrics in the format that the Accept header asks for."""
+        with self._lock:
+            counts = {name: dict(values) for name, values in self._counts.items()}
+            top = self._workspaces.top(TOP_WORKSPACES)
+            first = {rank: kept.copy() for rank, kept in self._first_token.items()}
+            gaps = {rank: kept.copy() for rank, kept in self._gaps.items()}
+        registry = Registry()
+        for name, (doc, label_names) in _COUNTERS.items():
+            _add_family(registry, Counter, name, doc, label_names, counts[name])
+        values = _gauge_values(readings, dict(top))
+        for name, (doc, label_names) in _GAUGES.items():
+            _add_family(registry, Gauge, name, doc, label_names, values[name])
+        _add_histogram(registry, "first_token_seconds", "Time to first token", first)
+        _add_histogram(registry, "inter_token_seconds", "Inter-token latency", gaps)
+        body, headers = render(registry, [accept] if accept else [])
+        return RenderedMetrics(str(headers["Content-Type"]), bytes(body))
+
+
+def _rank_label(rank: Rank) -> str:
+    return rank.name.lower()
+
+
+def _gauge_values(
+    readings: Readings, top: Mapping[str, int]
+) -> dict[str, dict[tuple[str, ...], int]]:
+    return {
+        "queued_requests": {(_rank_label(r),): n for r, n in readings.queued.items()},
+        "in_flight_requests": {
+            (_rank_label(r),): n for r, n in readings.in_flight.items()
+        },
+        "threads_in_use": {(p,): n for p, n in readings.threads_in_use.items()},
+        "config_version": {(): readings.config_version},
+        "peers": {(): readings.peers},
+        "timeline_overwritten_events": {(): readings.timeline_overwritten},
+        "rejected_clock_stamps": {(): readings.rejected_stamps},
+        "top_workspace_requests": {(name,): n for name, n in top.items()},
+    }
+
+
+def _add_family(
+    registry: Any,
+    collector: Callable[..., Any],
+    name: str,
+    doc: str,
+    label_names: tuple[str, ...],
+    values: Mapping[tuple[str, ...], int],
+) -> None:
+    family = collector(f"persimmonwell_{name}", doc, registry=registry)
+    for label_values, value in values.items():
+        escaped = (escape_label(value) for value in label_values)
+        family.set(dict(zip(label_names, escaped, strict=True)), value)
+
+
+def _add_histogram(
+    registry: Any, name: str, doc: str, buckets: Mapping[Rank, Buckets]
+) -> None:
+    family = Histogram(f"persimmonwell_{name}", doc, registry=registry)
+    for rank, kept in buckets.items():
+        value = HistogramValue(*kept.bounds)
+        cumulative = 0
+        for bound, count in zip(value.buckets, kept.counts, strict=True):
+            cumulative += count
+            value.buckets[bound] = cumulative
+        value.observations, value.sum = cumulative, kept.total
+        family.set_value({"rank": _rank_label(rank)}, value)
+
+
+def escape_label(value: str) -> str:
+    """Escape a label value; aioprometheus writes values as they are."""
+    escaped = value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+    return "".join(c if c.isprintable() else "?" for c in escaped)
--- /dev/null
+++ b/persimmonwell/observe/_top.py
@@ -0,0 +1,33 @@
+"""Keep the most frequent names in bounded memory."""
+
+import heapq
+
+
+class TopNames:
+    """Hold the counts of the most frequent names (space-saving algorithm).
+
+    A name that replaces another takes over its count, so a count may be too
+    high by the lowest count kept, and no frequent name is missed.
+    """
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = capacity
+        self._counts: dict[str, int] = {}
+
+    def add(self, name: str) -> None:
+        """Count a name once."""
+        counts = self._counts
+        if name in counts:
+            counts[name] += 1
+        elif len(counts) < self._capacity:
+            counts[name] = 1
+        else:
+            lowest = min(counts, key=counts.__getitem__)
+            counts[name] = counts.pop(lowest) + 1
+
+    def top(self, number: int) -> tuple[tuple[str, int], ...]:
+        """Return the most frequent names with their counts, highest first."""
+        items = heapq.nsmallest(
+            number, self._counts.items(), key=lambda item: (-item[1], item[0])
+        )
+        return tuple(items)
--- a/persimmonwell/settings/_settings.py
+++ b/persimmonwell/settings/_settings.py
@@ -89,6 +89,10 @@
 
     level: str = "INFO"
     json: bool = False
+    """Whether each line is a JSON object."""
+    repeat_limit: int = 10
+    """Times that one message is logged per interval; further ones are counted."""
+    repeat_interval_s: float = 10.0
 
 
 @attrs.frozen
@@ -246,6 +250,8 @@
     log = LogSettings(
         level=reader.text("level", "INFO", choices=levels),
         json=reader.boolean("json", False),
+        repeat_limit=reader.integer("repeat_limit", 10, minimum=1),
+        repeat_interval_s=reader.number("repeat_interval_s", 10.0, minimum=0.1),
     )
     reader.finish()
     return log
