Serve timeline, metrics, history and drain on the operators' port

Cause: operators could not see a request's course, take a host out of service or read who changed the configuration. A silent TLS client stopped every other one, and a path with a quoted percent sign was unquoted twice. Conclusion: a request's course, counts and the drain are visible to operators.

--- a/persimmonwell/core/control/_control.py
+++ b/persimmonwell/core/control/_control.py
@@ -89,17 +89,19 @@
         return (self._fleet_update(),)
 
     def _fleet_update(self) -> UpdateFleet:
-        overrides = self.config.upstreams
-        upstreams = []
-        for upstream in self._hosts.upstreams:
-            override = overrides.get(upstream.upstream_id)
-            drained = override is not None and override.drained
-            upstreams.append(
-                attrs.evolve(upstream, leaving=upstream.leaving or drained)
-            )
+        overrides = self.config.upstreams.values()
+        drained = {override.upstream_id for override in overrides if override.drained}
+        upstreams = tuple(
+            attrs.evolve(u, leaving=u.leaving or u.upstream_id in drained)
+            for u in self._hosts.upstreams
+        )
+        replicas = tuple(
+            attrs.evolve(r, leaving=r.leaving or r.replica_id in drained)
+            for r in self._hosts.replicas
+        )
         return UpdateFleet(
-            upstreams=tuple(upstreams),
-            replicas=self._hosts.replicas,
+            upstreams=upstreams,
+            replicas=replicas,
             live_hosts=max(1, len(self._hosts.entry_hosts)),
         )
 
--- a/persimmonwell/daemon/_daemon.py
+++ b/persimmonwell/daemon/_daemon.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
-from persimmonwell._exceptions import PlatformUnavailableError
+from persimmonwell._exceptions import PersimmonwellError, PlatformUnavailableError
 from persimmonwell.core.config import FleetConfig
 from persimmonwell.core.control import (
     CONFIG_STREAM,
@@ -27,16 +27,29 @@
     Router,
     RouterDecision,
 )
+from persimmonwell.core.timeline import EventKind
+from persimmonwell.daemon._config_history import ConfigHistory
+from persimmonwell.daemon._config_routes import config_routes
 from persimmonwell.daemon._control_actor import ControlActor, ControlPort
-from persimmonwell.daemon._operator_service import OperatorService
+from persimmonwell.daemon._fleet_routes import DrainSwitch, drain_routes, fleet_routes
+from persimmonwell.daemon._host_watch import host_watch
+from persimmonwell.daemon._operator_service import OperatorService, health_routes
+from persimmonwell.daemon._request_observer import RequestObserver
 from persimmonwell.daemon._router_actor import (
     TICK_S,
     ActorRouterPort,
     RouterActor,
     cancel_targets,
 )
-from persimmonwell.front import CallerService, HttpServer
-from persimmonwell.observe import part_logger
+from persimmonwell.daemon._view_routes import metrics_routes, timeline_routes
+from persimmonwell.front import CallerService, HttpRequest, HttpResponse, HttpServer
+from persimmonwell.observe import (
+    Metrics,
+    Readings,
+    Recorder,
+    RenderedMetrics,
+    part_logger,
+)
 from persimmonwell.platform import HostListClient, LogClient
 from persimmonwell.settings import Settings
 from persimmonwell.upstream import EngineClient, ServiceClient
@@ -71,6 +84,14 @@
         )
         self._services = ServiceClient(connect_timeout_s=engines.connect_timeout_s)
         self._workers = ThreadPoolExecutor(WORKER_THREADS, "worker")
+        self._drain_switch = DrainSwitch()
+        self._metrics = Metrics()
+        self._recorder = Recorder(
+            host_id=settings.host_id, capacity=settings.timeline_events
+        )
+        self._observer = RequestObserver(self._recorder, self._metrics)
+        self._config_history = ConfigHistory()
+        self._watch_hosts = host_watch(self._recorder)
         router = Router(
             host_id=settings.host_id,
             availability_zone=settings.availability_zone,
@@ -80,7 +101,11 @@
             host_id=settings.host_id, availability_zone=settings.availability_zone
         )
         self._router = ActorRouterPort(
-            RouterActor.start(router, carry_out=self._carry_out_router)
+            RouterActor.start(
+                router,
+                carry_out=self._carry_out_router,
+                observe=self._observer.observe,
+            )
         )
         self._control = ControlPort(
             ControlActor.start(control, carry_out=self._carry_out_control)
@@ -99,6 +124,11 @@
         """Return the bound address of the operators' port."""
         return self._operators.address
 
+    @property
+    def recorder(self) -> Recorder:
+        """Return the recorder of this host's timeline."""
+        return self._recorder
+
     def _build_caller_server(self) -> HttpServer:
         callers = self._settings.callers
         service = CallerService(
@@ -106,22 +136,50 @@
             engines=self._engines,
             services=self._services,
             current_config=lambda: self._config,
+            count_dropped=lambda dropped: self._metrics.frame_dropped(
+                dropped.reason.value
+            ),
+            token_timer=self._metrics.token_timer,
         )
+
+        def handle(http: HttpRequest) -> HttpResponse:
+            try:
+                return service.handle(http)
+            except PersimmonwellError as error:
+                self._metrics.refused(error.code)
+                raise
+
         return HttpServer(
             address=callers.address,
             threads=callers.threads,
             max_body_bytes=callers.max_body_bytes,
             io_timeout_s=callers.io_timeout_s,
-            handler=service.handle,
+            handler=handle,
             tls=callers.tls,
             drain_timeout_s=self._settings.drain_timeout_s,
         )
 
     def _build_operator_server(self) -> HttpServer:
+        host_id, control = self._settings.host_id, self._control
         service = OperatorService(
-            settings=self._settings,
-            control=self._control,
-            is_draining=self._stopping.is_set,
+            token=self._settings.operators.token,
+            open_routes=health_routes(
+                host_id=host_id, control=control, is_draining=self._is_draining
+            ),
+            routes=(
+                *config_routes(
+                    host_id=host_id, control=control, history=self._config_history
+                ),
+                *fleet_routes(host_id=host_id, control=control),
+                *drain_routes(
+                    host_id=host_id,
+                    switch=self._drain_switch,
+                    in_flight=self._router.in_flight,
+                    changed=self._drain_changed,
+                ),
+                *timeline_routes(self._recorder),
+                *metrics_routes(self._render_metrics),
+            ),
         )
         return HttpServer(
             address=self._settings.operators.address,
@@ -132,24 +190,52 @@
             tls=self._settings.operators.tls,
         )
 
+    def _is_draining(self) -> bool:
+        return self._stopping.is_set() or self._drain_switch.drained
+
+    def _drain_changed(self, drained: bool) -> None:
+        self._log.info("drained by an operator: {}", drained)
+
+    def _render_metrics(self, accept: str) -> RenderedMetrics:
+        own_id = self._settings.host_id
+        hosts = self._control.inspect(lambda control: control.entry_hosts)
+        readings = Readings(
+            queued=self._observer.queued,
+            in_flight=self._observer.in_flight,
+            threads_in_use={
+                "callers": self._callers.threads_in_use,
+                "operators": self._operators.threads_in_use,
+            },
+            config_version=0 if self._config is None else self._config.version,
+            peers=sum(host.host_id != own_id for host in hosts),
+            timeline_overwritten=self._recorder.overwritten,
+            rejected_stamps=self._recorder.rejected_stamps,
+        )
+        return self._metrics.render(readings, accept=accept)
+
     def start(self) -> None:
         """Start the loops and open the ports."""
+        zone = self._settings.availability_zone
+        self._log.info("starting in availability zone {}", zone)
         loops = (self._read_config_loop, self._read_hosts_loop, self._tick_loop)
         for loop in loops:
             thread = threading.Thread(target=loop, daemon=True, name=loop.__name__)
             thread.start()
             self._threads.append(thread)
         self._operators.start()
+        self._log.info("operators' port open at {}", self.operator_address)
         self._callers.start()
-        self._log.info("started, callers at {}", self.caller_address)
+        self._log.info("callers' port open at {}", self.caller_address)
 
     def close(self) -> None:
         """Stop accepting, finish requests in flight, and release everything."""
         self._stopping.set()
-        self._log.info("draining")
+        self._log.info("draining, {} requests in flight", self._router.in_flight())
         self._callers.close()
         self._wait_until_idle()
+        self._log.info("callers' port closed")
         self._operators.close()
+        self._log.info("operators' port closed")
         for thread in self._threads:
             thread.join()
         self._workers.shutdown(wait=True, cancel_futures=True)
@@ -178,6 +264,8 @@
             case PutConfigInForce(config):
                 self._config = config
                 self._router.tell(ConfigChanged(config))
+                detail = f"version {config.version}"
+                self._recorder.record(EventKind.CONFIG_IN_FORCE, detail=detail)
                 part_logger("config").info("version {} in force", config.version)
             case UpdateFleet(upstreams, replicas, live_hosts):
                 self._router.tell(FleetChanged(upstreams, replicas, live_hosts))
@@ -188,6 +276,7 @@
         try:
             offsets = self._log_client.append(decision.stream, decision.records)
         except PlatformUnavailableError as error:
+            self._metrics.platform_failed(error.service)
             part_logger("platform").warning("append failed, {}", error)
             self._stopping.wait(RETRY_PAUSE_S)
             self._control.tell(AppendUncertain(decision.append_id))
@@ -202,6 +291,7 @@
         part = self._log_client.read(
             CONFIG_STREAM, from_offset=offset, wait_s=LOG_WAIT_S
         )
+        self._config_history.note(part.records)
         self._control.tell(
             RecordsRead(
                 stream=CONFIG_STREAM,
@@ -216,7 +306,9 @@
         self._loop(self._read_hosts, pause_s=interval_s)
 
     def _read_hosts(self) -> None:
-        self._control.tell(HostListRead(self._host_list.read()))
+        hosts = self._host_list.read()
+        self._watch_hosts(hosts)
+        self._control.tell(HostListRead(hosts))
 
     def _tick_loop(self) -> None:
         while not self._stopping.wait(TICK_S):
@@ -228,6 +320,8 @@
             try:
                 step()
             except PlatformUnavailableError as error:
+                self._metrics.platform_failed(error.service)
+                part_logger("platform").warning("read failed, {}", error)
                 self._control.tell(PlatformFailed(error.service))
                 self._stopping.wait(RETRY_PAUSE_S)
                 continue
--- a/persimmonwell/daemon/_main.py
+++ b/persimmonwell/daemon/_main.py
@@ -9,7 +9,7 @@
 
 from persimmonwell._exceptions import DocumentError
 from persimmonwell.daemon._daemon import Daemon
-from persimmonwell.observe import configure_logs
+from persimmonwell.observe import configure_logs, log_suppressed
 from persimmonwell.settings import load_settings
 
 EXIT_BAD_SETTINGS = 2
@@ -34,7 +34,7 @@
     if options.check:
         print("settings are valid")
         return 0
-    configure_logs(settings.log, host_id=settings.host_id)
+    limiter = configure_logs(settings.log, host_id=settings.host_id)
     stop = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stop.set())
     signal.signal(signal.SIGINT, lambda *_: stop.set())
@@ -42,4 +42,5 @@
     daemon.start()
     stop.wait()
     daemon.close()
+    log_suppressed(limiter)
     return 0
--- a/persimmonwell/daemon/_operator_service.py
+++ b/persimmonwell/daemon/_operator_service.py
@@ -1,125 +1,64 @@
 """Serve operators' calls on their own port."""
 
 import hmac
-import json
-import uuid
 from collections.abc import Callable
-from typing import Any
 
 import attrs
 
-from persimmonwell._exceptions import (
-    BadRequestError,
-    NotFoundError,
-    PlatformUnavailableError,
-    UnauthorizedError,
-)
-from persimmonwell.core import Outcome
-from persimmonwell.core.control import Control, PatchSubmitted
+from persimmonwell._exceptions import NotFoundError, UnauthorizedError
+from persimmonwell.core.control import Control
 from persimmonwell.daemon._control_actor import ControlPort
-from persimmonwell.front import HttpRequest, HttpResponse, error_response, json_response
-from persimmonwell.settings import Settings
-
-PATCH_TIMEOUT_S = 5.0
-OPEN_ROUTES = ("/healthz", "/readyz")
-
-Route = Callable[[HttpRequest], HttpResponse]
+from persimmonwell.daemon._operator_routes import Route
+from persimmonwell.front import HttpRequest, HttpResponse, json_response
 
 
 @attrs.frozen
 class OperatorService:
-    """Answer operators' calls from the control state."""
+    """Check operators' credentials and hand calls to the routes."""
 
-    settings: Settings
-    control: ControlPort
-    is_draining: Callable[[], bool]
+    token: str | None
+    """Bearer token of operator calls; None accepts every caller."""
+    open_routes: tuple[Route, ...]
+    """Routes that need no token, for load balancers."""
+    routes: tuple[Route, ...]
 
     def handle(self, http: HttpRequest) -> HttpResponse:
         """Answer one HTTP request."""
-        if http.path not in OPEN_ROUTES:
-            self._check_token(http)
-        routes: dict[tuple[str, str], Route] = {
-            ("GET", "/healthz"): self._health,
-            ("GET", "/readyz"): self._readiness,
-            ("GET", "/config"): self._show_config,
-            ("POST", "/config"): self._apply_patch,
-            ("GET", "/hosts"): self._show_hosts,
-            ("GET", "/upstreams"): self._show_upstreams,
-        }
-        route = routes.get((http.method, http.path))
-        if route is None:
-            raise NotFoundError("route", f"{http.method} {http.path[:200]}")
-        return route(http)
+        for route in self.open_routes:
+            if route.matches(http):
+                return route.handler(http)
+        self._check_token(http)
+        for route in self.routes:
+            if route.matches(http):
+                return route.handler(http)
+        raise NotFoundError("route", f"{http.method} {http.path[:200]}")
 
     def _check_token(self, http: HttpRequest) -> None:
-        token = self.settings.operators.token
-        if token is None:
+        if self.token is None:
             return
         given = http.headers.get("authorization", "").encode()
-        if not hmac.compare_digest(f"Bearer {token}".encode(), given):
+        if not hmac.compare_digest(f"Bearer {self.token}".encode(), given):
             raise UnauthorizedError("operators")
 
-    def _health(self, http: HttpRequest) -> HttpResponse:
-        return json_response({"status": "alive", "host": self.settings.host_id})
-
-    def _readiness(self, http: HttpRequest) -> HttpResponse:
-        ready = self.control.inspect(lambda control: control.ready)
-        if self.is_draining():
-            return json_response({"status": "draining"}, status=503)
-        if not ready:
-            return json_response({"status": "no configuration"}, status=503)
-        return json_response({"status": "ready"})
-
-    def _show_config(self, http: HttpRequest) -> HttpResponse:
-        def read(control: Control) -> dict[str, Any]:
-            fold = control.config_fold
-            return {
-                "host": self.settings.host_id,
-                "version": fold.version,
-                "next_offset": fold.next_offset,
-                "document": fold.document,
-            }
 
-        return json_response(self.control.inspect(read))
+def health_routes(
+    *, host_id: str, control: ControlPort, is_draining: Callable[[], bool]
+) -> tuple[Route, ...]:
+    """Return the routes that say whether the process lives and is ready."""
 
-    def _apply_patch(self, http: HttpRequest) -> HttpResponse:
-        patch = _read_patch(http.body)
-        settled = self.control.submit_patch(patch, timeout_s=PATCH_TIMEOUT_S)
-        if settled is None:
-            reason = f"patch {patch.patch_id} may or may not take effect"
-            error = PlatformUnavailableError("log", reason)
-            return error_response(error, Outcome.MAY_HAVE_RUN)
-        if settled.error is not None:
-            return error_response(settled.error, Outcome.NOT_RUN)
-        return json_response({"id": patch.patch_id, "version": settled.version})
+    def health(http: HttpRequest) -> HttpResponse:
+        return json_response({"status": "alive", "host": host_id})
 
-    def _show_hosts(self, http: HttpRequest) -> HttpResponse:
-        hosts = self.control.inspect(lambda control: control.entry_hosts)
-        return json_response({"hosts": [attrs.asdict(host) for host in hosts]})
+    def readiness(http: HttpRequest) -> HttpResponse:
+        if is_draining():
+            return json_response({"status": "draining", "host": host_id}, status=503)
+        if not control.inspect(_is_ready):
+            status = "no configuration"
+            return json_response({"status": status, "host": host_id}, status=503)
+        return json_response({"status": "ready", "host": host_id})
 
-    def _show_upstreams(self, http: HttpRequest) -> HttpResponse:
-        hosts = self.control.inspect(lambda control: control.hosts)
-        upstreams = [attrs.asdict(upstream) for upstream in hosts.upstreams]
-        replicas = [attrs.asdict(replica) for replica in hosts.replicas]
-        return json_response({"upstreams": upstreams, "replicas": replicas})
+    return (Route("GET", "/healthz", health), Route("GET", "/readyz", readiness))
 
 
-def _read_patch(body: bytes) -> PatchSubmitted:
-    try:
-        document = json.loads(body)
-    except (ValueError, RecursionError) as error:
-        raise BadRequestError("body", "must be JSON") from error
-    if not isinstance(document, dict):
-        raise BadRequestError("body", "must be a JSON object")
-    base, merge = document.get("base_version"), document.get("merge")
-    if isinstance(base, bool) or not isinstance(base, int):
-        raise BadRequestError("base_version", "must be an integer")
-    if not isinstance(merge, dict):
-        raise BadRequestError("merge", "must be an object")
-    patch_id = document.get("id", uuid.uuid4().hex)
-    if not isinstance(patch_id, str) or not patch_id:
-        raise BadRequestError("id", "must be a non-empty string")
-    author = document.get("author", "")
-    if not isinstance(author, str):
-        raise BadRequestError("author", "must be a string")
-    return PatchSubmitted(patch_id, base, merge, author)
+def _is_ready(control: Control) -> bool:
+    return control.ready
--- a/persimmonwell/daemon/_router_actor.py
+++ b/persimmonwell/daemon/_router_actor.py
@@ -22,6 +22,8 @@
 
 TICK_S = 0.05
 
+Observe = Callable[[RouterEvent, tuple[RouterDecision, ...]], None]
+
 
 @attrs.frozen
 class _Submit:
@@ -55,10 +57,12 @@
         router: Router,
         *,
         carry_out: Callable[[RouterDecision], None],
+        observe: Observe = lambda event, decisions: None,
     ) -> None:
         super().__init__()
         self._router = router
         self._carry_out = carry_out
+        self._observe = observe
         self._mailboxes: dict[str, Mailbox] = {}
 
     def on_receive(self, message: object) -> object:
@@ -76,7 +80,10 @@
         return None
 
     def _apply(self, event: RouterEvent) -> None:
-        for decision in self._router.handle(event, time.monotonic()):
+        decisions = self._router.handle(event, time.monotonic())
+        # Observed before delivery, so that the causes precede a token's event.
+        self._observe(event, decisions)
+        for decision in decisions:
             self._deliver(decision)
 
     def _deliver(self, decision: RouterDecision) -> None:
--- a/persimmonwell/front/_caller_service.py
+++ b/persimmonwell/front/_caller_service.py
@@ -12,7 +12,13 @@
     NotReadyError,
     PersimmonwellError,
 )
-from persimmonwell.core._types import Chain, ModelRequest, Outcome, ServiceCall
+from persimmonwell.core._types import (
+    Chain,
+    ModelRequest,
+    Outcome,
+    Rank,
+    ServiceCall,
+)
 from persimmonwell.core.config import FleetConfig
 from persimmonwell.core.retry import (
     AcceptedEnd,
@@ -53,6 +59,7 @@
     json_response,
     sse_event,
 )
+from persimmonwell.observe import TokenTimer
 from persimmonwell.upstream import (
     Attempt,
     AttemptFailedError,
@@ -125,6 +132,8 @@
     current_config: Callable[[], FleetConfig | None]
     claims: ClaimPort | None = None
     count_dropped: Callable[[Dropped], None] = lambda dropped: None
+    token_timer: Callable[[Rank], TokenTimer] | None = None
+    """Makes the timer of a request that arrives now."""
 
     def handle(self, http: HttpRequest) -> HttpResponse:
         """Answer one HTTP request."""
@@ -239,6 +248,8 @@
         self._assembler = TokenAssembler(
             request_id=self._request.request_id, total_layers=total_layers
         )
+        new_timer = service.token_timer
+        self._timer = None if new_timer is None else new_timer(self._request.rank)
         self._mailbox: Mailbox | None = None
         self._finish_reason = "stop"
         self._dispatched = False
@@ -373,6 +384,8 @@
                 self._service.router.tell(
                     FirstToken(request.request_id, dispatch.attempt)
                 )
+            if self._timer is not None:
+                self._timer.token(time.monotonic())
             yield accepted
             if time.monotonic() > request.deadline_s:
                 self._expire()
@@ -394,6 +407,8 @@
 
     def _settle(self) -> None:
         """Tell the router that the request is over unless it knows."""
+        if self._timer is not None:
+            self._timer.close()
         request_id = self._request.request_id
         if not self._settled:
             self._settled = True
--- a/persimmonwell/front/_http_server.py
+++ b/persimmonwell/front/_http_server.py
@@ -1,6 +1,8 @@
 """Serve HTTP with cheroot on one address."""
 
+import logging
 import math
+import ssl
 import threading
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -13,6 +15,7 @@
 from persimmonwell.core._types import Outcome
 from persimmonwell.front._parsing import HttpRequest, read_body
 from persimmonwell.front._responses import HttpResponse, error_response
+from persimmonwell.observe import part_logger
 from persimmonwell.settings import TlsSettings
 
 Handler = Callable[[HttpRequest], HttpResponse]
@@ -22,6 +25,38 @@
 """Longest time until the server notices that it was closed, seconds."""
 
 
+class _TlsAdapter(BuiltinSSLAdapter):
+    """Leave the TLS handshake to the thread that reads the request.
+
+    cheroot would run it in the accepting thread, where one silent client keeps
+    every other one waiting until the timeout.
+    """
+
+    def wrap(self, sock: Any) -> tuple[ssl.SSLSocket, dict[str, str]]:
+        """Return the wrapped socket and what the request's environment gets."""
+        wrapped = self.context.wrap_socket(
+            sock, do_handshake_on_connect=False, server_side=True
+        )
+        return wrapped, {"wsgi.url_scheme": "https", "HTTPS": "on"}
+
+
+class _Server(wsgi.Server):
+    """Send cheroot's own messages to the log."""
+
+    def error_log(
+        self, msg: str = "", level: int = logging.INFO, traceback: bool = False
+    ) -> None:
+        """Log a fault here as error, and a broken connection for debugging only.
+
+        A message with a traceback holds the exception's value, which may contain
+        request text, and is replaced.
+        """
+        failed = level >= logging.ERROR
+        log = part_logger("http").opt(exception=traceback and failed)
+        sentence = "exception in a request thread" if traceback else str(msg)[:200]
+        log.log("ERROR" if failed else "DEBUG", "{}", sentence)
+
+
 class HttpServer:
     """Hold one listening cheroot server and its thread."""
 
@@ -37,7 +72,7 @@
         drain_timeout_s: float = 5.0,
     ) -> None:
         host, _, port = address.rpartition(":")
-        self._server = wsgi.Server(
+        self._server = _Server(
             (host.strip("[]"), int(port)),
             _wsgi_application(handler, max_body_bytes),
             numthreads=threads,
@@ -48,7 +83,7 @@
         )
         self._server.expiration_interval = STOP_POLL_S
         if tls is not None:
-            self._server.ssl_adapter = BuiltinSSLAdapter(tls.certificate, tls.key)
+            self._server.ssl_adapter = _TlsAdapter(tls.certificate, tls.key)
         self._thread = threading.Thread(target=self._server.serve, daemon=True)
 
     @property
@@ -57,6 +92,12 @@
         host, port = self._server.bind_addr[:2]
         return f"{host}:{port}"
 
+    @property
+    def threads_in_use(self) -> int:
+        """Return the number of threads that serve a connection."""
+        pool = self._server.requests
+        return len(pool._threads) - int(pool.idle)
+
     def start(self) -> None:
         """Bind the address and serve in a thread."""
         self._server.prepare()
@@ -100,11 +141,22 @@
         environ.get("CONTENT_LENGTH", ""),
         limit_bytes=max_body_bytes,
     )
-    raw_path = environ.get("PATH_INFO", "")
     return HttpRequest(
         method=environ["REQUEST_METHOD"].upper(),
-        path=unquote_to_bytes(raw_path.encode("latin-1")).decode("latin-1"),
+        path=_path_of(environ),
         query=environ.get("QUERY_STRING", ""),
         headers=headers,
         body=body,
     )
+
+
+def _path_of(environ: dict[str, Any]) -> str:
+    """Return the path, unquoted once.
+
+    PATH_INFO is unquoted already but for %2F, so that unquoting it again would
+    change a path that contains a quoted percent sign.
+    """
+    raw = environ.get("REQUEST_URI", "").partition("?")[0]
+    if not raw.startswith("/"):
+        raw = environ.get("PATH_INFO", "")
+    return unquote_to_bytes(raw.encode("latin-1")).decode("latin-1")
