Give the tool commands for the whole fleet, the timeline and sending

Text that hosts send is escaped for the terminal and the page. The page's property test found notes that were not escaped in the text form. Conclusion: operators can drive and inspect the fleet from one place.

--- a/persimmonwell/cli/__init__.py
+++ b/persimmonwell/cli/__init__.py
@@ -1,20 +1,42 @@
 """Drive a fleet from the command line."""
 
+import sys
+from importlib.metadata import PackageNotFoundError, version
+
 from cleo.application import Application
+from cleo.exceptions import CleoError
+from cleo.io.inputs.argv_input import ArgvInput
 
 from persimmonwell.cli._commands import COMMANDS
+from persimmonwell.cli._exits import EXIT_BAD_INPUT
+from persimmonwell.cli._output import clean
 
 __all__ = ["build_application", "main"]
 
 
 def build_application() -> Application:
     """Return the application with every command."""
-    application = Application("persimmonwell", "0.1.0")
+    application = Application("persimmonwell", _version())
+    application.auto_exits(False)
+    application.catch_exceptions(False)
     for command in COMMANDS:
         application.add(command())
     return application
 
 
-def main() -> int:
+def main(arguments: list[str] | None = None) -> int:
     """Run the tool; return the exit status."""
-    return build_application().run()
+    given = sys.argv[1:] if arguments is None else arguments
+    try:
+        return build_application().run(ArgvInput(["persimmonwell", *given]))
+    except CleoError as error:
+        sentence = " ".join(str(error).split())
+        print(clean(sentence), file=sys.stderr)
+        return EXIT_BAD_INPUT
+
+
+def _version() -> str:
+    try:
+        return version("persimmonwell")
+    except PackageNotFoundError:
+        return "unknown"
--- a/persimmonwell/cli/_client.py
+++ b/persimmonwell/cli/_client.py
@@ -1,68 +1,218 @@
-"""Send operators' calls to one entry host."""
+"""Send operators' calls to entry hosts."""
 
 import json
-from typing import Any
+import queue
+import threading
+import time
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, Generic, TypeVar
 
 import attrs
 import urllib3
 
-EXIT_OK = 0
-EXIT_REFUSED = 1
-EXIT_BAD_INPUT = 2
-EXIT_CONFLICT = 3
-EXIT_UNREACHABLE = 4
+from persimmonwell.cli._exits import EXIT_OK, exit_of_status
 
-STATUS_EXITS = {400: EXIT_BAD_INPUT, 422: EXIT_BAD_INPUT, 409: EXIT_CONFLICT}
+T = TypeVar("T")
+
+GRACE_S = 0.5
+"""Lets the sockets' own timeouts end a call before the deadline is enforced."""
+
+
+@attrs.frozen
+class UnreachableError(Exception):
+    """Report a host that gave no usable answer."""
+
+    address: str
+    reason: str
+
+    def sentence(self) -> str:
+        """Return what failed, with the address."""
+        return f"{self.address} did not answer: {self.reason}"
 
 
 @attrs.frozen
 class OperatorAnswer:
     """Hold the answer of one entry host."""
 
+    address: str
     status: int
-    document: Any
+    document: dict[str, Any]
 
     @property
     def exit_code(self) -> int:
         """Return the exit status that a command reports for this answer."""
-        if 200 <= self.status < 300:
-            return EXIT_OK
-        return STATUS_EXITS.get(self.status, EXIT_REFUSED)
+        return exit_of_status(self.status)
 
+    @property
+    def succeeded(self) -> bool:
+        """Return whether the host did what it was asked."""
+        return self.exit_code == EXIT_OK
 
-@attrs.frozen
-class UnreachableError(Exception):
-    """Report a host that did not answer."""
+    @property
+    def host(self) -> str:
+        """Return the host's id, or its address when it did not say."""
+        return str(self.document.get("host") or self.address)
 
-    address: str
-    reason: str
+    def refusal(self) -> str:
+        """Return why the host refused, with every fault."""
+        error = self.document.get("error")
+        if not isinstance(error, dict):
+            return f"status {self.status}"
+        return str(error.get("message") or error.get("code") or self.status)
+
+
+class RefusedError(Exception):
+    """Carry the answer of a host that refused a call."""
+
+    def __init__(self, answer: OperatorAnswer) -> None:
+        super().__init__(answer.refusal())
+        self.answer = answer
 
 
 @attrs.frozen
 class OperatorClient:
-    """Hold the address and credential of one entry host."""
+    """Hold the credentials and the time limit of one command."""
 
-    address: str
-    """Base URL or numeric IP and port."""
     token: str | None
+    ca_file: str | None
     timeout_s: float
+    deadline_s: float
+    """Time on the monotonic clock at which the command ends."""
+
+    @property
+    def remaining_s(self) -> float:
+        """Return the time left for the command, seconds."""
+        return max(0.0, self.deadline_s - time.monotonic())
+
+    def url(self, address: str) -> str:
+        """Return the base URL; a CA file implies TLS."""
+        scheme = "https" if self.ca_file else "http"
+        base = address if "://" in address else f"{scheme}://{address}"
+        return base.rstrip("/")
+
+    def ask(
+        self, address: str, method: str, path: str, document: Any = None
+    ) -> OperatorAnswer:
+        """Send one call; raise UnreachableError when no usable answer comes."""
+        answers = self.ask_all([address], method, path, document)
+        if answers.failures:
+            raise answers.failures[0]
+        return answers.results[0]
+
+    def require(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        document: Any = None,
+        *,
+        fields: Mapping[str, type] | None = None,
+    ) -> dict[str, Any]:
+        """Return the document of a granted call with the fields of the given types.
+
+        Raise RefusedError or UnreachableError.
+        """
+        answer = self.ask(address, method, path, document)
+        if not answer.succeeded:
+            raise RefusedError(answer)
+        for name, kind in (fields or {}).items():
+            if not isinstance(answer.document.get(name), kind):
+                raise UnreachableError(address, f"the answer has no field {name}")
+        return answer.document
+
+    def ask_all(
+        self, addresses: Sequence[str], method: str, path: str, document: Any = None
+    ) -> "Gathered[OperatorAnswer]":
+        """Send one call to several hosts at once and gather what arrives in time."""
 
-    def call(self, method: str, path: str, document: Any = None) -> OperatorAnswer:
-        """Send one call; raise UnreachableError when no answer comes."""
-        base = self.address if "://" in self.address else f"http://{self.address}"
+        def call(address: str) -> OperatorAnswer:
+            return self._call(address, method, path, document)
+
+        return gather(addresses, call, timeout_s=self.remaining_s + GRACE_S)
+
+    def _call(
+        self, address: str, method: str, path: str, document: Any
+    ) -> OperatorAnswer:
         headers = {"Content-Type": "application/json"}
         if self.token:
             headers["Authorization"] = f"Bearer {self.token}"
         body = json.dumps(document) if document is not None else None
         try:
-            response = urllib3.request(
-                method,
-                base.rstrip("/") + path,
-                body=body,
-                headers=headers,
-                timeout=self.timeout_s,
-                retries=False,
-            )
-            return OperatorAnswer(response.status, json.loads(response.data))
-        except (urllib3.exceptions.HTTPError, ValueError) as error:
-            raise UnreachableError(self.address, type(error).__name__) from error
+            with urllib3.PoolManager(retries=False, ca_certs=self.ca_file) as pool:
+                response = pool.request(
+                    method,
+                    self.url(address) + path,
+                    body=body,
+                    headers=headers,
+                    timeout=max(0.01, self.remaining_s),
+                    redirect=False,
+                )
+                document = json.loads(response.data)
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise UnreachableError(address, reason_of(error)) from error
+        except (ValueError, RecursionError) as error:
+            raise UnreachableError(address, "the answer is not JSON") from error
+        if not isinstance(document, dict):
+            raise UnreachableError(address, "the answer is not a JSON object")
+        return OperatorAnswer(address, response.status, document)
+
+
+@attrs.frozen
+class Gathered(Generic[T]):
+    """Hold what several hosts answered, and which ones did not."""
+
+    results: tuple[T, ...]
+    failures: tuple[UnreachableError, ...]
+
+
+def gather(
+    addresses: Sequence[str], call: Callable[[str], T], *, timeout_s: float
+) -> Gathered[T]:
+    """Run a call for each address in a thread; give up at the time limit.
+
+    The threads are daemons: a host that trickles its answer can hold a socket
+    open past every socket timeout, and must not hold the command.
+    """
+    done: queue.SimpleQueue[tuple[str, T | UnreachableError]] = queue.SimpleQueue()
+
+    def run(address: str) -> None:
+        try:
+            done.put((address, call(address)))
+        except UnreachableError as error:
+            done.put((address, error))
+
+    for address in addresses:
+        threading.Thread(target=run, args=(address,), daemon=True).start()
+    late = UnreachableError("", f"no answer in {timeout_s:.1f} s")
+    found: dict[str, T | UnreachableError] = {}
+    deadline_s = time.monotonic() + timeout_s
+    while len(found) < len(set(addresses)):
+        try:
+            wait_s = max(0.0, deadline_s - time.monotonic())
+            address, result = done.get(timeout=wait_s)
+        except queue.Empty:
+            break
+        found[address] = result
+    ordered = [
+        found.get(address, attrs.evolve(late, address=address))
+        for address in dict.fromkeys(addresses)
+    ]
+    failures = tuple(item for item in ordered if isinstance(item, UnreachableError))
+    results = tuple(i for i in ordered if not isinstance(i, UnreachableError))
+    return Gathered(results, failures)
+
+
+def reason_of(error: Exception) -> str:
+    """Return why a call failed, in words."""
+    exceptions = urllib3.exceptions
+    if isinstance(error, exceptions.NewConnectionError):
+        return "connection refused or no route"
+    if isinstance(error, exceptions.TimeoutError):
+        return "no answer in time"
+    if isinstance(error, exceptions.SSLError):
+        return f"TLS failed: {error}"
+    if isinstance(error, exceptions.ProtocolError):
+        return "the connection broke"
+    if isinstance(error, OSError) and error.strerror:
+        return f"{error.filename or ''} {error.strerror}".strip()
+    return type(error).__name__
--- /dev/null
+++ b/persimmonwell/cli/_config_commands.py
@@ -0,0 +1,255 @@
+"""Define the commands for the configuration."""
+
+import json
+import os
+import sys
+import time
+import uuid
+from typing import Any, ClassVar
+
+import attrs
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from persimmonwell.cli._base import (
+    FleetCommand,
+    Targets,
+    ToolCommand,
+    absent_hosts,
+    find_hosts,
+    fleet_option,
+    help_text,
+    only_option,
+    rows_of,
+    unique_hosts,
+)
+from persimmonwell.cli._client import OperatorAnswer, OperatorClient, UnreachableError
+from persimmonwell.cli._exits import (
+    EXIT_OK,
+    EXIT_PARTIAL,
+    EXIT_REFUSED,
+    EXIT_UNREACHABLE,
+)
+from persimmonwell.cli._options import (
+    MAX_NUMBER,
+    UsageError,
+    connection_options,
+    host_addresses,
+    integer_option,
+    one_address,
+    parse_integer,
+    read_client,
+    read_text,
+)
+
+WAIT_POLL_S = 0.2
+DEFAULT_HISTORY = 20
+
+
+class ConfigShowCommand(FleetCommand):
+    """Show the configuration in force."""
+
+    name = "config show"
+    description = "Show the configuration in force."
+    help = help_text(
+        "Print the version of each host asked, and each different document once.",
+        "config show --host 127.0.0.1:7001",
+        "config show --fleet --json",
+    )
+    options: ClassVar[list[Option]] = [*connection_options(), *fleet_option()]
+    path = "/config"
+
+    def show(self, answers: tuple[OperatorAnswer, ...]) -> None:
+        """Print versions, then documents."""
+        rows = [(a.host, a.address, a.document.get("version")) for a in answers]
+        self.printer.table(("HOST", "ADDRESS", "VERSION"), rows)
+        documents = {a.document.get("version"): a.document for a in answers}
+        for version, document in sorted(documents.items(), key=lambda i: str(i[0])):
+            self.printer.line(f"version {version}:")
+            self.printer.json(document.get("document"))
+
+
+class ConfigApplyCommand(ToolCommand):
+    """Apply a merge patch to a named base version."""
+
+    name = "config apply"
+    description = "Apply a JSON merge patch to a configuration version."
+    help = help_text(
+        "Send an RFC 7396 merge patch; null removes a field. The patch is refused\n"
+        "with status 3 when the configuration has moved on from the base version.",
+        "config apply patch.json --base-version 7",
+        "config apply - --base-version 7 --author ada",
+    )
+    arguments: ClassVar[list[Argument]] = [
+        argument("patch", "File with the merge patch; - reads standard input.")
+    ]
+    options: ClassVar[list[Option]] = [
+        *connection_options(),
+        option("base-version", None, "Version that the patch changes.", flag=False),
+        option("author", None, "Name kept with the patch. Default: USER.", flag=False),
+    ]
+
+    def run_checked(self) -> int:
+        """Send the patch."""
+        client, address = read_client(self), one_address(self)
+        base_version = integer_option(self, "base-version", minimum=0)
+        if base_version is None:
+            raise UsageError("--base-version is needed; config show prints it")
+        merge = _read_patch(str(self.argument("patch")))
+        author = self.option("author") or os.environ.get("USER", "")
+        document = send_patch(
+            client, address, merge, base_version=base_version, author=str(author)
+        )
+        if self.as_json:
+            self.printer.json(document)
+        else:
+            self.printer.line(f"version {document['version']} is accepted")
+        return EXIT_OK
+
+
+def _read_patch(path: str) -> dict[str, Any]:
+    text = sys.stdin.read() if path == "-" else read_text(path, "patch")
+    try:
+        merge = json.loads(text)
+    except (ValueError, RecursionError) as error:
+        raise UsageError(f"patch {path!r} is not JSON: {error}") from error
+    if not isinstance(merge, dict):
+        raise UsageError(f"patch {path!r} must be a JSON object")
+    return merge
+
+
+def send_patch(
+    client: OperatorClient,
+    address: str,
+    merge: dict[str, Any],
+    *,
+    base_version: int,
+    author: str,
+) -> dict[str, Any]:
+    """Send a patch and return the answer; raise UnreachableError, RefusedError."""
+    patch_id = uuid.uuid4().hex
+    document = {
+        "id": patch_id,
+        "base_version": base_version,
+        "merge": merge,
+        "author": author,
+    }
+    try:
+        return client.require(
+            address, "POST", "/config", document, fields={"version": int}
+        )
+    except UnreachableError as error:
+        reason = f"{error.reason}; patch {patch_id} may take effect, see config history"
+        raise attrs.evolve(error, reason=reason) from error
+
+
+class ConfigHistoryCommand(FleetCommand):
+    """Show who changed what."""
+
+    name = "config history"
+    description = "Show the newest patches, their authors and results."
+    help = help_text(
+        "List patches as each host read them from the log, without the values set.",
+        "config history",
+        "config history --limit 5 --json",
+    )
+    options: ClassVar[list[Option]] = [
+        *connection_options(),
+        *fleet_option(),
+        option(
+            "limit",
+            None,
+            "Newest patches shown as text.",
+            flag=False,
+            default=str(DEFAULT_HISTORY),
+        ),
+    ]
+    path = "/config/history"
+
+    def check_options(self) -> None:
+        """Check the limit."""
+        self._limit()
+
+    def _limit(self) -> int:
+        return integer_option(self, "limit", minimum=1) or DEFAULT_HISTORY
+
+    def show(self, answers: tuple[OperatorAnswer, ...]) -> None:
+        """Print one line for each patch."""
+        names = ("offset", "result", "version", "base_version", "author", "changed")
+        for answer in answers:
+            self.printer.line(f"{answer.host}:")
+            rows = [
+                [patch.get(name) for name in names]
+                for patch in rows_of(answer, "patches")[-self._limit() :]
+            ]
+            headers = ("OFFSET", "RESULT", "VERSION", "BASE", "AUTHOR", "CHANGED")
+            self.printer.table(headers, rows)
+
+
+class ConfigWaitCommand(ToolCommand):
+    """Wait until every host has a version in force."""
+
+    name = "config wait"
+    description = "Wait until every entry host has a version in force."
+    help = help_text(
+        "Ask every entry host that the first --host lists until all have at least\n"
+        "the version, or until --timeout has passed.",
+        "config wait 8 --timeout 5",
+        "config wait 8 --only --host 127.0.0.1:7001 --host 127.0.0.1:7002",
+    )
+    arguments: ClassVar[list[Argument]] = [argument("version", "Version to wait for.")]
+    options: ClassVar[list[Option]] = [*connection_options(), *only_option()]
+
+    def run_checked(self) -> int:
+        """Poll the hosts."""
+        version = parse_integer(str(self.argument("version")), "version", 0, MAX_NUMBER)
+        client = read_client(self)
+        targets = Targets(host_addresses(self))
+        if not self.option("only"):
+            targets = find_hosts(client, targets.addresses)
+        while True:
+            gathered = client.ask_all(targets.addresses, "GET", "/config")
+            versions = _versions(gathered.results)
+            absent = absent_hosts(targets, gathered)
+            behind = {host: v for host, v in versions.items() if v < version}
+            if not behind and not absent:
+                break
+            if client.remaining_s <= WAIT_POLL_S:
+                break
+            time.sleep(WAIT_POLL_S)
+        self._report(version, versions, absent)
+        if not versions:
+            return EXIT_UNREACHABLE
+        if not behind and not absent:
+            return EXIT_OK
+        return EXIT_PARTIAL if len(behind) < len(versions) else EXIT_REFUSED
+
+    def _report(
+        self,
+        version: int,
+        versions: dict[str, int],
+        absent: tuple[UnreachableError, ...],
+    ) -> None:
+        if self.as_json:
+            failures = [attrs.asdict(failure) for failure in absent]
+            document = {"version": version, "hosts": versions, "unreachable": failures}
+            self.printer.json(document)
+        else:
+            self.printer.table(("HOST", "VERSION"), sorted(versions.items()))
+        for host, reached in sorted(versions.items()):
+            if reached < 0:
+                self.printer.error(f"{host} refused to tell its version")
+            elif reached < version:
+                self.printer.error(f"{host} is still at version {reached}")
+        for failure in absent:
+            self.printer.error(failure.sentence())
+
+
+def _versions(answers: tuple[OperatorAnswer, ...]) -> dict[str, int]:
+    """Return the version of each host; -1 for a host that refused to tell."""
+    versions: dict[str, int] = {}
+    for answer in unique_hosts(answers):
+        found = answer.document.get("version") if answer.succeeded else None
+        versions[answer.host] = found if isinstance(found, int) else -1
+    return versions
--- /dev/null
+++ b/persimmonwell/cli/_output.py
@@ -0,0 +1,74 @@
+"""Print text that hosts sent without letting it steer the terminal."""
+
+import json
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+import attrs
+from cleo.io.io import IO
+from cleo.io.outputs.output import Type
+
+COLUMN_GAP = "  "
+
+
+@attrs.frozen
+class Printer:
+    """Write raw lines; cleo would take tags in a host's text for markup."""
+
+    io: IO
+
+    def line(self, text: str) -> None:
+        """Write one line to standard output."""
+        self.io.write_line(clean(text), type=Type.RAW)
+
+    def text(self, text: str) -> None:
+        """Write text that was made here, line breaks included."""
+        self.io.write_line(text, type=Type.RAW)
+
+    def part(self, text: str) -> None:
+        """Write a part of an answer at once, without a line end."""
+        self.io.write(clean(text, keep="\n\t"), type=Type.RAW)
+        self.io.output.flush()
+
+    def error(self, text: str) -> None:
+        """Write one line to standard error."""
+        self.io.error_output.write_line(clean(text), type=Type.RAW)
+
+    def json(self, document: Any) -> None:
+        """Write one JSON document; non-ASCII characters are escaped."""
+        self.io.write_line(json.dumps(document, indent=2), type=Type.RAW)
+
+    def table(self, headers: Sequence[str], rows: Iterable[Sequence[Any]]) -> None:
+        """Write rows in aligned columns."""
+        for line in table_lines(headers, rows):
+            self.line(line)
+
+
+def clean(text: str, *, keep: str = "") -> str:
+    """Escape control characters, which could move the cursor or set colours."""
+    return "".join(
+        c if c.isprintable() or c in keep else c.encode("unicode_escape").decode()
+        for c in text
+    )
+
+
+def table_lines(
+    headers: Sequence[str], rows: Iterable[Sequence[Any]]
+) -> tuple[str, ...]:
+    """Return a table as lines without trailing spaces."""
+    cells = [[clean(_cell(value)) for value in row] for row in (headers, *rows)]
+    widths = [max(len(row[i]) for row in cells) for i in range(len(headers))]
+    return tuple(
+        COLUMN_GAP.join(c.ljust(w) for c, w in zip(row, widths, strict=True)).rstrip()
+        for row in cells
+    )
+
+
+def _cell(value: Any) -> str:
+    if value is None:
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, list | tuple):
+        return ",".join(map(str, value)) or "-"
+    return str(value) or "-"
--- /dev/null
+++ b/persimmonwell/cli/_send_command.py
@@ -0,0 +1,271 @@
+"""Define the command that sends one request through a callers' port."""
+
+import json
+import queue
+import sys
+import threading
+import time
+from collections.abc import Iterator
+from typing import Any, ClassVar
+
+import attrs
+import urllib3
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from persimmonwell.cli._base import ToolCommand, help_text
+from persimmonwell.cli._client import UnreachableError, reason_of
+from persimmonwell.cli._exits import (
+    EXIT_OK,
+    EXIT_PARTIAL,
+    EXIT_REFUSED,
+    exit_of_status,
+)
+from persimmonwell.cli._options import (
+    DEFAULT_TIMEOUT_S,
+    UsageError,
+    address_option,
+    ca_file,
+    integer_option,
+    seconds_option,
+    text_option,
+)
+from persimmonwell.core import Outcome, Rank
+
+DEFAULT_CALLER_ADDRESS = "127.0.0.1:7000"
+MAX_DEADLINE_MS = 86_400_000
+
+
+@attrs.frozen
+class Sending:
+    """Hold one request to a callers' port."""
+
+    url: str
+    ca_file: str | None
+    headers: dict[str, str]
+    body: str
+    timeout_s: float
+
+
+@attrs.frozen
+class Piece:
+    """Hold a part of the answer's text."""
+
+    text: str
+
+
+@attrs.frozen
+class Ending:
+    """Hold how the answer ended."""
+
+    status: int
+    outcome: str
+    request_id: str
+    error: str = ""
+
+
+class SendCommand(ToolCommand):
+    """Send one request and print its tokens and outcome."""
+
+    name = "send"
+    description = "Send one model request through a callers' port."
+    help = help_text(
+        "Print the tokens as they come, then outcome, request id and times on\n"
+        "standard error. Status 0 means complete, 1 refused and not run, 5 broken\n"
+        "off: the request may have run.",
+        'send "Shots drift left; what first?" --model coach --workspace range-a',
+        "send - --model coach --workspace range-a --rank urgent --json",
+    )
+    arguments: ClassVar[list[Argument]] = [
+        argument("prompt", "Text of the prompt; - reads standard input.")
+    ]
+    options: ClassVar[list[Option]] = [
+        option(
+            "to",
+            None,
+            f"Callers' address. Default: {DEFAULT_CALLER_ADDRESS}.",
+            flag=False,
+        ),
+        option("model", None, "Model to run; needed.", flag=False),
+        option("workspace", None, "Workspace to send as; needed.", flag=False),
+        option("rank", None, "urgent, normal or batch.", flag=False, default="normal"),
+        option("key", None, "Key of the workspace.", flag=False),
+        option("max-tokens", None, "Longest answer, tokens.", flag=False, default="64"),
+        option("deadline-ms", None, "Deadline, milliseconds.", flag=False),
+        option("ca-file", None, "PEM file of the CA; implies TLS.", flag=False),
+        option(
+            "timeout",
+            None,
+            "Longest time of the whole command, seconds.",
+            flag=False,
+            default=str(DEFAULT_TIMEOUT_S),
+        ),
+        option("json", None, "Print one JSON document at the end."),
+    ]
+
+    def run_checked(self) -> int:
+        """Send the request and print the answer as it comes."""
+        sending = self._read()
+        started_s = time.monotonic()
+        first_s: float | None = None
+        texts: list[str] = []
+        for item in receive(sending):
+            if isinstance(item, Ending):
+                return self._report(item, texts, started_s, first_s)
+            if first_s is None:
+                first_s = time.monotonic() - started_s
+            texts.append(item.text)
+            if not self.as_json:
+                self.printer.part(item.text)
+        raise UnreachableError(sending.url, "the answer ended early")
+
+    def _read(self) -> Sending:
+        rank = Rank.parse(str(self.option("rank")))
+        if rank is None:
+            raise UsageError("--rank must be urgent, normal or batch")
+        model, workspace = text_option(self, "model"), text_option(self, "workspace")
+        if model is None or workspace is None:
+            raise UsageError("--model and --workspace are needed")
+        prompt = str(self.argument("prompt"))
+        headers = {
+            "Content-Type": "application/json",
+            "Persimmonwell-Workspace": workspace,
+            "Persimmonwell-Rank": rank.name.lower(),
+        }
+        deadline_ms = integer_option(
+            self, "deadline-ms", minimum=1, maximum=MAX_DEADLINE_MS
+        )
+        if deadline_ms is not None:
+            headers["Persimmonwell-Deadline-Ms"] = str(deadline_ms)
+        key = text_option(self, "key")
+        if key is not None:
+            headers["Authorization"] = f"Bearer {key}"
+        if any(not v.isprintable() or not v.isascii() for v in headers.values()):
+            raise UsageError("--workspace and --key must be printable ASCII")
+        document = {
+            "model": model,
+            "prompt": sys.stdin.read() if prompt == "-" else prompt,
+            "max_tokens": integer_option(self, "max-tokens", minimum=1),
+            "stream": True,
+        }
+        authority = ca_file(self)
+        address = address_option(self, "to", DEFAULT_CALLER_ADDRESS).rstrip("/")
+        scheme = "https" if authority else "http"
+        base = address if "://" in address else f"{scheme}://{address}"
+        return Sending(
+            url=f"{base}/v1/completions",
+            ca_file=authority,
+            headers=headers,
+            body=json.dumps(document),
+            timeout_s=seconds_option(self, "timeout"),
+        )
+
+    def _report(
+        self, end: Ending, texts: list[str], started_s: float, first_s: float | None
+    ) -> int:
+        total_s = time.monotonic() - started_s
+        if self.as_json:
+            document = {
+                **attrs.asdict(end),
+                "text": "".join(texts),
+                "tokens": len(texts),
+                "first_token_s": first_s,
+                "total_s": total_s,
+            }
+            self.printer.json(document)
+        else:
+            if texts:
+                self.printer.text("")
+            first = "no token" if first_s is None else f"first token {first_s:.3f} s"
+            self.printer.error(
+                f"{end.outcome}, request {end.request_id or '-'}, "
+                f"{len(texts)} tokens, {first}, total {total_s:.3f} s"
+            )
+        if end.error:
+            self.printer.error(end.error)
+        return exit_of_ending(end)
+
+
+def exit_of_ending(end: Ending) -> int:
+    """Return the exit status for how an answer ended."""
+    if end.outcome == Outcome.COMPLETE:
+        return EXIT_OK
+    if end.outcome == Outcome.NOT_RUN:
+        code = exit_of_status(end.status)
+        return EXIT_REFUSED if code == EXIT_OK else code
+    return EXIT_PARTIAL
+
+
+def receive(sending: Sending) -> Iterator[Piece | Ending]:
+    """Yield the answer; raise UnreachableError when it does not end in time.
+
+    A thread reads, because an answer that trickles passes every socket timeout.
+    """
+    items: queue.SimpleQueue[Piece | Ending | UnreachableError] = queue.SimpleQueue()
+
+    def read() -> None:
+        try:
+            for item in _read_answer(sending):
+                items.put(item)
+            items.put(UnreachableError(sending.url, "the answer ended early"))
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            items.put(UnreachableError(sending.url, reason_of(error)))
+        except (ValueError, KeyError, TypeError, AttributeError):
+            items.put(UnreachableError(sending.url, "the answer is malformed"))
+
+    threading.Thread(target=read, daemon=True).start()
+    deadline_s = time.monotonic() + sending.timeout_s
+    while True:
+        try:
+            item = items.get(timeout=max(0.0, deadline_s - time.monotonic()))
+        except queue.Empty:
+            reason = f"no whole answer in {sending.timeout_s:.1f} s"
+            raise UnreachableError(sending.url, reason) from None
+        if isinstance(item, UnreachableError):
+            raise item
+        yield item
+        if isinstance(item, Ending):
+            return
+
+
+def _read_answer(sending: Sending) -> Iterator[Piece | Ending]:
+    with urllib3.PoolManager(retries=False, ca_certs=sending.ca_file) as pool:
+        response = pool.request(
+            "POST",
+            sending.url,
+            body=sending.body,
+            headers=sending.headers,
+            timeout=sending.timeout_s,
+            preload_content=False,
+            redirect=False,
+        )
+        request_id = response.headers.get("Persimmonwell-Request-Id", "")
+        if response.status != 200:
+            yield _refusal(response.status, request_id, json.loads(response.read()))
+            return
+        for event in _events(response):
+            if "choices" in event:
+                text = event["choices"][0].get("text", "")
+                if text:
+                    yield Piece(str(text))
+            elif "error" in event:
+                yield _refusal(response.status, request_id, event)
+            else:
+                outcome = str(event["persimmonwell"]["outcome"])
+                yield Ending(response.status, outcome, request_id)
+
+
+def _events(response: urllib3.BaseHTTPResponse) -> Iterator[dict[str, Any]]:
+    pending = b""
+    for chunk in response.stream(None):
+        pending += chunk
+        *lines, pending = pending.split(b"\n")
+        for line in lines:
+            if line.startswith(b"data: {"):
+                yield json.loads(line[6:])
+
+
+def _refusal(status: int, request_id: str, document: dict[str, Any]) -> Ending:
+    error = document["error"]
+    return Ending(status, str(error["outcome"]), request_id, str(error["message"]))
--- /dev/null
+++ b/persimmonwell/cli/_state_commands.py
@@ -0,0 +1,128 @@
+"""Define the commands for limits, quarantine and claims."""
+
+from typing import ClassVar
+from urllib.parse import quote
+
+from cleo.helpers import argument
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from persimmonwell.cli._base import (
+    FleetCommand,
+    ToolCommand,
+    fleet_option,
+    help_text,
+    rows_of,
+)
+from persimmonwell.cli._client import OperatorAnswer
+from persimmonwell.cli._exits import EXIT_OK
+from persimmonwell.cli._options import connection_options, one_address, read_client
+
+
+class LimitsCommand(FleetCommand):
+    """Show the limits of the workspaces."""
+
+    name = "limits"
+    description = "Show the limits of each workspace and each host's share."
+    help = help_text(
+        "Print the limit over all hosts, the share that each host asked enforces,\n"
+        "and the requests in flight there.",
+        "limits --fleet",
+        "limits --json",
+    )
+    options: ClassVar[list[Option]] = [*connection_options(), *fleet_option()]
+    path = "/limits"
+
+    def show(self, answers: tuple[OperatorAnswer, ...]) -> None:
+        """Print one line for each workspace."""
+        columns = {
+            "WORKSPACE": "workspace",
+            "TOKENS/S": "tokens_per_s",
+            "HERE": "host_tokens_per_s",
+            "CONCURRENCY": "max_concurrency",
+            "HERE ": "host_max_concurrency",
+            "IN FLIGHT": "in_flight",
+        }
+        rows = [
+            [answer.host, *(row.get(name) for name in columns.values())]
+            for answer in answers
+            for row in rows_of(answer, "limits")
+        ]
+        self.printer.table(("HOST", *columns), rows)
+
+
+class QuarantineListCommand(FleetCommand):
+    """List quarantined digests."""
+
+    name = "quarantine list"
+    description = "List request digests that are suspect or quarantined."
+    help = help_text(
+        "A digest is quarantined when a second upstream was lost while running it.",
+        "quarantine list --fleet",
+        "quarantine list --json",
+    )
+    options: ClassVar[list[Option]] = [*connection_options(), *fleet_option()]
+    path = "/quarantine"
+
+    def show(self, answers: tuple[OperatorAnswer, ...]) -> None:
+        """Print one line for each digest."""
+        rows = [
+            [answer.host, *(row.get(n) for n in ("digest", "state", "upstream_ids"))]
+            for answer in answers
+            for row in rows_of(answer, "quarantine")
+        ]
+        self.printer.table(("HOST", "DIGEST", "STATE", "LOST UPSTREAMS"), rows)
+
+
+class QuarantineClearCommand(ToolCommand):
+    """Release one digest."""
+
+    name = "quarantine clear"
+    description = "Release a request digest on every host."
+    help = help_text(
+        "Requests with the digest are accepted again.",
+        "quarantine clear 4f2a9c",
+    )
+    arguments: ClassVar[list[Argument]] = [argument("digest", "Digest to release.")]
+    options: ClassVar[list[Option]] = connection_options()
+
+    def run_checked(self) -> int:
+        """Send the release."""
+        client, address = read_client(self), one_address(self)
+        digest = str(self.argument("digest"))
+        document = client.require(address, "POST", "/quarantine", {"clear": digest})
+        if self.as_json:
+            self.printer.json(document)
+        else:
+            self.printer.line(f"{digest} is released")
+        return EXIT_OK
+
+
+class ClaimsShowCommand(ToolCommand):
+    """Show who may dispatch a call."""
+
+    name = "claims show"
+    description = "Show the claim and the recorded answer of one idempotency key."
+    help = help_text(
+        "Print which host won the key, and whether its answer is recorded.",
+        "claims show range-a booking order-17",
+    )
+    arguments: ClassVar[list[Argument]] = [
+        argument("workspace", "Workspace of the caller."),
+        argument("service", "Plain service that was called."),
+        argument("key", "Idempotency key."),
+    ]
+    options: ClassVar[list[Option]] = connection_options()
+
+    def run_checked(self) -> int:
+        """Ask for the claim."""
+        client, address = read_client(self), one_address(self)
+        names = ("workspace", "service", "key")
+        parts = [quote(str(self.argument(name)), safe="") for name in names]
+        document = client.require(address, "GET", f"/claims/{'/'.join(parts)}")
+        if self.as_json:
+            self.printer.json(document)
+        else:
+            row = [document.get(n) for n in ("state", "host", "offset", "status")]
+            self.printer.table(("STATE", "HOST", "OFFSET", "STATUS"), [row])
+        return EXIT_OK
--- /dev/null
+++ b/persimmonwell/cli/_timeline_command.py
@@ -0,0 +1,152 @@
+"""Define the command that merges the timelines of all hosts."""
+
+import time
+from pathlib import Path
+from typing import ClassVar
+from urllib.parse import urlencode
+
+import attrs
+from cleo.helpers import option
+from cleo.io.inputs.option import Option
+
+from persimmonwell._exceptions import DocumentError
+from persimmonwell.cli._base import (
+    Targets,
+    ToolCommand,
+    absent_hosts,
+    find_hosts,
+    help_text,
+    only_option,
+    unique_hosts,
+)
+from persimmonwell.cli._client import OperatorAnswer, UnreachableError
+from persimmonwell.cli._exits import combined_exit
+from persimmonwell.cli._options import (
+    UsageError,
+    connection_options,
+    host_addresses,
+    integer_option,
+    read_client,
+    seconds_option,
+    text_option,
+    time_option,
+)
+from persimmonwell.cli._timeline_html import render_html
+from persimmonwell.cli._timeline_text import render_json, render_text
+from persimmonwell.core.timeline import RingSnapshot, merge_rings, ring_from_document
+
+FORMATS = ("text", "json", "html")
+MAX_EVENTS = 1_000_000
+MAX_LAST_S = 366 * 86_400.0
+
+
+class TimelineCommand(ToolCommand):
+    """Merge the timelines of all hosts into one causal order."""
+
+    name = "timeline"
+    description = "Merge the events of all entry hosts into one causal order."
+    help = help_text(
+        "Ask every entry host that the first --host lists. Each host keeps only its\n"
+        "newest events in memory; the output says how many were overwritten.",
+        "timeline --request 7d1f",
+        "timeline --workspace range-a --last 60",
+        "timeline --upstream engine-1 --since 2026-05-01T09:30:00Z --json",
+        "timeline --last 300 --format html --output timeline.html",
+    )
+    options: ClassVar[list[Option]] = [
+        *connection_options(),
+        *only_option(),
+        option("request", None, "Only events of this request id.", flag=False),
+        option("workspace", None, "Only events of this workspace.", flag=False),
+        option("upstream", None, "Only events at this upstream.", flag=False),
+        option("since", None, "Earliest time, seconds or ISO 8601.", flag=False),
+        option("until", None, "Latest time, seconds or ISO 8601.", flag=False),
+        option("last", None, "Only the last seconds.", flag=False),
+        option("limit", None, "Newest events of each host.", flag=False),
+        option("format", None, f"One of {', '.join(FORMATS)}.", flag=False),
+        option("output", None, "File to write instead of standard output.", flag=False),
+    ]
+
+    def run_checked(self) -> int:
+        """Gather the rings, merge them and print them."""
+        client, chosen = read_client(self), self._format()
+        path = f"/timeline?{urlencode(self._query())}"
+        targets = Targets(host_addresses(self))
+        if not self.option("only"):
+            targets = find_hosts(client, targets.addresses)
+        gathered = client.ask_all(targets.addresses, "GET", path)
+        answers = unique_hosts(gathered.results)
+        failures = list(absent_hosts(targets, gathered))
+        rings: list[RingSnapshot] = []
+        for answer in answers:
+            self._read(answer, rings, failures)
+        self._write(chosen, tuple(rings), tuple(failures))
+        for failure in failures:
+            self.printer.error(failure.sentence())
+        exits = tuple(a.exit_code for a in answers)
+        return combined_exit(exits, len(failures))
+
+    def _read(
+        self,
+        answer: OperatorAnswer,
+        rings: list[RingSnapshot],
+        failures: list[UnreachableError],
+    ) -> None:
+        if not answer.succeeded:
+            self.printer.error(f"{answer.host} refused: {answer.refusal()}")
+            return
+        try:
+            rings.append(ring_from_document(answer.document))
+        except DocumentError as error:
+            fault = error.faults[0]
+            reason = f"malformed answer, {fault.path} {fault.reason}"
+            failures.append(UnreachableError(answer.address, reason))
+
+    def _format(self) -> str:
+        chosen = text_option(self, "format") or ("json" if self.as_json else "text")
+        if chosen not in FORMATS:
+            raise UsageError(f"--format must be one of {', '.join(FORMATS)}")
+        if self.as_json and chosen != "json":
+            raise UsageError(f"--json and --format {chosen} exclude each other")
+        return chosen
+
+    def _query(self) -> dict[str, str]:
+        since_s, until_s = time_option(self, "since"), time_option(self, "until")
+        if self.option("last") is not None:
+            if since_s is not None:
+                raise UsageError("--last and --since exclude each other")
+            since_s = time.time() - seconds_option(self, "last", maximum=MAX_LAST_S)
+        limit = integer_option(self, "limit", minimum=1, maximum=MAX_EVENTS)
+        query = {
+            "request": text_option(self, "request"),
+            "workspace": text_option(self, "workspace"),
+            "upstream": text_option(self, "upstream"),
+            "since_s": since_s,
+            "until_s": until_s,
+            "limit": limit,
+        }
+        return {name: str(value) for name, value in query.items() if value is not None}
+
+    def _write(
+        self,
+        chosen: str,
+        rings: tuple[RingSnapshot, ...],
+        failures: tuple[UnreachableError, ...],
+    ) -> None:
+        events = merge_rings(rings)
+        reasons = {failure.address: failure.reason for failure in failures}
+        if chosen == "html":
+            text = render_html(events, rings, reasons)
+        elif chosen == "json":
+            text = render_json(events, rings, [attrs.asdict(f) for f in failures])
+        else:
+            text = render_text(events, rings)
+        path = text_option(self, "output")
+        if path is None:
+            self.printer.text(text)
+            return
+        try:
+            Path(path).write_text(text + "\n", encoding="utf-8")
+        except OSError as error:
+            raise UsageError(f"--output {path!r}: {error.strerror}") from error
+        self.printer.line(f"{len(events)} events written to {path}")
--- /dev/null
+++ b/persimmonwell/cli/_timeline_text.py
@@ -0,0 +1,73 @@
+"""Render a merged timeline as text or JSON."""
+
+import json
+from collections.abc import Sequence
+from datetime import UTC, datetime
+from typing import Any
+
+from persimmonwell.cli._output import clean, table_lines
+from persimmonwell.core.timeline import (
+    HybridTimestamp,
+    RingSnapshot,
+    TimelineEvent,
+    event_to_document,
+)
+
+MICROSECONDS_PER_S = 1_000_000
+LAST_SHOWN_US = 253_402_300_799 * MICROSECONDS_PER_S
+"""End of the year 9999, the last that can be printed as a date."""
+
+
+def time_text(stamp: HybridTimestamp) -> str:
+    """Return an instant in UTC with microseconds and the logical counter."""
+    seconds, micros = divmod(min(stamp.wall_us, LAST_SHOWN_US), MICROSECONDS_PER_S)
+    moment = datetime.fromtimestamp(seconds, tz=UTC)
+    logical = f"+{stamp.logical}" if stamp.logical else ""
+    return f"{moment:%Y-%m-%dT%H:%M:%S}.{micros:06d}Z{logical}"
+
+
+def notes_on(rings: Sequence[RingSnapshot]) -> tuple[str, ...]:
+    """Return what is missing from the rings, in words."""
+    notes: list[str] = []
+    for ring in rings:
+        if ring.truncated:
+            notes.append(f"{ring.host}: older matching events left out, see --limit")
+        if ring.overwritten:
+            notes.append(f"{ring.host}: {ring.overwritten} older events overwritten")
+    return tuple(notes)
+
+
+def render_text(events: Sequence[TimelineEvent], rings: Sequence[RingSnapshot]) -> str:
+    """Return one line for each event, then notes on what is missing."""
+    rows = [
+        (
+            time_text(event.stamp),
+            event.host,
+            event.kind.value,
+            event.request_id,
+            event.workspace,
+            event.upstream_ids,
+            event.detail,
+        )
+        for event in events
+    ]
+    headers = ("TIME", "HOST", "EVENT", "REQUEST", "WORKSPACE", "UPSTREAMS", "DETAIL")
+    notes = (clean(note) for note in notes_on(rings))
+    return "\n".join([*table_lines(headers, rows), *notes])
+
+
+def render_json(
+    events: Sequence[TimelineEvent],
+    rings: Sequence[RingSnapshot],
+    unreachable: list[dict[str, Any]],
+) -> str:
+    """Return one JSON document."""
+    document = {
+        "events": [event_to_document(event) for event in events],
+        "hosts": [
+            {"host": r.host, "overwritten": r.overwritten, "truncated": r.truncated}
+            for r in rings
+        ],
+        "unreachable": unreachable,
+    }
+    return json.dumps(document, indent=2)
--- a/persimmonwell/core/timeline/__init__.py
+++ b/persimmonwell/core/timeline/__init__.py
@@ -2,6 +2,7 @@
 
 from persimmonwell.core.timeline._clock import HybridClock, HybridTimestamp
 from persimmonwell.core.timeline._documents import (
+    event_to_document,
     ring_from_document,
     ring_to_document,
 )
@@ -21,6 +22,7 @@
     "RingSnapshot",
     "TimelineEvent",
     "TimelineRing",
+    "event_to_document",
     "merge_rings",
     "ring_from_document",
     "ring_to_document",
