--- a/persimmonwell/daemon/_daemon.py
+++ b/persimmonwell/daemon/_daemon.py
@@ -194,7 +194,8 @@
         return self._stopping.is_set() or self._drain_switch.drained
 
     def _drain_changed(self, drained: bool) -> None:
-        self._log.info("drained by an operator: {}", drained)
+        word = "on" if drained else "off"
+        self._log.info("drain switched {} by an operator", word)
 
     def _render_metrics(self, accept: str) -> RenderedMetrics:
         own_id = self._settings.host_id
--- a/persimmonwell/daemon/_main.py
+++ b/persimmonwell/daemon/_main.py
@@ -12,6 +12,7 @@
 from persimmonwell.observe import configure_logs, log_suppressed
 from persimmonwell.settings import load_settings
 
+EXIT_CANNOT_START = 1
 EXIT_BAD_SETTINGS = 2
 
 
@@ -38,8 +39,13 @@
     stop = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stop.set())
     signal.signal(signal.SIGINT, lambda *_: stop.set())
-    daemon = Daemon(settings, seed=time.time_ns())
-    daemon.start()
+    try:
+        daemon = Daemon(settings, seed=time.time_ns())
+        daemon.start()
+    except OSError as error:
+        # A port in use or an unreadable certificate; nothing was served yet.
+        print(f"cannot start: {error}", file=sys.stderr)
+        return EXIT_CANNOT_START
     stop.wait()
     daemon.close()
     log_suppressed(limiter)
