Filter the ring before building events

Cause: a filter by one request built all 20,000 events first and kept the interpreter busy while other threads relay tokens. Change: the ring checks its entries against the filter, newest first, and builds the matching events only.

--- a/persimmonwell/core/timeline/__init__.py
+++ b/persimmonwell/core/timeline/__init__.py
@@ -8,11 +8,7 @@
 )
 from persimmonwell.core.timeline._events import EventFilter, EventKind, TimelineEvent
 from persimmonwell.core.timeline._merge import merge_rings
-from persimmonwell.core.timeline._ring import (
-    RingSnapshot,
-    TimelineRing,
-    select,
-)
+from persimmonwell.core.timeline._ring import RingSnapshot, TimelineRing
 
 __all__ = [
     "EventFilter",
@@ -26,5 +22,4 @@
     "merge_rings",
     "ring_from_document",
     "ring_to_document",
-    "select",
 ]
--- a/persimmonwell/core/timeline/_events.py
+++ b/persimmonwell/core/timeline/_events.py
@@ -63,13 +63,19 @@
     until_s: float | None = None
     """Latest wall time, seconds since the Unix epoch."""
 
-    def matches(self, event: TimelineEvent) -> bool:
-        """Return whether every given field selects the event."""
-        wall_s = event.stamp.wall_us / MICROSECONDS_PER_S
+    def selects(
+        self,
+        stamp: HybridTimestamp,
+        request_id: str,
+        workspace: str,
+        upstream_ids: tuple[str, ...],
+    ) -> bool:
+        """Return whether every given field selects an event with these values."""
+        wall_s = stamp.wall_us / MICROSECONDS_PER_S
         return (
-            self.request_id in (None, event.request_id)
-            and self.workspace in (None, event.workspace)
-            and (self.upstream_id is None or self.upstream_id in event.upstream_ids)
+            self.request_id in (None, request_id)
+            and self.workspace in (None, workspace)
+            and (self.upstream_id is None or self.upstream_id in upstream_ids)
             and (self.since_s is None or wall_s >= self.since_s)
             and (self.until_s is None or wall_s <= self.until_s)
         )
--- a/persimmonwell/core/timeline/_ring.py
+++ b/persimmonwell/core/timeline/_ring.py
@@ -61,17 +61,18 @@
         ring._entries, ring._appended = self._entries.copy(), self._appended
         return ring
 
-    def snapshot(self) -> RingSnapshot:
-        """Return all events kept, oldest first."""
-        first = self.overwritten
-        events = tuple(
-            TimelineEvent(self._host, first + index, *entry)
-            for index, entry in enumerate(self._entries)
-        )
-        return RingSnapshot(self._host, first, events)
-
-
-def select(snapshot: RingSnapshot, wanted: EventFilter, limit: int) -> RingSnapshot:
-    """Return the newest matching events of a snapshot, at most limit of them."""
-    events = tuple(event for event in snapshot.events if wanted.matches(event))
-    return attrs.evolve(snapshot, events=events[-limit:], truncated=len(events) > limit)
+    def select(self, wanted: EventFilter, *, limit: int) -> RingSnapshot:
+        """Return the newest matching events, at most limit of them, oldest first."""
+        chosen: list[TimelineEvent] = []
+        truncated = False
+        for offset, entry in enumerate(reversed(self._entries)):
+            stamp, _, request_id, workspace, upstream_ids, _ = entry
+            if not wanted.selects(stamp, request_id, workspace, upstream_ids):
+                continue
+            if len(chosen) == limit:
+                truncated = True
+                break
+            sequence = self._appended - 1 - offset
+            chosen.append(TimelineEvent(self._host, sequence, *entry))
+        chosen.reverse()
+        return RingSnapshot(self._host, self.overwritten, tuple(chosen), truncated)
--- a/persimmonwell/observe/_recorder.py
+++ b/persimmonwell/observe/_recorder.py
@@ -11,7 +11,6 @@
     HybridTimestamp,
     RingSnapshot,
     TimelineRing,
-    select,
 )
 
 MAX_DRIFT_S = 5.0
@@ -85,4 +84,4 @@
         """Return the newest matching events, at most limit of them."""
         with self._lock:
             ring = self._ring.copy()
-        return select(ring.snapshot(), wanted, limit)
+        return ring.select(wanted, limit=limit)
--- a/tests/core/timeline/test_clock_and_merge.py
+++ b/tests/core/timeline/test_clock_and_merge.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -18,7 +19,6 @@
     merge_rings,
     ring_from_document,
     ring_to_document,
-    select,
 )
 
 WALL = st.sampled_from([0.0, 1.0, 1.5, 2.0]) | st.floats(0, 3)
@@ -88,7 +88,7 @@
         rings[host].append(stamp, EventKind.RECEIVED)
         if action == "send":
             sent.append((stamp, dict(vectors[host])))
-    snapshots = [ring.snapshot() for ring in rings.values()]
+    snapshots = [ring.select(EventFilter(), limit=100) for ring in rings.values()]
     rng.shuffle(snapshots)
     merged = merge_rings([*snapshots, snapshots[0]])
     assert len(merged) == len(actions)
@@ -106,7 +106,7 @@
     ring = TimelineRing(host="host-1", capacity=capacity)
     for number in range(count):
         ring.append(HybridTimestamp(number), EventKind.RECEIVED)
-    kept = ring.snapshot()
+    kept = ring.select(EventFilter(), limit=100)
     assert [e.sequence for e in kept.events] == list(range(count))[-capacity:]
     assert kept.overwritten == ring.overwritten == max(0, count - capacity)
 
@@ -139,10 +139,15 @@
 )
 def test_filter(wanted: EventFilter, matches: bool) -> None:
     """Guards against a filter that shows other requests' events."""
-    assert wanted.matches(EVENT) is matches
-    ring = RingSnapshot("host-1", 0, (EVENT, EVENT))
-    chosen = select(ring, wanted, 1)
-    assert (len(chosen.events), chosen.truncated) == (int(matches), matches)
+    ring = TimelineRing(host="host-1", capacity=8)
+    fields = attrs.asdict(EVENT, recurse=False)
+    for name in ("host", "sequence"):
+        del fields[name]
+    for _ in range(8):
+        ring.append(**fields)
+    chosen = ring.select(wanted, limit=1)
+    assert chosen.events == ((EVENT,) if matches else ())
+    assert chosen.truncated is matches
 
 
 def test_documents_round_trip_and_name_faults() -> None:
