--- a/persimmonwell/core/config/_fold.py
+++ b/persimmonwell/core/config/_fold.py
@@ -14,6 +14,7 @@
     HistoryEntry,
     Invalid,
     PatchResult,
+    changed_paths,
 )
 from persimmonwell.core.config._model import FleetConfig, parse_config
 from persimmonwell.core.config._records import LogRecord, normalize_record
@@ -194,7 +195,12 @@
         result = self._evaluate(patch_id, base, data.get("merge"))
         author = str(data.get("author", ""))[:MAX_AUTHOR_CHARACTERS]
         self._entries[patch_id] = HistoryEntry(
-            patch_id, author, offset, self.version, result
+            patch_id=patch_id,
+            author=author,
+            offset=offset,
+            version=self.version,
+            result=result,
+            changed=changed_paths(data.get("merge")),
         )
         while len(self._entries) > RECENT_IDS_KEPT:
             self._entries.popitem(last=False)
--- a/persimmonwell/core/config/_history.py
+++ b/persimmonwell/core/config/_history.py
@@ -3,10 +3,13 @@
 import attrs
 
 from persimmonwell._exceptions import Fault
-from persimmonwell.core._documents import JsonObject, JsonValue
+from persimmonwell.core._documents import JsonObject, JsonValue, escape_pointer
 
 FAULTS_KEPT = 4
 FAULT_CHARACTERS = 200
+CHANGED_PATHS_KEPT = 8
+PATH_DEPTH = 3
+"""Levels of a changed path that are kept: section, name, field."""
 
 
 @attrs.frozen
@@ -47,6 +50,23 @@
     version: int
     """Version in force after the patch was folded."""
     result: PatchResult
+    changed: tuple[str, ...] = ()
+    """JSON pointers of the changed fields; their values can be secrets."""
+
+
+def changed_paths(merge: JsonValue) -> tuple[str, ...]:
+    """Return the JSON pointers of the fields that a merge patch changes."""
+    return tuple(_paths(merge, "", PATH_DEPTH))[:CHANGED_PATHS_KEPT]
+
+
+def _paths(value: JsonValue, path: str, depth: int) -> list[str]:
+    if not isinstance(value, dict) or not value or depth == 0:
+        return [path or "/"]
+    return [
+        inner
+        for name in sorted(value)
+        for inner in _paths(value[name], f"{path}/{escape_pointer(name)}", depth - 1)
+    ]
 
 
 def entry_to_json(entry: HistoryEntry) -> JsonObject:
@@ -56,6 +76,7 @@
         "author": entry.author,
         "offset": entry.offset,
         "version": entry.version,
+        "changed": list(entry.changed),
     }
     match entry.result:
         case Accepted():
@@ -85,7 +106,11 @@
     result = _read_result(document, patch_id, version)
     if result is None:
         return None
-    return HistoryEntry(patch_id, author, offset, version, result)
+    changed = document.get("changed")
+    paths = changed if isinstance(changed, list) else []
+    return HistoryEntry(
+        patch_id, author, offset, version, result, tuple(str(path) for path in paths)
+    )
 
 
 def _read_result(
--- a/persimmonwell/core/router/_dispatch.py
+++ b/persimmonwell/core/router/_dispatch.py
@@ -3,9 +3,11 @@
 from collections.abc import Sequence
 from enum import Enum
 
+from persimmonwell._exceptions import NoRouteError
 from persimmonwell.core._types import ModelRequest, Rank, ServiceCall
 from persimmonwell.core.router._active import Active, Phase
 from persimmonwell.core.router._decisions import Dispatch, DispatchService
+from persimmonwell.core.router._endings import refuse
 from persimmonwell.core.router._state import Lane, RouterState
 from persimmonwell.core.routing import NoRoute
 
@@ -16,6 +18,11 @@
 """Time after which a waiting request may go back to an upstream that failed it."""
 
 
+UNCOVERED_GRACE_S = 2.0
+"""Time that requests wait for the upstreams of a target to come back. The host
+list often shows a replacement a little later than the loss."""
+
+
 class _Round(Enum):
     PLACED = 0
     NOTHING = 1
@@ -29,6 +36,20 @@
     lane.queue.settle(now_s)
 
 
+def refuse_uncovered(state: RouterState, lane: Lane, now_s: float) -> None:
+    """Refuse the queue of a target that has had no upstreams for a while."""
+    since_s = lane.uncovered_since_s
+    if since_s is None or now_s - since_s < UNCOVERED_GRACE_S:
+        return
+    if not any(lane.queue.size(rank) for rank in Rank):
+        return
+    for active in state.table:
+        if active.target == lane.target and active.phase is Phase.QUEUED:
+            name = lane.target.partition(":")[2]
+            error = NoRouteError(target=name, reason="no live upstream serves it")
+            refuse(state, active, error, now_s)
+
+
 def _dispatch_one(state: RouterState, lane: Lane, now_s: float) -> _Round:
     waiting = [
         rank
@@ -87,10 +108,13 @@
         blocked = _place_call(state, active, active.work, now_s)
     else:
         blocked = _place_request(state, active, active.work, now_s)
-    if blocked is None:
-        active.uncovered = None
+    lane = state.lanes[active.target]
+    if blocked is None or blocked.covered:
+        active.uncovered = lane.uncovered_since_s = None
     else:
-        active.uncovered = None if blocked.covered else blocked.reason
+        active.uncovered = blocked.reason
+        if lane.uncovered_since_s is None:
+            lane.uncovered_since_s = now_s
     return blocked
 
 
@@ -113,6 +137,7 @@
     delay_s = _begin_attempt(state, active, now_s)
     state.chains.started(chain, tokens=active.remaining_tokens, now_s=now_s)
     state.quarantine.started(active.request_id, request.digest, chain.upstream_ids)
+    _record_attempt(state, active, chain.upstream_ids[0])
     state.emit(
         Dispatch(
             request_id=active.request_id,
@@ -123,7 +148,6 @@
             delay_s=delay_s,
         )
     )
-    _record_attempt(state, active, chain.upstream_ids[0])
     return None
 
 
@@ -141,8 +165,8 @@
     active.replica = replica
     delay_s = _begin_attempt(state, active, now_s)
     state.pool.started(replica)
-    state.emit(DispatchService(active.request_id, active.attempt, replica, delay_s))
     _record_attempt(state, active, replica.replica_id)
+    state.emit(DispatchService(active.request_id, active.attempt, replica, delay_s))
     return None
 
 
--- a/persimmonwell/core/router/_router.py
+++ b/persimmonwell/core/router/_router.py
@@ -14,7 +14,7 @@
 from persimmonwell.core.router._active import Active, Phase
 from persimmonwell.core.router._admit import arrive, bound_waiting
 from persimmonwell.core.router._decisions import Probe, RouterDecision
-from persimmonwell.core.router._dispatch import dispatch_waiting
+from persimmonwell.core.router._dispatch import dispatch_waiting, refuse_uncovered
 from persimmonwell.core.router._endings import (
     apply_verdict,
     cancel,
@@ -136,6 +136,7 @@
                 lane = state.lanes.get(target)
                 if lane is not None:
                     dispatch_waiting(state, lane, now_s)
+                    refuse_uncovered(state, lane, now_s)
 
     def _apply(self, event: ev.RouterEvent, now_s: float) -> Active | None:
         """Apply one event; return the request when it is a new one."""
--- a/persimmonwell/core/router/_state.py
+++ b/persimmonwell/core/router/_state.py
@@ -28,6 +28,8 @@
     """Ids of the requests that wait for another attempt, oldest first."""
     requests: int = 0
     """Requests of this target that have not ended."""
+    uncovered_since_s: float | None = None
+    """Since when live upstreams cannot serve the target; None when they can."""
 
     def first_resumes(self, rank: Rank, count: int) -> tuple[str, ...]:
         """Return the ids of the requests to resume next."""
--- a/persimmonwell/daemon/_main.py
+++ b/persimmonwell/daemon/_main.py
@@ -10,9 +10,10 @@
 
 from persimmonwell._exceptions import DocumentError
 from persimmonwell.daemon._daemon import Daemon
-from persimmonwell.observe import configure_logs
+from persimmonwell.observe import configure_logs, log_suppressed
 from persimmonwell.settings import load_settings
 
+EXIT_CANNOT_START = 1
 EXIT_BAD_SETTINGS = 2
 
 
@@ -35,14 +36,20 @@
     if options.check:
         print("settings are valid")
         return 0
-    configure_logs(settings.log, host_id=settings.host_id)
+    limiter = configure_logs(settings.log, host_id=settings.host_id)
     stop = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stop.set())
     signal.signal(signal.SIGINT, lambda *_: stop.set())
-    daemon = Daemon(settings, seed=time.time_ns())
-    daemon.start()
+    try:
+        daemon = Daemon(settings, seed=time.time_ns())
+        daemon.start()
+    except OSError as error:
+        # A port in use or an unreadable certificate; nothing was served yet.
+        print(f"cannot start: {error}", file=sys.stderr)
+        return EXIT_CANNOT_START
     # With port 0 in the settings only the process knows its addresses.
     print(json.dumps(daemon.addresses), flush=True)
     stop.wait()
     daemon.close()
+    log_suppressed(limiter)
     return 0
--- /dev/null
+++ b/persimmonwell/daemon/_operator_views.py
@@ -0,0 +1,103 @@
+"""Read limits, quarantine and claims for the operators' routes."""
+
+import time
+from collections.abc import Callable
+
+from persimmonwell.core.claims import ClaimKey, KnownClaim
+from persimmonwell.core.config import FleetConfig
+from persimmonwell.core.control import QuarantineClearRequested
+from persimmonwell.core.router import Router
+from persimmonwell.daemon._control_actor import ControlPort
+from persimmonwell.daemon._router_actor import ActorRouterPort, RoutingCore
+from persimmonwell.daemon._state_routes import (
+    ClaimStatus,
+    FindClaim,
+    LimitStatus,
+    QuarantineEntry,
+    ReadLimits,
+)
+
+
+def limits_view(
+    router: ActorRouterPort, current_config: Callable[[], FleetConfig | None]
+) -> ReadLimits:
+    """Return a function that reads the limits in force."""
+
+    def read() -> tuple[LimitStatus, ...]:
+        config = current_config() or FleetConfig()
+        return router.inspect(lambda core: _limits(core, config))
+
+    return read
+
+
+def _limits(core: RoutingCore, config: FleetConfig) -> tuple[LimitStatus, ...]:
+    if not isinstance(core, Router):
+        return ()
+    statuses = []
+    for share in core.limits_in_force(time.monotonic()):
+        workspace = config.workspace(share.workspace)
+        statuses.append(
+            LimitStatus(
+                workspace=share.workspace,
+                tokens_per_s=workspace.tokens_per_s if workspace else None,
+                host_tokens_per_s=share.tokens_per_s,
+                max_concurrency=workspace.max_concurrency if workspace else None,
+                host_max_concurrency=share.max_concurrency,
+                in_flight=share.running,
+            )
+        )
+    return tuple(statuses)
+
+
+class QuarantineView:
+    """Hold the ports from which the quarantine is read and cleared."""
+
+    def __init__(self, router: ActorRouterPort, control: ControlPort) -> None:
+        self._router = router
+        self._control = control
+
+    def entries(self) -> tuple[QuarantineEntry, ...]:
+        """Return every digest that is suspect or quarantined."""
+        return self._router.inspect(_quarantine)
+
+    def clear(self, digest: str) -> bool:
+        """Release a digest on every host; False when it is not known."""
+        known = any(entry.digest == digest for entry in self.entries())
+        if known:
+            self._control.tell(QuarantineClearRequested(digest))
+        return known
+
+
+def _quarantine(core: RoutingCore) -> tuple[QuarantineEntry, ...]:
+    if not isinstance(core, Router):
+        return ()
+    lost: dict[str, list[str]] = {digest: [] for digest in core.quarantined}
+    for blame in core.suspects:
+        lost.setdefault(blame.digest, []).append(blame.upstream_id)
+    quarantined = set(core.quarantined)
+    return tuple(
+        QuarantineEntry(
+            digest=digest,
+            state="quarantined" if digest in quarantined else "suspect",
+            upstream_ids=tuple(upstream_ids),
+        )
+        for digest, upstream_ids in sorted(lost.items())
+    )
+
+
+def claims_view(find: Callable[[ClaimKey], KnownClaim | None]) -> FindClaim:
+    """Return a function that reads the claim of one key."""
+
+    def read(workspace: str, service: str, key: str) -> ClaimStatus | None:
+        claim = find(ClaimKey(workspace, service, key))
+        if claim is None:
+            return None
+        result = claim.result
+        return ClaimStatus(
+            state="claimed" if result is None else "answered",
+            host=claim.host,
+            offset=claim.offset,
+            status=None if result is None else result.status,
+        )
+
+    return read
--- a/persimmonwell/daemon/_router_actor.py
+++ b/persimmonwell/daemon/_router_actor.py
@@ -3,7 +3,7 @@
 import queue
 import time
 from collections.abc import Callable
-from typing import Protocol
+from typing import Protocol, TypeVar, cast
 
 import attrs
 import pykka
@@ -22,6 +22,11 @@
 
 TICK_S = 0.05
 
+Observe = Callable[[RouterEvent, tuple[RouterDecision, ...]], None]
+
+
+T = TypeVar("T")
+
 
 class RoutingCore(Protocol):
     """Describe the decision state that the actor runs."""
@@ -53,6 +58,11 @@
     pass
 
 
+@attrs.frozen
+class _Inspect:
+    read: Callable[[RoutingCore], object]
+
+
 class RouterActor(pykka.ThreadingActor):
     """Hold the router and the mailboxes of the requests in flight."""
 
@@ -63,10 +73,12 @@
         router: RoutingCore,
         *,
         carry_out: Callable[[RouterDecision], None],
+        observe: Observe = lambda event, decisions: None,
     ) -> None:
         super().__init__()
         self._router = router
         self._carry_out = carry_out
+        self._observe = observe
         self._mailboxes: dict[str, Mailbox] = {}
 
     def on_receive(self, message: object) -> object:
@@ -81,10 +93,15 @@
                 self._mailboxes.pop(request_id, None)
             case _CountInFlight():
                 return len(self._mailboxes)
+            case _Inspect(read):
+                return read(self._router)
         return None
 
     def _apply(self, event: RouterEvent) -> None:
-        for decision in self._router.handle(event, time.monotonic()):
+        decisions = self._router.handle(event, time.monotonic())
+        # Observed before delivery, so that the causes precede a token's event.
+        self._observe(event, decisions)
+        for decision in decisions:
             self._deliver(decision)
 
     def _deliver(self, decision: RouterDecision) -> None:
@@ -121,6 +138,10 @@
         count = self._ref.ask(_CountInFlight())
         return count if isinstance(count, int) else 0
 
+    def inspect(self, read: Callable[[RoutingCore], T]) -> T:
+        """Return what a function reads from the router."""
+        return cast(T, self._ref.ask(_Inspect(read)))
+
     def close(self) -> None:
         """Stop the actor."""
         self._ref.stop()
--- a/persimmonwell/daemon/_stream_reader.py
+++ b/persimmonwell/daemon/_stream_reader.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections.abc import Callable
 
 from persimmonwell._exceptions import PlatformUnavailableError
 from persimmonwell.core.control import CONFIG_STREAM, PlatformFailed, RecordsRead
@@ -20,10 +21,18 @@
 class StreamReader:
     """Hold the pace of reading one stream."""
 
-    def __init__(self, *, stream: str, log: LogClient, control: ControlPort) -> None:
+    def __init__(
+        self,
+        *,
+        stream: str,
+        log: LogClient,
+        control: ControlPort,
+        count_failure: Callable[[str], None],
+    ) -> None:
         self._stream = stream
         self._log = log
         self._control = control
+        self._count_failure = count_failure
         self._read_s = float("-inf")
         self._retry_s = FIRST_RETRY_S
 
@@ -43,7 +52,8 @@
             try:
                 self._read(offset)
                 self._retry_s = FIRST_RETRY_S
-            except PlatformUnavailableError:
+            except PlatformUnavailableError as error:
+                self._count_failure(error.service)
                 self._control.tell(PlatformFailed(self._stream))
                 stopping.wait(self._retry_s)
                 self._retry_s = min(2 * self._retry_s, LAST_RETRY_S)
--- a/persimmonwell/front/_caller_service.py
+++ b/persimmonwell/front/_caller_service.py
@@ -11,7 +11,7 @@
     NotReadyError,
     UpstreamFailedError,
 )
-from persimmonwell.core._types import Outcome
+from persimmonwell.core._types import Outcome, Rank
 from persimmonwell.core.config import FleetConfig
 from persimmonwell.core.retry import (
     Dropped,
@@ -39,6 +39,7 @@
     error_response,
 )
 from persimmonwell.front._thread_gate import ThreadGate
+from persimmonwell.observe import TokenTimer
 from persimmonwell.upstream import (
     EngineClient,
     ServiceCallError,
@@ -57,6 +58,8 @@
     threads: ThreadGate
     claims: ClaimPort | None = None
     count_dropped: Callable[[Dropped], None] = lambda dropped: None
+    token_timer: Callable[[Rank], TokenTimer] | None = None
+    """Makes the timer of a request that arrives now."""
 
     def handle(self, http: HttpRequest) -> HttpResponse:
         """Answer one HTTP request."""
@@ -81,6 +84,7 @@
         self, http: HttpRequest, parsed: ParsedModelRequest, config: FleetConfig
     ) -> HttpResponse:
         layers = config.models[parsed.request.model].layers
+        new_timer = self.token_timer
         relay = Relay(
             router=self.router,
             engines=self.engines,
@@ -88,6 +92,7 @@
             total_layers=layers,
             caller_is_open=http.caller_is_open,
             count_dropped=self.count_dropped,
+            timer=new_timer(parsed.request.rank) if new_timer else None,
         )
         return relay.respond()
 
--- a/persimmonwell/front/_relay.py
+++ b/persimmonwell/front/_relay.py
@@ -36,6 +36,7 @@
     json_response,
     sse_event,
 )
+from persimmonwell.observe import TokenTimer
 from persimmonwell.upstream import Attempt, AttemptFailedError, EngineClient
 
 PROGRESS_INTERVAL_S = 0.5
@@ -66,6 +67,7 @@
         total_layers: int,
         caller_is_open: Callable[[], bool],
         count_dropped: Callable[[Dropped], None],
+        timer: TokenTimer | None = None,
     ) -> None:
         self._router = router
         self._engines = engines
@@ -73,6 +75,7 @@
         self._request = parsed.request
         self._caller_is_open = caller_is_open
         self._count_dropped = count_dropped
+        self._timer = timer
         self._assembler = TokenAssembler(
             request_id=parsed.request.request_id, total_layers=total_layers
         )
@@ -218,6 +221,8 @@
     def _after_token(self, attempt: int) -> None:
         """Report progress now and then; stop when late or the caller left."""
         now_s = time.monotonic()
+        if self._timer is not None:
+            self._timer.token(now_s)
         if now_s > self._request.deadline_s:
             self._expire()
         self._unreported_tokens += 1
@@ -247,6 +252,8 @@
 
     def _settle(self) -> None:
         """Tell the router that the request is over unless it knows."""
+        if self._timer is not None:
+            self._timer.close()
         request_id = self._request.request_id
         if not self._settled:
             self._settled = True
--- a/persimmonwell/settings/_settings.py
+++ b/persimmonwell/settings/_settings.py
@@ -101,6 +101,10 @@
 
     level: str = "INFO"
     json: bool = False
+    """Whether each line is a JSON object."""
+    repeat_limit: int = 10
+    """Times that one message is logged per interval; further ones are counted."""
+    repeat_interval_s: float = 10.0
 
 
 @attrs.frozen
@@ -270,9 +274,14 @@
 
 def _read_log(reader: ObjectReader) -> LogSettings:
     levels = ("DEBUG", "INFO", "WARNING", "ERROR")
+    default = LogSettings()
     log = LogSettings(
-        level=reader.text("level", "INFO", choices=levels),
-        json=reader.boolean("json", False),
+        level=reader.text("level", default.level, choices=levels),
+        json=reader.boolean("json", default.json),
+        repeat_limit=reader.integer("repeat_limit", default.repeat_limit, minimum=1),
+        repeat_interval_s=reader.number(
+            "repeat_interval_s", default.repeat_interval_s, minimum=0.1
+        ),
     )
     reader.finish()
     return log
--- a/tests/core/config/test_fold.py
+++ b/tests/core/config/test_fold.py
@@ -28,7 +28,7 @@
 def patch(name: Any, base: Any, weight: Any = 1.0, **rest: Any) -> dict[str, Any]:
     merge = {"workspaces": {"a": {"weight": weight}}}
     record = {"type": "patch", "schema": 1, "id": name, "base_version": base}
-    return {**record, "merge": merge, "author": "op", **rest}
+    return {"merge": merge, **record, "author": "op", **rest}
 
 
 def fold_all(records: list[Any], fold: ConfigFold | None = None) -> ConfigFold:
@@ -175,3 +175,14 @@
     assert isinstance(fold.apply(LogRecord(3, other)), SnapshotRejected)
     assert isinstance(fold.apply(LogRecord(4, tampered(version=9))), SnapshotRejected)
     assert (fold.version, fold.next_offset) == (2, 5)
+
+
+def test_history_names_changed_fields_and_stays_bounded() -> None:
+    """Guards against a history that shows values or grows with every patch."""
+    secret = {"workspaces": {"a/b": {"key": "s3cret"}}}
+    many = {"workspaces": {f"w{n}": {} for n in range(100)}}
+    fold = fold_all([patch("p0", 0, merge=secret), patch("p1", 1, merge=many)])
+    first, second = fold.history
+    assert first.changed == ("/workspaces/a~1b/key",)
+    assert len(second.changed) == 8
+    assert "s3cret" not in str(first)
--- a/tests/daemon/test_claims.py
+++ b/tests/daemon/test_claims.py
@@ -53,7 +53,7 @@
     address = fleet.daemons["host-2"].operator_address
     url = f"http://{address}/claims/range-a/booking/k"
     claim = fleet.http.request("GET", url).json()
-    assert (claim["state"], claim["status"]) == ("ended", 200)
+    assert (claim["state"], claim["status"]) == ("answered", 200)
     assert fleet.http.request("GET", url + "-none").status == 404
 
 
--- /dev/null
+++ b/tests/daemon/test_operators.py
@@ -0,0 +1,72 @@
+"""Check the operators' port over real daemons."""
+
+import threading
+from typing import Any
+
+import pytest
+import urllib3
+
+from persimmonwell._exceptions import BadRequestError
+from persimmonwell.core._fleet import EntryHost, HostList
+from persimmonwell.core.timeline import EventFilter
+from persimmonwell.daemon._host_watch import host_watch
+from persimmonwell.daemon._view_routes import read_timeline_query
+from persimmonwell.observe import Recorder
+from tests.fleet import MODEL, SmallFleet, wait_until
+
+
+def ask(fleet: SmallFleet, path: str, **options: Any) -> urllib3.BaseHTTPResponse:
+    """Call the operators' port of the first host."""
+    address = fleet.daemons["host-1"].operator_address
+    method = "POST" if "json" in options else "GET"
+    return fleet.http.request(method, f"http://{address}{path}", **options)
+
+
+def test_refusals_and_outages_are_counted(fleet: SmallFleet) -> None:
+    """Guards against refusals and log outages that no metric shows."""
+    fleet.call("host-1", "/v1/completions", {"model": MODEL})
+    fleet.log.faults["down"] = True
+    failures = 'persimmonwell_platform_failures_total{service="log"}'
+    wait_until(lambda: failures in ask(fleet, "/metrics").data.decode())
+    fleet.log.faults["down"] = False
+    text = ask(fleet, "/metrics").data.decode()
+    assert 'persimmonwell_refusals_total{reason="bad_request"} 1' in text
+
+
+def test_host_drain_is_unready_and_finishes(fleet: SmallFleet) -> None:
+    """Guards against a drain that breaks a request in flight or cannot be undone."""
+    for engine in fleet.engines.values():
+        engine.faults["token_s"] = 0.05
+    answers: list[urllib3.BaseHTTPResponse] = []
+    call = threading.Thread(
+        target=lambda: answers.append(fleet.complete("host-1", "long answer"))
+    )
+    call.start()
+    wait_until(lambda: ask(fleet, "/drain").json()["in_flight"] == 1)
+    assert ask(fleet, "/drain", json={"drained": True}).json()["drained"] is True
+    ready = ask(fleet, "/readyz")
+    assert (ready.status, ready.json()["status"]) == (503, "draining")
+    call.join()
+    assert answers[0].headers["Persimmonwell-Outcome"] == "complete"
+    wait_until(lambda: ask(fleet, "/drain").json()["in_flight"] == 0)
+    ask(fleet, "/drain", json={"drained": False})
+    assert ask(fleet, "/readyz").status == 200
+    assert ask(fleet, "/drain", json={"drained": "yes"}).status == 400
+
+
+def test_bad_timeline_query_is_refused() -> None:
+    """Guards against a typing error that silently widens the answer."""
+    for query in "limit=0 limit=x limit= since_s=nan until_s=x user=1".split():
+        with pytest.raises(BadRequestError):
+            read_timeline_query(query)
+
+
+def test_hosts_that_left_are_recorded() -> None:
+    """Guards against an empty host list that is taken for every host leaving."""
+    recorder = Recorder(host_id="host-1", capacity=10)
+    read = host_watch(recorder)
+    two = tuple(EntryHost(f"host-{n}", "127.0.0.1:1", "zone-1") for n in (1, 2))
+    for hosts in (two, (), two[:1], two[:1]):
+        read(HostList(as_of_s=0.0, entry_hosts=hosts))
+    events = recorder.read(EventFilter(), limit=10).events
+    assert [(e.kind.value, e.detail) for e in events] == [("host-left", "host-2")]
