Check admission, retries and quarantine by table; fix what the tests found

Cause: rules of the router were only checked by random event sequences. Trial faults put into the code showed gaps, and the new tables found four faults: a workspace parked by its token rate was not looked at after a refund, a refund could move a workspace ahead of those that never waited, a suspect held back by isolation was sent to the upstream it had lost, and idle workspaces were kept for ever when every request was dispatched from an empty queue. Change: fixes for the four; suspects are told apart by whether they generated tokens before the loss, so the requests of an upstream that dies by itself resume at once; fleet and configuration events move to core/router/_evidence; tests as tables of short scripts over the harness.

--- a/persimmonwell/core/admission/_fair.py
+++ b/persimmonwell/core/admission/_fair.py
@@ -48,6 +48,7 @@
         self._ready: list[tuple[float, int, str]] = []
         self._by_load: list[tuple[float, str]] = []
         self._virtual = 0.0
+        self._last_finish = 0.0
         self._stamp = 0
         self._size = 0
         self._tokens = 0
@@ -116,6 +117,7 @@
         flow = self._flows[entry.workspace]
         self._virtual = max(self._virtual, flow.start_tag)
         flow.start_tag += entry.cost_tokens / flow.weight
+        self._last_finish = max(self._last_finish, flow.start_tag)
         self._drop(entry, flow)
         if flow.entries:
             self._schedule(entry.workspace, flow)
@@ -127,11 +129,17 @@
             self._drop(entry, flow)
 
     def correct(self, workspace: str, tokens: int) -> None:
-        """Charge tokens that a dispatched request used beyond its estimate."""
+        """Charge tokens that a dispatched request used beyond its estimate.
+
+        A negative number is a refund. It takes a workspace to the front of the
+        order at most: a charge may have been forgiven in an idle time before.
+        """
         flow = self._flows.get(workspace)
         if flow is None or not tokens:
             return
-        flow.start_tag += tokens / flow.weight
+        corrected = flow.start_tag + tokens / flow.weight
+        flow.start_tag = max(corrected, min(flow.start_tag, self._virtual))
+        self._last_finish = max(self._last_finish, flow.start_tag)
         if flow.stamp:
             self._schedule(workspace, flow)
 
@@ -175,6 +183,8 @@
             self._active -= 1
             self._active_weight -= flow.weight
             if not self._active:
+                # Nobody waited, so what was served so far hurt nobody.
+                self._virtual = max(self._virtual, self._last_finish)
                 self._active_weight = 0.0
             if len(self._flows) > 2 * self._active + SPARE_RECORDS:
                 self._forget_idle()
--- a/persimmonwell/core/admission/_limits.py
+++ b/persimmonwell/core/admission/_limits.py
@@ -86,10 +86,12 @@
         # A request larger than the burst is allowed and leaves a debt.
         return 0.0 if share.level > 0 else -share.level / share.rate + 1e-6
 
-    def is_concurrency_limited(self, workspace: str) -> bool:
+    def is_limited(self, workspace: str) -> bool:
         """Return whether the end of a request may let another one start."""
         share = self._shares.get(workspace)
-        return share is not None and share.concurrency is not None
+        if share is None:
+            return False
+        return share.concurrency is not None or share.rate is not None
 
     def started(self, workspace: str, tokens: int, now_s: float) -> None:
         """Charge a dispatched request by its estimate."""
--- a/persimmonwell/core/admission/_queues.py
+++ b/persimmonwell/core/admission/_queues.py
@@ -159,7 +159,7 @@
         self.floors.charge(entry.rank, surplus, waiting)
 
     def unpark(self, workspace: str) -> None:
-        """Look again at a workspace that reached its concurrency limit."""
+        """Look again at a workspace that reached a limit."""
         for queue in self._queues.values():
             queue.unpark(workspace)
 
--- a/persimmonwell/core/retry/_quarantine.py
+++ b/persimmonwell/core/retry/_quarantine.py
@@ -50,14 +50,24 @@
 class _Suspect:
     since_s: float
     blamed: set[str] = attrs.field(factory=set)
-    """Upstreams lost while this digest ran there."""
+    """Upstreams lost before this digest generated anything there."""
     unclear: set[str] = attrs.field(factory=set)
-    """Lost upstreams on which another suspect ran or that fell with others."""
+    """Lost upstreams that do not tell this digest from another cause."""
 
     @property
     def upstreams(self) -> set[str]:
         return self.blamed | self.unclear
 
+    @property
+    def is_isolated(self) -> bool:
+        # Most requests on an upstream that dies by itself are generating. They
+        # are resumed at once; isolation would resume them a few at a time.
+        return bool(self.blamed) or len(self.unclear) >= LOSSES_TO_QUARANTINE
+
+    def is_incriminated_without(self, upstream_id: str) -> bool:
+        earlier = self.upstreams - {upstream_id}
+        return bool(self.blamed - {upstream_id}) or len(earlier) >= LOSSES_TO_QUARANTINE
+
 
 class Quarantine:
     """Hold suspects and quarantined digests, bounded in number and time."""
@@ -88,16 +98,21 @@
         return digest in self._quarantined
 
     def is_suspect(self, digest: str) -> bool:
-        """Return whether requests with this digest run isolated."""
+        """Return whether an upstream was lost while this digest ran there."""
         return digest in self._suspects
 
+    def is_isolated(self, digest: str) -> bool:
+        """Return whether requests with this digest run apart from each other."""
+        suspect = self._suspects.get(digest)
+        return suspect is not None and suspect.is_isolated
+
     def is_held(self, digest: str) -> bool:
         """Return whether a loss that would identify this digest is unconfirmed."""
         return digest in self._held
 
     def excluded_for(self, digest: str) -> frozenset[str]:
-        """Return the upstreams on which another suspect runs."""
-        if digest not in self._suspects or not self._running:
+        """Return the upstreams on which another isolated suspect runs."""
+        if not self._running or not self.is_isolated(digest):
             return frozenset()
         return frozenset(
             upstream_id
@@ -109,7 +124,7 @@
         self, request_id: str, digest: str, upstream_ids: tuple[str, ...]
     ) -> None:
         """Reserve the upstreams of a suspect's attempt against other suspects."""
-        if digest in self._suspects:
+        if self.is_isolated(digest):
             for upstream_id in upstream_ids:
                 self._running.setdefault(upstream_id, {})[request_id] = digest
 
@@ -118,12 +133,11 @@
     ) -> None:
         """End the isolation of a suspect that got past the point of its loss.
 
-        Isolation until completion would let a stage with few replicas retry the
-        innocent requests of a dead one a few at a time. A digest whose losses
-        are unclear stays isolated until its answer is complete.
+        A digest with several unclear losses stays isolated until its answer is
+        complete.
         """
         suspect = self._suspects.get(digest)
-        if suspect is None or not suspect.unclear:
+        if suspect is None or len(suspect.upstreams) < LOSSES_TO_QUARANTINE:
             self.ended(request_id, upstream_ids)
 
     def ended(self, request_id: str, upstream_ids: tuple[str, ...]) -> None:
@@ -143,35 +157,64 @@
             del self._suspects[digest]
             self._held.discard(digest)
 
-    def lost(self, upstream_id: str, digests: frozenset[str], now_s: float) -> bool:
+    def lost(
+        self,
+        upstream_id: str,
+        digests: frozenset[str],
+        *,
+        fresh: frozenset[str],
+        now_s: float,
+    ) -> bool:
         """Take a lost upstream and the digests running there.
 
-        Return whether the loss is new and the upstream has to be probed.
+        Fresh ones have generated nothing there. Return whether the loss is new
+        and the upstream has to be probed.
         """
         known = self._losses.get(upstream_id)
         if known is not None and now_s - known.since_s < LOSS_MEMORY_S:
             return False
-        prior = [
+        prior = frozenset(
             digest
-            for digest in sorted(digests)
-            if digest in self._suspects
-            and self._suspects[digest].upstreams - {upstream_id}
-        ]
-        culprit = prior[0] if len(prior) == 1 else None
-        if culprit is not None and self._falls_with_others(culprit, upstream_id, now_s):
-            culprit = None
-        accused = frozenset(prior) or digests
+            for digest in digests & self._suspects.keys()
+            if self._suspects[digest].upstreams - {upstream_id}
+        )
+        culprit = self._culprit(upstream_id, prior, fresh, now_s)
+        accused = digests if culprit is None else frozenset({culprit})
         if not prior and self._has_common_cause(digests, now_s):
             accused = frozenset()
         for digest in sorted(accused):
             suspect = self._suspect(digest, now_s)
-            clear = digest == culprit or not prior
+            clear = digest == culprit or (digest in fresh and digest not in prior)
             (suspect.blamed if clear else suspect.unclear).add(upstream_id)
         if culprit is not None:
             self._held.add(culprit)
         self._losses[upstream_id] = _Loss(accused, culprit, now_s, digests)
         return True
 
+    def _culprit(
+        self,
+        upstream_id: str,
+        prior: frozenset[str],
+        fresh: frozenset[str],
+        now_s: float,
+    ) -> str | None:
+        """Return the one suspect that this loss identifies, if any.
+
+        A suspect that got past the point of its first loss is more likely the
+        victim of another fault. Only isolation until completion, which follows
+        an unclear loss, convicts it.
+        """
+        isolated = frozenset(self._running.get(upstream_id, {}).values())
+        likely = [
+            digest
+            for digest in prior & (fresh | isolated)
+            if self._suspects[digest].is_incriminated_without(upstream_id)
+        ]
+        if len(likely) != 1:
+            return None
+        (digest,) = likely
+        return None if self._falls_with_others(digest, upstream_id, now_s) else digest
+
     def _falls_with_others(self, digest: str, upstream_id: str, now_s: float) -> bool:
         return any(
             other != upstream_id
--- a/persimmonwell/core/router/_active.py
+++ b/persimmonwell/core/router/_active.py
@@ -134,10 +134,10 @@
         ids = sorted(self._by_digest.get(digest, ()))
         return tuple(self._by_id[request_id] for request_id in ids)
 
-    def digests_on(self, upstream_id: str) -> frozenset[str]:
-        """Return the digests of the requests running on an upstream."""
+    def running_on(self, upstream_id: str) -> tuple[Active, ...]:
+        """Return the requests running on an upstream."""
         ids = self._by_upstream.get(upstream_id, ())
-        return frozenset(self._by_id[request_id].work.digest for request_id in ids)
+        return tuple(self._by_id[request_id] for request_id in ids)
 
     def add(self, active: Active) -> None:
         """Add a request that waits."""
@@ -166,7 +166,6 @@
 
     def wait(self, active: Active, expires_s: float) -> None:
         """Move a request whose attempt ended back to waiting."""
-        self.release_upstreams(active)
         active.phase = Phase.RESUMING
         self._waiting[active.rank] += 1
         self.expire_at(active, expires_s)
--- a/persimmonwell/core/router/_admit.py
+++ b/persimmonwell/core/router/_admit.py
@@ -29,7 +29,7 @@
     active = _new_active(state, work, now_s)
     state.record("received", active, detail=work.rank.name.lower())
     lane = state.lanes.get(active.target)
-    if lane is None:
+    if lane is None or not lane.is_configured:
         error = NotReadyError(f"{active.target} is not configured")
         refuse_unqueued(state, active, error, Outcome.NOT_RUN)
         return None
--- a/persimmonwell/core/router/_dispatch.py
+++ b/persimmonwell/core/router/_dispatch.py
@@ -9,9 +9,10 @@
 from persimmonwell.core.router._state import Lane, RouterState
 from persimmonwell.core.routing import NoRoute
 
-RESUME_SCAN = 4
-"""Requests tried per round when the first cannot be placed, so that one with
-many excluded upstreams does not hold up the others."""
+RESUME_SCAN = 64
+RESUME_TRIES = 4
+"""Requests looked at, and placements tried, per round, so that a request that is
+held back or has many excluded upstreams does not hold up the others."""
 EXCLUSION_S = 1.0
 """Time after which a waiting request may go back to an upstream that failed it."""
 
@@ -46,6 +47,7 @@
 def _resume(
     state: RouterState, lane: Lane, rank: Rank, waiting: Sequence[Rank], now_s: float
 ) -> _Round:
+    tries = 0
     for request_id in lane.first_resumes(rank, RESUME_SCAN):
         active = state.table.get(request_id)
         assert active is not None, f"{request_id} ended but waits"
@@ -54,7 +56,10 @@
                 del lane.resumes[rank][request_id]
                 lane.queue.floors.charge(rank, active.remaining_tokens, waiting)
                 return _Round.PLACED
+            tries += 1
         lane.resumes[rank].move_to_end(request_id)
+        if tries == RESUME_TRIES:
+            break
     return _Round.NOTHING
 
 
@@ -68,7 +73,8 @@
     assert active is not None, f"{entry.request_id} ended but is queued"
     if not state.quarantine.is_held(active.work.digest):
         blocked = _place(state, active, now_s)
-        if blocked is not None and not state.quarantine.is_suspect(active.work.digest):
+        is_isolated = state.quarantine.is_isolated(active.work.digest)
+        if blocked is not None and not is_isolated:
             return _Round.SATURATED
     lane.queue.take(entry, now_s)
     lane.queue.floors.charge(rank, entry.cost_tokens, waiting)
@@ -105,8 +111,11 @@
     isolated = state.quarantine.excluded_for(request.digest)
     excluded = active.excluded | isolated
     chain = state.chains.choose(request, now_s, excluded=excluded)
-    if isinstance(chain, NoRoute) and _may_forgive(active, chain, now_s):
-        chain = state.chains.choose(request, now_s, excluded=isolated)
+    if isinstance(chain, NoRoute) and active.excluded:
+        # Isolation alone must not send a suspect back to the upstream it lost.
+        alone = state.chains.choose(request, now_s, excluded=active.excluded)
+        if isinstance(alone, NoRoute) and _may_forgive(active, alone, now_s):
+            chain = state.chains.choose(request, now_s, excluded=isolated)
     if isinstance(chain, NoRoute):
         return chain
     active.chain = chain
--- a/persimmonwell/core/router/_endings.py
+++ b/persimmonwell/core/router/_endings.py
@@ -44,7 +44,7 @@
         unused = active.entry.cost_tokens - actual_tokens
         state.limits.finished(workspace, unused)
         lane.queue.correct(active.entry, actual_tokens)
-        if state.limits.is_concurrency_limited(workspace):
+        if state.limits.is_limited(workspace):
             for other in state.lanes.values():
                 other.queue.unpark(workspace)
             state.unsettle_all()
--- /dev/null
+++ b/persimmonwell/core/router/_evidence.py
@@ -0,0 +1,130 @@
+"""Apply the events that concern the fleet rather than a single request."""
+
+from persimmonwell._exceptions import NotReadyError
+from persimmonwell.core.admission import AdmissionQueue
+from persimmonwell.core.config import FleetConfig
+from persimmonwell.core.router import _events as ev
+from persimmonwell.core.router._active import Phase
+from persimmonwell.core.router._decisions import Probe
+from persimmonwell.core.router._endings import apply_verdict, refuse
+from persimmonwell.core.router._state import (
+    Lane,
+    RouterState,
+    model_target,
+    service_target,
+)
+
+
+def apply_evidence(state: RouterState, event: ev.RouterEvent, now_s: float) -> None:
+    """Apply one event; those of a single request are ignored."""
+    match event:
+        case ev.LoadReported(upstream_id, running, queued, age_s):
+            state.chains.load_reported(
+                upstream_id, running=running, queued=queued, age_s=age_s, now_s=now_s
+            )
+            _unsettle_model_of(state, upstream_id)
+        case ev.CacheReported(upstream_id, sequence, stored, evicted):
+            state.chains.cache_reported(
+                upstream_id, sequence=sequence, stored=stored, evicted=evicted
+            )
+        case ev.PeerInflight(host_id, counts):
+            state.chains.peer_inflight(host_id, counts, now_s=now_s)
+            state.unsettle_all()
+        case ev.FleetChanged():
+            _change_fleet(state, event, now_s)
+        case ev.ConfigChanged(config):
+            _change_config(state, config, now_s)
+        case ev.BlameLearned(digest, upstream_id):
+            verdict = state.quarantine.learn(digest, upstream_id, now_s)
+            apply_verdict(state, verdict, now_s)
+        case ev.QuarantineCleared(digest):
+            state.quarantine.clear(digest)
+            state.unsettle_all()
+        case ev.ProbeResult():
+            _take_probe_result(state, event, now_s)
+        case ev.Tick():
+            _tick(state, now_s)
+
+
+def _unsettle_model_of(state: RouterState, upstream_id: str) -> None:
+    upstream = state.upstreams.get(upstream_id)
+    if upstream is not None:
+        state.unsettled.add(model_target(upstream.model))
+
+
+def _take_probe_result(state: RouterState, event: ev.ProbeResult, now_s: float) -> None:
+    state.chains.probe_result(
+        event.upstream_id,
+        succeeded=event.succeeded,
+        latency_s=event.latency_s,
+        now_s=now_s,
+    )
+    verdict = state.quarantine.resolve(
+        event.upstream_id, lost=not event.succeeded, now_s=now_s
+    )
+    apply_verdict(state, verdict, now_s)
+    _unsettle_model_of(state, event.upstream_id)
+
+
+def _tick(state: RouterState, now_s: float) -> None:
+    apply_verdict(state, state.quarantine.expire(now_s), now_s)
+    for upstream_id in state.chains.probes_due(now_s):
+        upstream = state.upstreams.get(upstream_id)
+        if upstream is not None:
+            state.emit(Probe(upstream_id, upstream.address))
+    for target, lane in tuple(state.lanes.items()):
+        if lane.requests:
+            state.unsettled.add(target)
+        elif not lane.is_configured:
+            del state.lanes[target]
+
+
+def _change_fleet(state: RouterState, event: ev.FleetChanged, now_s: float) -> None:
+    before = state.upstreams
+    state.upstreams = {u.upstream_id: u for u in event.upstreams}
+    state.live_hosts = event.live_hosts
+    state.pool.update(event.replicas)
+    _update_chains(state, now_s)
+    _configure_limits(state)
+    for upstream_id in state.quarantine.unconfirmed():
+        old, new = before.get(upstream_id), state.upstreams.get(upstream_id)
+        if new is None or (old is not None and old.incarnation != new.incarnation):
+            verdict = state.quarantine.resolve(upstream_id, lost=True, now_s=now_s)
+            apply_verdict(state, verdict, now_s)
+    state.unsettle_all()
+
+
+def _change_config(state: RouterState, config: FleetConfig, now_s: float) -> None:
+    state.config = config
+    state.budget.configure(config.retry.ratio)
+    _configure_lanes(state, config)
+    _update_chains(state, now_s)
+    _configure_limits(state)
+    for active in state.table:
+        waits = active.phase is not Phase.RUNNING
+        if waits and not state.lanes[active.target].is_configured:
+            error = NotReadyError(f"{active.target} was removed")
+            refuse(state, active, error, now_s)
+    state.unsettle_all()
+
+
+def _configure_lanes(state: RouterState, config: FleetConfig) -> None:
+    targets = {model_target(name) for name in config.models}
+    targets |= {service_target(name) for name in config.services}
+    for target in sorted(targets - state.lanes.keys()):
+        state.lanes[target] = Lane(target, AdmissionQueue(state.limits))
+    for target, lane in state.lanes.items():
+        lane.is_configured = target in targets
+
+
+def _update_chains(state: RouterState, now_s: float) -> None:
+    layers = {name: model.layers for name, model in state.config.models.items()}
+    upstreams = tuple(state.upstreams.values())
+    state.chains.update_fleet(upstreams, state.config.links, layers, now_s)
+
+
+def _configure_limits(state: RouterState) -> None:
+    hosts = max(1, state.live_hosts, state.expected_hosts)
+    state.limits.configure(state.config.workspaces, hosts)
+    for lane in state.lanes.values():
+        lane.queue.configure(state.config.ranks)
--- a/persimmonwell/core/router/_failures.py
+++ b/persimmonwell/core/router/_failures.py
@@ -47,10 +47,15 @@
 def _suspect_digests(
     state: RouterState, active: Active, upstream_id: str, now_s: float
 ) -> None:
-    digests = state.table.digests_on(upstream_id) | {active.work.digest}
+    running = (*state.table.running_on(upstream_id), active)
+    digests = frozenset(other.work.digest for other in running)
+    fresh = frozenset(
+        other.work.digest for other in running if other.first_token_s is None
+    )
     upstream = state.upstreams.get(upstream_id)
+    is_new = state.quarantine.lost(upstream_id, digests, fresh=fresh, now_s=now_s)
     # A broken connection is not yet a lost upstream; the probe tells.
-    if state.quarantine.lost(upstream_id, digests, now_s) and upstream is not None:
+    if is_new and upstream is not None:
         state.emit(Probe(upstream_id, upstream.address))
 
 
--- a/persimmonwell/core/router/_router.py
+++ b/persimmonwell/core/router/_router.py
@@ -5,31 +5,19 @@
 
 import attrs
 
-from persimmonwell._exceptions import NotReadyError
 from persimmonwell.core._types import InflightCount, ModelRequest, Rank
-from persimmonwell.core.admission import AdmissionQueue, LimitShare
-from persimmonwell.core.config import FleetConfig
+from persimmonwell.core.admission import LimitShare
 from persimmonwell.core.retry import Blame
 from persimmonwell.core.router import _events as ev
-from persimmonwell.core.router._active import Active, Phase
+from persimmonwell.core.router._active import Active
 from persimmonwell.core.router._admit import arrive, bound_waiting
-from persimmonwell.core.router._decisions import Probe, RouterDecision
+from persimmonwell.core.router._decisions import RouterDecision
 from persimmonwell.core.router._dispatch import dispatch_waiting
-from persimmonwell.core.router._endings import (
-    apply_verdict,
-    cancel,
-    end_request,
-    expire,
-    refuse,
-)
+from persimmonwell.core.router._endings import cancel, end_request, expire
+from persimmonwell.core.router._evidence import apply_evidence
 from persimmonwell.core.router._failures import call_failed, stage_failed
 from persimmonwell.core.router._replicas import ReplicaPool
-from persimmonwell.core.router._state import (
-    Lane,
-    RouterState,
-    model_target,
-    service_target,
-)
+from persimmonwell.core.router._state import RouterState
 from persimmonwell.core.routing import ChainRouter
 
 
@@ -162,49 +150,9 @@
             case ev.ServiceCallFailed():
                 call_failed(state, event, now_s)
             case _:
-                self._apply_evidence(event, now_s)
+                apply_evidence(state, event, now_s)
         return None
 
-    def _apply_evidence(self, event: ev.RouterEvent, now_s: float) -> None:
-        """Apply an event that concerns no single request."""
-        state = self._state
-        match event:
-            case ev.LoadReported(upstream_id, running, queued, age_s):
-                state.chains.load_reported(
-                    upstream_id,
-                    running=running,
-                    queued=queued,
-                    age_s=age_s,
-                    now_s=now_s,
-                )
-                self._unsettle_upstream(upstream_id)
-            case ev.CacheReported(upstream_id, sequence, stored, evicted):
-                state.chains.cache_reported(
-                    upstream_id, sequence=sequence, stored=stored, evicted=evicted
-                )
-            case ev.PeerInflight(host_id, counts):
-                state.chains.peer_inflight(host_id, counts, now_s=now_s)
-                state.unsettle_all()
-            case ev.FleetChanged():
-                self._fleet_changed(event, now_s)
-            case ev.ConfigChanged(config):
-                self._config_changed(config, now_s)
-            case ev.BlameLearned(digest, upstream_id):
-                verdict = state.quarantine.learn(digest, upstream_id, now_s)
-                apply_verdict(state, verdict, now_s)
-            case ev.QuarantineCleared(digest):
-                state.quarantine.clear(digest)
-                state.unsettle_all()
-            case ev.ProbeResult():
-                self._probe_result(event, now_s)
-            case ev.Tick():
-                self._tick(now_s)
-
-    def _unsettle_upstream(self, upstream_id: str) -> None:
-        upstream = self._state.upstreams.get(upstream_id)
-        if upstream is not None:
-            self._state.unsettled.add(model_target(upstream.model))
-
     def _first_token(self, event: ev.FirstToken, now_s: float) -> None:
         state = self._state
         active = state.table.running(event.request_id, event.attempt)
@@ -272,86 +220,3 @@
         )
         end_request(state, active, active.entry.cost_tokens, now_s)
         state.record("finished", active, detail="complete")
-
-    def _probe_result(self, event: ev.ProbeResult, now_s: float) -> None:
-        state = self._state
-        state.chains.probe_result(
-            event.upstream_id,
-            succeeded=event.succeeded,
-            latency_s=event.latency_s,
-            now_s=now_s,
-        )
-        verdict = state.quarantine.resolve(
-            event.upstream_id, lost=not event.succeeded, now_s=now_s
-        )
-        apply_verdict(state, verdict, now_s)
-        self._unsettle_upstream(event.upstream_id)
-
-    def _tick(self, now_s: float) -> None:
-        state = self._state
-        apply_verdict(state, state.quarantine.expire(now_s), now_s)
-        for upstream_id in state.chains.probes_due(now_s):
-            upstream = state.upstreams.get(upstream_id)
-            if upstream is not None:
-                state.emit(Probe(upstream_id, upstream.address))
-        for target, lane in tuple(state.lanes.items()):
-            if lane.requests:
-                state.unsettled.add(target)
-            elif not self._is_configured(target):
-                del state.lanes[target]
-
-    def _fleet_changed(self, event: ev.FleetChanged, now_s: float) -> None:
-        state = self._state
-        before = state.upstreams
-        state.upstreams = {u.upstream_id: u for u in event.upstreams}
-        state.replicas = event.replicas
-        state.live_hosts = event.live_hosts
-        state.pool.update(event.replicas)
-        self._update_chains(now_s)
-        self._configure_limits()
-        for upstream_id in state.quarantine.unconfirmed():
-            old, new = before.get(upstream_id), state.upstreams.get(upstream_id)
-            if new is None or (old is not None and old.incarnation != new.incarnation):
-                verdict = state.quarantine.resolve(upstream_id, lost=True, now_s=now_s)
-                apply_verdict(state, verdict, now_s)
-        state.unsettle_all()
-
-    def _update_chains(self, now_s: float) -> None:
-        state = self._state
-        layers = {name: model.layers for name, model in state.config.models.items()}
-        state.chains.update_fleet(
-            tuple(state.upstreams.values()), state.config.links, layers, now_s
-        )
-
-    def _configure_limits(self) -> None:
-        state = self._state
-        hosts = max(1, state.live_hosts, state.expected_hosts)
-        state.limits.configure(state.config.workspaces, hosts)
-        for lane in state.lanes.values():
-            lane.queue.configure(state.config.ranks)
-
-    def _config_changed(self, config: FleetConfig, now_s: float) -> None:
-        state = self._state
-        state.config = config
-        state.budget.configure(config.retry.ratio)
-        for target in self._configured_targets():
-            if target not in state.lanes:
-                state.lanes[target] = Lane(target, AdmissionQueue(state.limits))
-        self._update_chains(now_s)
-        self._configure_limits()
-        for active in state.table:
-            waits = active.phase is not Phase.RUNNING
-            if waits and not self._is_configured(active.target):
-                reason = f"{active.target} was removed"
-                refuse(state, active, NotReadyError(reason), now_s)
-        state.unsettle_all()
-
-    def _configured_targets(self) -> tuple[str, ...]:
-        config = self._state.config
-        models = (model_target(name) for name in config.models)
-        return (*models, *(service_target(name) for name in config.services))
-
-    def _is_configured(self, target: str) -> bool:
-        kind, _, name = target.partition(":")
-        config = self._state.config
-        return name in (config.models if kind == "model" else config.services)
--- a/persimmonwell/core/router/_state.py
+++ b/persimmonwell/core/router/_state.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from persimmonwell.core._types import Rank, ServiceReplica, Upstream
+from persimmonwell.core._types import Rank, Upstream
 from persimmonwell.core.admission import AdmissionQueue, Limits
 from persimmonwell.core.config import FleetConfig
 from persimmonwell.core.retry import Quarantine, RetryBudget
@@ -28,6 +28,8 @@
     """Ids of the requests that wait for another attempt, oldest first."""
     requests: int = 0
     """Requests of this target that have not ended."""
+    is_configured: bool = True
+    """Whether the configuration still names the target."""
 
     def first_resumes(self, rank: Rank, count: int) -> tuple[str, ...]:
         """Return the ids of the requests to resume next."""
@@ -49,7 +51,6 @@
     config: FleetConfig = FleetConfig()
     live_hosts: int = 1
     upstreams: dict[str, Upstream] = attrs.field(factory=dict)
-    replicas: tuple[ServiceReplica, ...] = ()
     lanes: dict[str, Lane] = attrs.field(factory=dict)
     table: ActiveTable = attrs.field(factory=ActiveTable)
     limits: Limits = attrs.field(factory=Limits)
--- a/tests/core/router/harness.py
+++ b/tests/core/router/harness.py
@@ -1,5 +1,6 @@
 """Drive a router event by event and check what every decision promises."""
 
+from collections import Counter
 from typing import Any
 
 from persimmonwell.core import (
@@ -11,41 +12,19 @@
     ServiceReplica,
     Upstream,
 )
+from persimmonwell.core import router as r
 from persimmonwell.core.config import parse_config
-from persimmonwell.core.router import (
-    AttemptFinished,
-    CancelAttempt,
-    ConfigChanged,
-    Dispatch,
-    DispatchService,
-    FailureKind,
-    FirstToken,
-    FleetChanged,
-    Refuse,
-    RequestArrived,
-    RequestCancelled,
-    Router,
-    RouterDecision,
-    RouterEvent,
-    ServiceCallArrived,
-    ServiceCallFailed,
-    ServiceCallFinished,
-    StageFailed,
-    Tick,
-)
 
-NOT_RUN = (FailureKind.NOT_SENT, FailureKind.BUSY)
-RANK_NAMES = {"urgent": Rank.URGENT, "normal": Rank.NORMAL, "batch": Rank.BATCH}
+K = r.FailureKind
+NOT_RUN = (K.NOT_SENT, K.BUSY)
 
 
 def upstream(name: str, *, slots: int = 2, model: str = "m", **rest: Any) -> Upstream:
-    """Build an upstream that holds the whole model unless layers are given."""
-    values = {"layers": LayerRange(0, 2), "availability_zone": "a", **rest}
-    return Upstream(name, f"{name}:1", model=model, slots=slots, **values)
+    layers = LayerRange(0, 2)
+    return Upstream(name, f"{name}:1", "a", model, layers, slots=slots, **rest)
 
 
 def replica(name: str, zone: str = "a") -> ServiceReplica:
-    """Build a replica of service "s"."""
     return ServiceReplica(name, f"{name}:1", zone, "s")
 
 
@@ -53,160 +32,191 @@
     """Hold a router, its running attempts and the end of each request."""
 
     def __init__(
-        self,
-        *,
-        upstreams: tuple[Upstream, ...] = (),
-        replicas: tuple[ServiceReplica, ...] = (),
-        expected_hosts: int = 1,
-        **document: Any,
+        self, *upstreams: Upstream, replicas: Any = (), hosts: int = 1, **document: Any
     ) -> None:
         self.now_s = 0.0
-        self.router = Router(
-            host_id="h", availability_zone="a", seed=7, expected_hosts=expected_hosts
+        self.router = r.Router(
+            host_id="h", availability_zone="a", seed=7, expected_hosts=hosts
         )
         self.works: dict[str, ModelRequest | ServiceCall] = {}
-        self.running: dict[str, Dispatch | DispatchService] = {}
-        self.possibly_run: dict[str, int] = {}
+        self.running: dict[str, r.Dispatch | r.DispatchService] = {}
+        self.started: dict[str, float] = {}
+        self.possibly_run: Counter[str] = Counter()
         self.ended: dict[str, Outcome | None] = {}
         self.errors: dict[str, str] = {}
-        self.dispatches: list[Dispatch | DispatchService] = []
-        self.decisions: list[RouterDecision] = []
-        base = {
-            "models": {"m": {"layers": 2}, "n": {"layers": 2}},
-            "services": {"s": {}},
-        }
-        base["workspaces"] = {name: {} for name in ("w", "x", "big", "small")}
+        self.failed: list[str] = []
+        self.dispatches: list[r.Dispatch | r.DispatchService] = []
+        self.decisions: list[r.RouterDecision] = []
+        models = {"m": {"layers": 2}, "n": {"layers": 2}}
+        workspaces: Any = {name: {} for name in ("w", "x", "big", "small")}
+        base = {"models": models, "services": {"s": {}}, "workspaces": workspaces}
         self.document = {**base, **document}
-        self.put_config()
+        self.handle(r.ConfigChanged(parse_config(self.document, 1)))
         self.put_fleet(upstreams, replicas)
 
-    def put_config(self, **document: Any) -> None:
-        self.document.update(document)
-        self.handle(ConfigChanged(parse_config(self.document, 1)))
-
-    def put_fleet(
-        self,
-        upstreams: tuple[Upstream, ...],
-        replicas: tuple[ServiceReplica, ...] = (),
-        hosts: int = 1,
-    ) -> None:
-        self.upstreams = upstreams
-        self.replicas = replicas
-        self.handle(FleetChanged(upstreams, replicas, hosts))
+    def put_fleet(self, upstreams: Any, replicas: Any = (), hosts: int = 1) -> None:
+        self.handle(r.FleetChanged(tuple(upstreams), tuple(replicas), hosts))
 
-    def handle(self, event: RouterEvent) -> tuple[RouterDecision, ...]:
+    def handle(self, event: r.RouterEvent) -> tuple[r.RouterDecision, ...]:
         decisions = self.router.handle(event, self.now_s)
         self.decisions += decisions
         for decision in decisions:
             match decision:
-                case Dispatch() | DispatchService():
+                case r.Dispatch() | r.DispatchService():
                     self._dispatched(decision)
-                case Refuse(request_id, error, outcome):
-                    ran = self.possibly_run.get(request_id, 0)
-                    ran += request_id in self.running
+                case r.Refuse(name, error, outcome):
+                    ran = self.possibly_run[name] or name in self.running
                     expected = Outcome.MAY_HAVE_RUN if ran else Outcome.NOT_RUN
                     assert outcome is expected, decision
-                    self.errors[request_id] = error.code
-                    self._end(request_id, outcome)
-                case CancelAttempt(request_id, attempt):
-                    assert self.running[request_id].attempt == attempt
+                    self.errors[name] = error.code
+                    self._check_cancelled(name, decisions)
+                    self._end(name, outcome)
+                case r.CancelAttempt(name, attempt):
+                    assert self.running[name].attempt == attempt
         assert self.router.in_flight == len(self.works) - len(self.ended)
         return decisions
 
-    def _dispatched(self, decision: Dispatch | DispatchService) -> None:
-        request_id = decision.request_id
-        work = self.works[request_id]
-        assert request_id not in self.ended and request_id not in self.running
+    def _check_cancelled(self, name: str, decisions: Any) -> None:
+        attempt = self.running.get(name)
+        if isinstance(attempt, r.Dispatch):
+            cancel = r.CancelAttempt(name, attempt.attempt, attempt.chain)
+            assert cancel in decisions, "an attempt goes on without its request"
+
+    def _dispatched(self, decision: r.Dispatch | r.DispatchService) -> None:
+        name = decision.request_id
+        work = self.works[name]
+        assert name not in self.ended and name not in self.running
         if isinstance(work, ServiceCall) and not work.repeatable:
-            assert not self.possibly_run.get(request_id), "repeated a call"
-        self.running[request_id] = decision
+            assert not self.possibly_run[name], "repeated a call"
+        self.running[name] = decision
+        self.started.setdefault(name, self.now_s)
         self.dispatches.append(decision)
 
-    def _end(self, request_id: str, outcome: Outcome | None) -> None:
-        assert request_id not in self.ended, "two terminal results"
-        self.ended[request_id] = outcome
-        self.running.pop(request_id, None)
-
-    def arrive(self, name: str, **values: Any) -> tuple[RouterDecision, ...]:
-        """Send a model request; unnamed values have small defaults."""
-        fields: dict[str, Any] = {
-            "workspace": "w",
-            "rank": Rank.URGENT,
-            "model": "m",
-            "digest": name,
-            "prompt_tokens": 10,
-            "max_tokens": 10,
-            "deadline_s": self.now_s + 1000,
-            **values,
-        }
-        self.works[name] = ModelRequest(request_id=name, **fields)
-        return self.handle(RequestArrived(self.works[name]))
-
-    def call(self, name: str, **values: Any) -> tuple[RouterDecision, ...]:
-        """Send a service call."""
-        fields: dict[str, Any] = {
-            "workspace": "w",
-            "rank": Rank.URGENT,
-            "service": "s",
-            "digest": name,
-            "deadline_s": self.now_s + 1000,
-            "repeatable": True,
-            **values,
-        }
-        self.works[name] = ServiceCall(request_id=name, **fields)
-        return self.handle(ServiceCallArrived(self.works[name]))
-
-    def first_token(self, name: str) -> tuple[RouterDecision, ...]:
-        return self.handle(FirstToken(name, self.running[name].attempt))
-
-    def finish(
-        self, name: str, tokens: int | None = None
-    ) -> tuple[RouterDecision, ...]:
-        """Complete the running attempt."""
+    def _end(self, name: str, outcome: Outcome | None) -> None:
+        assert name not in self.ended, "two terminal results"
+        self.ended[name] = outcome
+        self.running.pop(name, None)
+
+    def arrive(self, name: str, **values: Any) -> tuple[r.RouterDecision, ...]:
+        fields = {"model": "m", "prompt_tokens": 10, "max_tokens": 10}
+        work = ModelRequest(**self._fields(name, {**fields, **values}))
+        self.works[name] = work
+        return self.handle(r.RequestArrived(work))
+
+    def call(self, name: str, **values: Any) -> tuple[r.RouterDecision, ...]:
+        fields = {"service": "s", "repeatable": True}
+        work = ServiceCall(**self._fields(name, {**fields, **values}))
+        self.works[name] = work
+        return self.handle(r.ServiceCallArrived(work))
+
+    def _fields(self, name: str, values: dict[str, Any]) -> dict[str, Any]:
+        deadline_s = self.now_s + 1000
+        common = {"request_id": name, "digest": name, "deadline_s": deadline_s}
+        return {"workspace": "w", "rank": Rank.URGENT, **common, **values}
+
+    def first_token(self, name: str) -> tuple[r.RouterDecision, ...]:
+        return self.handle(r.FirstToken(name, self.running[name].attempt))
+
+    def finish(self, name: str, **values: Any) -> tuple[r.RouterDecision, ...]:
+        """Complete the running attempt, by default with every token allowed."""
         attempt, work = self.running[name].attempt, self.works[name]
         self._end(name, None)
         if isinstance(work, ServiceCall):
-            return self.handle(ServiceCallFinished(name, attempt))
-        tokens = work.max_tokens if tokens is None else tokens
-        return self.handle(AttemptFinished(name, attempt, tokens))
+            return self.handle(r.ServiceCallFinished(name, attempt))
+        tokens = values.get("tokens", work.max_tokens)
+        return self.handle(r.AttemptFinished(name, attempt, tokens))
 
     def fail(
-        self, name: str, kind: FailureKind = FailureKind.LOST, tokens: int = 0
-    ) -> tuple[RouterDecision, ...]:
+        self, name: str, kind: K = K.LOST, tokens: int = 0
+    ) -> tuple[r.RouterDecision, ...]:
         """Fail the running attempt at its first upstream."""
-        decision = self.running.pop(name)
-        if kind not in NOT_RUN:
-            self.possibly_run[name] = self.possibly_run.get(name, 0) + 1
-        if isinstance(decision, DispatchService):
-            replica_id = decision.replica.replica_id
-            failed = ServiceCallFailed(name, decision.attempt, replica_id, kind)
-            return self.handle(failed)
-        upstream_id = decision.chain.upstream_ids[0]
-        return self.handle(
-            StageFailed(name, decision.attempt, upstream_id, kind, tokens)
-        )
-
-    def cancel(self, name: str) -> tuple[RouterDecision, ...]:
+        place, attempt = self.place(name), self.running.pop(name).attempt
+        self.failed.append(place)
+        self.possibly_run[name] += kind not in NOT_RUN
+        if isinstance(self.works[name], ServiceCall):
+            return self.handle(r.ServiceCallFailed(name, attempt, place, kind))
+        return self.handle(r.StageFailed(name, attempt, place, kind, tokens))
+
+    def cancel(self, name: str) -> tuple[r.RouterDecision, ...]:
         self.ended[name] = None
-        decisions = self.handle(RequestCancelled(name))
+        decisions = self.handle(r.RequestCancelled(name))
+        self._check_cancelled(name, decisions)
         self.running.pop(name, None)
         return decisions
 
-    def tick(self, seconds: float = 0.0) -> tuple[RouterDecision, ...]:
+    def tick(self, seconds: float = 0.0) -> tuple[r.RouterDecision, ...]:
         self.now_s += seconds
-        return self.handle(Tick())
+        return self.handle(r.Tick())
 
     def kill(self, upstream_id: str, tokens: int = 0) -> tuple[str, ...]:
         """Lose an upstream with all its attempts; return the request ids."""
         names = tuple(n for n in self.running if self.place(n) == upstream_id)
         for name in names:
             if name in self.running:
-                self.fail(name, FailureKind.LOST, tokens)
+                self.fail(name, K.LOST, tokens)
         return names
 
     def place(self, name: str) -> str:
         """Return where a request runs, or an empty text."""
         decision = self.running.get(name)
-        if isinstance(decision, Dispatch):
+        if isinstance(decision, r.Dispatch):
             return decision.chain.upstream_ids[0]
         return "" if decision is None else decision.replica.replica_id
+
+    def play(self, script: str) -> None:
+        """Carry out steps such as "arrive a b*3 workspace=x; tick 1; runs a".
+
+        "b*3" stands for b0 b1 b2. The last steps of a script state what holds:
+        the requests that run or were refused, and how many wait.
+        """
+        for step in filter(None, map(str.strip, script.split(";"))):
+            verb, *words = step.split()
+            values = {
+                k: _value(v) for k, _, v in (w.partition("=") for w in words) if v
+            }
+            names = [n for word in words if "=" not in word for n in _expand(word)]
+            match verb:
+                case "arrive" | "call" | "first_token" | "finish" | "cancel":
+                    for name in names:
+                        getattr(self, verb)(name, **values)
+                case "fail":
+                    self.fail(names[0], K(names[1]), int((*names, "0")[2]))
+                case "kill":
+                    self.kill(names[0])
+                case "tick":
+                    self.tick(float(names[0]))
+                case "probe":
+                    place = self.failed[int(names[0])]
+                    self.handle(r.ProbeResult(place, names[1] == "answers", 0.1))
+                case "blame":
+                    self.handle(r.BlameLearned(*names))
+                case "fleet":
+                    self.put_fleet(
+                        [upstream(name, slots=1, **values) for name in names]
+                    )
+                case "remove":
+                    models = {"m": {"layers": 2}}
+                    document = {**self.document, "models": models}
+                    self.handle(r.ConfigChanged(parse_config(document, 2)))
+                case "runs":
+                    assert set(names) == self.running.keys(), step
+                case "refused":
+                    assert set(names) == self.errors.keys(), step
+                case "waiting":
+                    assert self.router.waiting == int(names[0]), step
+                case _:
+                    raise ValueError(step)
+
+    def any_running(self) -> str:
+        return next(iter(self.running))
+
+
+def _expand(word: str) -> list[str]:
+    stem, _, count = word.partition("*")
+    return [f"{stem}{index}" for index in range(int(count))] if count else [word]
+
+
+def _value(text: str) -> Any:
+    if text.upper() in Rank.__members__:
+        return Rank[text.upper()]
+    return float(text) if text[0].isdigit() else {"no": False}.get(text, text)
