Wake only targets with waiting requests, in turns

Cause: the end of a request of a limited workspace, a tick and a peer's report went through the queues of all models, and always in the order of their names, so a workspace at its concurrency limit was served for its first model only. Change: only targets that wait, or where the workspace was held at its limit, are looked at, beginning with another one each time.

--- a/persimmonwell/core/router/_evidence.py
+++ b/persimmonwell/core/router/_evidence.py
@@ -73,10 +73,9 @@
         if upstream is not None:
             state.emit(Probe(upstream_id, upstream.address))
     for target, lane in tuple(state.lanes.items()):
-        if lane.requests:
-            state.unsettled.add(target)
-        elif not lane.is_configured:
+        if not lane.requests and not lane.is_configured:
             del state.lanes[target]
+    state.unsettle_all()
 
 
 def _change_fleet(state: RouterState, event: ev.FleetChanged, now_s: float) -> None:
--- a/tests/core/router/test_properties.py
+++ b/tests/core/router/test_properties.py
@@ -123,6 +123,28 @@
             assert tokens[rank] >= kept - 1e-6
 
 
+@given(costs, st.sampled_from((0.5, 1.0, 3.0)), st.integers(1, 4))
+def test_backlogged_workspaces_share_by_weight(
+    sizes: list[int], weight: float, flood: int
+) -> None:
+    """Guards against a share that depends on how much a workspace asks for."""
+    weights = {"big": 1.0, "small": weight}
+    workspaces = {name: {"weight": value} for name, value in weights.items()}
+    harness = Harness(upstream("u1", slots=1), workspaces=workspaces)
+    for index, size in enumerate(sizes):
+        for copy in range(flood):
+            work = {"prompt_tokens": 0, "max_tokens": size}
+            harness.arrive(f"{index}.{copy}", workspace="big", **work)
+        harness.arrive(f"s{index}", workspace="small", **work)
+    served = dict.fromkeys(weights, 0.0)
+    bound = max(sizes) * (1 + sum(1 / value for value in weights.values()))
+    for _ in range(len(sizes) // 4):
+        work = harness.works[harness.any_running()]
+        served[work.workspace] += work.max_tokens / weights[work.workspace]
+        assert abs(served["big"] - served["small"]) <= bound
+        harness.finish(harness.any_running())
+
+
 def test_unused_floor_is_lent_and_not_saved_up() -> None:
     """Guards against capacity held idle for, or saved up by, an empty rank."""
     ranks = {"normal": {"floor": 0.5}, "batch": {"floor": 0.4}}
--- a/tests/core/router/test_tables.py
+++ b/tests/core/router/test_tables.py
@@ -114,6 +114,8 @@
   runs a z
 a workspace at its limit does not make the target look slow | TWO | one_each
   arrive a*3; tick 1; finish a0; tick 3.5; arrive x*3 workspace=x; refused
+a limit over two models wakes the other one | MODELS | one_each
+  arrive a; arrive b model=n; runs a; finish a; runs b
 two lost upstreams | FOUR | plain
   arrive q; fail q lost; probe 0 fails; tick 3; fail q lost; runs; probe 1 fails;
   refused q
@@ -282,6 +284,15 @@
     assert [harness.place(name) for name in "abc"] == ["r2", "r2", "r1"]
 
 
+def test_targets_take_turns_under_a_common_limit() -> None:
+    """Guards against a limited workspace that is served for one model only."""
+    harness = Harness(*MODELS, **CONFIGS["one_each"])
+    harness.play("arrive a*20; arrive b*20 model=n")
+    for _ in range(20):
+        harness.finish(harness.any_running())
+    assert 7 <= sum(name.startswith("a") for name in harness.started) <= 14
+
+
 def test_bookkeeping_stays_bounded() -> None:
     """Guards against memory that grows with callers that leave the queue."""
     harness = Harness(*ONE)
