--- a/persimmonwell/core/router/_state.py
+++ b/persimmonwell/core/router/_state.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from persimmonwell.core._types import Rank, ServiceReplica, Upstream
+from persimmonwell.core._types import Rank, Upstream
 from persimmonwell.core.admission import AdmissionQueue, Limits
 from persimmonwell.core.config import FleetConfig
 from persimmonwell.core.retry import Quarantine, RetryBudget
@@ -30,6 +30,13 @@
     """Requests of this target that have not ended."""
     uncovered_since_s: float | None = None
     """Since when live upstreams cannot serve the target; None when they can."""
+    is_configured: bool = True
+    """Whether the configuration still names the target."""
+
+    @property
+    def has_waiting(self) -> bool:
+        """Return whether any request waits."""
+        return len(self.queue) > 0 or any(self.resumes.values())
 
     def first_resumes(self, rank: Rank, count: int) -> tuple[str, ...]:
         """Return the ids of the requests to resume next."""
@@ -51,7 +58,6 @@
     config: FleetConfig = FleetConfig()
     live_hosts: int = 1
     upstreams: dict[str, Upstream] = attrs.field(factory=dict)
-    replicas: tuple[ServiceReplica, ...] = ()
     lanes: dict[str, Lane] = attrs.field(factory=dict)
     table: ActiveTable = attrs.field(factory=ActiveTable)
     limits: Limits = attrs.field(factory=Limits)
@@ -61,6 +67,7 @@
     decisions: list[RouterDecision] = attrs.field(factory=list)
     unsettled: set[str] = attrs.field(factory=set)
     """Targets with a change that may let a waiting request start."""
+    turn: int = 0
 
     def emit(self, decision: RouterDecision) -> None:
         """Add a decision to those of the current event."""
@@ -86,8 +93,10 @@
         return 1.0 if settings is None else settings.weight
 
     def unsettle_all(self) -> None:
-        """Look at the queues of all targets after the current event."""
-        self.unsettled.update(self.lanes)
+        """Look at all targets with waiting requests after the current event."""
+        self.unsettled.update(
+            target for target, lane in self.lanes.items() if lane.has_waiting
+        )
 
 
 def model_target(model: str) -> str:
