--- a/persimmonwell/peers/_links.py
+++ b/persimmonwell/peers/_links.py
@@ -31,11 +31,15 @@
 BATCH_FRAMES = 64
 """Frames read from one socket before the others get their turn."""
 ZAP_ENDPOINT = "inproc://zeromq.zap.01"
-HANDSHAKE_FAILURES = (
-    zmq.Event.HANDSHAKE_FAILED_AUTH,
-    zmq.Event.HANDSHAKE_FAILED_PROTOCOL,
-    zmq.Event.HANDSHAKE_FAILED_NO_DETAIL,
-)
+CONNECTION_COUNTS = {
+    zmq.Event.ACCEPTED: "accepted_connections",
+    zmq.Event.HANDSHAKE_SUCCEEDED: "completed_handshakes",
+    zmq.Event.HANDSHAKE_FAILED_AUTH: "refused_handshakes",
+    zmq.Event.HANDSHAKE_FAILED_PROTOCOL: "refused_handshakes",
+    zmq.Event.HANDSHAKE_FAILED_NO_DETAIL: "refused_handshakes",
+}
+"""Input that is no ZeroMQ at all is closed without a failure event; it shows as
+accepted connections beyond the completed handshakes."""
 
 
 @attrs.frozen
@@ -108,7 +112,7 @@
         self._wake_write.setblocking(False)
         self._zap = self._open_zap() if curve is not None else None
         self._router = self._open_router(address)
-        self._monitor = self._router.get_monitor_socket(sum(HANDSHAKE_FAILURES))
+        self._monitor = self._router.get_monitor_socket(sum(CONNECTION_COUNTS))
         self._thread = threading.Thread(target=self._run, daemon=True, name="peers")
 
     @property
@@ -159,7 +163,7 @@
 
     def _open_router(self, address: str) -> "zmq.Socket[bytes]":
         router = self._context.socket(zmq.ROUTER)
-        _bound_queues(router)
+        _set_options(router, address)
         router.setsockopt(zmq.ROUTER_MANDATORY, 1)
         if self._curve is not None:
             router.setsockopt(zmq.CURVE_SERVER, 1)
@@ -170,7 +174,7 @@
 
     def _open_dealer(self, host_id: str, address: str) -> "zmq.Socket[bytes]":
         dealer = self._context.socket(zmq.DEALER)
-        _bound_queues(dealer)
+        _set_options(dealer, address)
         # Messages queue only for a completed connection; older state is useless.
         dealer.setsockopt(zmq.IMMEDIATE, 1)
         dealer.setsockopt(zmq.RECONNECT_IVL, 100)
@@ -213,8 +217,8 @@
         if self._zap is not None and self._zap in ready:
             self._authenticate(self._zap)
         if self._monitor in ready:
-            recv_monitor_message(self._monitor)
-            self._counts["refused_handshakes"] += 1
+            event = zmq.Event(recv_monitor_message(self._monitor)["event"])
+            self._counts[CONNECTION_COUNTS[event]] += 1
         if self._router in ready:
             self._read(self._router, routed=True)
         for link in tuple(self._links.values()):
@@ -329,12 +333,13 @@
                 del self._routes[host_id]
 
 
-def _bound_queues(target: "zmq.Socket[bytes]") -> None:
+def _set_options(target: "zmq.Socket[bytes]", address: str) -> None:
     target.setsockopt(zmq.SNDHWM, HIGH_WATER_MESSAGES)
     target.setsockopt(zmq.RCVHWM, HIGH_WATER_MESSAGES)
     target.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
     target.setsockopt(zmq.LINGER, 0)
-    target.setsockopt(zmq.IPV6, 1)
+    # With IPv6 on, an IPv4 listener reports its address in IPv6 form.
+    target.setsockopt(zmq.IPV6, int(address.startswith("[")))
 
 
 def _user_id(frame: zmq.Frame) -> str:
