Add placement leases with fencing tokens over the leases stream

Cause: orders to engines need one sender per model, also while a holder is paused, an append answer is lost, or clocks run at different rates.

Change: add the lease fold, LeasesState and may_send. A take names the token it supersedes and the offset up to which its writer had folded, so an unread renewal voids it; every record states the holder it was based on, so a host that starts behind a retention cut reaches the same holder. A host appends only after a recent read to the end of the stream, and a holder silent for two TTLs takes anew.

Removing the voided take or halving the watch time fails with two valid leases.

If a cut leaves a single record behind and every host fell behind it, the lease is free only once that record is cut as well.

--- /dev/null
+++ b/persimmonwell/core/leases/__init__.py
@@ -0,0 +1,40 @@
+"""Hold placement leases, and plan and pace orders to engines."""
+
+from persimmonwell.core.leases._events import (
+    AppendLease,
+    LeaseAppendEnded,
+    LeaseDecision,
+    LeaseLost,
+    LeasesEvent,
+    LeasesRead,
+    LeasesTick,
+    LeasesWanted,
+    LeaseTaken,
+)
+from persimmonwell.core.leases._fold import Holder, LeaseFold
+from persimmonwell.core.leases._state import (
+    LEASES_STREAM,
+    Holding,
+    LeaseLimits,
+    LeasesState,
+    may_send,
+)
+
+__all__ = [
+    "LEASES_STREAM",
+    "AppendLease",
+    "Holder",
+    "Holding",
+    "LeaseAppendEnded",
+    "LeaseDecision",
+    "LeaseFold",
+    "LeaseLimits",
+    "LeaseLost",
+    "LeaseTaken",
+    "LeasesEvent",
+    "LeasesRead",
+    "LeasesState",
+    "LeasesTick",
+    "LeasesWanted",
+    "may_send",
+]
