Run the lease, the planner and the orders in the daemon

Cause: leases, plans and orders existed only as core states; engines got no orders.

Change: add the order client, which reads the engine's state back when an answer is lost, and OrdersPart, which holds one lease named placement, plans every plan_interval_s and sends one order at a time. Configuration sections models.<name>.placement and accelerators, settings section orders, operator routes /leases and /orders. The stand-in engine reports layers and adapters and takes lose_orders.

Before an engine's own report replaced the lagging host list, a new lease holder repeated a refused order every 0.1 s and the version change did not end within 15 s.

Conclusion: a version change rolls over two zones with one order per engine, also after the holder closes. One lease serves all models, because engines move between models and compare the tokens of every order they get.

--- a/persimmonwell/core/config/__init__.py
+++ b/persimmonwell/core/config/__init__.py
@@ -16,8 +16,10 @@
     merge_patch,
 )
 from persimmonwell.core.config._model import (
+    AcceleratorConfig,
     FleetConfig,
     ModelConfig,
+    PlacementConfig,
     RankConfig,
     RetryConfig,
     ServiceConfig,
@@ -28,6 +30,7 @@
 
 __all__ = [
     "CONFIG_SCHEMA",
+    "AcceleratorConfig",
     "Accepted",
     "ConfigFold",
     "Conflict",
@@ -38,6 +41,7 @@
     "Invalid",
     "LogRecord",
     "ModelConfig",
+    "PlacementConfig",
     "RankConfig",
     "RetryConfig",
     "ServiceConfig",
--- a/persimmonwell/core/config/_model.py
+++ b/persimmonwell/core/config/_model.py
@@ -14,6 +14,29 @@
 DEFAULT_WAITING_THREADS = {Rank.URGENT: 256, Rank.NORMAL: 96, Rank.BATCH: 64}
 
 
+@attrs.frozen
+class PlacementConfig:
+    """Configure the placement of one model that this system manages."""
+
+    layer_bytes: int
+    """Memory that one layer takes with its share of the KV cache."""
+    tokens_per_s: float = 0.0
+    """Throughput that the placement must allow."""
+    adapters: tuple[str, ...] = ()
+    prefill_share: float = 0.0
+    """Part of the engines of a layer range that serve prefill only."""
+
+
+@attrs.frozen
+class AcceleratorConfig:
+    """Configure one kind of accelerator."""
+
+    name: str
+    memory_bytes: int
+    layer_tokens_per_s: float
+    """Tokens per second through a single layer."""
+
+
 @attrs.frozen
 class ModelConfig:
     """Configure one model."""
@@ -23,6 +46,8 @@
     version: str = "1"
     checks_fencing: bool = False
     """Whether the engines of this model refuse an order with an old token."""
+    placement: PlacementConfig | None = None
+    """None leaves the engines of this model where they are."""
 
 
 @attrs.frozen
@@ -98,6 +123,7 @@
     links: tuple[LinkCapacity, ...] = ()
     retry: RetryConfig = RetryConfig()
     upstreams: Mapping[str, UpstreamOverride] = attrs.field(factory=dict)
+    accelerators: tuple[AcceleratorConfig, ...] = ()
 
     def workspace(self, name: str) -> WorkspaceConfig | None:
         """Return the workspace's configuration or None."""
@@ -121,6 +147,9 @@
         upstreams={
             key: _read_override(key, r) for key, r in root.children("upstreams")
         },
+        accelerators=tuple(
+            _read_accelerator(key, r) for key, r in root.children("accelerators")
+        ),
     )
     root.finish()
     faults.raise_if_any()
@@ -133,11 +162,34 @@
         layers=reader.integer("layers", minimum=1, maximum=10_000),
         version=reader.text("version", "1"),
         checks_fencing=reader.boolean("checks_fencing", False),
+        placement=_read_placement(reader) if reader.has("placement") else None,
     )
     reader.finish()
     return model
 
 
+def _read_placement(model: ObjectReader) -> PlacementConfig:
+    reader = model.child("placement")
+    placement = PlacementConfig(
+        layer_bytes=reader.integer("layer_bytes", minimum=1),
+        tokens_per_s=reader.number("tokens_per_s", 0.0),
+        adapters=reader.texts("adapters"),
+        prefill_share=reader.number("prefill_share", 0.0, maximum=0.9),
+    )
+    reader.finish()
+    return placement
+
+
+def _read_accelerator(name: str, reader: ObjectReader) -> AcceleratorConfig:
+    accelerator = AcceleratorConfig(
+        name=name,
+        memory_bytes=reader.integer("memory_bytes", minimum=1, maximum=10**18),
+        layer_tokens_per_s=reader.number("layer_tokens_per_s", exclusive_minimum=True),
+    )
+    reader.finish()
+    return accelerator
+
+
 def _read_service(name: str, reader: ObjectReader) -> ServiceConfig:
     default = ServiceConfig(name=name)
     methods = reader.texts("repeatable_methods", default.repeatable_methods)
--- a/persimmonwell/core/leases/_orders.py
+++ b/persimmonwell/core/leases/_orders.py
@@ -40,7 +40,7 @@
     order_id: str
     kind: OrderKind
     model: str
-    """Model under whose lease the order is sent."""
+    """Model that the order is for."""
     upstream_id: str
     address: str
     expected: JsonObject
@@ -98,16 +98,18 @@
         """Return the upstreams that have an order of unknown effect."""
         return frozenset(self._open[i].upstream_id for i in self._uncertain)
 
-    def replace(self, model: str, orders: tuple[Order, ...]) -> None:
-        """Replace the open orders of a model by those of a new plan.
+    def clear(self) -> None:
+        """Forget all open orders, as after the loss of the lease."""
+        self._open.clear()
+        self._uncertain.clear()
+        self._not_before_s.clear()
+
+    def replace(self, orders: tuple[Order, ...]) -> None:
+        """Replace the open orders by those of a new plan.
 
         An order of unknown effect stays until its result is known.
         """
-        kept = {
-            i: o
-            for i, o in self._open.items()
-            if o.model != model or i in self._uncertain
-        }
+        kept = {i: o for i, o in self._open.items() if i in self._uncertain}
         self._open = {**kept, **{order.order_id: order for order in orders}}
         self._not_before_s = {
             i: at_s for i, at_s in self._not_before_s.items() if i in self._open
--- a/persimmonwell/daemon/_daemon.py
+++ b/persimmonwell/daemon/_daemon.py
@@ -7,6 +7,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from persimmonwell._exceptions import PlatformUnavailableError
+from persimmonwell.core import Upstream
 from persimmonwell.core.config import FleetConfig
 from persimmonwell.core.control import (
     CONFIG_STREAM,
@@ -31,6 +32,7 @@
 from persimmonwell.daemon._claims_part import ClaimsPart, claim_limits
 from persimmonwell.daemon._control_actor import ControlActor, ControlPort
 from persimmonwell.daemon._operator_service import OperatorService
+from persimmonwell.daemon._orders_part import OrdersPart
 from persimmonwell.daemon._router_actor import (
     TICK_S,
     ActorRouterPort,
@@ -59,6 +61,7 @@
         self._log = part_logger("daemon")
         self._stopping = threading.Event()
         self._config: FleetConfig | None = None
+        self._upstreams: tuple[Upstream, ...] = ()
         self._log_client = LogClient(
             url=settings.platform.log_url, timeout_s=settings.platform.timeout_s
         )
@@ -87,10 +90,18 @@
         self._control = ControlPort(
             ControlActor.start(control, carry_out=self._carry_out_control)
         )
+        incarnation = uuid.uuid4().hex
+        self._orders = OrdersPart(
+            log=self._log_client,
+            settings=settings,
+            incarnation=incarnation,
+            current_config=lambda: self._config,
+            current_upstreams=lambda: self._upstreams,
+        )
         self._claims = ClaimsPart(
             log=self._log_client,
             host_id=settings.host_id,
-            incarnation=uuid.uuid4().hex,
+            incarnation=incarnation,
             limits=claim_limits(settings.platform, settings.expected_hosts),
         )
         self._callers = self._build_caller_server()
@@ -132,6 +143,7 @@
             control=self._control,
             is_draining=self._stopping.is_set,
             claims=self._claims,
+            orders=self._orders,
         )
         return HttpServer(
             address=self._settings.operators.address,
@@ -150,6 +162,7 @@
             thread.start()
             self._threads.append(thread)
         self._claims.start()
+        self._orders.start()
         self._operators.start()
         self._callers.start()
         self._log.info("started, callers at {}", self.caller_address)
@@ -161,6 +174,7 @@
         self._callers.close()
         self._wait_until_idle()
         self._claims.close()
+        self._orders.close()
         self._operators.close()
         for thread in self._threads:
             thread.join()
@@ -192,6 +206,7 @@
                 self._router.tell(ConfigChanged(config))
                 part_logger("config").info("version {} in force", config.version)
             case UpdateFleet(upstreams, replicas, live_hosts):
+                self._upstreams = upstreams
                 self._router.tell(FleetChanged(upstreams, replicas, live_hosts))
             case AppendRecords():
                 self._workers.submit(self._append, decision)
--- a/persimmonwell/daemon/_operator_service.py
+++ b/persimmonwell/daemon/_operator_service.py
@@ -19,6 +19,7 @@
 from persimmonwell.core.control import Control, PatchSubmitted
 from persimmonwell.daemon._claims_part import ClaimsPart
 from persimmonwell.daemon._control_actor import ControlPort
+from persimmonwell.daemon._orders_part import OrdersPart
 from persimmonwell.front import HttpRequest, HttpResponse, error_response, json_response
 from persimmonwell.settings import Settings
 
@@ -36,6 +37,7 @@
     control: ControlPort
     is_draining: Callable[[], bool]
     claims: ClaimsPart
+    orders: OrdersPart
 
     def handle(self, http: HttpRequest) -> HttpResponse:
         """Answer one HTTP request."""
@@ -48,6 +50,8 @@
             ("POST", "/config"): self._apply_patch,
             ("GET", "/hosts"): self._show_hosts,
             ("GET", "/upstreams"): self._show_upstreams,
+            ("GET", "/leases"): self._show_leases,
+            ("GET", "/orders"): self._show_orders,
         }
         route = routes.get((http.method, http.path))
         if http.method == "GET" and http.path.startswith("/claims/"):
@@ -126,6 +130,19 @@
             }
         )
 
+    def _show_leases(self, http: HttpRequest) -> HttpResponse:
+        leases = [attrs.asdict(lease) for lease in self.orders.leases()]
+        return json_response({"leases": leases})
+
+    def _show_orders(self, http: HttpRequest) -> HttpResponse:
+        """Show the orders of this host, which has some while it holds the lease."""
+        book = self.orders.book
+        document = {
+            "open": [attrs.asdict(order) for order in book.open],
+            "recent": [attrs.asdict(settled) for settled in book.recent],
+        }
+        return json_response(document)
+
 
 def _read_patch(body: bytes) -> PatchSubmitted:
     try:
--- a/persimmonwell/settings/_settings.py
+++ b/persimmonwell/settings/_settings.py
@@ -80,6 +80,19 @@
     longest service timeout it must stay below the log's retention."""
 
 
+@attrs.frozen
+class OrderSettings:
+    """Configure leases and orders to engines; alike on every host."""
+
+    lease_ttl_s: float = 10.0
+    order_timeout_s: float = 3.0
+    """Longest time from the send of an order to its last effect, seconds."""
+    load_interval_s: float = 10.0
+    """Shortest time between two weight loads of the whole fleet, seconds; sets
+    the rate that the weight store sees."""
+    plan_interval_s: float = 2.0
+
+
 @attrs.frozen
 class EngineSettings:
     """Configure connections to engines."""
@@ -111,6 +124,7 @@
     peers: PeerSettings
     platform: PlatformSettings
     engines: EngineSettings = EngineSettings()
+    orders: OrderSettings = OrderSettings()
     log: LogSettings = LogSettings()
     region: str = "default"
     expected_hosts: int = 4
@@ -144,6 +158,7 @@
         peers=_read_peers(root.child("peers")),
         platform=_read_platform(root.child("platform")),
         engines=_read_engines(root.child("engines")),
+        orders=_read_orders(root.child("orders")),
         log=_read_log(root.child("log")),
         expected_hosts=root.integer("expected_hosts", 4, minimum=1),
         drain_timeout_s=root.number("drain_timeout_s", 60.0),
@@ -254,6 +269,25 @@
     return engines
 
 
+def _read_orders(reader: ObjectReader) -> OrderSettings:
+    default = OrderSettings()
+    orders = OrderSettings(
+        lease_ttl_s=reader.number("lease_ttl_s", default.lease_ttl_s, minimum=0.2),
+        order_timeout_s=reader.number(
+            "order_timeout_s", default.order_timeout_s, minimum=0.05
+        ),
+        load_interval_s=reader.number("load_interval_s", default.load_interval_s),
+        plan_interval_s=reader.number(
+            "plan_interval_s", default.plan_interval_s, minimum=0.05
+        ),
+    )
+    # The holder renews after 0.3 of the TTL and an order must fit into the rest.
+    if orders.order_timeout_s > orders.lease_ttl_s / 2:
+        reader.fault("order_timeout_s", "must be at most half of lease_ttl_s")
+    reader.finish()
+    return orders
+
+
 def _read_log(reader: ObjectReader) -> LogSettings:
     levels = ("DEBUG", "INFO", "WARNING", "ERROR")
     log = LogSettings(
--- a/persimmonwell/upstream/__init__.py
+++ b/persimmonwell/upstream/__init__.py
@@ -7,6 +7,7 @@
     EngineClient,
     EngineLoad,
 )
+from persimmonwell.upstream._order_client import OrderAnswer, OrderClient
 from persimmonwell.upstream._service_client import (
     ServiceAnswer,
     ServiceCallError,
@@ -19,6 +20,8 @@
     "EngineCacheEvent",
     "EngineClient",
     "EngineLoad",
+    "OrderAnswer",
+    "OrderClient",
     "ServiceAnswer",
     "ServiceCallError",
     "ServiceClient",
--- /dev/null
+++ b/persimmonwell/upstream/_order_client.py
@@ -0,0 +1,103 @@
+"""Send orders to engines and read their state back."""
+
+import json
+from collections.abc import Callable
+
+import attrs
+import urllib3
+
+from persimmonwell.core._documents import JsonObject, JsonValue
+from persimmonwell.core.leases import Order, OrderResult
+
+READ_TIMEOUT_S = 1.0
+REFUSED_FENCE = 409
+REFUSED_STATE = 412
+
+
+@attrs.frozen
+class OrderAnswer:
+    """Hold what is known after one try of an order."""
+
+    result: OrderResult
+    state: JsonObject | None
+    """State that the engine reported, or None when it is unknown."""
+
+
+class OrderClient:
+    """Hold the connections used for orders."""
+
+    def __init__(self, *, connect_timeout_s: float) -> None:
+        self._connect_timeout_s = connect_timeout_s
+        self._pool = urllib3.PoolManager(num_pools=64, maxsize=2, retries=False)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._pool.clear()
+
+    def send(
+        self,
+        order: Order,
+        fence: int,
+        *,
+        timeout_s: float,
+        may_send: Callable[[], bool],
+    ) -> OrderAnswer:
+        """Send an order if it may still be sent; read back a lost answer."""
+        body = json.dumps(
+            {
+                "order_id": order.order_id,
+                "kind": order.kind.value,
+                "fence": fence,
+                "expected": order.expected,
+                "state": order.target,
+            }
+        ).encode()
+        connect_s = min(self._connect_timeout_s, timeout_s)
+        timeout = urllib3.Timeout(connect=connect_s, total=timeout_s)
+        # The process may have been paused for any time up to here.
+        if not may_send():
+            return OrderAnswer(OrderResult.NOT_SENT, None)
+        try:
+            response = self._pool.request(
+                "POST",
+                f"http://{order.address}/v1/orders",
+                body=body,
+                headers={"Content-Type": "application/json", "Connection": "close"},
+                timeout=timeout,
+            )
+            status, state = response.status, _state_in(json.loads(response.data))
+        except (urllib3.exceptions.HTTPError, OSError, ValueError):
+            return self._read_back(order)
+        if status == REFUSED_FENCE:
+            return OrderAnswer(OrderResult.STALE_FENCE, state)
+        if status == REFUSED_STATE:
+            return OrderAnswer(OrderResult.UNEXPECTED_STATE, state)
+        if status == 200 and state is not None and _shows(state, order.target):
+            return OrderAnswer(OrderResult.APPLIED, state)
+        return self._read_back(order)
+
+    def state(self, address: str) -> JsonObject | None:
+        """Return the state that an engine reports, or None without an answer."""
+        try:
+            response = self._pool.request(
+                "GET", f"http://{address}/v1/state", timeout=READ_TIMEOUT_S
+            )
+            document = json.loads(response.data)
+        except (urllib3.exceptions.HTTPError, OSError, ValueError):
+            return None
+        return document if isinstance(document, dict) else None
+
+    def _read_back(self, order: Order) -> OrderAnswer:
+        state = self.state(order.address)
+        if state is not None and _shows(state, order.target):
+            return OrderAnswer(OrderResult.APPLIED, state)
+        return OrderAnswer(OrderResult.UNKNOWN, state)
+
+
+def _state_in(document: JsonValue) -> JsonObject | None:
+    state = document.get("state") if isinstance(document, dict) else None
+    return state if isinstance(state, dict) else None
+
+
+def _shows(state: JsonObject, target: JsonObject) -> bool:
+    return all(state.get(name) == value for name, value in target.items())
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -40,7 +40,8 @@
     Faults are set over POST /faults: crash_on (text in the prompt that ends the
     process or server), fail_at (token index at which the stream breaks),
     stall_at and stall_s, other_request (answer for another request id),
-    garbage, refuse (status), token_s (time per token).
+    garbage, refuse (status), token_s (time per token), lose_orders (how many
+    order answers are lost after the effect).
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         self.orders: list[Body] = []
         self.cancelled: set[tuple[str, int]] = set()
         self.state: Body = {"model": "", "version": "1", "role": "any"}
+        self.state.update(layers=list(layers), adapters=[])
         self._running = 0
         self._lock = threading.Lock()
         self._exit_on_crash = exit_on_crash
@@ -114,6 +116,10 @@
         self._highest_fence = max(self._highest_fence, fence)
         self.orders.append(body)
         self.state.update(target)
+        self.layers = (self.state["layers"][0], self.state["layers"][1])
+        if self.faults.get("lose_orders"):
+            self.faults["lose_orders"] -= 1
+            return drop_connection()
         return 200, {"state": self.state}
 
     def _generate(self, body: Body, query: dict[str, str]) -> Answer:
--- a/tests/core/leases/test_planner.py
+++ b/tests/core/leases/test_planner.py
@@ -227,14 +227,14 @@
     """Guards against bursts at the weight store and forgotten orders."""
     book = OrderBook(load_interval_s=10.0, retry_s=1.0)
     role = order(3, OrderKind.CHANGE_ROLE)
-    book.replace("a", (order(1), order(2), role))
+    book.replace((order(1), order(2), role))
     assert book.next(0.0) == order(1)
     book.settle(order(1), 7, OrderResult.UNKNOWN, 0.0)
     assert book.busy == {"e1"}
     assert book.next(0.5) == role
     book.settle(role, 7, OrderResult.APPLIED, 0.5)
     assert book.next(9.9) is None and book.next(10.0) == order(1)
-    book.replace("a", (order(4),))
+    book.replace((order(4),))
     assert book.open == (order(1), order(4))
     book.settle(order(1), 7, OrderResult.APPLIED, 10.0)
     assert book.busy == frozenset() and book.next(19.9) is None
--- /dev/null
+++ b/tests/daemon/test_orders.py
@@ -0,0 +1,173 @@
+"""Check leases, plans and orders over real daemons, the log and engines."""
+
+import time
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+from persimmonwell.core import LayerRange, Upstream, UpstreamRole
+from persimmonwell.core.leases import Order, OrderKind, OrderResult
+from persimmonwell.daemon._orders_part import apply_state
+from persimmonwell.upstream import OrderClient
+from standins.engine import Engine
+from tests.fleet import LAYERS, MODEL, SmallFleet, wait_until
+
+PLACEMENT = {"layer_bytes": 1, "tokens_per_s": 1.0}
+ACCELERATORS = {"generic": {"memory_bytes": LAYERS, "layer_tokens_per_s": 8000.0}}
+
+
+class OrderFleet(SmallFleet):
+    """Hold a small fleet whose leases are short."""
+
+    def settings_document(self, zone: str, host_id: str) -> dict[str, Any]:
+        document = super().settings_document(zone, host_id)
+        document["orders"] = {
+            "lease_ttl_s": 1.0,
+            "order_timeout_s": 0.3,
+            "load_interval_s": 0.0,
+            "plan_interval_s": 0.1,
+        }
+        return document
+
+    def manage(self, version: str, base_version: int, **placement: Any) -> None:
+        model = {"version": version, "placement": {**PLACEMENT, **placement}}
+        merge = {"models": {MODEL: model}, "accelerators": ACCELERATORS}
+        self.publish(merge, base_version=base_version)
+
+    def versions(self) -> set[str]:
+        return {engine.state["version"] for engine in self.engines.values()}
+
+    def operator(self, host_id: str, path: str) -> Any:
+        address = self.daemons[host_id].operator_address
+        return self.http.request("GET", f"http://{address}{path}").json()
+
+
+@pytest.fixture
+def orders_fleet() -> Iterator[OrderFleet]:
+    fleet = OrderFleet()
+    fleet.start()
+    yield fleet
+    fleet.close()
+
+
+def test_version_rolls_once_and_survives_the_holder(orders_fleet: OrderFleet) -> None:
+    """Guards against repeated orders, two senders, and orders that end with a host."""
+    fleet = orders_fleet
+    fleet.engines["engine-1"].faults["lose_orders"] = 1
+    time_before = time.monotonic()
+    fleet.manage("2", base_version=1)
+    wait_until(lambda: fleet.versions() == {"2"})
+    assert time.monotonic() - time_before >= 1.3, "the new holder did not wait"
+    sent = [order for engine in fleet.engines.values() for order in engine.orders]
+    assert len(sent) == len(fleet.engines) and len({o["fence"] for o in sent}) == 1
+    views = {h: fleet.operator(h, "/leases")["leases"][0] for h in fleet.daemons}
+    (holder,) = [h for h, view in views.items() if view["held_here"]]
+    assert {view["host"] for view in views.values()} == {holder}
+    recent = fleet.operator(holder, "/orders")["recent"]
+    assert [r["result"] for r in recent] == ["applied"] * 4
+    fleet.daemons.pop(holder).close()
+    fleet.manage("3", base_version=2)
+    wait_until(lambda: fleet.versions() == {"3"})
+    fences = {engine.orders[-1]["fence"] for engine in fleet.engines.values()}
+    assert len(fences) == 1 and fences.pop() > sent[0]["fence"]
+
+
+def test_idle_engine_completes_a_zone_and_gets_adapters(
+    orders_fleet: OrderFleet,
+) -> None:
+    """Guards against a zone left without an engine that could complete it."""
+    fleet = orders_fleet
+    idle = Engine(layers=(0, 1))
+    idle.state["model"] = "idle"
+    idle.start()
+    fleet.engines["idle"] = idle
+    entry = dict(fleet.hosts._entries["engine-2"])
+    fleet.hosts.remove("engine-2")
+    entry.update(id="idle", address=idle.server.address, model="idle")
+    entry["layers"] = {"start": 0, "stop": 1}
+    fleet.hosts.put(entry)
+    fleet.manage("1", base_version=1, adapters=["tone"])
+    wait_until(lambda: idle.state["layers"] == [LAYERS // 2, LAYERS])
+    assert idle.state["model"] == MODEL
+    listed = [e for i, e in fleet.engines.items() if i != "engine-2"]
+    wait_until(lambda: all(e.state["adapters"] == ["tone"] for e in listed))
+
+
+def order_to(engine: Engine, *, version: str = "2", expected: str = "1") -> Order:
+    return Order(
+        order_id="o",
+        kind=OrderKind.LOAD_VERSION,
+        model=MODEL,
+        upstream_id="e",
+        address=engine.server.address,
+        expected={"version": expected},
+        target={"version": version},
+    )
+
+
+@pytest.mark.parametrize(
+    ("faults", "fence", "expected", "allowed", "result", "version"),
+    [
+        ({}, 7, "1", True, OrderResult.APPLIED, "2"),
+        ({"lose_orders": 1}, 7, "1", True, OrderResult.APPLIED, "2"),
+        ({}, 4, "1", True, OrderResult.STALE_FENCE, "1"),
+        ({}, 7, "0", True, OrderResult.UNEXPECTED_STATE, "1"),
+        ({}, 7, "1", False, OrderResult.NOT_SENT, "1"),
+        ({"close": True}, 7, "1", True, OrderResult.UNKNOWN, "1"),
+    ],
+)
+def test_result_of_one_order(
+    faults: dict[str, Any],
+    fence: int,
+    expected: str,
+    allowed: bool,
+    result: OrderResult,
+    version: str,
+) -> None:
+    """Guards against an order whose result is taken for another one."""
+    engine = Engine(layers=(0, 4), checks_fencing=True)
+    engine.start()
+    engine._highest_fence = 5
+    engine.faults.update(faults)
+    client = OrderClient(connect_timeout_s=0.3)
+    order = order_to(engine, expected=expected)
+    if faults.get("close"):
+        engine.close()
+    answer = client.send(order, fence, timeout_s=1.0, may_send=lambda: allowed)
+    assert (answer.result, engine.state["version"]) == (result, version)
+    again = client.send(order, fence, timeout_s=1.0, may_send=lambda: allowed)
+    assert (again.result, engine.state["version"]) == (result, version)
+    client.close()
+    engine.close()
+
+
+@pytest.mark.parametrize(
+    ("state", "model", "version", "layers", "role"),
+    [
+        ({}, "a", "1", (0, 4), "any"),
+        (
+            {"model": "b", "version": "2", "layers": [4, 8], "role": "decode"},
+            "b",
+            "2",
+            (4, 8),
+            "decode",
+        ),
+        (
+            {"model": "", "version": 3, "layers": [4], "role": "x"},
+            "a",
+            "1",
+            (0, 4),
+            "any",
+        ),
+        ({"layers": [4, 4], "role": None}, "a", "1", (0, 4), "any"),
+    ],
+)
+def test_reported_state(
+    state: Any, model: str, version: str, layers: tuple[int, int], role: str
+) -> None:
+    """Guards against an engine's malformed report that stops the orders."""
+    upstream = Upstream("e", "10.0.0.1:80", "z", "a", LayerRange(0, 4))
+    shown = apply_state(upstream, state)
+    assert (shown.model, shown.version) == (model, version)
+    assert (shown.layers, shown.role) == (LayerRange(*layers), UpstreamRole(role))
