--- a/persimmonwell/core/config/__init__.py
+++ b/persimmonwell/core/config/__init__.py
@@ -20,8 +20,10 @@
     entry_to_json,
 )
 from persimmonwell.core.config._model import (
+    AcceleratorConfig,
     FleetConfig,
     ModelConfig,
+    PlacementConfig,
     RankConfig,
     RetryConfig,
     ServiceConfig,
@@ -42,6 +44,7 @@
 )
 
 __all__ = [
+    "AcceleratorConfig",
     "Accepted",
     "CONFIG_SCHEMA",
     "ConfigFold",
@@ -55,6 +58,7 @@
     "LogRecord",
     "ModelConfig",
     "PatchResult",
+    "PlacementConfig",
     "RankConfig",
     "RecentRecords",
     "RetryConfig",
--- a/persimmonwell/daemon/_daemon.py
+++ b/persimmonwell/daemon/_daemon.py
@@ -7,6 +7,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from persimmonwell._exceptions import PersimmonwellError, PlatformUnavailableError
+from persimmonwell.core import Upstream
 from persimmonwell.core.config import FleetConfig
 from persimmonwell.core.control import (
     CONFIG_STREAM,
@@ -45,6 +46,8 @@
     claims_view,
     limits_view,
 )
+from persimmonwell.daemon._orders_part import OrdersPart
+from persimmonwell.daemon._orders_routes import orders_routes
 from persimmonwell.daemon._peer_loop import PeerLoop
 from persimmonwell.daemon._request_observer import RequestObserver
 from persimmonwell.daemon._router_actor import (
@@ -96,6 +99,7 @@
         self._draining = threading.Event()
         self._stopping = threading.Event()
         self._config: FleetConfig | None = None
+        self._upstreams: tuple[Upstream, ...] = ()
         self._log_client = LogClient(
             url=settings.platform.log_url, timeout_s=settings.platform.timeout_s
         )
@@ -153,10 +157,18 @@
         self._control = ControlPort(
             ControlActor.start(control, carry_out=self._carry_out_control)
         )
+        incarnation = uuid.uuid4().hex
+        self._orders = OrdersPart(
+            log=self._log_client,
+            settings=settings,
+            incarnation=incarnation,
+            current_config=lambda: self._config,
+            current_upstreams=lambda: self._upstreams,
+        )
         self._claims = ClaimsPart(
             log=self._log_client,
             host_id=settings.host_id,
-            incarnation=uuid.uuid4().hex,
+            incarnation=incarnation,
             limits=claim_limits(settings.platform, settings.expected_hosts),
         )
         self._callers = self._build_caller_server()
@@ -251,6 +263,7 @@
                     host_id=host_id, quarantine=QuarantineView(self._router, control)
                 ),
                 *claims_routes(host_id=host_id, find=claims_view(self._claims.find)),
+                *orders_routes(host_id=host_id, orders=self._orders),
                 *timeline_routes(self._recorder),
                 *metrics_routes(self._render_metrics),
             ),
@@ -306,6 +319,7 @@
             self._threads.append(thread)
         self._monitor.start()
         self._claims.start()
+        self._orders.start()
         self._operators.start()
         self._log.info("operators' port open at {}", self.operator_address)
         self._callers.start()
@@ -323,6 +337,7 @@
         self._claims.close()
         self._stopping.set()
         self._monitor.close()
+        self._orders.close()
         self._operators.close()
         self._log.info("operators' port closed")
         for thread in self._threads:
@@ -367,6 +382,7 @@
                 part_logger("config").info("version {} in force", config.version)
             case UpdateFleet(upstreams, replicas, live_hosts):
                 self._monitor.update_fleet(upstreams)
+                self._upstreams = upstreams
                 self._router.tell(FleetChanged(upstreams, replicas, live_hosts))
             case AppendRecords():
                 self._workers.submit(self._append, decision)
