--- a/persimmonwell/core/leases/_planner.py
+++ b/persimmonwell/core/leases/_planner.py
@@ -116,6 +116,18 @@
     return tuple(draft.orders)
 
 
+@attrs.define
+class _Memo:
+    """Keep what was derived since the last order; without it the cost of a plan
+    grows with the square of the number of engines."""
+
+    serving: dict[tuple[str, str | None], list[Upstream]] = attrs.field(factory=dict)
+    holding: dict[tuple[str, str | None], list[Upstream]] = attrs.field(factory=dict)
+    chained: dict[tuple[str, str | None], bool] = attrs.field(factory=dict)
+    rates: dict[str, list[float]] = attrs.field(factory=dict)
+    movable: dict[str, bool] = attrs.field(factory=dict)
+
+
 class _Draft:
     """Hold one plan while it is made."""
 
@@ -140,6 +152,7 @@
         }
         self._planned = {i: p.upstream for i, p in self._current.items()}
         self._changing = set(busy) & set(self._current)
+        self._memo = _Memo()
 
     @property
     def _full(self) -> bool:
@@ -147,21 +160,42 @@
 
     def _serving(self, model: str, zone: str | None = None) -> list[Upstream]:
         """Return the engines that serve a model while the orders run."""
-        return [
-            p.upstream
-            for i, p in self._current.items()
-            if i not in self._changing
-            and p.upstream.model == model
-            and zone in (None, p.upstream.availability_zone)
-        ]
+        known = self._memo.serving.get((model, zone))
+        if known is None:
+            upstreams = (
+                [p.upstream for p in self._current.values()]
+                if zone is None
+                else self._serving(model)
+            )
+            known = [
+                u
+                for u in upstreams
+                if u.model == model
+                and u.upstream_id not in self._changing
+                and zone in (None, u.availability_zone)
+            ]
+            self._memo.serving[model, zone] = known
+        return known
 
     def _holding(self, model: str, zone: str | None = None) -> list[Upstream]:
         """Return the engines that hold a model once the orders are done."""
-        return [
-            u
-            for u in self._planned.values()
-            if u.model == model and zone in (None, u.availability_zone)
-        ]
+        known = self._memo.holding.get((model, zone))
+        if known is None:
+            upstreams = self._planned.values() if zone is None else self._holding(model)
+            known = [
+                u
+                for u in upstreams
+                if u.model == model and zone in (None, u.availability_zone)
+            ]
+            self._memo.holding[model, zone] = known
+        return known
+
+    def _serves(self, model: str, zone: str | None, layers: int) -> bool:
+        known = self._memo.chained.get((model, zone))
+        if known is None:
+            known = self._chained(self._serving(model, zone), layers)
+            self._memo.chained[model, zone] = known
+        return known
 
     def _chained(self, upstreams: list[Upstream], layers: int) -> bool:
         """Return whether both phases of generation are served."""
@@ -182,7 +216,7 @@
         zone = upstream.availability_zone
         return not (
             keep_zone
-            and self._chained(self._serving(upstream.model, zone), demand.layers)
+            and self._serves(upstream.model, zone, demand.layers)
             and not self._rest_is_chained(upstream, zone, demand.layers)
         )
 
@@ -195,16 +229,31 @@
 
     def _may_move(self, upstream: Upstream) -> bool:
         """Return whether the engine can serve another model instead."""
+        known = self._memo.movable.get(upstream.upstream_id)
+        if known is None:
+            known = self._is_surplus(upstream)
+            self._memo.movable[upstream.upstream_id] = known
+        return known
+
+    def _is_surplus(self, upstream: Upstream) -> bool:
         if upstream.upstream_id in self._changing:
             return False
         if upstream.model == IDLE_MODEL:
             return True
         demand = self._demand.get(upstream.model)
-        if demand is None or not self._may_pause(upstream, keep_zone=True):
+        if demand is None:
             return False
-        rest = [u for u in self._serving(upstream.model) if u != upstream]
+        rates = self._memo.rates.get(upstream.model)
+        if rates is None:
+            rates = _layer_rates(self._serving(upstream.model), demand.layers)
+            self._memo.rates[upstream.model] = rates
         needed = demand.tokens_per_s * self._limits.headroom
-        return throughput(rest, demand.layers) >= needed
+        held = _layers_of(upstream)
+        rest = (
+            rate - upstream.tokens_per_s if layer in held else rate
+            for layer, rate in enumerate(rates)
+        )
+        return min(rest) >= needed and self._may_pause(upstream, keep_zone=True)
 
     def _give(
         self,
@@ -215,6 +264,7 @@
     ) -> None:
         expected, target = states
         upstream_id = planned.upstream_id
+        self._memo = _Memo()
         self._planned[upstream_id] = planned
         self._changing.add(upstream_id)
         self.orders.append(
@@ -282,6 +332,8 @@
         """Complete the model once overall, then in each zone that can."""
         zones = sorted({u.availability_zone for u in self._planned.values()})
         for zone in (None, *zones):
+            if self._full:
+                return
             if not self._chained(self._holding(demand.model, zone), demand.layers):
                 self._fill(demand, zone)
 
--- a/persimmonwell/settings/_settings.py
+++ b/persimmonwell/settings/_settings.py
@@ -90,7 +90,7 @@
     load_interval_s: float = 10.0
     """Shortest time between two weight loads of the whole fleet, seconds; sets
     the rate that the weight store sees."""
-    plan_interval_s: float = 2.0
+    plan_interval_s: float = 10.0
 
 
 @attrs.frozen
