Leave nothing running when a port cannot be opened

Cause: the daemon started its loops before its ports. When the callers' port was taken, the operators' port stayed open and its threads kept the process from ending; in the tests the leftover loops wrote into another test's log. Change: ports first, loops after them, and the operators' port is closed when the callers' port cannot be opened. Conclusion: a daemon that cannot start ends with a sentence and status 1.

--- a/persimmonwell/daemon/_daemon.py
+++ b/persimmonwell/daemon/_daemon.py
@@ -215,18 +215,25 @@
         return self._metrics.render(readings, accept=accept)
 
     def start(self) -> None:
-        """Start the loops and open the ports."""
+        """Open the ports and start the loops.
+
+        Raise OSError when a port cannot be opened; nothing is left running then.
+        """
         zone = self._settings.availability_zone
         self._log.info("starting in availability zone {}", zone)
+        self._operators.start()
+        self._log.info("operators' port open at {}", self.operator_address)
+        try:
+            self._callers.start()
+        except OSError:
+            self._operators.close()
+            raise
+        self._log.info("callers' port open at {}", self.caller_address)
         loops = (self._read_config_loop, self._read_hosts_loop, self._tick_loop)
         for loop in loops:
             thread = threading.Thread(target=loop, daemon=True, name=loop.__name__)
             thread.start()
             self._threads.append(thread)
-        self._operators.start()
-        self._log.info("operators' port open at {}", self.operator_address)
-        self._callers.start()
-        self._log.info("callers' port open at {}", self.caller_address)
 
     def close(self) -> None:
         """Stop accepting, finish requests in flight, and release everything."""
--- a/tests/daemon/test_main.py
+++ b/tests/daemon/test_main.py
@@ -39,16 +39,20 @@
 
 def test_failed_start_is_a_sentence(run: Any, capsys: Any) -> None:
     """Guards against a traceback where an operator needs the reason."""
+    before = {thread.name for thread in threading.enumerate()}
     tls = {"certificate": "/none", "key": "/none"}
     with socket.create_server(("127.0.0.1", 0)) as listener:
         taken = f"127.0.0.1:{listener.getsockname()[1]}"
         statuses = (
             run(operators={"address": taken}),
+            run(callers={"address": taken}),
             run(operators={"address": "127.0.0.1:0", "tls": tls}),
             run(operators={}),
         )
     error = capsys.readouterr().err
-    assert statuses == (1, 1, 2) and error.count("cannot start: ") == 2
+    assert statuses == (1, 1, 1, 2) and error.count("cannot start: ") == 3
+    running = {thread.name for thread in threading.enumerate()} - before
+    assert not [name for name in running if "loop" in name]
     assert "/operators/address: is required" in error and "Traceback" not in error
 
 
