--- a/persimmonwell/daemon/_daemon.py
+++ b/persimmonwell/daemon/_daemon.py
@@ -302,9 +302,21 @@
         return self._metrics.render(readings, accept=accept)
 
     def start(self) -> None:
-        """Start the loops and open the ports."""
+        """Open the ports and start the loops.
+
+        Raise OSError when a port cannot be opened; nothing is left running then.
+        """
         zone = self._settings.availability_zone
         self._log.info("starting in availability zone {}", zone)
+        self._operators.start()
+        self._log.info("operators' port open at {}", self.operator_address)
+        try:
+            self._callers.start()
+        except OSError:
+            self._operators.close()
+            raise
+        self._log.info("callers' port open at {}", self.caller_address)
+        self._peers.start()
         loops = (
             self._stream_loop(CONFIG_STREAM),
             self._stream_loop(QUARANTINE_STREAM),
@@ -312,7 +324,6 @@
             self._tick_loop,
             self._peer_loop,
         )
-        self._peers.start()
         for loop in loops:
             thread = threading.Thread(target=loop, daemon=True, name=loop.__name__)
             thread.start()
@@ -320,10 +331,6 @@
         self._monitor.start()
         self._claims.start()
         self._orders.start()
-        self._operators.start()
-        self._log.info("operators' port open at {}", self.operator_address)
-        self._callers.start()
-        self._log.info("callers' port open at {}", self.caller_address)
 
     def close(self) -> None:
         """Stop accepting, finish requests in flight, and release everything."""
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -123,7 +123,8 @@
     """Guards against a key that is undocumented or has another default."""
     link = {"from_zone": "a", "to_zone": "b", "tokens_per_s": 1}
     document: dict[str, Any] = {
-        "models": {"NAME": {"layers": 1}},
+        "models": {"NAME": {"layers": 1, "placement": {"layer_bytes": 1}}},
+        "accelerators": {"NAME": {"memory_bytes": 1, "layer_tokens_per_s": 1}},
         "links": {"NAME": link},
         **{
             section: {"NAME": {}} for section in ("services", "workspaces", "upstreams")
@@ -131,13 +132,19 @@
     }
     config = parse_config(document, 1)
     values = _flatten(config.retry, "retry") | _flatten(config.links[0], "links.NAME")
+    values |= _flatten(config.accelerators[0], "accelerators.NAME")
     for section in ("models", "services", "workspaces", "upstreams"):
         values |= _flatten(getattr(config, section)["NAME"], f"{section}.NAME")
     for rank in Rank:
         values |= _flatten(config.ranks[rank], f"ranks.{rank.name.lower()}")
     named = (".name", ".rank", ".upstream_id")
     values = {n: v for n, v in values.items() if not n.endswith(named)}
-    empty = {"models": {"NAME": {}}, "links": {"NAME": {}}}
+    bare = {"NAME": {}}
+    empty = {
+        "models": {"NAME": {"placement": {}}},
+        "accelerators": bare,
+        "links": bare,
+    }
     required = _faults(parse_config, empty, 1)
     expected = {n: REQUIRED if n in required else _shown(v) for n, v in values.items()}
     assert {n: row[1] for n, row in _table("Configuration").items()} == expected
