Round shared free slots at random only

Cause: each of four hosts took at least one slot wherever one was free, so a single free slot was taken four times and requests waited inside engines; seen by splitting the time to first token into queue, engine and prefill. Change: the part of a host is rounded at random, with no minimum of one.

--- a/persimmonwell/core/routing/_inflight.py
+++ b/persimmonwell/core/routing/_inflight.py
@@ -58,14 +58,13 @@
 
         Of the slots that were free at the last count each host takes its part, or
         gives up its part of an excess: hosts that all took every free slot would
-        overfill the upstream until the next report, and drain it after. One free
-        slot is open to all, and so is an equal share of the slots while none
-        queues, so that a host that starts late is not shut out.
+        overfill the upstream until the next report, and drain it after. Parts of a
+        slot are rounded at random, so that the hosts together take as many as were
+        free. An equal share of the slots is open to each host while none queues, so
+        that a host that starts late is not shut out.
         """
         free_then = limit - self.own_then - self.others
         part = math.floor(free_then / hosts + self.rounding)
-        if free_then > 0:
-            part = max(1, part)
         allowed = self.own_then + part
         if not self.reported_queued:
             allowed = max(allowed, limit // hosts)
