--- a/tests/daemon/test_claims.py
+++ b/tests/daemon/test_claims.py
@@ -1,11 +1,18 @@
 """Check at-most-once calls over real daemons, the log and a booking service."""
 
+import math
+import queue
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
+from unittest.mock import Mock
 
 import pytest
 
-from tests.fleet import SmallFleet, wait_until
+from persimmonwell.core import ServiceReplica
+from persimmonwell.core.config import parse_config
+from persimmonwell.core.router import DispatchService
+from persimmonwell.front import CallerService, ClaimVerdict, HttpRequest
+from tests.fleet import BASE_DOCUMENT, SmallFleet, wait_until
 
 PATH = "/services/booking/lanes"
 
@@ -122,3 +129,34 @@
     daemon.close()
     kinds = [r["type"] for r in fleet.log.records("claims")]
     assert kinds == ["claim", "result"]
+
+
+@pytest.mark.parametrize(
+    ("send_before_s", "recorded"),
+    [(0.0, None), (math.inf, "may-have-run")],
+)
+def test_call_that_ends_without_an_answer(
+    send_before_s: float, recorded: str | None
+) -> None:
+    """Guards against a send after a pause, and a claim left open by a fault."""
+    replica = ServiceReplica("r", "127.0.0.1:1", "z", "booking")
+    mailbox: Any = queue.SimpleQueue()
+    mailbox.put(DispatchService("", 1, replica))
+    router, claims, services = Mock(), Mock(), Mock()
+    router.submit.return_value = mailbox
+    claims.settle.return_value = ClaimVerdict("c", send_before_s)
+    services.call.side_effect = RuntimeError
+    config = parse_config(BASE_DOCUMENT, 1)
+    service = CallerService(router, Mock(), services, lambda: config, claims)
+    headers = {"idempotency-key": "k", "persimmonwell-workspace": "range-a"}
+    http = HttpRequest("POST", PATH, "", headers, b"{}")
+    if recorded is None:
+        response = service.handle(http)
+        assert dict(response.headers)["Persimmonwell-Outcome"] == "not-run"
+        assert not services.call.called
+    else:
+        with pytest.raises(RuntimeError):
+            service.handle(http)
+    ((claim_id, answer),) = [call.args for call in claims.finish.call_args_list]
+    told = None if answer is None else dict(answer.headers)["Persimmonwell-Outcome"]
+    assert (claim_id, told) == ("c", recorded)
