Keep shutdown and look-ups from waiting on stopped claims

Cause: close and the operators' look-up waited without limit for the claims thread.

Change: both give up after 2 s. A property test folds malformed claim records.

--- a/persimmonwell/daemon/_claims_part.py
+++ b/persimmonwell/daemon/_claims_part.py
@@ -10,6 +10,7 @@
 
 from persimmonwell._exceptions import (
     ClaimsUnavailableError,
+    NotReadyError,
     PlatformUnavailableError,
     ResultNotKeptError,
 )
@@ -51,6 +52,9 @@
 READ_RETRY_S = 0.2
 VERDICT_GRACE_S = 5.0
 """Wait past the deadline for the state's own refusal, seconds."""
+INSPECT_S = 2.0
+"""Longest wait for a look-up by an operator, seconds."""
+FLUSH_POLL_S = 0.01
 FLUSH_S = 5.0
 """Longest wait at close until results and withdrawals are appended, seconds."""
 LOCAL_HEADERS = frozenset({OUTCOME_HEADER.lower(), REQUEST_ID_HEADER.lower()})
@@ -123,12 +127,7 @@
 
     def close(self) -> None:
         """Append what is owed, within a limit, and stop."""
-        limit_s = time.monotonic() + FLUSH_S
-        while time.monotonic() < limit_s:
-            if self.inspect(lambda state: state.idle):
-                break
-            time.sleep(0.01)
-        else:
+        if not self._flush():
             part_logger("claims").warning("closed with records that were not appended")
         self._stopping.set()
         self._appends.put(None)
@@ -136,6 +135,17 @@
         for thread in self._threads:
             thread.join()
 
+    def _flush(self) -> bool:
+        limit_s = time.monotonic() + FLUSH_S
+        while time.monotonic() < limit_s:
+            try:
+                if self.inspect(lambda state: state.idle):
+                    return True
+            except NotReadyError:
+                return False
+            time.sleep(FLUSH_POLL_S)
+        return False
+
     def settle(self, parsed: ParsedServiceCall) -> ClaimVerdict:
         """Claim the call's key and wait until it is settled."""
         call = parsed.call
@@ -168,10 +178,13 @@
         return self.inspect(lambda state: state.fold.winner(key))
 
     def inspect(self, read: Callable[[ClaimsState], T]) -> T:
-        """Return what a function reads from the claims state."""
+        """Return what a function reads; raise NotReadyError without an answer."""
         answers: queue.SimpleQueue[T] = queue.SimpleQueue()
         self._inbox.put(_Call(lambda: answers.put(read(self._state))))
-        return answers.get()
+        try:
+            return answers.get(timeout=INSPECT_S)
+        except queue.Empty as error:
+            raise NotReadyError("claims do not answer") from error
 
     def _abandon(self, request_id: str, mailbox: "queue.SimpleQueue[Verdict]") -> None:
         """Withdraw the claim of a request whose thread has left."""
--- a/tests/core/claims/test_claims.py
+++ b/tests/core/claims/test_claims.py
@@ -350,3 +350,24 @@
         assert winner is not None and winner.claim_id == "c"
         fold.read(3, ())
         assert fold.key_count == 0
+
+
+JSON = st.recursive(
+    st.none() | st.integers() | st.text(max_size=3),
+    lambda inner: st.lists(inner, max_size=3),
+)
+NAMES = "type claim_id workspace service key digest host incarnation status outcome"
+GARBAGE = st.dictionaries(
+    st.sampled_from((*NAMES.split(), "headers", "body", "body_base64")),
+    JSON | st.sampled_from(("claim", "result", "released", "complete", "c")),
+)
+
+
+@given(st.lists(GARBAGE, max_size=12))
+def test_malformed_records_are_skipped(log: Any) -> None:
+    """Guards against a record that stops the fold of every host."""
+    fold = cl.ClaimFold()
+    change = fold.read(0, [LogRecord(o, data) for o, data in enumerate(log)])
+    assert fold.next_offset == len(log)
+    for key in change.keys:
+        fold.winner(key)
