Take progress as evidence of token gaps

Cause: a slow stage showed only when its requests ended. Change: the time between two progress reports of a chain with one request gives a gap. Conclusion: helps where callers report progress often; the request thread must do so for the gain to show.

--- a/bench/routing_cost.py
+++ b/bench/routing_cost.py
@@ -38,6 +38,8 @@
 """Between the starts of two hosts; before the first report and peer counts each
 host takes itself for the only one."""
 CHOICES = 4000
+PROGRESS_TOKENS = 8
+"""Generated between two progress reports of one request."""
 
 
 def fleet(
@@ -258,6 +260,9 @@
             router = self._routers[running.host]
             router.first_token(running.chain, latency_s=latency_s, now_s=now_s)
         if running.left:
+            if running.left % PROGRESS_TOKENS == 0:
+                router = self._routers[running.host]
+                router.progressed(running.chain, tokens=PROGRESS_TOKENS, now_s=now_s)
             self._serve(running, now_s)
         else:
             self._finish(running, now_s)
--- a/persimmonwell/core/routing/_chains.py
+++ b/persimmonwell/core/routing/_chains.py
@@ -312,8 +312,13 @@
         self._recount(chain.upstream_ids)
 
     def progressed(self, chain: Chain, *, tokens: int, now_s: float) -> None:
-        """Take generated tokens off the backlog."""
-        self._inflight.progressed(chain, tokens=tokens)
+        """Take generated tokens off the backlog.
+
+        Their gap is evidence long before the end of a request on a slow stage.
+        """
+        gap_s = self._inflight.progressed(chain, tokens=tokens, now_s=now_s)
+        if gap_s is not None:
+            self.token_gap(chain, gap_s=gap_s, now_s=now_s)
 
     def finished(self, chain: Chain, *, now_s: float) -> None:
         """Stop counting a request that finished, failed or was cancelled."""
--- a/persimmonwell/core/routing/_inflight.py
+++ b/persimmonwell/core/routing/_inflight.py
@@ -95,6 +95,8 @@
 
     requests: int = 0
     tokens: float = 0.0
+    progressed_s: float | None = None
+    """Time of the last progress since the number of requests changed."""
 
 
 @attrs.define(eq=False)
@@ -125,17 +127,27 @@
         """Count a request at every upstream of its chain, once for each."""
         chain_load = self._chains.setdefault(chain.upstream_ids, _ChainLoad())
         chain_load.requests += 1
+        chain_load.progressed_s = None
         chain_load.tokens += tokens
         for upstream_id in set(chain.upstream_ids):
             load = self._loads[upstream_id]
             load.backlog_tokens += tokens
             load.change_own(1, now_s)
 
-    def progressed(self, chain: Chain, *, tokens: int) -> None:
-        """Take generated tokens off the backlog."""
+    def progressed(self, chain: Chain, *, tokens: int, now_s: float) -> float | None:
+        """Take generated tokens off the backlog; return their mean gap, seconds.
+
+        The gap is known from the second progress on, where the chain runs one
+        request only: the calls do not tell the requests of one chain apart.
+        """
         chain_load = self._chains.get(chain.upstream_ids)
-        if chain_load is not None:
-            self._take(chain, chain_load, min(tokens, chain_load.tokens))
+        if chain_load is None or tokens <= 0:
+            return None
+        self._take(chain, chain_load, min(tokens, chain_load.tokens))
+        before_s, chain_load.progressed_s = chain_load.progressed_s, now_s
+        if before_s is None or chain_load.requests != 1:
+            return None
+        return (now_s - before_s) / tokens
 
     def finished(self, chain: Chain, *, now_s: float) -> bool:
         """Stop counting a request; return False when none is in flight there.
@@ -148,6 +160,7 @@
             return False
         self._take(chain, chain_load, chain_load.tokens / chain_load.requests)
         chain_load.requests -= 1
+        chain_load.progressed_s = None
         if not chain_load.requests:
             del self._chains[chain.upstream_ids]
         for upstream_id in set(chain.upstream_ids):
--- a/tests/core/routing/test_chains.py
+++ b/tests/core/routing/test_chains.py
@@ -84,7 +84,7 @@
     assert DECODE not in {by_id[s.upstream_id].role for s in chain.prefill_stages}
 
 
-KINDS = "start start start finish fail report peer tick succeed probe leave slow"
+KINDS = "start start start finish fail report peer tick succeed probe leave slow go"
 STEP = st.tuples(st.sampled_from(KINDS.split()), st.integers(0, 20))
 STEPS = st.lists(STEP, min_size=20, max_size=60)
 
@@ -123,6 +123,8 @@
                 chains.peer_inflight("h", count, now_s=now_s)
             case "slow" if self.running:
                 chains.token_gap(self.running[0], gap_s=number / 2, now_s=now_s)
+            case "go" if self.running:
+                chains.progressed(self.running[0], tokens=number, now_s=now_s)
             case "tick":
                 self.probing += chains.probes_due(now_s)
             case "probe" if self.probing:
--- a/tests/core/routing/test_inflight.py
+++ b/tests/core/routing/test_inflight.py
@@ -42,7 +42,7 @@
                 if known:
                     running.remove(target)
             case "progress":
-                tracker.progressed(target, tokens=amount)
+                tracker.progressed(target, tokens=amount, now_s=now_s)
             case "report":
                 load = {"running": amount, "queued": 0, "age_s": amount / 2}
                 tracker.load_reported(name, **load, now_s=now_s)
@@ -93,6 +93,18 @@
     assert tracker.load("a").total == before + after - ended
 
 
+def test_progress_gives_the_gap_of_a_single_request() -> None:
+    """Guards against a gap mixed from two requests on one chain."""
+    tracker = InflightTracker(seed=1)
+    gaps = []
+    for step, starts in enumerate((1, 0, 0, 1, 0)):
+        for _ in range(starts):
+            tracker.started(chain("a"), tokens=90, now_s=float(step))
+        gaps.append(tracker.progressed(chain("a"), tokens=4, now_s=float(step)))
+    assert gaps == [None, 0.25, 0.25, None, None]
+    assert tracker.load("a").backlog_tokens == 160
+
+
 @given(st.integers(1, 32), st.integers(1, 8), st.data())
 def test_hosts_share_what_a_report_shows(
     slots: int, hosts: int, data: st.DataObject
