Compare first-token latency only beyond what caching explains

Cause: after the health tracker took the second least of eight latencies, up to 21 of 39 healthy upstreams were ejected at saturation with slowness ratios up to 1800: requests with a cached prompt answer in a millisecond and became the norm; prompts of different length were compared as if alike.

--- a/bench/driver.py
+++ b/bench/driver.py
@@ -101,6 +101,7 @@
     links: "list[_Link]" = attrs.field(factory=list)
     held: int = 0
     decoding: bool = False
+    reported_tokens: int = 0
     rate: float = 0.0
     settled_s: float = 0.0
     schedule: int = 0
@@ -261,9 +262,9 @@
     def _report_progress(self) -> None:
         for attempt in list(self._live.values()):
             if attempt.decoding:
-                before = int(attempt.done_tokens)
                 self._settle(attempt)
-                tokens = int(attempt.done_tokens) - before
+                tokens = int(attempt.done_tokens) - attempt.reported_tokens
+                attempt.reported_tokens += tokens
                 self._tell(
                     attempt.host,
                     TokensProgressed(
@@ -389,6 +390,7 @@
             pause_s = self.now_s - since
             result.longest_pause_s = max(result.longest_pause_s, pause_s)
         attempt.decoding = True
+        attempt.reported_tokens = int(attempt.done_tokens)
         attempt.done_tokens += 1
         attempt.settled_s = self.now_s
         self._tell(attempt.host, FirstToken(attempt.request.request_id, attempt.number))
--- a/bench/routing_cost.py
+++ b/bench/routing_cost.py
@@ -101,6 +101,7 @@
     left: int
     started_s: float
     tokens: int
+    prompt_tokens: int
     first_s: float | None = None
     stage: int = 0
     on_link: bool = False
@@ -209,7 +210,8 @@
         for stage in chain.stages:
             self._running[stage.upstream_id] += 1
         tokens = wanted.max_tokens
-        self._serve(_Running(host, chain, tokens, now_s, tokens), now_s)
+        running = _Running(host, chain, tokens, now_s, tokens, wanted.prompt_tokens)
+        self._serve(running, now_s)
         return True
 
     def _serve(self, running: _Running, now_s: float) -> None:
@@ -258,7 +260,12 @@
             running.first_s = now_s
             latency_s = now_s - running.started_s
             router = self._routers[running.host]
-            router.first_token(running.chain, latency_s=latency_s, now_s=now_s)
+            router.first_token(
+                running.chain,
+                latency_s=latency_s,
+                prompt_tokens=running.prompt_tokens,
+                now_s=now_s,
+            )
         if running.left:
             if running.left % PROGRESS_TOKENS == 0:
                 router = self._routers[running.host]
--- a/persimmonwell/core/router/_router.py
+++ b/persimmonwell/core/router/_router.py
@@ -165,7 +165,14 @@
             return
         active.first_token_s = now_s
         latency_s = max(0.0, now_s - active.sent_s)
-        state.chains.first_token(active.chain, latency_s=latency_s, now_s=now_s)
+        # Less urgent requests may wait inside a busy engine, which is no slowness.
+        if isinstance(active.work, ModelRequest) and active.rank is Rank.URGENT:
+            state.chains.first_token(
+                active.chain,
+                latency_s=latency_s,
+                prompt_tokens=active.work.prompt_tokens + active.tokens,
+                now_s=now_s,
+            )
         state.quarantine.progressed(
             active.request_id, active.work.digest, active.upstream_ids
         )
--- a/persimmonwell/core/routing/_chains.py
+++ b/persimmonwell/core/routing/_chains.py
@@ -26,6 +26,8 @@
 CANDIDATES = 3
 """Chains compared: one in the zone, one over cached prefixes if any, and the rest
 drawn from the flow."""
+PREFILL_SPEEDUP = 10.0
+"""Prompt tokens that an engine prefills at least in the time of one decode step."""
 MAX_PREFERRED = 8
 """Upstreams with the longest cached prefix that one choice considers."""
 MAX_PREFIX_ENTRIES = 50_000
@@ -390,13 +392,15 @@
 
     # Health
 
-    def first_token(self, chain: Chain, *, latency_s: float, now_s: float) -> None:
+    def first_token(
+        self, chain: Chain, *, latency_s: float, prompt_tokens: int, now_s: float
+    ) -> None:
         """Take a time to first token as evidence about the prefill stages."""
         members = self._known(chain.prefill_stages or chain.stages)
-        if members:
-            slowest = min(m.upstream.tokens_per_s for m in members)
+        if members and prompt_tokens > 0:
+            token_s = max(_full_gap_s(m) for m in members) / PREFILL_SPEEDUP
             ids = [m.upstream_id for m in members]
-            self._health.first_token(ids, latency_s * slowest)
+            self._health.first_token(ids, latency_s / (token_s * prompt_tokens))
 
     def token_gap(self, chain: Chain, *, gap_s: float, now_s: float) -> None:
         """Take a mean inter-token latency as evidence about stages and links."""
--- a/persimmonwell/core/routing/_health.py
+++ b/persimmonwell/core/routing/_health.py
@@ -26,6 +26,12 @@
 EJECT_RATIO = 8.0
 MIN_SLOW_GAP = 1.5
 """In units of the gap that the declared throughput gives for a full batch."""
+MIN_SLOW_FIRST_TOKEN = 1.5
+"""In units of the prefill time that the declared throughput suggests for the whole
+prompt. Peers whose caches hold the prompt answer up to a thousand times sooner, so
+the relation to them alone would make outliers of all others."""
+LEAST_MEDIAN = 0.5
+"""Below it the peers' latency says that they cached or idled, not what is normal."""
 WINDOW_SAMPLES = 8
 STABLE_S = 30.0
 """In service for this long, an upstream's earlier ejections no longer count."""
@@ -294,8 +300,11 @@
         gaps = _ratios({k: r.gap for k, r in records.items()})
         changed: set[str] = set()
         for key, record in records.items():
-            gap = gaps.get(key, 1.0) if record.gap.value > MIN_SLOW_GAP else 1.0
-            ratio = max(first.get(key, 1.0), gap)
+            ratio = 1.0
+            if record.gap.value > MIN_SLOW_GAP:
+                ratio = gaps.get(key, 1.0)
+            if record.first_token.value > MIN_SLOW_FIRST_TOKEN:
+                ratio = max(ratio, first.get(key, 1.0))
             limit = RECOVERED_RATIO if record.slowness > 1.0 else SLOW_RATIO
             slowness = ratio if ratio > limit else 1.0
             if slowness != record.slowness:
@@ -315,4 +324,4 @@
     if len(known) < 2:
         return {}
     median = sorted(known.values())[(len(known) - 1) // 2]
-    return {key: value / max(median, 1e-9) for key, value in known.items()}
+    return {key: value / max(median, LEAST_MEDIAN) for key, value in known.items()}
--- a/tests/core/routing/test_chains.py
+++ b/tests/core/routing/test_chains.py
@@ -107,7 +107,7 @@
                 self.start(frozenset({name} if number % 2 else ()))
             case "finish" if self.running:
                 done = self.running.pop(number % len(self.running))
-                chains.first_token(done, latency_s=0.1, now_s=now_s)
+                chains.first_token(done, latency_s=0.1, prompt_tokens=20, now_s=now_s)
                 chains.finished(done, now_s=now_s)
             case "fail":
                 for _ in range(3):
