Record claims, leases and orders, and share one hybrid clock

Cause: Claims, leases and orders left no event in the timeline, refused claims no metric, hosts did not exchange clock stamps, and neither attempts nor in-flight counts reached the control state. Change: The claims and orders parts take the recorder; heartbeats carry a stamp of two bounded integers that the peer loop sets and observes; EvidenceFeed reports at most one result per upstream, kind and 0.5 s; the peer loop reads in-flight counts from the router. Operator routes and metric readings moved to _operator_wiring.py. The tool has the commands leases and orders. A daemon without the stamp field refuses heartbeats of one with it, so both builds cannot be mixed.

--- a/persimmonwell/cli/_commands.py
+++ b/persimmonwell/cli/_commands.py
@@ -18,7 +18,9 @@
 from persimmonwell.cli._settings_command import CheckSettingsCommand
 from persimmonwell.cli._state_commands import (
     ClaimsShowCommand,
+    LeasesCommand,
     LimitsCommand,
+    OrdersCommand,
     QuarantineClearCommand,
     QuarantineListCommand,
 )
@@ -34,7 +36,9 @@
     DrainHostCommand,
     DrainUpstreamCommand,
     HostsCommand,
+    LeasesCommand,
     LimitsCommand,
+    OrdersCommand,
     QuarantineClearCommand,
     QuarantineListCommand,
     SendCommand,
--- a/persimmonwell/cli/_state_commands.py
+++ b/persimmonwell/cli/_state_commands.py
@@ -1,4 +1,4 @@
-"""Define the commands for limits, quarantine and claims."""
+"""Define the commands for limits, quarantine, claims, leases and orders."""
 
 from typing import ClassVar
 from urllib.parse import quote
@@ -126,3 +126,61 @@
             row = [document.get(n) for n in ("state", "host", "offset", "status")]
             self.printer.table(("STATE", "HOST", "OFFSET", "STATUS"), [row])
         return EXIT_OK
+
+
+class LeasesCommand(FleetCommand):
+    """Show the leases."""
+
+    name = "leases"
+    description = "Show who holds each lease, as each host asked knows it."
+    help = help_text(
+        "Print the holder, its fencing token and the time left on the holder's clock.",
+        "leases --fleet",
+        "leases --json",
+    )
+    options: ClassVar[list[Option]] = [*connection_options(), *fleet_option()]
+    path = "/leases"
+
+    def show(self, answers: tuple[OperatorAnswer, ...]) -> None:
+        """Print one line for each lease."""
+        columns = {
+            "LEASE": "name",
+            "HOLDER": "host",
+            "FENCE": "fence",
+            "HELD HERE": "held_here",
+            "VALID FOR": "valid_for_s",
+        }
+        rows = [
+            [answer.host, *(row.get(name) for name in columns.values())]
+            for answer in answers
+            for row in rows_of(answer, "leases")
+        ]
+        self.printer.table(("HOST", *columns), rows)
+
+
+class OrdersCommand(FleetCommand):
+    """Show the orders of the lease holder."""
+
+    name = "orders"
+    description = "Show the open and the latest orders of each host asked."
+    help = help_text(
+        "Print the orders to engines; only the holder of the lease has open ones.",
+        "orders --fleet",
+        "orders --json",
+    )
+    options: ClassVar[list[Option]] = [*connection_options(), *fleet_option()]
+    path = "/orders"
+
+    def show(self, answers: tuple[OperatorAnswer, ...]) -> None:
+        """Print one line for each order, open ones first."""
+        names = ("upstream_id", "kind", "model")
+        rows = []
+        for answer in answers:
+            for order in rows_of(answer, "open"):
+                rows.append([answer.host, "open", *(order.get(n) for n in names)])
+            for settled in rows_of(answer, "recent"):
+                sent = settled.get("order")
+                fields = sent if isinstance(sent, dict) else {}
+                cells = [fields.get(name) for name in names]
+                rows.append([answer.host, settled.get("result"), *cells])
+        self.printer.table(("HOST", "STATE", "UPSTREAM", "KIND", "MODEL"), rows)
--- a/persimmonwell/core/control/_gossip.py
+++ b/persimmonwell/core/control/_gossip.py
@@ -14,7 +14,7 @@
 
 HEARTBEAT_SPACING_S = 0.22
 """Added interval per peer: five peers at 1.1 s and about 170 bytes each keep a
-host near 1.6 KB/s, sent and received."""
+host near 1.6 KB/s, sent and received. The clock stamp adds 13 bytes to a frame."""
 TRIGGER_SPACING_S = 0.2
 """Bounds extra rounds when changes come in a burst."""
 REPLY_SPACING_S = 1.0
--- a/persimmonwell/core/membership/_messages.py
+++ b/persimmonwell/core/membership/_messages.py
@@ -6,6 +6,7 @@
 from persimmonwell.core._types import ServiceReplica, Upstream
 from persimmonwell.core.config import LogRecord
 from persimmonwell.core.router import InflightCount
+from persimmonwell.core.timeline import HybridTimestamp
 
 NOT_IN_FORCE = -1
 """Version announced by a host that has no configuration in force."""
@@ -59,6 +60,8 @@
     inflight: tuple[InflightCount, ...] = ()
     notices: tuple[QuarantineNotice, ...] = ()
     wants_reply: bool = False
+    stamp: HybridTimestamp = HybridTimestamp(0)
+    """Instant of the send on the sender's hybrid logical clock."""
 
 
 @attrs.frozen
--- a/persimmonwell/daemon/_claims_part.py
+++ b/persimmonwell/daemon/_claims_part.py
@@ -34,6 +34,7 @@
     ClaimWon,
     KnownClaim,
 )
+from persimmonwell.core.timeline import EventKind
 from persimmonwell.front import (
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
@@ -42,7 +43,7 @@
     ParsedServiceCall,
     error_response,
 )
-from persimmonwell.observe import part_logger
+from persimmonwell.observe import Metrics, Recorder, part_logger
 from persimmonwell.platform import LogClient
 from persimmonwell.settings import PlatformSettings
 
@@ -88,9 +89,18 @@
     """Hold the claims of one host, its stream reader and its appends."""
 
     def __init__(
-        self, *, log: LogClient, host_id: str, incarnation: str, limits: ClaimLimits
+        self,
+        *,
+        log: LogClient,
+        host_id: str,
+        incarnation: str,
+        limits: ClaimLimits,
+        recorder: Recorder,
+        metrics: Metrics,
     ) -> None:
         self._log = log
+        self._recorder = recorder
+        self._metrics = metrics
         self._state = ClaimsState(
             host_id=host_id, incarnation=incarnation, limits=limits
         )
@@ -151,12 +161,25 @@
         self._inbox.put(_Submit(event, mailbox))
         wait_s = max(0.0, call.deadline_s - time.monotonic()) + VERDICT_GRACE_S
         try:
-            return _as_verdict(call.request_id, mailbox.get(timeout=wait_s))
+            verdict = mailbox.get(timeout=wait_s)
         except queue.Empty:
             self._inbox.put(_Call(lambda: self._abandon(call.request_id, mailbox)))
             error = ClaimsUnavailableError(key.key)
-            outcome = Outcome.MAY_HAVE_RUN
-            return ClaimVerdict(response=error_response(error, outcome))
+            verdict = ClaimRefused(call.request_id, error, Outcome.MAY_HAVE_RUN)
+        self._observe(verdict, call.workspace)
+        return _as_verdict(call.request_id, verdict)
+
+    def _observe(self, verdict: Verdict, workspace: str) -> None:
+        """Record who may dispatch a call, and count a refusal."""
+        kind, detail = EventKind.CLAIM_LOST, "answered from the recorded result"
+        if isinstance(verdict, ClaimWon):
+            kind, detail = EventKind.CLAIM_WON, f"claim {verdict.claim_id}"
+        elif isinstance(verdict, ClaimRefused):
+            self._metrics.refused(verdict.error.code)
+            detail = f"{verdict.error.code}, {verdict.outcome.value}"
+        self._recorder.record(
+            kind, request_id=verdict.request_id, workspace=workspace, detail=detail
+        )
 
     def finish(self, claim_id: str, answer: HttpResponse | None) -> None:
         """Record the answer of a won claim; None when surely not sent."""
--- a/persimmonwell/daemon/_daemon.py
+++ b/persimmonwell/daemon/_daemon.py
@@ -28,6 +28,7 @@
     CancelAttempt,
     ConfigChanged,
     FleetChanged,
+    InflightCount,
     Probe,
     Router,
     RouterDecision,
@@ -35,19 +36,17 @@
 )
 from persimmonwell.core.timeline import EventKind
 from persimmonwell.daemon._claims_part import ClaimsPart, claim_limits
-from persimmonwell.daemon._config_routes import config_routes
 from persimmonwell.daemon._control_actor import ControlActor, ControlPort
 from persimmonwell.daemon._engine_monitor import EngineMonitor
-from persimmonwell.daemon._fleet_routes import DrainSwitch, drain_routes, fleet_routes
+from persimmonwell.daemon._evidence import EvidenceFeed
+from persimmonwell.daemon._fleet_routes import DrainSwitch
 from persimmonwell.daemon._host_watch import host_watch
-from persimmonwell.daemon._operator_service import OperatorService, health_routes
-from persimmonwell.daemon._operator_views import (
-    QuarantineView,
-    claims_view,
-    limits_view,
+from persimmonwell.daemon._operator_wiring import (
+    OperatorParts,
+    operator_service,
+    read_metrics,
 )
 from persimmonwell.daemon._orders_part import OrdersPart
-from persimmonwell.daemon._orders_routes import orders_routes
 from persimmonwell.daemon._peer_loop import PeerLoop
 from persimmonwell.daemon._request_observer import RequestObserver
 from persimmonwell.daemon._router_actor import (
@@ -56,14 +55,9 @@
     RouterActor,
     RoutingCore,
     cancel_targets,
-)
-from persimmonwell.daemon._state_routes import (
-    claims_routes,
-    limits_routes,
-    quarantine_routes,
+    inflight_counts,
 )
 from persimmonwell.daemon._stream_reader import StreamReader
-from persimmonwell.daemon._view_routes import metrics_routes, timeline_routes
 from persimmonwell.front import (
     CallerService,
     HttpRequest,
@@ -73,7 +67,6 @@
 )
 from persimmonwell.observe import (
     Metrics,
-    Readings,
     Recorder,
     RenderedMetrics,
     part_logger,
@@ -120,6 +113,7 @@
             host_id=settings.host_id, capacity=settings.timeline_events
         )
         self._observer = RequestObserver(self._recorder, self._metrics)
+        self._evidence = EvidenceFeed(lambda event: self._control.tell(event))
         self._watch_hosts = host_watch(self._recorder)
         self._monitor = EngineMonitor(
             engines=self._engines,
@@ -138,13 +132,15 @@
             RouterActor.start(
                 router,
                 carry_out=self._carry_out_router,
-                observe=self._observer.observe,
+                observe=self._observe_router,
             )
         )
         self._peers = PeerLoop(
             settings.peers,
             tell_control=lambda event: self._control.tell(event),
             tell_router=self._router.tell,
+            recorder=self._recorder,
+            read_inflight=self._read_inflight,
         )
         control = Control(
             host_id=settings.host_id,
@@ -164,12 +160,15 @@
             incarnation=incarnation,
             current_config=lambda: self._config,
             current_upstreams=lambda: self._upstreams,
+            recorder=self._recorder,
         )
         self._claims = ClaimsPart(
             log=self._log_client,
             host_id=settings.host_id,
             incarnation=incarnation,
             limits=claim_limits(settings.platform, settings.expected_hosts),
+            recorder=self._recorder,
+            metrics=self._metrics,
         )
         self._callers = self._build_caller_server()
         self._operators = self._build_operator_server()
@@ -237,36 +236,21 @@
         )
 
     def _build_operator_server(self) -> HttpServer:
-        host_id, control = self._settings.host_id, self._control
-        service = OperatorService(
-            token=self._settings.operators.token,
-            open_routes=health_routes(
-                host_id=host_id, control=control, is_draining=self._is_draining
-            ),
-            routes=(
-                *config_routes(
-                    host_id=host_id,
-                    control=control,
-                ),
-                *fleet_routes(host_id=host_id, control=control),
-                *drain_routes(
-                    host_id=host_id,
-                    switch=self._drain_switch,
-                    in_flight=self._router.in_flight,
-                    changed=self._drain_changed,
-                ),
-                *limits_routes(
-                    host_id=host_id,
-                    read=limits_view(self._router, lambda: self._config),
-                ),
-                *quarantine_routes(
-                    host_id=host_id, quarantine=QuarantineView(self._router, control)
-                ),
-                *claims_routes(host_id=host_id, find=claims_view(self._claims.find)),
-                *orders_routes(host_id=host_id, orders=self._orders),
-                *timeline_routes(self._recorder),
-                *metrics_routes(self._render_metrics),
-            ),
+        service = operator_service(
+            OperatorParts(
+                host_id=self._settings.host_id,
+                token=self._settings.operators.token,
+                control=self._control,
+                router=self._router,
+                claims=self._claims,
+                orders=self._orders,
+                recorder=self._recorder,
+                drain_switch=self._drain_switch,
+                current_config=lambda: self._config,
+                is_draining=self._is_draining,
+                drain_changed=self._drain_changed,
+                render_metrics=self._render_metrics,
+            )
         )
         return HttpServer(
             address=self._settings.operators.address,
@@ -285,19 +269,17 @@
         self._log.info("drain switched {} by an operator", word)
 
     def _render_metrics(self, accept: str) -> RenderedMetrics:
-        own_id = self._settings.host_id
-        hosts = self._control.inspect(lambda control: control.entry_hosts)
-        readings = Readings(
-            queued=self._observer.queued,
-            in_flight=self._observer.in_flight,
-            threads_in_use={
-                "callers": self._callers.threads_in_use,
-                "operators": self._operators.threads_in_use,
-            },
+        threads_in_use = {
+            "callers": self._callers.threads_in_use,
+            "operators": self._operators.threads_in_use,
+        }
+        readings = read_metrics(
+            host_id=self._settings.host_id,
+            control=self._control,
+            observer=self._observer,
+            recorder=self._recorder,
+            threads_in_use=threads_in_use,
             config_version=0 if self._config is None else self._config.version,
-            peers=sum(host.host_id != own_id for host in hosts),
-            timeline_overwritten=self._recorder.overwritten,
-            rejected_stamps=self._recorder.rejected_stamps,
         )
         return self._metrics.render(readings, accept=accept)
 
@@ -376,6 +358,15 @@
             case AnnounceBlame(digest, upstream_id):
                 self._control.tell(BlameAnnounced(digest, upstream_id))
 
+    def _observe_router(
+        self, event: RouterEvent, decisions: tuple[RouterDecision, ...]
+    ) -> None:
+        self._evidence.observe(event, decisions, time.monotonic())
+        self._observer.observe(event, decisions)
+
+    def _read_inflight(self) -> tuple[InflightCount, ...]:
+        return self._router.inspect(inflight_counts)
+
     def _tell_router(self, event: RouterEvent) -> None:
         self._router.tell(event)
 
--- a/persimmonwell/daemon/_orders_part.py
+++ b/persimmonwell/daemon/_orders_part.py
@@ -18,11 +18,13 @@
     Holding,
     LeaseAppendEnded,
     LeaseLimits,
+    LeaseLost,
     LeasesEvent,
     LeasesRead,
     LeasesState,
     LeasesTick,
     LeasesWanted,
+    LeaseTaken,
     ModelDemand,
     Order,
     OrderBook,
@@ -32,7 +34,8 @@
     may_send,
     plan,
 )
-from persimmonwell.observe import part_logger
+from persimmonwell.core.timeline import EventKind
+from persimmonwell.observe import Recorder, part_logger
 from persimmonwell.platform import LogClient
 from persimmonwell.settings import OrderSettings, Settings
 from persimmonwell.upstream import OrderAnswer, OrderClient
@@ -78,8 +81,10 @@
         incarnation: str,
         current_config: Callable[[], FleetConfig | None],
         current_upstreams: Callable[[], tuple[Upstream, ...]],
+        recorder: Recorder,
     ) -> None:
         self._log = log
+        self._recorder = recorder
         self._settings: OrderSettings = settings.orders
         self._current_config = current_config
         self._current_upstreams = current_upstreams
@@ -158,8 +163,13 @@
                 if isinstance(decision, AppendLease):
                     self._appends.put(decision)
                 else:
-                    kind = type(decision).__name__
-                    part_logger("orders").info("{} {}", kind, decision.fence)
+                    self._lease_changed(decision)
+
+    def _lease_changed(self, change: LeaseTaken | LeaseLost) -> None:
+        part_logger("orders").info("{} {}", type(change).__name__, change.fence)
+        if isinstance(change, LeaseTaken):
+            detail = f"{change.name}, fence {change.fence}"
+            self._recorder.record(EventKind.LEASE_TAKEN, detail=detail)
 
     def _append_loop(self) -> None:
         while (append := self._appends.get()) is not None:
@@ -281,6 +291,11 @@
             order.upstream_id,
             answer.result.value,
         )
+        self._recorder.record(
+            EventKind.ORDER_SENT,
+            upstream_ids=(order.upstream_id,),
+            detail=f"{order.kind.value} of {order.model}, {answer.result.value}",
+        )
         self._remember(order, answer, now_s)
         self._book.settle(order, holding.fence, answer.result, now_s)
 
--- a/persimmonwell/daemon/_peer_loop.py
+++ b/persimmonwell/daemon/_peer_loop.py
@@ -4,6 +4,8 @@
 import time
 from collections.abc import Callable
 
+import attrs
+
 from persimmonwell.core.control import (
     ControlDecision,
     ControlEvent,
@@ -16,7 +18,7 @@
     ReportFault,
     SendToPeer,
 )
-from persimmonwell.core.membership import PeerMessage
+from persimmonwell.core.membership import Heartbeat, PeerMessage
 from persimmonwell.core.router import (
     BlameLearned,
     InflightCount,
@@ -24,7 +26,7 @@
     QuarantineCleared,
     RouterEvent,
 )
-from persimmonwell.observe import part_logger
+from persimmonwell.observe import Recorder, part_logger
 from persimmonwell.peers import CurveKeys, PeerLinks
 from persimmonwell.settings import PeerSettings
 
@@ -43,10 +45,12 @@
         *,
         tell_control: Callable[[ControlEvent], None],
         tell_router: Callable[[RouterEvent], None],
+        recorder: Recorder,
         read_inflight: ReadInflight = lambda: (),
     ) -> None:
         self._tell_control = tell_control
         self._tell_router = tell_router
+        self._recorder = recorder
         self._read_inflight = read_inflight
         self._links = PeerLinks(
             address=settings.address,
@@ -88,6 +92,9 @@
         """Carry out the decisions that concern peers, the router and reports."""
         match decision:
             case SendToPeer(host_id, address, message):
+                if isinstance(message, Heartbeat):
+                    stamp = self._recorder.stamp()
+                    message = attrs.evolve(message, stamp=stamp)
                 self._links.send(host_id, address, message)
             case LearnInflight(host_id, counts):
                 self._tell_router(PeerInflight(host_id, counts))
@@ -101,6 +108,8 @@
                 pass
 
     def _received(self, message: PeerMessage) -> None:
+        if isinstance(message, Heartbeat):
+            self._recorder.observe(message.stamp)
         self._tell_control(PeerMessageReceived(message))
 
 
--- a/persimmonwell/daemon/_router_actor.py
+++ b/persimmonwell/daemon/_router_actor.py
@@ -13,7 +13,9 @@
     CancelAttempt,
     Dispatch,
     DispatchService,
+    InflightCount,
     Refuse,
+    Router,
     RouterDecision,
     RouterEvent,
     Tick,
@@ -156,6 +158,11 @@
         self._ref.tell(_Apply(Tick()))
 
 
+def inflight_counts(core: RoutingCore) -> tuple[InflightCount, ...]:
+    """Return what this host has in flight at each upstream."""
+    return core.inflight_counts if isinstance(core, Router) else ()
+
+
 def cancel_targets(decision: CancelAttempt) -> tuple[str, ...]:
     """Return the addresses at which an attempt has to be cancelled."""
     chain: Chain = decision.chain
--- a/persimmonwell/peers/_messages.py
+++ b/persimmonwell/peers/_messages.py
@@ -27,6 +27,7 @@
     QuarantineNotice,
 )
 from persimmonwell.core.router import InflightCount
+from persimmonwell.core.timeline import HybridTimestamp
 
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 """Above a snapshot of a large configuration and a list of 1,300 upstreams."""
@@ -59,6 +60,7 @@
     inflight: Annotated[list[tuple[_Name, _Count]], Meta(max_length=64)]
     notices: Annotated[list[tuple[_Name, _Name, _Name]], Meta(max_length=64)]
     wants_reply: bool
+    stamp: tuple[_Count, _Count]
 
 
 class _ConfigRequestFrame(
@@ -199,6 +201,7 @@
         (mark.upstream_id, mark.incarnation, int(mark.age_s * 1000))
         for mark in beat.leaving
     ]
+    fields["stamp"] = attrs.astuple(beat.stamp)
     fields["inflight"] = [attrs.astuple(count) for count in beat.inflight]
     fields["notices"] = [attrs.astuple(notice) for notice in beat.notices]
     return _HeartbeatFrame(**fields)
@@ -210,6 +213,7 @@
         LeavingMark(name, incarnation, age_ms / 1000)
         for name, incarnation, age_ms in frame.leaving
     )
+    fields["stamp"] = HybridTimestamp(*frame.stamp)
     fields["inflight"] = tuple(InflightCount(*count) for count in frame.inflight)
     fields["notices"] = tuple(QuarantineNotice(*notice) for notice in frame.notices)
     return Heartbeat(**fields)
--- /dev/null
+++ b/tests/daemon/test_wiring.py
@@ -0,0 +1,84 @@
+"""Check that what the parts know reaches timeline, metrics, peers and membership."""
+
+import attrs
+import pytest
+
+from persimmonwell.core._types import Chain, LayerRange, Rank, Stage
+from persimmonwell.core.control import UpstreamEvidence
+from persimmonwell.core.router import (
+    AttemptFinished,
+    Dispatch,
+    FailureKind,
+    StageFailed,
+)
+from persimmonwell.core.timeline import EventFilter, HybridTimestamp
+from persimmonwell.daemon._evidence import EvidenceFeed
+from tests.cli.tool import Tool
+from tests.daemon.test_claims import book
+from tests.daemon.test_orders import OrderFleet, orders_fleet
+from tests.fleet import SmallFleet, wait_until
+
+__all__ = ["orders_fleet"]
+
+
+def kinds(fleet: SmallFleet, host_id: str) -> set[str]:
+    events = fleet.daemons[host_id].recorder.read(EventFilter(), limit=1000).events
+    return {event.kind.value for event in events}
+
+
+def test_claims_are_recorded_and_their_refusals_counted(fleet: SmallFleet) -> None:
+    """Guards against a refused booking that no event and no metric shows."""
+    book(fleet, "host-1", "k")
+    book(fleet, "host-2", "k", 2)
+    assert "claim-won" in kinds(fleet, "host-1")
+    assert "claim-lost" in kinds(fleet, "host-2")
+    book(fleet, "host-2", "k", 2, lane=9)
+    address = fleet.daemons["host-2"].operator_address
+    text = fleet.http.request("GET", f"http://{address}/metrics").data.decode()
+    assert 'refusals_total{reason="idempotency_key_reused"} 1' in text
+
+
+def test_leases_and_orders_are_recorded_and_shown(
+    orders_fleet: OrderFleet, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against orders to engines that operators cannot trace."""
+    fleet, tool = orders_fleet, Tool(capsys)
+    fleet.manage("2", base_version=1)
+    wait_until(lambda: fleet.versions() == {"2"})
+    found = [kinds(fleet, host_id) for host_id in fleet.daemons]
+    assert sum({"lease-taken", "order-sent"} <= kind for kind in found) == 1
+    addresses = [d.operator_address for d in fleet.daemons.values()]
+    hosts = [part for address in addresses for part in ("--host", address)]
+    leases, orders = tool("leases", *hosts), tool("orders", *hosts)
+    assert leases.code == orders.code == 0
+    assert leases.out.count("placement") == 2
+    assert all(engine in orders.out for engine in fleet.engines)
+
+
+def test_peers_share_one_hybrid_clock(fleet: SmallFleet) -> None:
+    """Guards against events that precede their causes under skewed clocks."""
+    first, second = (fleet.daemons[h].recorder for h in ("host-1", "host-2"))
+    ahead = attrs.evolve(first.stamp(), logical=0)
+    ahead = HybridTimestamp(ahead.wall_us + 4_000_000)
+    assert first.observe(ahead)
+    wait_until(lambda: second.stamp() > ahead, timeout_s=3.0)
+
+
+def test_evidence_follows_results_at_a_bounded_rate() -> None:
+    """Guards against upstreams kept or dropped against what requests saw."""
+    told: list[UpstreamEvidence] = []
+    feed = EvidenceFeed(told.append)
+    stages = (
+        Stage("a", "127.0.0.1:1", LayerRange(0, 4)),
+        Stage("b", "127.0.0.1:2", LayerRange(4, 8)),
+    )
+    for request_id in ("r1", "r2"):
+        sent = Dispatch(request_id, 1, Chain(stages), 0, Rank.URGENT, 0.0)
+        busy = StageFailed(request_id, 1, "a", FailureKind.BUSY, 0)
+        feed.observe(busy, (sent,), 0.0)
+        lost = StageFailed(request_id, 1, "b", FailureKind.LOST, 0)
+        feed.observe(lost, (), 0.1)
+        feed.observe(AttemptFinished(request_id, 1, 3), (), 0.2)
+    feed.observe(StageFailed("r3", 1, "b", FailureKind.LOST, 0), (), 0.7)
+    seen = [(evidence.upstream_id, evidence.succeeded) for evidence in told]
+    assert seen == [("b", False), ("a", True), ("b", True), ("b", False)]
--- a/tests/peers/test_messages.py
+++ b/tests/peers/test_messages.py
@@ -22,6 +22,7 @@
     QuarantineNotice,
 )
 from persimmonwell.core.router import InflightCount
+from persimmonwell.core.timeline import HybridTimestamp
 from persimmonwell.peers import MalformedFrameError, decode_message, encode_message
 
 NAME = st.text(max_size=20)
@@ -53,6 +54,7 @@
         inflight=st.lists(st.builds(InflightCount, NAME, COUNT), max_size=4).map(tuple),
         notices=st.lists(st.builds(QuarantineNotice, NAME, NAME, NAME)).map(tuple),
         wants_reply=st.booleans(),
+        stamp=st.builds(HybridTimestamp, COUNT, COUNT),
     ),
     st.builds(ConfigRequest, NAME, COUNT),
     st.builds(
