--- a/standins/hosts.py
+++ b/standins/hosts.py
@@ -22,6 +22,7 @@
     ) -> None:
         self.server = StandinServer(port=port, address=address)
         self.faults: Body = {}
+        self.reads = 0
         self._clock = clock
         self._entries: dict[str, Any] = {}
         self._history: list[tuple[float, list[Any]]] = [(clock(), [])]
@@ -59,6 +60,7 @@
         return 200, self.faults
 
     def _list(self, body: Body, query: dict[str, str]) -> Answer:
+        self.reads += 1
         if self.faults.get("down"):
             return 503, {"error": "unavailable"}
         visible_s = self._clock() - self.faults.get("lag_s", 0.0)
--- a/standins/service.py
+++ b/standins/service.py
@@ -9,7 +9,8 @@
 class Service:
     """Hold the bookings of one plain service and its faults.
 
-    Faults: lose_answers (how many answers are lost after the effect), delay_s.
+    Faults: lose_answers (how many answers are lost after the effect), delay_s
+    (before the effect), answer_delay_s (after it).
     """
 
     def __init__(self, *, port: int = 0, address: str = "127.0.0.1") -> None:
@@ -45,6 +46,7 @@
             lose = self.faults.get("lose_answers", 0)
             if lose:
                 self.faults["lose_answers"] = lose - 1
+        time.sleep(self.faults.get("answer_delay_s", 0.0))
         if lose:
             return drop_connection()
         return 200, {"booking": number}
