--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -1,7 +1,6 @@
 """Measure what control costs: convergence, heartbeat bytes and CPU.
 
-Run with python -m bench.control_cost [hosts ...]; it drives control states in
-one loop with a fixed message delay, without sockets.
+Run with python -m bench.control_cost [hosts ...]; one loop, no sockets.
 """
 
 import heapq
