Let accepted requests wait 2 s for another attempt

Cause: with the shorter queue of rank urgent, a request whose stage had died was given up after 0.6 s; three router tests failed. Change: the wait for another attempt is the queue time of the rank, at least 2 s. Conclusion: queue time bounds the start only, not the answer once accepted.

--- a/persimmonwell/core/router/_failures.py
+++ b/persimmonwell/core/router/_failures.py
@@ -27,6 +27,10 @@
 OVERLOAD_S = 1.0
 """Backlogged time after which repeats of refused work are shed."""
 
+MIN_RESUME_WAIT_S = 2.0
+"""An accepted request may wait this long for another attempt, however short the
+queue of its rank is: its caller may already have part of the answer."""
+
 
 def stage_failed(state: RouterState, event: ev.StageFailed, now_s: float) -> None:
     """Resume or end a model request whose attempt broke off."""
@@ -87,8 +91,8 @@
     active.failures += 1
     active.failed_s = now_s
     active.last_error = UpstreamFailedError(upstream_id, failure.value)
-    queue_s = state.config.ranks[active.rank].queue_s
-    state.table.wait(active, min(active.work.deadline_s, now_s + queue_s))
+    resume_s = max(state.config.ranks[active.rank].queue_s, MIN_RESUME_WAIT_S)
+    state.table.wait(active, min(active.work.deadline_s, now_s + resume_s))
     lane = state.lanes[active.target]
     lane.resumes[active.rank][active.request_id] = None
     is_free = failure in FREE_ONCE and (active.failures == 1 or progressed)
