--- a/bench/claims_cost.py
+++ b/bench/claims_cost.py
@@ -1,24 +1,20 @@
-"""Measure what claims cost: fold, memory, appends and added latency.
+"""Measure what claims cost: appends and added latency.
 
 Run with python -m bench.claims_cost. Appends per second come from the claims
-state on a virtual clock; latency comes from real daemons on loopback.
+state on a virtual clock; latency comes from real daemons on loopback. Fold time
+and memory are part of python -m bench.capacity.
 """
 
-import gc
 import random
 import statistics
 import time
-import tracemalloc
 from collections.abc import Iterator
 
-import msgspec
-
 from persimmonwell.core import Outcome
 from persimmonwell.core.claims import (
     AppendClaims,
     CallFinished,
     CallResult,
-    ClaimFold,
     ClaimKey,
     ClaimLimits,
     ClaimRecord,
@@ -34,7 +30,6 @@
 from persimmonwell.core.config import LogRecord
 from tests.fleet import SmallFleet
 
-KEYS = 50_000
 BODY = b'{"booking": 17, "lane": 4, "from": "18:00", "to": "19:00"}' * 3
 APPEND_S = 0.004
 SECONDS = 60
@@ -42,9 +37,9 @@
 LOG_APPENDS_PER_S = 300
 
 
-def records() -> Iterator[LogRecord]:
+def claim_records(keys: int) -> Iterator[LogRecord]:
     """Yield a claim and a result for each key."""
-    for number in range(KEYS):
+    for number in range(keys):
         key = ClaimKey("range-a", "booking", f"{number:032x}")
         claim = ClaimRecord(
             claim_id=f"{'i' * 32}-{number}",
@@ -59,34 +54,6 @@
         yield LogRecord(2 * number + 1, encode_record(done))
 
 
-def measure_fold() -> None:
-    """Print the cost of decoding and folding one record and of one key."""
-    wire = [msgspec.json.encode(record.data) for record in records()]
-    started_s = time.process_time()
-    decoded = [msgspec.json.decode(data) for data in wire]
-    decode_s = time.process_time() - started_s
-    size = sum(map(len, wire)) / len(wire)
-    del wire
-    fold = ClaimFold()
-    started_s = time.process_time()
-    for offset in range(0, len(decoded), 500):
-        part = decoded[offset : offset + 500]
-        fold.read(0, (LogRecord(offset + i, data) for i, data in enumerate(part)))
-    fold_s = time.process_time() - started_s
-    del decoded, fold
-    gc.collect()
-    tracemalloc.start()
-    fold = ClaimFold()
-    for record in records():
-        fold.read(0, (record,))
-    held, _ = tracemalloc.get_traced_memory()
-    tracemalloc.stop()
-    print(f"record {size:.0f} bytes on the wire")
-    print(f"decode {decode_s / KEYS / 2 * 1e6:.1f} us/record")
-    print(f"fold {fold_s / KEYS / 2 * 1e6:.1f} us/record")
-    print(f"memory {held / KEYS:.0f} bytes/key with a {len(BODY)}-byte result")
-
-
 def appends_per_s(rate: float, window_s: float) -> tuple[float, float]:
     """Return appends/s of one host and the mean wait until a claim is won."""
     rng = random.Random(1)
@@ -169,6 +136,5 @@
 
 
 if __name__ == "__main__":
-    measure_fold()
     measure_appends()
     measure_latency()
