Refuse operators' bodies that JSON cannot carry

Cause: the merge of the operator routes dropped the check for Infinity and lone surrogates; the log stores Infinity as null, which deletes a field. Conclusion: the check now stands where all routes share it.

--- a/persimmonwell/daemon/_operator_routes.py
+++ b/persimmonwell/daemon/_operator_routes.py
@@ -33,6 +33,9 @@
     """Read a JSON object; raise BadRequestError."""
     try:
         document = json.loads(body)
+        # Infinity and lone surrogates are no JSON; the log would store Infinity
+        # as null, which deletes a field.
+        json.dumps(document, allow_nan=False, ensure_ascii=False).encode()
     except (ValueError, RecursionError) as error:
         raise BadRequestError("body", "must be JSON") from error
     if not isinstance(document, dict):
--- a/tests/daemon/test_claims.py
+++ b/tests/daemon/test_claims.py
@@ -11,7 +11,12 @@
 from persimmonwell.core import ServiceReplica
 from persimmonwell.core.config import parse_config
 from persimmonwell.core.router import DispatchService
-from persimmonwell.front import CallerService, ClaimVerdict, HttpRequest
+from persimmonwell.front import (
+    CallerService,
+    ClaimVerdict,
+    HttpRequest,
+    ThreadGate,
+)
 from tests.fleet import BASE_DOCUMENT, SmallFleet, wait_until
 
 PATH = "/services/booking/lanes"
@@ -146,7 +151,14 @@
     claims.settle.return_value = ClaimVerdict("c", send_before_s)
     services.call.side_effect = RuntimeError
     config = parse_config(BASE_DOCUMENT, 1)
-    service = CallerService(router, Mock(), services, lambda: config, claims)
+    service = CallerService(
+        router=router,
+        engines=Mock(),
+        services=services,
+        current_config=lambda: config,
+        threads=ThreadGate(threads=4),
+        claims=claims,
+    )
     headers = {"idempotency-key": "k", "persimmonwell-workspace": "range-a"}
     http = HttpRequest("POST", PATH, "", headers, b"{}")
     if recorded is None:
