Keep two models from trading engines in one zone

Change: to complete a model in one zone, an engine of another managed model is taken only where that model stays complete in the zone.

--- a/persimmonwell/core/leases/_planner.py
+++ b/persimmonwell/core/leases/_planner.py
@@ -325,9 +325,22 @@
             and zone in (None, u.availability_zone)
             and self._capacity(u, demand) > 0
             and self._may_move(u)
+            and (zone is None or self._zone_can_spare(u))
         ]
         return sorted(candidates, key=preference)
 
+    def _zone_can_spare(self, upstream: Upstream) -> bool:
+        """Return whether the engine's model stays complete in the engine's zone.
+
+        Two models that are both incomplete in a zone would otherwise take each
+        other's engines there in turn.
+        """
+        demand = self._demand.get(upstream.model)
+        if demand is None:
+            return True
+        zone = upstream.availability_zone
+        return self._rest_is_chained(upstream, zone, demand.layers)
+
     def close_gaps(self, demand: ModelDemand) -> None:
         """Complete the model once overall, then in each zone that can."""
         zones = sorted({u.availability_zone for u in self._planned.values()})
--- a/tests/core/leases/test_planner.py
+++ b/tests/core/leases/test_planner.py
@@ -4,7 +4,7 @@
 
 import attrs
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from persimmonwell.core import LayerRange, LinkCapacity, Upstream, UpstreamRole
@@ -112,6 +112,7 @@
 
 
 @settings(max_examples=80)
+@example(seed=301)  # two models took each other's engines in one zone, in turn
 @given(st.integers(0, 2**32))
 def test_plans_keep_coverage_and_come_to_rest(seed: int) -> None:
     """Guards against lost coverage, large moves and plans without end."""
