Size the caller threads for the target and record the choices weighed

Cause: 256 threads are fewer than the 264 requests in flight of a host at the target size; a service call that queued long could outlive its deadline at the replica; the reasons of several choices were not written down.

--- a/persimmonwell/front/_caller_service.py
+++ b/persimmonwell/front/_caller_service.py
@@ -46,6 +46,9 @@
     ServiceClient,
 )
 
+MIN_CALL_TIMEOUT_S = 0.05
+"""Least time for a replica to answer, when the queue used up the deadline."""
+
 
 @attrs.frozen
 class CallerService:
@@ -164,7 +167,10 @@
                 path=parsed.path,
                 headers=headers,
                 body=parsed.body,
-                timeout_s=parsed.timeout_s,
+                timeout_s=max(
+                    MIN_CALL_TIMEOUT_S,
+                    min(parsed.timeout_s, call.deadline_s - time.monotonic()),
+                ),
             )
         except ServiceCallError as error:
             failed = ServiceCallFailed(
--- a/persimmonwell/settings/_settings.py
+++ b/persimmonwell/settings/_settings.py
@@ -26,8 +26,9 @@
     """Configure the callers' port."""
 
     address: str
-    threads: int = 256
-    """Requests in flight at once; each holds a thread."""
+    threads: int = 384
+    """Requests in flight at once; each holds a thread. A host at the target size
+    has 264 in flight at its peak and takes a fifth more when a zone is lost."""
     max_body_bytes: int = 4 * 1024 * 1024
     io_timeout_s: float = 30.0
     """Longest wait for a slow caller to send or read, seconds."""
@@ -206,7 +207,7 @@
 def _read_callers(reader: ObjectReader) -> CallerSettings:
     callers = CallerSettings(
         address=_read_address(reader),
-        threads=reader.integer("threads", 256, minimum=4, maximum=4096),
+        threads=reader.integer("threads", 384, minimum=4, maximum=4096),
         max_body_bytes=reader.integer("max_body_bytes", 4 * 1024 * 1024, minimum=1024),
         io_timeout_s=reader.number("io_timeout_s", 30.0, minimum=0.1),
         tls=_read_tls(reader),
