Let the demo check that a repeated booking is the same one

Cause: two replicas both numbered their first booking 1, so equal answers did not show that the key was settled once. Change: the stand-in names its replica; the demo ends with an error when the two answers differ. Conclusion: the demo now fails if a key is dispatched twice.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -162,6 +162,8 @@
     for answer in answers:
         outcome = answer.headers["Persimmonwell-Outcome"]
         print(f"{answer.status} {outcome}: {answer.data.decode()}")
+    if len({answer.data for answer in answers}) != 1:
+        raise SystemExit("demo: the repeat of the booking was answered differently")
 
 
 def main() -> None:
--- a/standins/service.py
+++ b/standins/service.py
@@ -49,4 +49,4 @@
         time.sleep(self.faults.get("answer_delay_s", 0.0))
         if lose:
             return drop_connection()
-        return 200, {"booking": number}
+        return 200, {"booking": number, "replica": self.server.address}
