--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -167,3 +167,16 @@
     assert len(wanted) >= 12 and wanted <= set(texts)
     marks = ("See:", "It means:", "persimmonwell ")
     assert not [t for t in wanted if not all(mark in texts[t] for mark in marks)]
+
+
+def test_module_map_of_the_design_is_complete() -> None:
+    """Guards against a module that the design page lacks, or names after its end."""
+    design = (ROOT / "docs" / "design.md").read_text(encoding="utf-8")
+    module_map = design.split("```\npersimmonwell/\n")[1].split("```")[0]
+    listed = set(re.findall(r"(?<![\w.])_[a-z_]+", module_map))
+    modules = {
+        path.stem
+        for path in (ROOT / "persimmonwell").rglob("_*.py")
+        if not path.stem.startswith("__")
+    }
+    assert listed == modules
