Share the options that every calling command has

Cause: two option lists of the tool repeated the CA file, timeout and JSON options. Change: call_options builds them for both. Conclusion: no change for users.

--- a/persimmonwell/cli/_options.py
+++ b/persimmonwell/cli/_options.py
@@ -47,6 +47,13 @@
         ),
         option("token", None, f"Operators' token. Default: {ENV_TOKEN}.", flag=False),
         option("token-file", None, "File that holds the token.", flag=False),
+        *call_options("Print one JSON document."),
+    ]
+
+
+def call_options(json_help: str) -> list[Option]:
+    """Return the options of every command that sends a call."""
+    return [
         option("ca-file", None, "PEM file of the CA; implies TLS.", flag=False),
         option(
             "timeout",
@@ -55,7 +62,7 @@
             flag=False,
             default=str(DEFAULT_TIMEOUT_S),
         ),
-        option("json", None, "Print one JSON document."),
+        option("json", None, json_help),
     ]
 
 
--- a/persimmonwell/cli/_send_command.py
+++ b/persimmonwell/cli/_send_command.py
@@ -23,10 +23,10 @@
     exit_of_status,
 )
 from persimmonwell.cli._options import (
-    DEFAULT_TIMEOUT_S,
     UsageError,
     address_option,
     ca_file,
+    call_options,
     integer_option,
     seconds_option,
     text_option,
@@ -93,15 +93,7 @@
         option("key", None, "Key of the workspace.", flag=False),
         option("max-tokens", None, "Longest answer, tokens.", flag=False, default="64"),
         option("deadline-ms", None, "Deadline, milliseconds.", flag=False),
-        option("ca-file", None, "PEM file of the CA; implies TLS.", flag=False),
-        option(
-            "timeout",
-            None,
-            "Longest time of the whole command, seconds.",
-            flag=False,
-            default=str(DEFAULT_TIMEOUT_S),
-        ),
-        option("json", None, "Print one JSON document at the end."),
+        *call_options("Print one JSON document at the end."),
     ]
 
     def run_checked(self) -> int:
