End an attempt that generates more tokens than asked

Cause: an engine that never sent its end frame held its caller until the deadline, since tokens beyond max_tokens were accepted; the acceptance of frames had no tests of its own. Conclusion: an answer cannot grow past what the caller asked for.

--- a/persimmonwell/core/retry/_attempts.py
+++ b/persimmonwell/core/retry/_attempts.py
@@ -14,6 +14,7 @@
     STALE_ATTEMPT = "stale-attempt"
     REPEATED_INDEX = "repeated-index"
     MISSING_INDEX = "missing-index"
+    TOO_MANY = "too-many"
     LAYER_TRACE = "layer-trace"
     WRONG_COUNT = "wrong-count"
     AFTER_END = "after-end"
@@ -71,15 +72,21 @@
 
 
 _BREAKING = frozenset(
-    {DropReason.MISSING_INDEX, DropReason.LAYER_TRACE, DropReason.WRONG_COUNT}
+    {
+        DropReason.MISSING_INDEX,
+        DropReason.TOO_MANY,
+        DropReason.LAYER_TRACE,
+        DropReason.WRONG_COUNT,
+    }
 )
 
 
 class TokenAssembler:
     """Hold the accepted tokens of one request."""
 
-    def __init__(self, *, request_id: str, total_layers: int) -> None:
+    def __init__(self, *, request_id: str, total_layers: int, max_tokens: int) -> None:
         self._request_id = request_id
+        self._max_tokens = max_tokens
         self._total_layers = total_layers
         self._attempt = 0
         self._texts: list[str] = []
@@ -127,6 +134,9 @@
             return Dropped(DropReason.REPEATED_INDEX)
         if frame.index > len(self._texts):
             return Dropped(DropReason.MISSING_INDEX)
+        if frame.index >= self._max_tokens:
+            # An engine that never ends would hold its caller until the deadline.
+            return Dropped(DropReason.TOO_MANY)
         if not self._trace_is_complete(frame.layers):
             return Dropped(DropReason.LAYER_TRACE)
         self._texts.append(frame.text)
--- a/persimmonwell/front/_relay.py
+++ b/persimmonwell/front/_relay.py
@@ -78,7 +78,9 @@
         self._count_dropped = count_dropped
         self._timer = timer
         self._assembler = TokenAssembler(
-            request_id=parsed.request.request_id, total_layers=total_layers
+            request_id=parsed.request.request_id,
+            total_layers=total_layers,
+            max_tokens=parsed.request.max_tokens,
         )
         self._finish_reason = "stop"
         self._settled = False
