Follow the claims and leases streams with one loop

Change: follow_stream serves both parts; the unused members are removed. Conclusion: no behaviour changes; a fix of the loop now reaches both streams.

--- a/bench/capacity_fleet.py
+++ b/bench/capacity_fleet.py
@@ -9,7 +9,6 @@
 
 ZONES = 6
 MODELS = 22
-TARGET_HOSTS = 340
 TARGET_UPSTREAMS = 1300
 TARGET_WORKSPACES = 580
 UPSTREAM_SIZES = (40, 400, 1300)
--- a/bench/driver.py
+++ b/bench/driver.py
@@ -42,8 +42,6 @@
 HOP_S = 0.00025
 LOSS_DETECTION_S = 0.02
 """Time until a broken connection is seen."""
-STALL_TIMEOUT_S = 0.8
-"""Silence after which the I/O layer gives an attempt up."""
 CONNECT_REFUSED_S = 0.002
 HOST_LIST_LAG_S = 5.0
 PREFILL_SPEEDUP = 20.0
--- a/persimmonwell/daemon/_claims_part.py
+++ b/persimmonwell/daemon/_claims_part.py
@@ -36,6 +36,7 @@
     KnownClaim,
 )
 from persimmonwell.core.timeline import EventKind
+from persimmonwell.daemon._stream_follower import follow_stream
 from persimmonwell.front import (
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
@@ -48,9 +49,6 @@
 from persimmonwell.platform import LogClient
 from persimmonwell.settings import PlatformSettings
 
-LOG_WAIT_S = 0.5
-"""Long-poll time of one read; also bounds the time to stop."""
-READ_RETRY_S = 0.2
 VERDICT_GRACE_S = 5.0
 """Wait past the deadline for the state's own refusal, seconds."""
 INSPECT_S = 2.0
@@ -114,8 +112,6 @@
         self._appends: queue.SimpleQueue[AppendClaims | None] = queue.SimpleQueue()
         self._mailboxes: dict[str, queue.SimpleQueue[Verdict]] = {}
         self._stopping = threading.Event()
-        self._next_offset = 0
-        self._append_count = 0
         self._threads = tuple(
             threading.Thread(target=loop, daemon=True, name=f"claims-{name}")
             for name, loop in (
@@ -125,11 +121,6 @@
             )
         )
 
-    @property
-    def append_count(self) -> int:
-        """Return the number of appends sent to the log."""
-        return self._append_count
-
     def start(self) -> None:
         """Start folding the stream."""
         for thread in self._threads:
@@ -249,7 +240,6 @@
 
     def _append_loop(self) -> None:
         while (batch := self._appends.get()) is not None:
-            self._append_count += 1
             try:
                 self._log.append(CLAIMS_STREAM, batch.records)
             except PlatformUnavailableError as error:
@@ -259,19 +249,14 @@
                 self._inbox.put(ClaimsAppended(batch.batch_id))
 
     def _read_loop(self) -> None:
-        while not self._stopping.is_set():
-            read_s = time.monotonic()
-            try:
-                part = self._log.read(
-                    CLAIMS_STREAM, from_offset=self._next_offset, wait_s=LOG_WAIT_S
-                )
-            except PlatformUnavailableError:
-                self._stopping.wait(READ_RETRY_S)
-                continue
-            if part.records:
-                self._next_offset = part.records[-1].offset + 1
-            self._next_offset = max(self._next_offset, part.first_offset)
-            self._inbox.put(ClaimsRead(part.first_offset, part.records, read_s))
+        follow_stream(
+            self._log,
+            CLAIMS_STREAM,
+            stopping=self._stopping,
+            deliver=lambda part, read_s: self._inbox.put(
+                ClaimsRead(part.first_offset, part.records, read_s)
+            ),
+        )
 
 
 def _as_verdict(request_id: str, verdict: Verdict) -> ClaimVerdict:
--- a/persimmonwell/daemon/_orders_part.py
+++ b/persimmonwell/daemon/_orders_part.py
@@ -35,6 +35,7 @@
     plan,
 )
 from persimmonwell.core.timeline import EventKind
+from persimmonwell.daemon._stream_follower import follow_stream
 from persimmonwell.observe import Recorder, part_logger
 from persimmonwell.platform import LogClient
 from persimmonwell.settings import OrderSettings, Settings
@@ -43,8 +44,6 @@
 PLACEMENT_LEASE = "placement"
 """Name of the one lease for all managed models. Engines move between models, and
 an engine compares the tokens of all orders it gets, so they need one sequence."""
-LOG_WAIT_S = 0.5
-READ_RETRY_S = 0.2
 TICKS_PER_TTL = 40
 SHOWN_S = 60.0
 """Longest time for which an engine's own report overrides the lagging host list."""
@@ -98,7 +97,6 @@
         self._applied: dict[str, _Applied] = {}
         self._adapters: dict[tuple[str, str], tuple[str, ...]] = {}
         self._wanted: frozenset[str] = frozenset()
-        self._next_offset = 0
         self._inbox: queue.SimpleQueue[LeasesEvent] = queue.SimpleQueue()
         self._appends: queue.SimpleQueue[AppendLease | None] = queue.SimpleQueue()
         self._stopping = threading.Event()
@@ -180,21 +178,14 @@
             self._inbox.put(LeaseAppendEnded(append.name))
 
     def _read_loop(self) -> None:
-        while not self._stopping.is_set():
-            read_s = time.monotonic()
-            try:
-                part = self._log.read(
-                    LEASES_STREAM, from_offset=self._next_offset, wait_s=LOG_WAIT_S
-                )
-            except PlatformUnavailableError:
-                self._stopping.wait(READ_RETRY_S)
-                continue
-            if part.records:
-                self._next_offset = part.records[-1].offset + 1
-            self._next_offset = max(self._next_offset, part.first_offset)
-            self._inbox.put(
+        follow_stream(
+            self._log,
+            LEASES_STREAM,
+            stopping=self._stopping,
+            deliver=lambda part, read_s: self._inbox.put(
                 LeasesRead(part.first_offset, part.next_offset, part.records, read_s)
-            )
+            ),
+        )
 
     def _work_loop(self) -> None:
         next_plan_s = 0.0
--- a/persimmonwell/front/_thread_gate.py
+++ b/persimmonwell/front/_thread_gate.py
@@ -27,11 +27,6 @@
         self._in_use = 0
         self._lock = threading.Lock()
 
-    @property
-    def in_use(self) -> int:
-        """Return the number of threads that serve a request."""
-        return self._in_use
-
     @contextmanager
     def admit(self, rank: Rank) -> Iterator[None]:
         """Hold a thread for a request; raise OverloadedError when none is free."""
