--- /dev/null
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -0,0 +1,66 @@
+"""Decide how hosts forward requests to upstreams on the users' platform."""
+
+from persimmonwell.core.forwarding._events import (
+    AskStalled,
+    AttemptFailure,
+    CancelAttempt,
+    Decision,
+    Ending,
+    Finish,
+    Reroute,
+    Send,
+)
+from persimmonwell.core.forwarding._loads import LoadTable, ReplicaLoad
+from persimmonwell.core.forwarding._model import (
+    AcceleratorKind,
+    CallerLimits,
+    CallerRequest,
+    EngineSpec,
+    ForwardingConfig,
+    GenerationSize,
+    HeldLayers,
+    Replica,
+    Route,
+    RouteKind,
+    ServiceSpec,
+    Tenant,
+    WeightedService,
+)
+from persimmonwell.core.forwarding._paths import Part, Path, find_path
+from persimmonwell.core.forwarding._placement import PlacementOrder, plan_placement
+from persimmonwell.core.forwarding._registry import RegistryRecord, ReplicaRegistry
+from persimmonwell.core.forwarding._router import ForwardingRouter
+
+__all__ = [
+    "AcceleratorKind",
+    "AskStalled",
+    "AttemptFailure",
+    "CallerLimits",
+    "CallerRequest",
+    "CancelAttempt",
+    "Decision",
+    "Ending",
+    "EngineSpec",
+    "Finish",
+    "ForwardingConfig",
+    "ForwardingRouter",
+    "GenerationSize",
+    "HeldLayers",
+    "LoadTable",
+    "Part",
+    "Path",
+    "PlacementOrder",
+    "RegistryRecord",
+    "Replica",
+    "ReplicaLoad",
+    "ReplicaRegistry",
+    "Reroute",
+    "Route",
+    "RouteKind",
+    "Send",
+    "ServiceSpec",
+    "Tenant",
+    "WeightedService",
+    "find_path",
+    "plan_placement",
+]
--- /dev/null
+++ b/persimmonwell/core/forwarding/_health.py
@@ -0,0 +1,90 @@
+"""Judge upstreams by what their answers showed."""
+
+import attrs
+
+FIRST_EXCLUSION_S = 0.6
+"""About one heartbeat interval halved: a replica that restarts lists its new state
+within one interval."""
+MAX_EXCLUSION_S = 4.0
+FAILURE_WEIGHT = 0.2
+"""Share of the newest outcome in the moving failure rate."""
+FAILURE_PENALTY = 6.0
+"""Multiplies the load of a plain replica that fails every request."""
+MIN_LATENCY_SAMPLES = 3
+
+
+@attrs.define
+class _Evidence:
+    incarnation: tuple[str, int]
+    failure_rate: float = 0.0
+    latency_s: float = 0.0
+    samples: int = 0
+    exclusions: int = 0
+    excluded_until_s: float = float("-inf")
+
+
+class HealthTable:
+    """Hold the evidence about each replica."""
+
+    def __init__(self) -> None:
+        self._evidence: dict[str, _Evidence] = {}
+
+    def _of(self, replica_id: str, incarnation: tuple[str, int]) -> _Evidence:
+        evidence = self._evidence.get(replica_id)
+        if evidence is None or evidence.incarnation != incarnation:
+            evidence = self._evidence[replica_id] = _Evidence(incarnation)
+        return evidence
+
+    def succeeded(
+        self, replica_id: str, incarnation: tuple[str, int], latency_s: float
+    ) -> None:
+        """Note an answer and the time it took."""
+        evidence = self._of(replica_id, incarnation)
+        evidence.failure_rate *= 1 - FAILURE_WEIGHT
+        evidence.exclusions = 0
+        evidence.samples += 1
+        weight = max(FAILURE_WEIGHT, 1 / evidence.samples)
+        evidence.latency_s += weight * (latency_s - evidence.latency_s)
+
+    def failed(self, replica_id: str, incarnation: tuple[str, int]) -> None:
+        """Note an answer that reports an error."""
+        evidence = self._of(replica_id, incarnation)
+        evidence.failure_rate += FAILURE_WEIGHT * (1 - evidence.failure_rate)
+
+    def exclude(
+        self, replica_id: str, incarnation: tuple[str, int], now_s: float
+    ) -> None:
+        """Leave a replica out for a while that grows with each repetition."""
+        evidence = self._of(replica_id, incarnation)
+        if now_s < evidence.excluded_until_s:
+            return
+        pause_s = FIRST_EXCLUSION_S * 2.0**evidence.exclusions
+        evidence.excluded_until_s = now_s + min(MAX_EXCLUSION_S, pause_s)
+        evidence.exclusions += 1
+
+    def is_excluded(self, replica_id: str, now_s: float) -> bool:
+        """Return whether a replica is left out now."""
+        evidence = self._evidence.get(replica_id)
+        return evidence is not None and now_s < evidence.excluded_until_s
+
+    def penalty(self, replica_id: str, usual_latency_s: float) -> float:
+        """Return a factor of at least 1 for errors and slowness."""
+        evidence = self._evidence.get(replica_id)
+        if evidence is None:
+            return 1.0
+        factor = 1.0 + FAILURE_PENALTY * evidence.failure_rate
+        if evidence.samples >= MIN_LATENCY_SAMPLES and usual_latency_s > 0:
+            factor *= max(1.0, evidence.latency_s / usual_latency_s)
+        return factor
+
+    def latency_s(self, replica_id: str) -> float | None:
+        """Return the moving mean of the answer times, None while unknown."""
+        evidence = self._evidence.get(replica_id)
+        if evidence is None or evidence.samples < MIN_LATENCY_SAMPLES:
+            return None
+        return evidence.latency_s
+
+    def forget(self, known: set[str]) -> None:
+        """Drop the evidence about replicas that are gone."""
+        for replica_id in self._evidence.keys() - known:
+            del self._evidence[replica_id]
--- /dev/null
+++ b/persimmonwell/core/forwarding/_loads.py
@@ -0,0 +1,94 @@
+"""Count the work that this host and its peers have sent to each replica."""
+
+from collections import defaultdict
+from collections.abc import Mapping
+
+import attrs
+
+PEER_EXPIRY_S = 2.0
+"""Eight lost datagrams at the usual interval; after that the peer is taken as gone."""
+
+
+@attrs.frozen
+class ReplicaLoad:
+    """Hold the requests and the reserved layer-tokens at one replica."""
+
+    requests: int = 0
+    layer_tokens: int = 0
+
+
+@attrs.define
+class _PeerLoads:
+    loads: Mapping[str, ReplicaLoad]
+    heard_s: float
+
+
+class LoadTable:
+    """Hold loads by replica, from own sends and from the peers' reports."""
+
+    def __init__(self) -> None:
+        self._own: dict[str, ReplicaLoad] = {}
+        self._peers: dict[str, _PeerLoads] = {}
+        self._from_peers: dict[str, ReplicaLoad] = {}
+
+    @property
+    def own(self) -> Mapping[str, ReplicaLoad]:
+        """Return the loads that this host sent."""
+        return self._own
+
+    def of(self, replica_id: str) -> ReplicaLoad:
+        """Return the load of all hosts at a replica."""
+        own = self._own.get(replica_id)
+        others = self._from_peers.get(replica_id)
+        if own is None or others is None:
+            return own or others or ReplicaLoad()
+        return ReplicaLoad(
+            own.requests + others.requests, own.layer_tokens + others.layer_tokens
+        )
+
+    def add(self, replica_id: str, layer_tokens: int) -> None:
+        """Count one request that is sent."""
+        load = self._own.get(replica_id, ReplicaLoad())
+        self._own[replica_id] = ReplicaLoad(
+            load.requests + 1, load.layer_tokens + layer_tokens
+        )
+
+    def remove(self, replica_id: str, layer_tokens: int) -> None:
+        """Count one request that ended."""
+        load = self._own.get(replica_id, ReplicaLoad())
+        if load.requests <= 1:
+            self._own.pop(replica_id, None)
+            return
+        self._own[replica_id] = ReplicaLoad(
+            load.requests - 1, load.layer_tokens - layer_tokens
+        )
+
+    def peer_reported(
+        self, peer: str, loads: Mapping[str, ReplicaLoad], now_s: float
+    ) -> None:
+        """Replace what a peer sent."""
+        self._peers[peer] = _PeerLoads(loads, now_s)
+        self._sum_peers()
+
+    def expire_peers(self, now_s: float) -> None:
+        """Forget peers that were not heard for a while."""
+        gone = [
+            peer
+            for peer, state in self._peers.items()
+            if now_s - state.heard_s > PEER_EXPIRY_S
+        ]
+        for peer in gone:
+            del self._peers[peer]
+        if gone:
+            self._sum_peers()
+
+    def _sum_peers(self) -> None:
+        requests: dict[str, int] = defaultdict(int)
+        tokens: dict[str, int] = defaultdict(int)
+        for state in self._peers.values():
+            for replica_id, load in state.loads.items():
+                requests[replica_id] += load.requests
+                tokens[replica_id] += load.layer_tokens
+        self._from_peers = {
+            key: ReplicaLoad(requests[key], tokens[key]) for key in requests
+        }
--- /dev/null
+++ b/persimmonwell/core/forwarding/_paths.py
@@ -0,0 +1,172 @@
+"""Choose the replicas that a request to a model passes through.
+
+Load pattern: several hosts fill the same stages. A path is taken only while every
+stage has memory for the whole request, so that no engine has to preempt one.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Mapping
+
+import attrs
+
+from persimmonwell.core.forwarding._loads import LoadTable
+from persimmonwell.core.forwarding._model import EngineSpec, GenerationSize, Replica
+
+MEMORY_SHARE = 0.92
+"""Part of the KV memory that requests may reserve; peers' loads arrive late."""
+MAX_PARTS = 32
+"""Engines refuse longer paths."""
+UNKNOWN_SIZE = GenerationSize(prompt_tokens=1024, max_output_tokens=256)
+"""Assumed for a request that does not state its tokens."""
+
+
+@attrs.frozen
+class Part:
+    """Name the layers that one replica runs for a request."""
+
+    replica_id: str
+    address: str
+    start: int
+    stop: int
+
+
+@attrs.frozen
+class Path:
+    """Hold the parts of one path in order, with its predicted step time."""
+
+    parts: tuple[Part, ...]
+    step_ms: float
+
+    @property
+    def head(self) -> Part:
+        """Return the part that takes the request."""
+        return self.parts[0]
+
+
+@attrs.frozen
+class _Stage:
+    replica: Replica
+    start: int
+    stop: int
+    per_layer_ms: float
+    free_layer_tokens: float
+
+
+def covers_model(replicas: Iterable[Replica], spec: EngineSpec) -> bool:
+    """Return whether some zone's usable replicas hold every layer."""
+    zones: dict[str, list[Replica]] = defaultdict(list)
+    for replica in replicas:
+        zones[replica.availability_zone].append(replica)
+    return any(_covers(members, spec) for members in zones.values())
+
+
+def _covers(replicas: Iterable[Replica], spec: EngineSpec) -> bool:
+    reached = 0
+    held = [replica.layers for replica in replicas if replica.layers is not None]
+    for layers in sorted(held, key=lambda each: each.start):
+        if layers.start > reached:
+            return False
+        reached = max(reached, layers.stop)
+    return reached >= spec.layers
+
+
+def find_path(
+    replicas: Iterable[Replica],
+    spec: EngineSpec,
+    size: GenerationSize,
+    *,
+    loads: LoadTable,
+    penalty: Callable[[str], float],
+) -> Path | None:
+    """Return the fastest path with room for the request, None without one.
+
+    penalty multiplies the time of a replica; infinity leaves it out.
+    """
+    tokens = size.reserved_tokens
+    stages = _stages(replicas, spec, loads, penalty)
+    by_start: dict[int, list[_Stage]] = defaultdict(list)
+    borders = sorted({s.start for s in stages} | {s.stop for s in stages})
+    for border in borders:
+        by_start[border] = [s for s in stages if s.start <= border < s.stop]
+    best: dict[int, tuple[float, int, _Stage | None]] = {0: (0.0, 0, None)}
+    for border in borders:
+        reached = best.get(border)
+        if reached is None:
+            continue
+        for stage in by_start[border]:
+            if stage is reached[2] or (border == 0 and _is_full(stage, spec, loads)):
+                continue
+            for stop in borders:
+                if stop <= border or stop > stage.stop:
+                    continue
+                if (stop - border) * tokens > stage.free_layer_tokens:
+                    continue
+                time_ms = (
+                    reached[0]
+                    + (stop - border) * stage.per_layer_ms
+                    + spec.stage_delay_ms
+                )
+                known = best.get(stop)
+                if known is None or time_ms < known[0]:
+                    best[stop] = (time_ms, border, stage)
+    return _trace(best, spec)
+
+
+def _is_full(stage: _Stage, spec: EngineSpec, loads: LoadTable) -> bool:
+    slots = min(spec.slots, stage.replica.slots or spec.slots)
+    return loads.of(stage.replica.replica_id).requests >= slots
+
+
+def _stages(
+    replicas: Iterable[Replica],
+    spec: EngineSpec,
+    loads: LoadTable,
+    penalty: Callable[[str], float],
+) -> list[_Stage]:
+    kinds = dict(spec.accelerators)
+    stages = []
+    for replica in replicas:
+        kind = kinds.get(replica.accelerator)
+        if kind is None or replica.layers is None or replica.layers.count <= 0:
+            continue
+        factor = penalty(replica.replica_id)
+        if factor == float("inf"):
+            continue
+        load = loads.of(replica.replica_id)
+        room_mb = kind.memory_mb - replica.layers.count * spec.layer_mb
+        capacity = MEMORY_SHARE * room_mb / spec.layer_token_mb
+        context = (spec.usual_prompt + spec.usual_answer / 2) / 1000
+        pass_ms = spec.step_ms + load.requests * (
+            spec.sequence_ms + spec.context_ms * context
+        )
+        stages.append(
+            _Stage(
+                replica=replica,
+                start=replica.layers.start,
+                stop=min(replica.layers.stop, spec.layers),
+                per_layer_ms=factor * kind.step_factor * pass_ms / spec.layers,
+                free_layer_tokens=capacity - load.layer_tokens,
+            )
+        )
+    return stages
+
+
+def _trace(
+    best: Mapping[int, tuple[float, int, _Stage | None]], spec: EngineSpec
+) -> Path | None:
+    if spec.layers not in best:
+        return None
+    parts: list[Part] = []
+    position = spec.layers
+    while position > 0:
+        _, start, stage = best[position]
+        assert stage is not None
+        replica = stage.replica
+        parts.append(Part(replica.replica_id, replica.address, start, position))
+        position = start
+    parts.reverse()
+    if len({part.replica_id for part in parts}) != len(parts):
+        return None
+    if len(parts) > MAX_PARTS:
+        return None
+    return Path(tuple(parts), best[spec.layers][0])
--- /dev/null
+++ b/persimmonwell/core/forwarding/_placement.py
@@ -0,0 +1,249 @@
+"""Decide which replica holds which layers of a model.
+
+Load pattern: replicas start empty and lose their layers with every restart. All
+requests of an availability zone need every layer there, since activations that cross
+zones would fill the pipe between them with some 25 requests a second.
+"""
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from persimmonwell.core.forwarding._model import EngineSpec, HeldLayers, Replica
+
+COPY_FACTOR = 1.3
+"""Layers placed in a zone in relation to the model: the rest are spare copies that
+take over when a stage dies. With 1.0 each crash stops the whole zone."""
+MIN_TOKENS = 4_000.0
+"""Room for a few requests of the usual size; below it a zone cannot serve."""
+BISECTION_STEPS = 24
+
+
+@attrs.frozen
+class PlacementOrder:
+    """Ask one replica to hold a range of layers."""
+
+    replica_id: str
+    address: str
+    layers: HeldLayers
+
+
+@attrs.frozen
+class _Card:
+    replica: Replica
+    memory_mb: float
+    step_factor: float
+
+
+def plan_placement(
+    replicas: Iterable[Replica], spec: EngineSpec
+) -> tuple[PlacementOrder, ...]:
+    """Return the orders that give every zone all layers of a service's model.
+
+    A zone without memory for a whole model joins the zone that comes next.
+    """
+    orders: list[PlacementOrder] = []
+    for cards in _groups(replicas, spec):
+        wanted = _plan_group(cards, spec)
+        for card in cards:
+            layers = wanted.get(card.replica.replica_id)
+            if layers is None or layers == card.replica.layers or card.replica.is_busy:
+                continue
+            orders.append(
+                PlacementOrder(
+                    replica_id=card.replica.replica_id,
+                    address=card.replica.address,
+                    layers=layers,
+                )
+            )
+    return tuple(orders)
+
+
+def _groups(replicas: Iterable[Replica], spec: EngineSpec) -> list[list[_Card]]:
+    zones: dict[str, list[_Card]] = {}
+    for replica in sorted(replicas, key=lambda entry: entry.replica_id):
+        kind = spec.accelerator(replica.accelerator)
+        if kind is None or replica.is_draining:
+            continue
+        card = _Card(replica, kind.memory_mb, kind.step_factor)
+        zones.setdefault(replica.availability_zone, []).append(card)
+    groups: list[list[_Card]] = []
+    pending: list[_Card] = []
+    for zone in sorted(zones):
+        pending += zones[zone]
+        if _total_layers(pending, spec, MIN_TOKENS) >= spec.layers:
+            groups.append(pending)
+            pending = []
+    if pending and groups:
+        groups[-1] += pending
+    return groups
+
+
+def _capacity(card: _Card, spec: EngineSpec, tokens: float) -> int:
+    per_layer_mb = spec.layer_mb + tokens * spec.layer_token_mb
+    return min(spec.layers, int(card.memory_mb / per_layer_mb))
+
+
+def _total_layers(cards: Iterable[_Card], spec: EngineSpec, tokens: float) -> int:
+    return sum(_capacity(card, spec, tokens) for card in cards)
+
+
+def _room_tokens(cards: list[_Card], spec: EngineSpec, layers: float) -> float:
+    """Return the most tokens for which the cards hold so many layers."""
+    low, high = 0.0, 1e7
+    for _ in range(BISECTION_STEPS):
+        middle = (low + high) / 2
+        if _total_layers(cards, spec, middle) >= layers:
+            low = middle
+        else:
+            high = middle
+    return low
+
+
+def _plan_group(cards: list[_Card], spec: EngineSpec) -> dict[str, HeldLayers]:
+    held = {
+        card.replica.replica_id: card.replica.layers
+        for card in cards
+        if card.replica.layers is not None and card.replica.layers.count > 0
+    }
+    tokens = max(
+        _room_tokens(cards, spec, spec.layers * COPY_FACTOR),
+        min(MIN_TOKENS, _room_tokens(cards, spec, spec.layers)),
+    )
+    if not held:
+        wanted = _chain(cards, spec, tokens)
+    else:
+        wanted = _repair(cards, held, spec, tokens)
+        if _first_gap(_copies(wanted, spec)) is not None:
+            in_order = sorted(cards, key=lambda card: _start_of(card, held, spec))
+            tokens = _room_tokens(cards, spec, spec.layers)
+            wanted = _lay_out(in_order, spec, tokens)
+    return _add_copies(cards, wanted, spec, tokens)
+
+
+def _start_of(card: _Card, held: Mapping[str, HeldLayers], spec: EngineSpec) -> int:
+    layers = held.get(card.replica.replica_id)
+    return layers.start if layers is not None else spec.layers
+
+
+def _chain(
+    cards: list[_Card], spec: EngineSpec, tokens: float
+) -> dict[str, HeldLayers]:
+    """Lay the model over the fastest cards; the slowest of them comes first.
+
+    The first stage takes the callers' connections, so a small card there leaves
+    other cards for copies of it.
+    """
+    by_speed = sorted(cards, key=lambda card: (card.step_factor, -card.memory_mb))
+    chosen: list[_Card] = []
+    for card in by_speed:
+        if _total_layers(chosen, spec, tokens) >= spec.layers:
+            break
+        chosen.append(card)
+    return _lay_out(chosen, spec, tokens, from_end=True)
+
+
+def _lay_out(
+    cards: list[_Card], spec: EngineSpec, tokens: float, *, from_end: bool = False
+) -> dict[str, HeldLayers]:
+    """Give consecutive ranges to the cards in order."""
+    wanted: dict[str, HeldLayers] = {}
+    done = 0
+    for card in cards:
+        count = min(_capacity(card, spec, tokens), spec.layers - done)
+        if count <= 0:
+            continue
+        start = spec.layers - done - count if from_end else done
+        wanted[card.replica.replica_id] = HeldLayers(start, start + count)
+        done += count
+    return wanted
+
+
+def _copies(wanted: Mapping[str, HeldLayers], spec: EngineSpec) -> list[int]:
+    copies = [0] * spec.layers
+    for layers in wanted.values():
+        for layer in range(layers.start, min(layers.stop, spec.layers)):
+            copies[layer] += 1
+    return copies
+
+
+def _first_gap(copies: list[int]) -> tuple[int, int] | None:
+    if 0 not in copies:
+        return None
+    start = copies.index(0)
+    stop = start
+    while stop < len(copies) and copies[stop] == 0:
+        stop += 1
+    return start, stop
+
+
+def _repair(
+    cards: list[_Card],
+    held: Mapping[str, HeldLayers],
+    spec: EngineSpec,
+    tokens: float,
+) -> dict[str, HeldLayers]:
+    """Close gaps with empty cards first, then with cards that only hold copies."""
+    wanted = dict(held)
+    free = [card for card in cards if card.replica.replica_id not in held]
+    free.sort(key=lambda card: (-_capacity(card, spec, tokens), card.step_factor))
+    copies = _copies(wanted, spec)
+    while (gap := _first_gap(copies)) is not None:
+        card = free.pop(0) if free else _redundant(cards, wanted, copies, spec, tokens)
+        if card is None:
+            break
+        count = _capacity(card, spec, tokens)
+        if count <= 0:
+            continue
+        start = gap[0] if gap[1] - gap[0] >= count else max(0, gap[1] - count)
+        start = min(start, spec.layers - count)
+        wanted[card.replica.replica_id] = HeldLayers(start, start + count)
+        copies = _copies(wanted, spec)
+    return wanted
+
+
+def _redundant(
+    cards: list[_Card],
+    wanted: Mapping[str, HeldLayers],
+    copies: list[int],
+    spec: EngineSpec,
+    tokens: float,
+) -> _Card | None:
+    """Return the largest idle card all of whose layers others hold too."""
+    found: _Card | None = None
+    for card in cards:
+        layers = wanted.get(card.replica.replica_id)
+        if layers is None or card.replica.is_busy:
+            continue
+        if min(copies[layers.start : layers.stop], default=0) < 2:
+            continue
+        if found is None or _capacity(card, spec, tokens) > _capacity(
+            found, spec, tokens
+        ):
+            found = card
+    return found
+
+
+def _add_copies(
+    cards: list[_Card],
+    wanted: dict[str, HeldLayers],
+    spec: EngineSpec,
+    tokens: float,
+) -> dict[str, HeldLayers]:
+    """Let cards without layers copy those that the fewest others hold."""
+    wanted = dict(wanted)
+    for card in cards:
+        if card.replica.replica_id in wanted:
+            continue
+        count = _capacity(card, spec, tokens)
+        if count <= 0:
+            continue
+        copies = _copies(wanted, spec)
+        # Equal sums go to the lowest start: copies of the first stage also bring
+        # further slots for callers.
+        start = min(
+            range(spec.layers - count + 1),
+            key=lambda first: sum(copies[first : first + count]),
+        )
+        wanted[card.replica.replica_id] = HeldLayers(start, start + count)
+    return wanted
--- /dev/null
+++ b/persimmonwell/core/forwarding/_registry.py
@@ -0,0 +1,80 @@
+"""Follow the replicas that registered in the platform's store."""
+
+import attrs
+
+from persimmonwell.core.forwarding._model import Replica
+
+LAPSE_GRACE_S = 1.8
+"""Live replicas are back in the registry about 2 s after an outage of the store;
+the interval counts from the first read that works again."""
+OUTAGE_MEMORY_S = 4.0
+"""Three missed heartbeats of 1.2 s: entries can lapse that long after an outage."""
+
+
+@attrs.frozen
+class RegistryRecord:
+    """Hold one change of the registry; replica None removes the entry."""
+
+    replica_id: str
+    offset: int
+    replica: Replica | None
+
+
+class ReplicaRegistry:
+    """Hold the newest entry of each replica."""
+
+    def __init__(self) -> None:
+        self._entries: dict[str, Replica] = {}
+        self._offsets: dict[str, int] = {}
+        self._lapsed: dict[str, float] = {}
+        self._outage_until_s = float("-inf")
+
+    @property
+    def replicas(self) -> dict[str, Replica]:
+        """Return all entries by id."""
+        return self._entries
+
+    def store_failed(self, now_s: float) -> None:
+        """Note that the store could not be read."""
+        self._outage_until_s = now_s + OUTAGE_MEMORY_S
+
+    def replace(self, records: tuple[RegistryRecord, ...], now_s: float) -> bool:
+        """Take a full list; entries that it lacks are removed."""
+        listed = {record.replica_id for record in records}
+        changed = self.apply(records, now_s)
+        for replica_id in self._entries.keys() - listed:
+            changed |= self._remove(replica_id, now_s)
+        return changed
+
+    def apply(self, records: tuple[RegistryRecord, ...], now_s: float) -> bool:
+        """Take changes in order; return whether an entry changed."""
+        changed = False
+        for record in records:
+            if record.offset <= self._offsets.get(record.replica_id, -1):
+                continue  # A stale read repeats what is known already.
+            self._offsets[record.replica_id] = record.offset
+            if record.replica is None:
+                changed |= self._remove(record.replica_id, now_s)
+                continue
+            self._lapsed.pop(record.replica_id, None)
+            changed |= self._entries.get(record.replica_id) != record.replica
+            self._entries[record.replica_id] = record.replica
+        return changed
+
+    def expire(self, now_s: float) -> bool:
+        """Drop lapsed entries whose replica did not come back."""
+        due = [key for key, at_s in self._lapsed.items() if at_s <= now_s]
+        for key in due:
+            del self._lapsed[key]
+            self._entries.pop(key, None)
+        return bool(due)
+
+    def _remove(self, replica_id: str, now_s: float) -> bool:
+        entry = self._entries.get(replica_id)
+        if entry is None or replica_id in self._lapsed:
+            return False
+        if now_s < self._outage_until_s and not entry.is_draining:
+            self._lapsed[replica_id] = now_s + LAPSE_GRACE_S
+            return False
+        del self._entries[replica_id]
+        return True
--- /dev/null
+++ b/persimmonwell/core/forwarding/_router.py
@@ -0,0 +1,612 @@
+"""Decide where each request goes, how it waits and when it is given up."""
+
+import random
+from collections import defaultdict, deque
+from collections.abc import Iterable
+
+import attrs
+
+from persimmonwell.core.forwarding._budget import SendBudget
+from persimmonwell.core.forwarding._events import (
+    AskStalled,
+    AttemptFailure,
+    CancelAttempt,
+    Decision,
+    Ending,
+    Finish,
+    Reroute,
+    Send,
+)
+from persimmonwell.core.forwarding._health import HealthTable
+from persimmonwell.core.forwarding._loads import LoadTable
+from persimmonwell.core.forwarding._model import (
+    CallerRequest,
+    ForwardingConfig,
+    Replica,
+    Route,
+    RouteKind,
+    ServiceSpec,
+    Tenant,
+)
+from persimmonwell.core.forwarding._paths import (
+    UNKNOWN_SIZE,
+    Part,
+    Path,
+    covers_model,
+    find_path,
+)
+from persimmonwell.core.forwarding._registry import ReplicaRegistry
+from persimmonwell.core.forwarding._routes import (
+    Resolved,
+    RouteTable,
+    UnknownKey,
+    UnknownRoute,
+)
+
+DEFAULT_DEADLINE_S = 30.0
+"""For a caller that does not say how long it waits."""
+NOT_READY_RETRY_S = 1.0
+MIN_RETRY_S = 0.5
+MAX_RETRY_S = 5.0
+WAIT_OBJECTIVES = 3.0
+"""Objectives that a request may wait: callers give up streams after four."""
+MIN_CALLER_PATIENCE_S = 2.0
+"""Callers of streams stay at least this long without an event."""
+PATIENCE_SHARE = 0.7
+"""Part of the caller's patience spent waiting; the rest is for the answer."""
+RATE_WINDOW_S = 2.0
+"""Interval over which the service's rate of dispatches is measured."""
+SCAN_LIMIT = 6
+"""Waiting requests that are tried when the first one finds no room."""
+STALL_GAP_S = 0.6
+"""Silence of a running stream after which its first replica is asked for the
+stalled stage; three times the pause that answers on time may have."""
+STALL_ASK_INTERVAL_S = 0.4
+CROSS_ZONE_STEP_MS = 4.0
+"""Added to the step of a path in another zone when paths are compared."""
+SLOW_STEP_SHARE = 0.4
+"""Other zones are considered when a step takes this part of the gap objective."""
+REPEAT_MARGIN_S = 0.05
+"""Least time left for which another attempt makes sense."""
+
+
+@attrs.define(eq=False)
+class _Active:
+    key: int
+    request: CallerRequest
+    route: Route
+    service: ServiceSpec
+    tenant: Tenant | None
+    arrived_s: float
+    give_up_s: float
+    """Moment at which the caller or the route stops waiting."""
+    attempt: int = 0
+    replica_id: str | None = None
+    replicas: set[str] = attrs.field(factory=set)
+    path: Path | None = None
+    may_have_run: bool = False
+    has_answer: bool = False
+    """Whether a part of an answer has gone to the caller."""
+    sent_s: float = 0.0
+    progress_s: float = 0.0
+    asked_s: float = float("-inf")
+    reserved: dict[str, int] = attrs.field(factory=dict)
+
+    @property
+    def rank(self) -> tuple[int, int, int]:
+        """Return the order of service; the tenant's priority goes first."""
+        priority = self.route.priority
+        if self.tenant is not None and self.tenant.priority is not None:
+            priority = self.tenant.priority
+        return (priority, self.route.priority, self.key)
+
+    @property
+    def patience_s(self) -> float:
+        """Return how long the request may wait for its first send."""
+        limit_s = max(
+            MIN_CALLER_PATIENCE_S, (WAIT_OBJECTIVES + 1) * self.route.objective_s
+        )
+        return PATIENCE_SHARE * min(limit_s, self.give_up_s - self.arrived_s)
+
+
+@attrs.define
+class _ServiceState:
+    waiting: list[_Active] = attrs.field(factory=list)
+    starts: deque[float] = attrs.field(factory=deque)
+    budget: SendBudget | None = None
+
+
+class ForwardingRouter:
+    """Hold the requests, replicas and loads that one host knows."""
+
+    def __init__(
+        self,
+        *,
+        availability_zone: str,
+        seed: int,
+        retry_ratio: float,
+        retry_slack: float,
+        retry_window_s: float,
+    ) -> None:
+        self._zone = availability_zone
+        self._random = random.Random(seed)
+        self._retry = (retry_ratio, retry_slack, retry_window_s)
+        self._table: RouteTable | None = None
+        self.registry = ReplicaRegistry()
+        self.loads = LoadTable()
+        self.health = HealthTable()
+        self.hosts = 1
+        """Hosts in the fleet, as far as this one knows."""
+        self._active: dict[int, _Active] = {}
+        self._services: dict[str, _ServiceState] = defaultdict(_ServiceState)
+
+    @property
+    def config(self) -> ForwardingConfig | None:
+        """Return the configuration in force."""
+        return self._table.config if self._table is not None else None
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether requests can be routed to a replica."""
+        return self._table is not None and bool(self.registry.replicas)
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait for room."""
+        return sum(len(state.waiting) for state in self._services.values())
+
+    @property
+    def running(self) -> int:
+        """Return how many requests this host holds."""
+        return len(self._active)
+
+    def configure(self, config: ForwardingConfig) -> bool:
+        """Take a newer version; return False for one that is not newer."""
+        current = self.config
+        if current is not None and config.version <= current.version:
+            return False
+        self._table = RouteTable(config)
+        return True
+
+    def is_repeatable(self, key: int) -> bool:
+        """Return whether the request may run more than once."""
+        active = self._active.get(key)
+        return active is not None and active.route.may_repeat
+
+    def route_of(self, key: int) -> Route | None:
+        """Return the route of a request that is still open."""
+        active = self._active.get(key)
+        return active.route if active is not None else None
+
+    # Events of callers
+
+    def arrived(
+        self, key: int, request: CallerRequest, now_s: float
+    ) -> tuple[Decision, ...]:
+        """Admit, queue or refuse a request."""
+        if self._table is None:
+            return (Finish(key, Ending.NOT_READY, NOT_READY_RETRY_S, "no config"),)
+        try:
+            resolved = self._table.resolve(request, draw=self._random.random())
+        except UnknownRoute:
+            return (Finish(key, Ending.UNKNOWN_ROUTE),)
+        except UnknownKey:
+            return (Finish(key, Ending.UNKNOWN_KEY),)
+        active = self._admit(key, request, resolved, now_s)
+        state = self._services[active.service.name]
+        self._budget(active.service.name).requested(now_s)
+        self._active[key] = active
+        if not self._usable(active.service.name):
+            return (self._finish(active, Ending.NOT_READY, "no replica"),)
+        if not any(other.rank < active.rank for other in state.waiting):
+            send = self._try_send(active, now_s)
+            if send is not None:
+                return (send,)
+        return self._enqueue(active, state, now_s)
+
+    def _admit(
+        self, key: int, request: CallerRequest, resolved: Resolved, now_s: float
+    ) -> _Active:
+        deadline_s = request.deadline_s
+        if deadline_s is None:
+            deadline_s = DEFAULT_DEADLINE_S
+        return _Active(
+            key=key,
+            request=request,
+            route=resolved.route,
+            service=resolved.service,
+            tenant=resolved.tenant,
+            arrived_s=now_s,
+            give_up_s=now_s + min(deadline_s, resolved.route.timeout_s),
+        )
+
+    def _enqueue(
+        self, active: _Active, state: _ServiceState, now_s: float
+    ) -> tuple[Decision, ...]:
+        ahead = sum(1 for other in state.waiting if other.rank < active.rank)
+        expected_s = (ahead + 1) / max(self._rate(state, now_s), 0.5)
+        if expected_s > active.patience_s:
+            return (self._finish(active, Ending.OVERLOADED, "queue", expected_s),)
+        state.waiting.append(active)
+        state.waiting.sort(key=lambda each: each.rank)
+        return ()
+
+    def _rate(self, state: _ServiceState, now_s: float) -> float:
+        """Return the sends per second over the last seconds."""
+        while state.starts and state.starts[0] < now_s - RATE_WINDOW_S:
+            state.starts.popleft()
+        return len(state.starts) / RATE_WINDOW_S
+
+    def caller_left(self, key: int, now_s: float) -> tuple[Decision, ...]:
+        """Forget a request whose caller closed its connection."""
+        active = self._active.pop(key, None)
+        if active is None:
+            return ()
+        running = active.replica_id is not None
+        self._detach(active)
+        cancel = (CancelAttempt(key, active.attempt),) if running else ()
+        return cancel + self._pump(active.service.name, now_s)
+
+    # Events of upstreams
+
+    def answer_began(self, key: int, attempt: int, now_s: float) -> None:
+        """Note that a part of an answer goes to the caller."""
+        active = self._running(key, attempt)
+        if active is not None:
+            active.has_answer = True
+            active.progress_s = now_s
+
+    def progressed(self, key: int, attempt: int, now_s: float) -> None:
+        """Note an event of a stream."""
+        active = self._running(key, attempt)
+        if active is not None:
+            active.progress_s = now_s
+
+    def finished(self, key: int, attempt: int, now_s: float) -> tuple[Decision, ...]:
+        """Note a complete answer."""
+        active = self._running(key, attempt)
+        if active is None:
+            return ()
+        replica = self._replica_of(active)
+        if replica is not None and active.path is None:
+            self.health.succeeded(
+                replica.replica_id, replica.incarnation, now_s - active.sent_s
+            )
+        for part in active.path.parts if active.path is not None else ():
+            member = self.registry.replicas.get(part.replica_id)
+            if member is not None:
+                self.health.succeeded(part.replica_id, member.incarnation, 0.0)
+        del self._active[key]
+        self._detach(active)
+        return self._pump(active.service.name, now_s)
+
+    def attempt_failed(
+        self,
+        key: int,
+        attempt: int,
+        failure: AttemptFailure,
+        now_s: float,
+        *,
+        fault_address: str | None = None,
+        detail: str = "",
+    ) -> tuple[Decision, ...]:
+        """Send the request again where that is allowed, or end it."""
+        active = self._running(key, attempt)
+        if active is None:
+            return ()
+        self._blame(active, failure, fault_address, now_s)
+        active.may_have_run |= failure.has_run
+        if failure is AttemptFailure.NO_CONNECTION and active.replica_id is not None:
+            # Nothing was sent, so that this replica does not count as tried.
+            active.replicas.discard(active.replica_id)
+        self._detach(active)
+        decisions = [self._after_failure(active, failure, detail, now_s)]
+        decisions += self._pump(active.service.name, now_s)
+        return tuple(each for each in decisions if each is not None)
+
+    def _after_failure(
+        self, active: _Active, failure: AttemptFailure, detail: str, now_s: float
+    ) -> Decision | None:
+        if active.may_have_run and not active.route.may_repeat:
+            return self._finish(active, Ending.UPSTREAM_FAILED, detail)
+        left_s = active.give_up_s - now_s
+        has_budget = self._budget(active.service.name).try_repeat(
+            now_s, hosts=self.hosts
+        )
+        if left_s > REPEAT_MARGIN_S and has_budget:
+            send = self._try_send(active, now_s)
+            if send is not None:
+                return send
+            if not active.has_answer and self._may_try_more(active):
+                state = self._services[active.service.name]
+                queued = self._enqueue(active, state, now_s)
+                return queued[0] if queued else None
+        ending = Ending.UPSTREAM_FAILED if active.may_have_run else Ending.OVERLOADED
+        return self._finish(active, ending, detail or failure.value)
+
+    def _may_try_more(self, active: _Active) -> bool:
+        return len(active.replicas) < active.route.max_attempts
+
+    def stage_stalled(
+        self, key: int, attempt: int, address: str, now_s: float
+    ) -> tuple[Decision, ...]:
+        """Move a request away from a stage that its first replica finds silent."""
+        active = self._running(key, attempt)
+        if active is None or active.path is None:
+            return ()
+        for part in active.path.parts:
+            if part.address == address:
+                self._exclude(part.replica_id, now_s)
+        head = active.path.head
+        replica = self.registry.replicas.get(head.replica_id)
+        if address == head.address or replica is None:
+            return ()
+        # Its own reservation must not count against the request.
+        self._release(active)
+        path = self._path_in(active, replica.availability_zone, now_s, first=head)
+        active.path = path or active.path
+        self._reserve(active)
+        if path is None:
+            return ()
+        active.progress_s = now_s
+        return (Reroute(key, attempt, path.head.address, path),)
+
+    # Time
+
+    def tick(self, now_s: float) -> tuple[Decision, ...]:
+        """Give up what is due, ask about silent streams, send what waits."""
+        decisions: list[Decision] = []
+        self.loads.expire_peers(now_s)
+        self.registry.expire(now_s)
+        for active in list(self._active.values()):
+            decisions += self._check(active, now_s)
+        for name in list(self._services):
+            decisions += self._pump(name, now_s)
+        return tuple(decisions)
+
+    def _check(self, active: _Active, now_s: float) -> list[Decision]:
+        if active.replica_id is None:
+            waited_s = now_s - active.arrived_s
+            if now_s >= active.give_up_s or waited_s > active.patience_s:
+                ending = Ending.OVERLOADED
+                if active.may_have_run:
+                    ending = Ending.TIMED_OUT
+                return [self._finish(active, ending, "waited")]
+            return []
+        if now_s >= active.give_up_s:
+            cancel = CancelAttempt(active.key, active.attempt)
+            return [cancel, self._finish(active, Ending.TIMED_OUT, "time is over")]
+        if active.path is None or active.route.kind is not RouteKind.STREAM:
+            return []
+        silent_s = now_s - max(active.progress_s, active.sent_s)
+        asked_s = now_s - active.asked_s
+        if silent_s < STALL_GAP_S or asked_s < STALL_ASK_INTERVAL_S:
+            return []
+        active.asked_s = now_s
+        head = active.path.head
+        return [AskStalled(active.key, active.attempt, head.replica_id, head.address)]
+
+    # Sending
+
+    def _pump(self, name: str, now_s: float) -> tuple[Decision, ...]:
+        state = self._services[name]
+        decisions: list[Decision] = []
+        failed = 0
+        for active in list(state.waiting):
+            send = self._try_send(active, now_s)
+            if send is None:
+                failed += 1
+                if failed >= SCAN_LIMIT:
+                    break
+                continue
+            if active in state.waiting:
+                state.waiting.remove(active)
+            decisions.append(send)
+        return tuple(decisions)
+
+    def _try_send(self, active: _Active, now_s: float) -> Send | None:
+        engine = active.service.engine
+        if engine is not None and engine.layers > 0:
+            return self._send_on_path(active, now_s)
+        return self._send_plain(active, now_s)
+
+    def _allowed(self, active: _Active, replica_id: str) -> bool:
+        return replica_id in active.replicas or self._may_try_more(active)
+
+    def _send_on_path(self, active: _Active, now_s: float) -> Send | None:
+        own = self._path_in(active, self._zone, now_s)
+        gap_s = active.route.gap_objective_s
+        slow_ms = SLOW_STEP_SHARE * gap_s * 1000 if gap_s else float("inf")
+        best = own
+        if own is None or own.step_ms > slow_ms:
+            for zone in self._zones(active.service.name):
+                if zone == self._zone:
+                    continue
+                path = self._path_in(active, zone, now_s)
+                if path is None:
+                    continue
+                path = attrs.evolve(path, step_ms=path.step_ms + CROSS_ZONE_STEP_MS)
+                if best is None or path.step_ms < best.step_ms:
+                    best = path
+        if best is None:
+            return None
+        active.path = best
+        return self._send(active, best.head.replica_id, best.head.address, now_s)
+
+    def _path_in(
+        self, active: _Active, zone: str, now_s: float, first: Part | None = None
+    ) -> Path | None:
+        engine = active.service.engine
+        assert engine is not None
+        usable = [
+            replica
+            for replica in self._usable(active.service.name)
+            if replica.availability_zone == zone
+            and not self.health.is_excluded(replica.replica_id, now_s)
+            and (
+                replica.layers is None
+                or replica.layers.start > 0
+                or first is not None
+                or self._allowed(active, replica.replica_id)
+            )
+        ]
+        size = active.request.size or UNKNOWN_SIZE
+        path = find_path(
+            usable, engine, size, loads=self.loads, penalty=lambda replica_id: 1.0
+        )
+        if path is not None and first is not None and path.head != first:
+            return None
+        return path
+
+    def _zones(self, service: str) -> set[str]:
+        return {replica.availability_zone for replica in self._usable(service)}
+
+    def _send_plain(self, active: _Active, now_s: float) -> Send | None:
+        usable = [
+            replica
+            for replica in self._usable(active.service.name)
+            if self._allowed(active, replica.replica_id)
+            and self.loads.of(replica.replica_id).requests < max(1, replica.slots)
+        ]
+        fresh = [each for each in usable if each.replica_id not in active.replicas]
+        usable = fresh or usable
+        healthy = [
+            each
+            for each in usable
+            if not self.health.is_excluded(each.replica_id, now_s)
+        ]
+        usable = healthy or usable
+        if not usable:
+            return None
+        known = [self.health.latency_s(each.replica_id) for each in usable]
+        usual_s = min((each for each in known if each is not None), default=0.0)
+
+        def score(replica: Replica) -> tuple[float, bool, float]:
+            load = self.loads.of(replica.replica_id).requests + 1
+            factor = self.health.penalty(replica.replica_id, usual_s)
+            far = replica.availability_zone != self._zone
+            return (load * factor, far, self._random.random())
+
+        chosen = min(usable, key=score)
+        active.path = None
+        return self._send(active, chosen.replica_id, chosen.address, now_s)
+
+    def _send(
+        self, active: _Active, replica_id: str, address: str, now_s: float
+    ) -> Send:
+        active.attempt += 1
+        active.replica_id = replica_id
+        active.replicas.add(replica_id)
+        active.sent_s = active.progress_s = now_s
+        active.asked_s = float("-inf")
+        self._reserve(active)
+        self._services[active.service.name].starts.append(now_s)
+        return Send(
+            key=active.key,
+            attempt=active.attempt,
+            replica_id=replica_id,
+            address=address,
+            path=active.path,
+            deadline_s=active.give_up_s,
+            may_reuse_idle=active.route.may_repeat,
+            tenant=active.tenant.name if active.tenant is not None else None,
+        )
+
+    def _reserve(self, active: _Active) -> None:
+        size = active.request.size or UNKNOWN_SIZE
+        if active.path is None:
+            assert active.replica_id is not None
+            active.reserved = {active.replica_id: 0}
+        else:
+            active.reserved = {
+                part.replica_id: (part.stop - part.start) * size.reserved_tokens
+                for part in active.path.parts
+            }
+        for replica_id, layer_tokens in active.reserved.items():
+            self.loads.add(replica_id, layer_tokens)
+
+    def _release(self, active: _Active) -> None:
+        for replica_id, layer_tokens in active.reserved.items():
+            self.loads.remove(replica_id, layer_tokens)
+        active.reserved = {}
+
+    def _detach(self, active: _Active) -> None:
+        self._release(active)
+        active.replica_id = None
+        state = self._services[active.service.name]
+        if active in state.waiting:
+            state.waiting.remove(active)
+
+    def _finish(
+        self, active: _Active, ending: Ending, detail: str, expected_s: float = 0.0
+    ) -> Finish:
+        self._detach(active)
+        self._active.pop(active.key, None)
+        retry_s = min(MAX_RETRY_S, max(MIN_RETRY_S, expected_s))
+        # Spread over half the interval, so that callers do not return together.
+        retry_s *= self._random.uniform(1.0, 1.5)
+        return Finish(active.key, ending, retry_s, detail)
+
+    # Replicas
+
+    def _usable(self, service: str) -> list[Replica]:
+        return [
+            replica
+            for replica in self.registry.replicas.values()
+            if replica.service == service and not replica.is_draining
+        ]
+
+    def replicas_of(self, service: str) -> Iterable[Replica]:
+        """Return the replicas of a service that take requests."""
+        return self._usable(service)
+
+    def covers(self, service: ServiceSpec) -> bool:
+        """Return whether some zone can serve the service's requests."""
+        usable = self._usable(service.name)
+        if service.engine is None or service.engine.layers == 0:
+            return bool(usable)
+        return covers_model(usable, service.engine)
+
+    def _running(self, key: int, attempt: int) -> _Active | None:
+        active = self._active.get(key)
+        if active is None or active.attempt != attempt or active.replica_id is None:
+            return None
+        return active
+
+    def _replica_of(self, active: _Active) -> Replica | None:
+        if active.replica_id is None:
+            return None
+        return self.registry.replicas.get(active.replica_id)
+
+    def _exclude(self, replica_id: str, now_s: float) -> None:
+        replica = self.registry.replicas.get(replica_id)
+        if replica is not None:
+            self.health.exclude(replica_id, replica.incarnation, now_s)
+
+    def _blame(
+        self,
+        active: _Active,
+        failure: AttemptFailure,
+        fault_address: str | None,
+        now_s: float,
+    ) -> None:
+        replica = self._replica_of(active)
+        if active.path is not None and fault_address is not None:
+            for part in active.path.parts:
+                if part.address == fault_address:
+                    self._exclude(part.replica_id, now_s)
+            return
+        if replica is None:
+            return
+        if failure is AttemptFailure.ERROR:
+            self.health.failed(replica.replica_id, replica.incarnation)
+        elif failure is not AttemptFailure.NOT_RUN or active.path is not None:
+            self.health.failed(replica.replica_id, replica.incarnation)
+            self._exclude(replica.replica_id, now_s)
+
+    def _budget(self, service: str) -> SendBudget:
+        state = self._services[service]
+        if state.budget is None:
+            ratio, slack, window_s = self._retry
+            state.budget = SendBudget(ratio=ratio, slack=slack, window_s=window_s)
+        return state.budget
--- /dev/null
+++ b/persimmonwell/gateway/_host.py
@@ -0,0 +1,249 @@
+"""Run one host that forwards requests on the users' platform."""
+
+import asyncio
+import time
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from persimmonwell.core.forwarding import (
+    ForwardingConfig,
+    ForwardingRouter,
+    RegistryRecord,
+    ReplicaLoad,
+)
+from persimmonwell.gateway._gateway import Gateway
+from persimmonwell.gateway._peer_datagrams import SEND_INTERVAL_S, PeerDatagrams
+from persimmonwell.gateway._placement_duty import PlacementDuty
+from persimmonwell.gateway._small_server import SmallServerConnection
+from persimmonwell.gateway._store_followers import StoreEvents, StoreFollowers
+from persimmonwell.observe import DecisionLog
+from persimmonwell.settings import Endpoint, ForwarderSettings
+
+BACKLOG = 1024
+"""A full queue of new connections delays callers by seconds."""
+ROTATION_S = 2.2
+"""The platform asks each second and takes a host out after two misses."""
+LAST_REQUEST_S = 3.0
+"""Time after SIGTERM at which requests that still arrive are refused."""
+GRACE_MARGIN_S = 0.4
+DRAIN_CHECK_S = 0.1
+
+
+class GatewayHost:
+    """Hold the parts of one host."""
+
+    def __init__(self, settings: ForwarderSettings, *, seed: int) -> None:
+        self._settings = settings
+        self._log = DecisionLog(host_id=settings.host_id)
+        self._router = ForwardingRouter(
+            availability_zone=settings.availability_zone,
+            seed=seed,
+            retry_ratio=settings.retry_ratio,
+            retry_slack=settings.retry_slack,
+            retry_window_s=settings.retry_window_s,
+        )
+        self._gateway = Gateway(router=self._router, log=self._log, seed=seed)
+        self._duty = PlacementDuty(
+            router=self._router, pool=self._gateway.pool, log=self._log
+        )
+        self._servers: list[asyncio.Server] = []
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._followers = StoreFollowers(
+            address=str(settings.store),
+            member=f"{settings.host_id}/{settings.ip}/{time.time_ns()}",
+            events=StoreEvents(
+                config=self._on_loop(self._take_config),
+                bad_config=self._on_loop(self._reject_config),
+                replicas=self._on_loop(self._take_replicas),
+                duty=self._on_loop(self._duty.set_lease),
+                store=self._on_loop(self._store_changed),
+            ),
+        )
+        self._peers = PeerDatagrams(
+            host_id=settings.host_id,
+            availability_zone=settings.availability_zone,
+            own=(settings.ip, settings.peer_port),
+            seeds=frozenset(seed.host for seed in settings.seeds),
+            own_loads=lambda: self._router.loads.own,
+            on_loads=self._peer_loads,
+            clock=time.monotonic,
+        )
+
+    async def start(self) -> None:
+        """Open all ports and start following the store."""
+        self._loop = asyncio.get_running_loop()
+        self._log.start()
+        settings = self._settings
+        await self._serve(settings.readiness, lambda: SmallServerConnection(self._ask))
+        metrics = Endpoint(settings.ip, settings.metrics_port)
+        await self._serve(metrics, lambda: SmallServerConnection(self._show_metrics))
+        if settings.control is not None:
+            await self._serve(
+                settings.control, lambda: SmallServerConnection(self._ask)
+            )
+        await self._serve(settings.callers, self._gateway.new_caller)
+        await self._loop.create_datagram_endpoint(
+            lambda: self._peers, local_addr=(settings.ip, settings.peer_port)
+        )
+        self._add_readings()
+        self._followers.start()
+        self._gateway.start()
+        self._duty.start()
+        self._send_loads()
+        self._log.write(
+            "host",
+            "started",
+            zone=settings.availability_zone,
+            callers=str(settings.callers),
+            store=str(settings.store),
+            memory_mb=settings.memory_mb,
+        )
+
+    async def _serve(
+        self, endpoint: Endpoint, factory: Callable[[], asyncio.Protocol]
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            factory, endpoint.host, endpoint.port, backlog=BACKLOG
+        )
+        self._servers.append(server)
+
+    async def drain(self) -> None:
+        """Finish the requests in flight within the grace time and stop."""
+        start_s = time.monotonic()
+        self._gateway.is_draining = True
+        self._log.write("host", "stopping", open_requests=self._gateway.open_requests)
+        end_s = start_s + self._settings.grace_s - GRACE_MARGIN_S
+        listening = True
+        while time.monotonic() < end_s:
+            drained_s = time.monotonic() - start_s
+            if listening and drained_s > ROTATION_S:
+                listening = False
+                self._servers[-1].close()
+            if not listening:
+                self._gateway.close_idle_callers()
+                if not self._gateway.open_requests and not self._gateway.connections:
+                    break
+            await asyncio.sleep(DRAIN_CHECK_S)
+        self.close()
+
+    def close(self) -> None:
+        """Stop everything at once."""
+        self._log.write("host", "stopped", open_requests=self._gateway.open_requests)
+        self._followers.close()
+        self._duty.close()
+        self._gateway.close()
+        for server in self._servers:
+            server.close()
+        self._log.close()
+
+    def reload(self, settings: ForwarderSettings) -> None:
+        """Take changed settings; addresses stay until the next start."""
+        self._log.write("host", "settings_read", seeds=len(settings.seeds))
+
+    def reload_failed(self, reason: str) -> None:
+        """Keep the last good settings."""
+        self._log.write("host", "settings_rejected", reason=reason)
+
+    # Store
+
+    def _on_loop(self, function: Callable[..., None]) -> Callable[..., None]:
+        def call(*arguments: Any) -> None:
+            assert self._loop is not None
+            try:
+                self._loop.call_soon_threadsafe(function, *arguments)
+            except RuntimeError:
+                # The loop is closed; the followers end with their next check.
+                return
+
+        return call
+
+    def _take_config(self, config: ForwardingConfig) -> None:
+        if self._router.configure(config):
+            self._log.write(
+                "config",
+                "in_force",
+                version=config.version,
+                routes=len(config.routes),
+                tenants=len(config.tenants),
+            )
+
+    def _reject_config(self, reason: str) -> None:
+        current = self._router.config
+        kept = current.version if current is not None else None
+        self._log.write("config", "rejected", reason=reason, kept=kept)
+
+    def _take_replicas(
+        self, records: tuple[RegistryRecord, ...], is_full: bool
+    ) -> None:
+        registry = self._router.registry
+        now_s = time.monotonic()
+        before = dict(registry.replicas)
+        take = registry.replace if is_full else registry.apply
+        if not take(records, now_s):
+            return
+        after = registry.replicas
+        for replica_id in before.keys() | after.keys():
+            old, new = before.get(replica_id), after.get(replica_id)
+            if old == new:
+                continue
+            self._log.write(
+                "registry",
+                "gone" if new is None else "seen" if old is None else "changed",
+                replica=replica_id,
+                draining=new.is_draining if new is not None else None,
+                layers=(
+                    f"{new.layers.start}-{new.layers.stop}"
+                    if new is not None and new.layers is not None
+                    else None
+                ),
+            )
+        self._router.health.forget(set(after))
+
+    def _store_changed(self, follower: str, works: bool, reason: str) -> None:
+        if works:
+            self._log.write("store", "regained", follower=follower)
+            return
+        self._router.registry.store_failed(time.monotonic())
+        self._gateway.metrics.count("store_failed")
+        self._log.write("store", "failed", follower=follower, reason=reason)
+
+    # Peers
+
+    def _peer_loads(self, peer: str, loads: Mapping[str, ReplicaLoad]) -> None:
+        self._router.loads.peer_reported(peer, loads, time.monotonic())
+
+    def _send_loads(self) -> None:
+        self._peers.send()
+        self._router.hosts = 1 + self._peers.live_peers
+        self._gateway.pool.close_expired()
+        assert self._loop is not None
+        self._loop.call_later(SEND_INTERVAL_S, self._send_loads)
+
+    # Small questions
+
+    def _is_ready(self) -> bool:
+        return self._router.is_ready and not self._gateway.is_draining
+
+    def _ask(self, target: str) -> tuple[int, bytes]:
+        return (200, b"ready\n") if self._is_ready() else (503, b"not ready\n")
+
+    def _show_metrics(self, target: str) -> tuple[int, bytes]:
+        return 200, self._gateway.metrics.render()
+
+    def _add_readings(self) -> None:
+        metrics = self._gateway.metrics
+        router = self._router
+        metrics.add_reading("open_requests", lambda: self._gateway.open_requests)
+        metrics.add_reading("waiting_requests", lambda: router.waiting)
+        metrics.add_reading("caller_connections", lambda: self._gateway.connections)
+        metrics.add_reading("replicas", lambda: len(router.registry.replicas))
+        metrics.add_reading("hosts", lambda: router.hosts)
+        metrics.add_reading("holds_duty", lambda: float(self._duty.is_held))
+        metrics.add_reading(
+            "config_version",
+            lambda: router.config.version if router.config is not None else 0,
+        )
+        metrics.add_reading(
+            "upstream_connections_opened", lambda: self._gateway.pool.opened
+        )
--- /dev/null
+++ b/persimmonwell/gateway/_placement_duty.py
@@ -0,0 +1,166 @@
+"""Give the placement orders while this host holds the duty."""
+
+import asyncio
+import time
+
+import attrs
+
+from persimmonwell.core.forwarding import (
+    ForwardingRouter,
+    HeldLayers,
+    PlacementOrder,
+    Replica,
+    plan_placement,
+)
+from persimmonwell.gateway._http_connection import ConnectionPool
+from persimmonwell.gateway._orders import call_replica
+from persimmonwell.observe import DecisionLog
+from persimmonwell.platform import (
+    ORDER_PATH,
+    REPORT_PATH,
+    decode_order_count,
+    encode_place_order,
+    order_headers,
+)
+
+CHECK_INTERVAL_S = 0.25
+SETTLE_S = 1.5
+"""A registry that still grows is not planned on: replicas register within some 4 s of
+their start, and a plan on a part of them is changed soon after."""
+ORDER_MEMORY_S = 3.0
+"""An accepted order counts as done for this long, until the registry shows it."""
+RETRY_ORDER_S = 0.5
+
+
+@attrs.frozen
+class _Pending:
+    incarnation: tuple[str, int]
+    layers: HeldLayers
+    until_s: float
+
+
+class PlacementDuty:
+    """Hold the duty's lease and the orders that are under way."""
+
+    def __init__(
+        self, *, router: ForwardingRouter, pool: ConnectionPool, log: DecisionLog
+    ) -> None:
+        self._router = router
+        self._pool = pool
+        self._log = log
+        self._until_s = float("-inf")
+        self._pending: dict[str, _Pending] = {}
+        self._known: set[str] = set()
+        self._grown_s = float("-inf")
+        self._timer: asyncio.TimerHandle | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.orders = 0
+
+    @property
+    def is_held(self) -> bool:
+        """Return whether this host gives orders now."""
+        return time.monotonic() < self._until_s
+
+    def start(self) -> None:
+        """Start checking the placement."""
+        self._check()
+
+    def close(self) -> None:
+        """Stop."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def set_lease(self, until_s: float | None) -> None:
+        """Take the moment at which the duty ends; None when another has it."""
+        held = self.is_held
+        self._until_s = until_s if until_s is not None else float("-inf")
+        if held != self.is_held:
+            self._log.write("placement", "duty_held" if self.is_held else "duty_lost")
+
+    def _check(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(CHECK_INTERVAL_S, self._check)
+        now_s = time.monotonic()
+        replicas = self._router.registry.replicas
+        if replicas.keys() - self._known:
+            self._grown_s = now_s
+        self._known = set(replicas)
+        config = self._router.config
+        if not self.is_held or config is None:
+            return
+        for service in config.services:
+            if service.engine is None or service.engine.layers == 0:
+                continue
+            members = [
+                self._with_pending(replica, now_s)
+                for replica in self._router.replicas_of(service.name)
+            ]
+            is_first = all(replica.layers is None for replica in members)
+            if is_first and now_s - self._grown_s < SETTLE_S:
+                continue
+            for order in plan_placement(members, service.engine):
+                if order.replica_id not in self._pending:
+                    self._give(order, replicas[order.replica_id], now_s)
+
+    def _with_pending(self, replica: Replica, now_s: float) -> Replica:
+        pending = self._pending.get(replica.replica_id)
+        if pending is None:
+            return replica
+        done = replica.layers == pending.layers
+        if (
+            done
+            or now_s > pending.until_s
+            or pending.incarnation != (replica.incarnation)
+        ):
+            del self._pending[replica.replica_id]
+            return replica
+        return attrs.evolve(replica, layers=pending.layers, is_busy=True)
+
+    def _give(self, order: PlacementOrder, replica: Replica, now_s: float) -> None:
+        self._pending[order.replica_id] = _Pending(
+            replica.incarnation, order.layers, now_s + ORDER_MEMORY_S
+        )
+        task = asyncio.get_running_loop().create_task(self._send(order, replica))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _send(self, order: PlacementOrder, replica: Replica) -> None:
+        report = await call_replica(
+            self._pool, order.address, method="GET", path=REPORT_PATH
+        )
+        accepted = decode_order_count(report.body) if report.status == 200 else None
+        if accepted is None or not self.is_held:
+            self._forget_soon(order, replica)
+            return
+        body = encode_place_order(
+            start=order.layers.start,
+            stop=order.layers.stop,
+            expected_orders=accepted,
+        )
+        answer = await call_replica(
+            self._pool,
+            order.address,
+            method="POST",
+            path=ORDER_PATH,
+            body=body,
+            headers=order_headers(order.replica_id),
+        )
+        self.orders += 1
+        self._log.write(
+            "placement",
+            "ordered",
+            replica=order.replica_id,
+            layers=f"{order.layers.start}-{order.layers.stop}",
+            was=str(replica.layers),
+            expected=accepted,
+            status=answer.status,
+            detail=answer.detail or answer.body[:80].decode("latin-1"),
+        )
+        if answer.status not in (200, 202):
+            self._forget_soon(order, replica)
+
+    def _forget_soon(self, order: PlacementOrder, replica: Replica) -> None:
+        """Let the next plan ask the replica again after a short pause."""
+        self._pending[order.replica_id] = _Pending(
+            replica.incarnation, order.layers, time.monotonic() + RETRY_ORDER_S
+        )
--- a/persimmonwell/observe/__init__.py
+++ b/persimmonwell/observe/__init__.py
@@ -1,5 +1,6 @@
 """Make the daemon's behaviour visible."""
 
+from persimmonwell.observe._decision_log import DecisionLog
 from persimmonwell.observe._logs import (
     RepeatLimiter,
     configure_logs,
@@ -11,6 +12,7 @@
 from persimmonwell.observe._token_timer import TokenTimer
 
 __all__ = [
+    "DecisionLog",
     "Metrics",
     "Readings",
     "Recorder",
--- /dev/null
+++ b/persimmonwell/platform/_operator_records.py
@@ -0,0 +1,266 @@
+"""Translate the operators' configuration and the replicas' entries."""
+
+import json
+from typing import TypeGuard
+
+import msgspec
+
+from persimmonwell._exceptions import DocumentError, Fault
+from persimmonwell.core.forwarding import (
+    AcceleratorKind,
+    CallerLimits,
+    EngineSpec,
+    ForwardingConfig,
+    HeldLayers,
+    Replica,
+    Route,
+    RouteKind,
+    ServiceSpec,
+    Tenant,
+    WeightedService,
+)
+
+CONFIG_TOPIC = "keyed.op"
+CONFIG_KEY = "config"
+REPLICA_TOPIC = "keyed.servers"
+DEFAULT_DELAY_MS = 0.2
+MAX_ENTRY_BYTES = 64 * 1024
+"""Far above any entry; a foreign writer's larger one is not parsed."""
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 1000.0
+    priority: int = 0
+    service: str | None = None
+    traffic_split: list[_Split] = []
+    max_attempts: int = 1
+    auth_exempt: bool = False
+    stream_resume: bool = False
+    gap_aim_ms: float | None = None
+
+
+class _Accelerator(msgspec.Struct):
+    name: str
+    mb: float
+    pace: float
+    """Factor on the time of decode steps; a report's field of the same name is the
+    state of one replica instead."""
+    read_x: float
+
+
+class _Model(msgspec.Struct):
+    name: str
+    load_s: float = 0.0
+
+
+class _Usual(msgspec.Struct):
+    prompt: float = 1000.0
+    answer: float = 200.0
+
+
+class _Engine(msgspec.Struct):
+    slots: int
+    kv_token_bytes: float = 0.0
+    step_ms: float = 0.0
+    per_seq_ms: float = 0.0
+    context_per_k: float = 0.0
+    read_per_s: float = 1.0
+    usual: _Usual = msgspec.field(default_factory=_Usual)
+    models: list[_Model] = []
+    layers: int = 0
+    layer_mb: float = 0.0
+    kinds: list[_Accelerator] = []
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str = "/health"
+    max_connections: int = 0
+    engine: _Engine | None = None
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
+
+
+def decode_config(data: bytes) -> ForwardingConfig:
+    """Return the configuration; raise DocumentError that names the field."""
+    try:
+        document = msgspec.json.decode(data, type=_Config)
+        return ForwardingConfig(
+            version=document.version,
+            routes=tuple(_route(each) for each in document.routes),
+            services=tuple(_service(each) for each in document.services),
+            tenants=tuple(
+                Tenant(each.name, tuple(each.api_keys), each.priority)
+                for each in document.tenants
+            ),
+            limits=_limits(document.limits),
+        )
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise DocumentError(faults=(Fault(path="/", reason=str(error)),)) from error
+
+
+def _route(route: _Route) -> Route:
+    services = tuple(
+        WeightedService(each.service, each.weight) for each in route.traffic_split
+    )
+    if not services:
+        services = (WeightedService(route.service or "", 1.0),)
+    return Route(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        kind=RouteKind(route.kind),
+        services=services,
+        timeout_s=route.timeout_ms / 1000,
+        objective_s=route.target_latency_ms / 1000,
+        priority=route.priority,
+        max_attempts=max(1, route.max_attempts),
+        is_public=route.auth_exempt,
+        is_resumable=route.stream_resume,
+        gap_objective_s=route.gap_aim_ms / 1000 if route.gap_aim_ms else None,
+    )
+
+
+def _service(service: _Service) -> ServiceSpec:
+    engine = service.engine
+    return ServiceSpec(
+        name=service.name,
+        health_path=service.health_path,
+        max_connections=service.max_connections,
+        engine=_engine(engine) if engine is not None else None,
+    )
+
+
+def _engine(engine: _Engine) -> EngineSpec:
+    return EngineSpec(
+        slots=engine.slots,
+        layers=engine.layers,
+        layer_mb=engine.layer_mb,
+        kv_token_bytes=engine.kv_token_bytes,
+        step_ms=engine.step_ms,
+        sequence_ms=engine.per_seq_ms,
+        context_ms=engine.context_per_k,
+        read_tokens_per_s=engine.read_per_s,
+        usual_prompt=engine.usual.prompt,
+        usual_answer=engine.usual.answer,
+        load_s=max((model.load_s for model in engine.models), default=0.0),
+        stage_delay_ms=DEFAULT_DELAY_MS,
+        accelerators=tuple(
+            (kind.name, AcceleratorKind(kind.mb, kind.pace, kind.read_x))
+            for kind in engine.kinds
+        ),
+    )
+
+
+def _limits(limits: _Limits) -> CallerLimits:
+    return CallerLimits(
+        max_header_bytes=limits.max_header_bytes,
+        max_body_bytes=limits.max_body_bytes,
+        header_timeout_s=limits.header_timeout_ms / 1000,
+        idle_timeout_s=limits.idle_timeout_ms / 1000,
+    )
+
+
+def decode_replica(replica_id: str, data: bytes) -> Replica | None:
+    """Return a replica's entry, None for one that names no replica to use.
+
+    Entries may come from other writers, so that each field is checked.
+    """
+    if len(data) > MAX_ENTRY_BYTES:
+        return None
+    try:
+        document = json.loads(data)
+    except (ValueError, RecursionError):
+        return None
+    if not isinstance(document, dict):
+        return None
+    service = document.get("service")
+    address = document.get("address")
+    zone = document.get("zone")
+    state = document.get("state")
+    slots = document.get("slots")
+    born = document.get("born", 0)
+    accelerator = document.get("kind", "")
+    # The entry's "sequence" counts heartbeats, unlike the one in a report.
+    if not (_is_text(service) and _is_address(address) and _is_text(zone)):
+        return None
+    if state not in ("ready", "draining") or not isinstance(accelerator, str):
+        return None
+    if not (_is_count(slots) and _is_count(born)):
+        return None
+    layers = _layers(document.get("layers"))
+    if isinstance(layers, _Unreadable):
+        return None
+    return Replica(
+        replica_id=replica_id,
+        service=service,
+        address=address,
+        availability_zone=zone,
+        slots=slots,
+        is_draining=state == "draining",
+        born_ms=born,
+        accelerator=accelerator,
+        layers=layers,
+        is_busy=document.get("busy") is True,
+    )
+
+
+class _Unreadable:
+    """Mark a field of the wrong type."""
+
+
+def _layers(value: object) -> HeldLayers | _Unreadable | None:
+    if isinstance(value, list) and len(value) == 1:
+        value = value[0]
+    if value is None or value == []:
+        return None
+    if not isinstance(value, dict):
+        return _Unreadable()
+    start, stop = value.get("from"), value.get("to")
+    if not (_is_count(start) and _is_count(stop)) or stop < start:
+        return _Unreadable()
+    return HeldLayers(start, stop)
+
+
+def _is_text(value: object) -> TypeGuard[str]:
+    return isinstance(value, str) and bool(value)
+
+
+def _is_count(value: object) -> TypeGuard[int]:
+    return type(value) is int and value >= 0
+
+
+def _is_address(value: object) -> TypeGuard[str]:
+    if not isinstance(value, str):
+        return False
+    host, _, port = value.rpartition(":")
+    return host.count(".") == 3 and port.isdigit() and 0 < int(port) < 65536
--- a/persimmonwell/settings/__init__.py
+++ b/persimmonwell/settings/__init__.py
@@ -1,5 +1,6 @@
 """Read and check the JSON settings of one daemon."""
 
+from persimmonwell.settings._forwarder import Endpoint, ForwarderSettings
 from persimmonwell.settings._settings import (
     CallerSettings,
     CurveSettings,
@@ -18,7 +19,9 @@
 __all__ = [
     "CallerSettings",
     "CurveSettings",
+    "Endpoint",
     "EngineSettings",
+    "ForwarderSettings",
     "LogSettings",
     "OperatorSettings",
     "OrderSettings",
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -7,7 +7,7 @@
 
 PACKAGE = Path(__file__).resolve().parent.parent / "persimmonwell"
 OUTER = {"core": 0, "settings": 1, "observe": 2, "platform": 2, "peers": 2}
-LEVELS = {**OUTER, "upstream": 2, "front": 3, "daemon": 4, "cli": 4}
+LEVELS = {**OUTER, "upstream": 2, "front": 3, "gateway": 4, "daemon": 4, "cli": 4}
 ALLOWED_SIDEWAYS = {("front", "upstream")}
 NO_IO_IN_CORE = {"socket", "threading", "time", "os", "urllib3", "zmq", "pykka"}
 
