Blame later stages when a chain falls silent mid-answer

Silence after the first tokens was blamed on the first stage, which had passed them on; it was ejected, and its requests returned to the engine that answers for other requests until their four attempts were used up. Change: after tokens, silence counts against the later stages, and the request avoids the silent chain as a whole, then its later stages, then none.

--- a/persimmonwell/core/router/_active.py
+++ b/persimmonwell/core/router/_active.py
@@ -45,6 +45,10 @@
     chain: Chain | None = None
     replica: ServiceReplica | None = None
     excluded: frozenset[str] = frozenset()
+    suspected: frozenset[str] = frozenset()
+    """Upstreams of chains that fell silent, one of which has to be at fault."""
+    suspected_heads: frozenset[str] = frozenset()
+    """First stages of those chains, which passed tokens on before the silence."""
     may_have_run: bool = False
     tokens: int = 0
     """Tokens accepted in order at the end of the last attempt."""
--- a/persimmonwell/core/router/_dispatch.py
+++ b/persimmonwell/core/router/_dispatch.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from persimmonwell._exceptions import NoRouteError
-from persimmonwell.core._types import ModelRequest, Rank, ServiceCall
+from persimmonwell.core._types import Chain, ModelRequest, Rank, ServiceCall
 from persimmonwell.core.router._active import Active, Phase
 from persimmonwell.core.router._decisions import Dispatch, DispatchService
 from persimmonwell.core.router._endings import refuse
@@ -133,8 +133,7 @@
     state: RouterState, active: Active, request: ModelRequest, now_s: float
 ) -> NoRoute | None:
     isolated = state.quarantine.excluded_for(request.digest)
-    excluded = active.excluded | isolated
-    chain = state.chains.choose(request, now_s, excluded=excluded)
+    chain = _choose_away_from_suspects(state, active, request, isolated, now_s)
     if isinstance(chain, NoRoute) and active.excluded:
         # Isolation alone must not send a suspect back to the upstream it lost.
         alone = state.chains.choose(request, now_s, excluded=active.excluded)
@@ -160,6 +159,23 @@
     return None
 
 
+def _choose_away_from_suspects(
+    state: RouterState,
+    active: Active,
+    request: ModelRequest,
+    isolated: frozenset[str],
+    now_s: float,
+) -> Chain | NoRoute:
+    """Avoid the chains that fell silent, then only their later stages, then none."""
+    excluded = active.excluded | isolated
+    later_stages = active.suspected - active.suspected_heads
+    for suspects in dict.fromkeys((active.suspected, later_stages, frozenset[str]())):
+        chain = state.chains.choose(request, now_s, excluded=excluded | suspects)
+        if isinstance(chain, Chain):
+            return chain
+    return chain
+
+
 def _place_call(
     state: RouterState, active: Active, call: ServiceCall, now_s: float
 ) -> NoRoute | None:
--- a/persimmonwell/core/router/_failures.py
+++ b/persimmonwell/core/router/_failures.py
@@ -6,7 +6,7 @@
     PersimmonwellError,
     UpstreamFailedError,
 )
-from persimmonwell.core._types import ServiceCall
+from persimmonwell.core._types import Chain, ServiceCall
 from persimmonwell.core.retry import backoff_s
 from persimmonwell.core.router import _events as ev
 from persimmonwell.core.router._active import Active
@@ -40,12 +40,34 @@
     upstream_id, failure = event.upstream_id, event.failure
     if failure is ev.FailureKind.LOST:
         _suspect_digests(state, active, upstream_id, now_s)
-    if failure is not ev.FailureKind.BUSY:
-        state.chains.upstream_failed(upstream_id, now_s=now_s)
-    end_attempt(state, active, now_s)
     progressed = event.tokens_so_far > active.tokens
+    suspects = _silent_stages(active.chain, event, progressed)
+    if suspects:
+        active.suspected |= frozenset(active.chain.upstream_ids)
+        active.suspected_heads |= {upstream_id}
+    for blamed in suspects or (upstream_id,):
+        if failure is not ev.FailureKind.BUSY:
+            state.chains.upstream_failed(blamed, now_s=now_s)
+    end_attempt(state, active, now_s)
     active.tokens = max(active.tokens, event.tokens_so_far)
-    _recover(state, active, failure, upstream_id, progressed, now_s)
+    excluded = frozenset() if suspects else frozenset({upstream_id})
+    _recover(state, active, failure, upstream_id, excluded, progressed, now_s)
+
+
+def _silent_stages(
+    chain: Chain, event: ev.StageFailed, progressed: bool
+) -> tuple[str, ...]:
+    """Return the later stages of a chain that passed tokens and then fell silent.
+
+    The first stage has shown that it works, and nothing tells which of the others
+    stopped. Blaming the first one would eject it and leave its requests to upstreams
+    that have failed them already.
+    """
+    if event.failure is not ev.FailureKind.TIMEOUT or not progressed:
+        return ()
+    if event.upstream_id != chain.upstream_ids[0]:
+        return ()
+    return chain.upstream_ids[1:]
 
 
 def _suspect_digests(
@@ -75,7 +97,9 @@
         refused = event.failure is ev.FailureKind.NOT_SENT
         state.pool.failed(replica, refused=refused, now_s=now_s)
     end_attempt(state, active, now_s)
-    _recover(state, active, event.failure, event.replica_id, False, now_s)
+    replica_id = event.replica_id
+    excluded = frozenset({replica_id})
+    _recover(state, active, event.failure, replica_id, excluded, False, now_s)
 
 
 def _recover(
@@ -83,11 +107,12 @@
     active: Active,
     failure: ev.FailureKind,
     upstream_id: str,
+    excluded: frozenset[str],
     progressed: bool,
     now_s: float,
 ) -> None:
     active.may_have_run |= failure not in NOT_RUN
-    active.excluded |= {upstream_id}
+    active.excluded |= excluded
     active.failures += 1
     active.failed_s = now_s
     active.last_error = UpstreamFailedError(upstream_id, failure.value)
