Use one client for the platform's store in every process

Cause: two clients for one platform: the former daemon spoke a log protocol of its own. Change: StoreClient carries all calls; JsonLog keeps JSON records in its topics; the stand-in speaks the store's protocol; the former client is gone. Tests put records into the stand-in directly instead of over the former protocol, with the same checks.

--- a/persimmonwell/daemon/_claims_part.py
+++ b/persimmonwell/daemon/_claims_part.py
@@ -46,7 +46,7 @@
     error_response,
 )
 from persimmonwell.observe import Metrics, Recorder, part_logger
-from persimmonwell.platform import LogClient
+from persimmonwell.platform import JsonLog
 from persimmonwell.settings import PlatformSettings
 
 VERDICT_GRACE_S = 5.0
@@ -93,7 +93,7 @@
     def __init__(
         self,
         *,
-        log: LogClient,
+        log: JsonLog,
         host_id: str,
         incarnation: str,
         limits: ClaimLimits,
--- a/persimmonwell/daemon/_daemon.py
+++ b/persimmonwell/daemon/_daemon.py
@@ -71,7 +71,7 @@
     RenderedMetrics,
     part_logger,
 )
-from persimmonwell.platform import HostListClient, LogClient
+from persimmonwell.platform import HostListClient, JsonLog, StoreClient
 from persimmonwell.settings import Settings
 from persimmonwell.upstream import EngineClient, ServiceClient
 
@@ -93,9 +93,10 @@
         self._stopping = threading.Event()
         self._config: FleetConfig | None = None
         self._upstreams: tuple[Upstream, ...] = ()
-        self._log_client = LogClient(
+        self._store = StoreClient(
             url=settings.platform.log_url, timeout_s=settings.platform.timeout_s
         )
+        self._log_client = JsonLog(self._store)
         self._host_list = HostListClient(
             url=settings.platform.host_list_url, timeout_s=settings.platform.timeout_s
         )
@@ -334,7 +335,7 @@
         self._workers.shutdown(wait=True, cancel_futures=True)
         self._engines.close()
         self._services.close()
-        self._log_client.close()
+        self._store.close()
         self._host_list.close()
         self._peers.close()
         self._router.close()
--- a/persimmonwell/daemon/_orders_part.py
+++ b/persimmonwell/daemon/_orders_part.py
@@ -37,7 +37,7 @@
 from persimmonwell.core.timeline import EventKind
 from persimmonwell.daemon._stream_follower import follow_stream
 from persimmonwell.observe import Recorder, part_logger
-from persimmonwell.platform import LogClient
+from persimmonwell.platform import JsonLog
 from persimmonwell.settings import OrderSettings, Settings
 from persimmonwell.upstream import OrderAnswer, OrderClient
 
@@ -75,7 +75,7 @@
     def __init__(
         self,
         *,
-        log: LogClient,
+        log: JsonLog,
         settings: Settings,
         incarnation: str,
         current_config: Callable[[], FleetConfig | None],
--- a/persimmonwell/daemon/_stream_follower.py
+++ b/persimmonwell/daemon/_stream_follower.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from persimmonwell._exceptions import PlatformUnavailableError
-from persimmonwell.platform import LogClient, StreamSlice
+from persimmonwell.platform import JsonLog, StreamSlice
 
 LOG_WAIT_S = 0.5
 """Long-poll time of one read; also bounds the time to stop."""
@@ -13,7 +13,7 @@
 
 
 def follow_stream(
-    log: LogClient,
+    log: JsonLog,
     stream: str,
     *,
     stopping: threading.Event,
--- a/persimmonwell/daemon/_stream_reader.py
+++ b/persimmonwell/daemon/_stream_reader.py
@@ -7,7 +7,7 @@
 from persimmonwell._exceptions import PlatformUnavailableError
 from persimmonwell.core.control import CONFIG_STREAM, PlatformFailed, RecordsRead
 from persimmonwell.daemon._control_actor import ControlPort
-from persimmonwell.platform import LogClient
+from persimmonwell.platform import JsonLog
 
 LOG_WAIT_S = 0.5
 """Long-poll time of one read; also bounds the time to stop."""
@@ -25,7 +25,7 @@
         self,
         *,
         stream: str,
-        log: LogClient,
+        log: JsonLog,
         control: ControlPort,
         count_failure: Callable[[str], None],
     ) -> None:
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -49,7 +49,7 @@
         self._servers: list[asyncio.Server] = []
         self._loop: asyncio.AbstractEventLoop | None = None
         self._followers = StoreFollowers(
-            address=str(settings.store),
+            url=f"http://{settings.store}",
             member=f"{settings.host_id}/{settings.ip}/{time.time_ns()}",
             events=StoreEvents(
                 config=self._on_loop(self._take_config),
--- a/persimmonwell/gateway/_store_followers.py
+++ b/persimmonwell/gateway/_store_followers.py
@@ -49,8 +49,8 @@
 class StoreFollowers:
     """Hold the threads that wait for the store."""
 
-    def __init__(self, *, address: str, member: str, events: StoreEvents) -> None:
-        self._address = address
+    def __init__(self, *, url: str, member: str, events: StoreEvents) -> None:
+        self._url = url
         self._member = member
         self._events = events
         self._stop = threading.Event()
@@ -74,7 +74,7 @@
         self._stop.set()
 
     def _client(self) -> StoreClient:
-        return StoreClient(address=self._address, timeout_s=CALL_TIMEOUT_S)
+        return StoreClient(url=self._url, timeout_s=CALL_TIMEOUT_S)
 
     def _note(self, name: str, works: bool, reason: str = "") -> None:
         if self._works.get(name) is not works or not works:
--- a/persimmonwell/platform/__init__.py
+++ b/persimmonwell/platform/__init__.py
@@ -15,7 +15,7 @@
     order_headers,
 )
 from persimmonwell.platform._host_list import HostListClient
-from persimmonwell.platform._log_client import LogClient, StreamSlice
+from persimmonwell.platform._json_log import JsonLog, StreamSlice
 from persimmonwell.platform._node_file import (
     DEFAULT_NODE_FILE,
     NODE_FILE_VARIABLE,
@@ -49,7 +49,7 @@
     "AnswerHead",
     "AppendConflictError",
     "HostListClient",
-    "LogClient",
+    "JsonLog",
     "Membership",
     "RecordsExpiredError",
     "StoreClient",
--- a/persimmonwell/platform/_store_client.py
+++ b/persimmonwell/platform/_store_client.py
@@ -33,9 +33,12 @@
     end_offset: int
 
 
+@attrs.frozen
 class RecordsExpiredError(PlatformUnavailableError):
     """Report that the records asked for are no longer kept."""
 
+    first_offset: int = 0
+
 
 @attrs.frozen
 class AppendConflictError(PlatformUnavailableError):
@@ -55,8 +58,8 @@
 class StoreClient:
     """Hold the connections to the store."""
 
-    def __init__(self, *, address: str, timeout_s: float) -> None:
-        self._url = f"http://{address}/persimmonwell"
+    def __init__(self, *, url: str, timeout_s: float) -> None:
+        self._url = f"{url}/persimmonwell"
         self._timeout_s = timeout_s
         self._pool = urllib3.PoolManager(maxsize=4, retries=False)
 
@@ -87,7 +90,7 @@
                     return StoreSlice(tuple(records), 0, end)
                 after = str(answer["items"][-1]["key"])
             except (LookupError, TypeError, ValueError) as error:
-                raise PlatformUnavailableError("store", str(error)) from error
+                raise PlatformUnavailableError("log", str(error)) from error
 
     def read(
         self, topic: str, *, part: int = 0, from_offset: int, wait_s: float = 0.0
@@ -101,9 +104,10 @@
             query["wait_ms"] = str(int(wait_s * 1000))
         status, data = self._call("GET", "log-read", query, wait_s=wait_s)
         if status == 410:
-            raise RecordsExpiredError("store", "records expired")
+            first = _first_offset(data)
+            raise RecordsExpiredError("log", "records expired", first_offset=first)
         if status != 200:
-            raise PlatformUnavailableError("store", f"status {status}")
+            raise PlatformUnavailableError("log", f"status {status}")
         return _parse_slice(data, from_offset, keyed=topic.startswith("keyed."))
 
     def append(
@@ -138,7 +142,7 @@
             parts = frozenset((str(row[0]), int(row[1])) for row in answer["parts"])
             return Membership(int(answer["generation"]), parts)
         except (LookupError, TypeError, ValueError) as error:
-            raise PlatformUnavailableError("store", str(error)) from error
+            raise PlatformUnavailableError("log", str(error)) from error
 
     def leave(self, group: str, *, member: str) -> None:
         """Leave a group; raise PlatformUnavailableError."""
@@ -152,12 +156,12 @@
         try:
             answer = json.loads(data) if data else {}
         except ValueError as error:
-            raise PlatformUnavailableError("store", str(error)) from error
+            raise PlatformUnavailableError("log", str(error)) from error
         if status == 412 and isinstance(answer, dict):
             end = int(answer.get("end", 0))
-            raise AppendConflictError("store", "conflict", end_offset=end)
+            raise AppendConflictError("log", "conflict", end_offset=end)
         if status != 200 or not isinstance(answer, dict):
-            raise PlatformUnavailableError("store", f"status {status}")
+            raise PlatformUnavailableError("log", f"status {status}")
         return answer
 
     def _call(
@@ -182,10 +186,17 @@
                 timeout=timeout,
             )
         except urllib3.exceptions.HTTPError as error:
-            raise PlatformUnavailableError("store", type(error).__name__) from error
+            raise PlatformUnavailableError("log", type(error).__name__) from error
         return response.status, response.data
 
 
+def _first_offset(data: bytes) -> int:
+    try:
+        return int(json.loads(data)["first"])
+    except (ValueError, LookupError, TypeError) as error:
+        raise PlatformUnavailableError("log", str(error)) from error
+
+
 def keyed_record(key: str, value: bytes) -> bytes:
     """Return the record that sets a key of a keyed topic."""
     name = key.encode()
@@ -202,12 +213,12 @@
             start = position + _LENGTH.size
             position = start + length
             if position > len(data):
-                raise PlatformUnavailableError("store", "a record is cut short")
+                raise PlatformUnavailableError("log", "a record is cut short")
             offset = from_offset + len(records)
             records.append(_parse_record(data[start:position], offset, keyed))
         return StoreSlice(tuple(records), first, end)
     except struct.error as error:
-        raise PlatformUnavailableError("store", str(error)) from error
+        raise PlatformUnavailableError("log", str(error)) from error
 
 
 def _parse_record(content: bytes, offset: int, keyed: bool) -> StoreRecord:
--- a/standins/http.py
+++ b/standins/http.py
@@ -9,7 +9,7 @@
 from cheroot import errors, wsgi
 
 Body = dict[str, Any]
-Answer = tuple[int, Body] | Iterator[bytes]
+Answer = tuple[int, Body | bytes] | Iterator[bytes]
 Route = Callable[[Body, dict[str, str]], Answer]
 THREADS = 64
 
@@ -78,6 +78,8 @@
         raw = environ["wsgi.input"].read(length)
         try:
             body = json.loads(raw) if raw else {}
+            if not isinstance(body, dict):
+                raise ValueError
         except ValueError:
             body = {"raw": raw.decode("latin-1")}
         matches = [
@@ -93,9 +95,11 @@
                 start_response("200 OK", [("Content-Type", "text/event-stream")])
                 return result
             status, answer = result
-        data = json.dumps(answer).encode()
+        kind, data = "application/octet-stream", answer
+        if not isinstance(data, bytes):
+            kind, data = "application/json", json.dumps(answer).encode()
         headers = [
-            ("Content-Type", "application/json"),
+            ("Content-Type", kind),
             ("Content-Length", str(len(data))),
         ]
         start_response(f"{status} Status", headers)
--- a/standins/log.py
+++ b/standins/log.py
@@ -1,5 +1,8 @@
-"""Stand in for the platform's append-only log service."""
+"""Stand in for the platform's metadata store, a log of topics."""
 
+import base64
+import json
+import struct
 import threading
 import time
 from collections import defaultdict
@@ -7,9 +10,15 @@
 
 from standins.http import Answer, Body, StandinServer, drop_connection
 
+LENGTH = struct.Struct(">I")
+READ_HEADER = struct.Struct(">QQ")
+READ_LIMIT_RECORDS = 500
+KEYED = "keyed."
+"""Topics with this prefix hold keys and values; others hold JSON documents here."""
+
 
 class Log:
-    """Hold append-only streams with offsets, retention and faults.
+    """Hold topics of one partition with offsets, retention and faults.
 
     Faults: down, down_after (appends until down is set), delay_s, lose_answers
     (appends that take effect without an answer).
@@ -22,8 +31,12 @@
         self._streams: dict[str, list[Any]] = defaultdict(list)
         self._first: dict[str, int] = defaultdict(int)
         self._changed = threading.Condition()
-        self.server.route("POST", "/streams/", self._append)
-        self.server.route("GET", "/streams/", self._read)
+        self._generation = 0
+        self._members: dict[str, list[str]] = defaultdict(list)
+        self.server.route("POST", "/persimmonwell/log-append", self._append)
+        self.server.route("GET", "/persimmonwell/log-read", self._read)
+        self.server.route("GET", "/persimmonwell/log-newest", self._newest)
+        self.server.route("POST", "/persimmonwell/log-join", self._join)
         self.server.route("POST", "/faults", self._set_faults)
 
     def start(self) -> None:
@@ -38,6 +51,17 @@
         """Return every record ever appended to a stream."""
         return list(self._streams[stream])
 
+    def put(self, stream: str, *records: Any) -> None:
+        """Append records as another writer would."""
+        with self._changed:
+            self._streams[stream].extend(records)
+            self._changed.notify_all()
+
+    def put_key(self, topic: str, key: str, document: Any) -> None:
+        """Set a key of a keyed topic; None drops it."""
+        value = b"" if document is None else json.dumps(document).encode()
+        self.put(topic, (key, value))
+
     def truncate(self, stream: str, first: int) -> None:
         """Drop the records below an offset, as retention does."""
         with self._changed:
@@ -51,11 +75,14 @@
         if self.faults.get("down"):
             return 503, {"error": "unavailable"}
         time.sleep(self.faults.get("delay_s", 0.0))
-        name = query["path"].split("/")[2]
+        name = query["topic"]
+        records = _parse_records(body["raw"].encode("latin-1"), name)
         with self._changed:
-            self.appends += 1
             start = len(self._streams[name])
-            self._streams[name].extend(body["records"])
+            if "at" in query and int(query["at"]) != start:
+                return 412, {"end": start}
+            self.appends += 1
+            self._streams[name].extend(records)
             lose = self.faults.get("lose_answers", 0)
             self.faults["lose_answers"] = max(0, lose - 1)
             if self.faults.get("down_after"):
@@ -64,14 +91,13 @@
             self._changed.notify_all()
         if lose:
             return drop_connection()
-        return 200, {"offsets": list(range(start, start + len(body["records"])))}
+        return 200, {"offset": start, "end": start + len(records)}
 
     def _read(self, body: Body, query: dict[str, str]) -> Answer:
         if self.faults.get("down"):
             return 503, {"error": "unavailable"}
         time.sleep(self.faults.get("delay_s", 0.0))
-        name = query["path"].split("/")[2]
-        start, limit = int(query["from"]), int(query.get("limit", "100"))
+        name, start = query["topic"], int(query["from"])
         wait_s = int(query.get("wait_ms", "0")) / 1000
         with self._changed:
             self._changed.wait_for(
@@ -80,9 +106,62 @@
             if self.faults.get("down"):
                 return 503, {"error": "unavailable"}
             stream, first = self._streams[name], self._first[name]
-            start = max(start, first)
-            records = [
-                {"offset": offset, "data": stream[offset]}
-                for offset in range(start, min(len(stream), start + limit))
+            if start < first:
+                return 410, {"first": first}
+            records = stream[start : start + READ_LIMIT_RECORDS]
+            contents = [_encode_record(each) for each in records]
+            framed = b"".join(LENGTH.pack(len(each)) + each for each in contents)
+            return 200, READ_HEADER.pack(len(stream), first) + framed
+
+    def _newest(self, body: Body, query: dict[str, str]) -> Answer:
+        if self.faults.get("down"):
+            return 503, {"error": "unavailable"}
+        with self._changed:
+            stream = self._streams[query["topic"]]
+            newest = {record[0]: n for n, record in enumerate(stream)}
+            items = [
+                {
+                    "key": key,
+                    "value": base64.b64encode(stream[n][1]).decode(),
+                    "offset": n,
+                }
+                for key, n in sorted(newest.items())
+                if stream[n][1]
             ]
-            return 200, {"first": first, "next": len(stream), "records": records}
+            return 200, {"items": items, "has_more": False, "end": len(stream)}
+
+    def _join(self, body: Body, query: dict[str, str]) -> Answer:
+        if self.faults.get("down"):
+            return 503, {"error": "unavailable"}
+        with self._changed:
+            members = self._members[body["group"]]
+            if body["member"] not in members:
+                members.append(body["member"])
+                self._generation += 1
+            holds = members[0] == body["member"]
+            parts = [[topic, 0, 0] for topic in body["topics"] if holds]
+            answer = {"generation": self._generation, "parts": parts}
+            return 200, {**answer, "ttl_ms": body["ttl_ms"]}
+
+
+def _parse_records(data: bytes, topic: str) -> list[Any]:
+    records: list[Any] = []
+    position = 0
+    while position < len(data):
+        (length,) = LENGTH.unpack_from(data, position)
+        position += LENGTH.size
+        content = data[position : position + length]
+        position += length
+        if topic.startswith(KEYED):
+            end = 1 + content[0]
+            records.append((content[1:end].decode(), content[end:]))
+        else:
+            records.append(json.loads(content))
+    return records
+
+
+def _encode_record(record: Any) -> bytes:
+    if isinstance(record, tuple):
+        name = record[0].encode()
+        return bytes((len(name),)) + name + bytes(record[1])
+    return json.dumps(record).encode()
--- a/tests/daemon/test_claims.py
+++ b/tests/daemon/test_claims.py
@@ -120,8 +120,7 @@
     assert book(fleet, "host-1", "other").status == 200
     claim = fleet.log.records("claims")[0]
     record = {**claim, "claim_id": "lost-1", "key": "k", "incarnation": "lost"}
-    url = f"{fleet.log.server.url}/streams/claims/records"
-    fleet.http.request("POST", url, json={"records": [record]})
+    fleet.log.put("claims", record)
     lost = book(fleet, "host-1", "k", 2, deadline_ms=800)
     assert outcome(lost) == (409, "may-have-run") and booked(fleet, "k") == 0
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -180,9 +180,7 @@
             "merge": merge,
             "author": "test",
         }
-        body = json.dumps({"records": [record]})
-        url = f"{self.log.server.url}/streams/config/records"
-        assert self.http.request("POST", url, body=body).status == 200
+        self.log.put("config", record)
 
     def config_version(self, host_id: str) -> int:
         """Return the version in force on one entry host."""
--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -6,7 +6,7 @@
 import pytest
 
 from persimmonwell._exceptions import PlatformUnavailableError
-from persimmonwell.platform import HostListClient, LogClient
+from persimmonwell.platform import HostListClient, JsonLog, StoreClient
 from standins.hosts import HostDirectory
 from standins.log import Log
 
@@ -35,7 +35,8 @@
 
 def test_unusable_records_do_not_hide_those_after_them(log: Log) -> None:
     """Guards against one odd record that makes every read of the stream fail."""
-    client = LogClient(url=log.server.url, timeout_s=2.0)
+    store = StoreClient(url=log.server.url, timeout_s=2.0)
+    client = JsonLog(store)
     odd: list[Any] = [
         ["list"],
         "text",
@@ -52,7 +53,7 @@
     log._streams["config"][:] = [["list"], {"type": "patch"}]
     again = client.read("config", from_offset=0, wait_s=0.0)
     assert [r.data["type"] for r in again.records] == ["malformed", "patch"]
-    client.close()
+    store.close()
 
 
 def test_changed_and_faulty_host_lists_are_noticed(hosts: HostDirectory) -> None:
