Leave dead stages at once, bound repeated sends, keep room for 48 requests

Streams on a dead stage were asked for one by one, the stage was tried again after 0.6 s, and nothing was repaired while the store was away. Change: sends are bounded by max_attempts + 2; the host count of the budget does not fall. One question for each first replica tells the dead stages; all requests on them move, the stage stays out until it answers, peers hear of it, and the planner works without it. While no host reads the store, the lowest host of a zone orders for that zone. Stages keep room for 48 requests, so that fast cards hold more layers.

--- a/persimmonwell/core/forwarding/_events.py
+++ b/persimmonwell/core/forwarding/_events.py
@@ -64,10 +64,16 @@
 
 @attrs.frozen
 class AskStalled:
-    """Ask the first replica of a silent request which stage has stopped."""
+    """Ask the first replica of silent requests which stages have stopped."""
+
+    replica_id: str
+    address: str
+
+
+@attrs.frozen
+class CheckReplica:
+    """Ask a suspected replica whether it is alive."""
 
-    key: int
-    attempt: int
     replica_id: str
     address: str
 
@@ -82,7 +88,8 @@
     path: Path
 
 
-Decision: TypeAlias = Send | Finish | CancelAttempt | AskStalled | Reroute
+RequestDecision: TypeAlias = Send | Finish | CancelAttempt | Reroute
+Decision: TypeAlias = RequestDecision | AskStalled | CheckReplica
 
 
 class AttemptFailure(Enum):
--- a/persimmonwell/core/forwarding/_health.py
+++ b/persimmonwell/core/forwarding/_health.py
@@ -1,5 +1,8 @@
 """Judge upstreams by what their answers showed."""
 
+from collections.abc import Iterable
+from typing import Any
+
 import attrs
 
 FIRST_EXCLUSION_S = 0.6
@@ -11,6 +14,12 @@
 FAILURE_PENALTY = 6.0
 """Multiplies the load of a plain replica that fails every request."""
 MIN_LATENCY_SAMPLES = 3
+SUSPICION_S = 5.0
+"""The registry drops a dead replica after three heartbeats, 3.6 s."""
+CHECK_INTERVAL_S = 0.5
+"""Pause between two questions to a suspected replica; each one is priced."""
+REPORT_MEMORY_S = 1.0
+"""Four lost datagrams; after that a peer's word about a dead replica is forgotten."""
 
 
 @attrs.define
@@ -23,11 +32,68 @@
     excluded_until_s: float = float("-inf")
 
 
+@attrs.define
+class _Suspicion:
+    incarnation: tuple[str, int]
+    until_s: float
+    check_s: float
+    is_lost: bool = False
+
+
 class HealthTable:
     """Hold the evidence about each replica."""
 
     def __init__(self) -> None:
         self._evidence: dict[str, _Evidence] = {}
+        self._suspicions: dict[str, _Suspicion] = {}
+        self._reported: dict[str, float] = {}
+
+    @property
+    def lost(self) -> frozenset[str]:
+        """Return the replicas that did not answer this host's question."""
+        return frozenset(key for key, each in self._suspicions.items() if each.is_lost)
+
+    def is_lost(self, replica_id: str, now_s: float) -> bool:
+        """Return whether this host or a peer found a replica dead."""
+        return replica_id in self.lost or self._reported.get(replica_id, 0.0) > now_s
+
+    def suspect(
+        self, replica_id: str, incarnation: tuple[str, int], now_s: float
+    ) -> None:
+        """Leave a replica out until it answers a question."""
+        known = self._suspicions.get(replica_id)
+        if known is not None and known.incarnation == incarnation:
+            known.until_s = now_s + SUSPICION_S
+            return
+        self._suspicions[replica_id] = _Suspicion(
+            incarnation, until_s=now_s + SUSPICION_S, check_s=now_s
+        )
+
+    def due_checks(self, now_s: float) -> tuple[str, ...]:
+        """Return the suspected replicas to ask now."""
+        due = []
+        for replica_id, suspicion in list(self._suspicions.items()):
+            if now_s >= suspicion.until_s and not suspicion.is_lost:
+                del self._suspicions[replica_id]
+            elif now_s >= suspicion.check_s:
+                suspicion.check_s = now_s + CHECK_INTERVAL_S
+                due.append(replica_id)
+        return tuple(due)
+
+    def checked(self, replica_id: str, *, answers: bool) -> None:
+        """Take the result of a question."""
+        suspicion = self._suspicions.get(replica_id)
+        if suspicion is None:
+            return
+        if answers:
+            del self._suspicions[replica_id]
+        else:
+            suspicion.is_lost = True
+
+    def peer_found_lost(self, replica_ids: Iterable[str], now_s: float) -> None:
+        """Take a peer's word about dead replicas."""
+        for replica_id in replica_ids:
+            self._reported[replica_id] = now_s + REPORT_MEMORY_S
 
     def _of(self, replica_id: str, incarnation: tuple[str, int]) -> _Evidence:
         evidence = self._evidence.get(replica_id)
@@ -64,6 +130,10 @@
 
     def is_excluded(self, replica_id: str, now_s: float) -> bool:
         """Return whether a replica is left out now."""
+        if replica_id in self._suspicions:
+            return True
+        if self._reported.get(replica_id, 0.0) > now_s:
+            return True
         evidence = self._evidence.get(replica_id)
         return evidence is not None and now_s < evidence.excluded_until_s
 
@@ -86,5 +156,11 @@
 
     def forget(self, known: set[str]) -> None:
         """Drop the evidence about replicas that are gone."""
-        for replica_id in self._evidence.keys() - known:
-            del self._evidence[replica_id]
+        tables: tuple[dict[str, Any], ...] = (
+            self._evidence,
+            self._suspicions,
+            self._reported,
+        )
+        for table in tables:
+            for replica_id in table.keys() - known:
+                del table[replica_id]
--- a/persimmonwell/core/forwarding/_paths.py
+++ b/persimmonwell/core/forwarding/_paths.py
@@ -5,7 +5,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 
 import attrs
 
@@ -76,19 +76,23 @@
     size: GenerationSize,
     *,
     loads: LoadTable,
-    penalty: Callable[[str], float],
+    first: Part | None = None,
 ) -> Path | None:
     """Return the fastest path with room for the request, None without one.
 
-    penalty multiplies the time of a replica; infinity leaves it out.
+    A first part that is given stays as it is.
     """
     tokens = size.reserved_tokens
-    stages = _stages(replicas, spec, loads, penalty)
+    stages = _stages(replicas, spec, loads)
+    start = 0
+    if first is not None:
+        start = first.stop
+        stages = [s for s in stages if s.replica.replica_id != first.replica_id]
     by_start: dict[int, list[_Stage]] = defaultdict(list)
     borders = sorted({s.start for s in stages} | {s.stop for s in stages})
     for border in borders:
         by_start[border] = [s for s in stages if s.start <= border < s.stop]
-    best: dict[int, tuple[float, int, _Stage | None]] = {0: (0.0, 0, None)}
+    best: dict[int, tuple[float, int, _Stage | None]] = {start: (0.0, start, None)}
     for border in borders:
         reached = best.get(border)
         if reached is None:
@@ -109,7 +113,10 @@
                 known = best.get(stop)
                 if known is None or time_ms < known[0]:
                     best[stop] = (time_ms, border, stage)
-    return _trace(best, spec)
+    path = _trace(best, spec, start)
+    if path is None or first is None:
+        return path
+    return Path((first, *path.parts), path.step_ms)
 
 
 def _is_full(stage: _Stage, spec: EngineSpec, loads: LoadTable) -> bool:
@@ -121,7 +128,6 @@
     replicas: Iterable[Replica],
     spec: EngineSpec,
     loads: LoadTable,
-    penalty: Callable[[str], float],
 ) -> list[_Stage]:
     kinds = dict(spec.accelerators)
     stages = []
@@ -129,9 +135,6 @@
         kind = kinds.get(replica.accelerator)
         if kind is None or replica.layers is None or replica.layers.count <= 0:
             continue
-        factor = penalty(replica.replica_id)
-        if factor == float("inf"):
-            continue
         load = loads.of(replica.replica_id)
         room_mb = kind.memory_mb - replica.layers.count * spec.layer_mb
         capacity = MEMORY_SHARE * room_mb / spec.layer_token_mb
@@ -144,7 +147,7 @@
                 replica=replica,
                 start=replica.layers.start,
                 stop=min(replica.layers.stop, spec.layers),
-                per_layer_ms=factor * kind.step_factor * pass_ms / spec.layers,
+                per_layer_ms=kind.step_factor * pass_ms / spec.layers,
                 free_layer_tokens=capacity - load.layer_tokens,
             )
         )
@@ -152,13 +155,13 @@
 
 
 def _trace(
-    best: Mapping[int, tuple[float, int, _Stage | None]], spec: EngineSpec
+    best: Mapping[int, tuple[float, int, _Stage | None]], spec: EngineSpec, first: int
 ) -> Path | None:
     if spec.layers not in best:
         return None
     parts: list[Part] = []
     position = spec.layers
-    while position > 0:
+    while position > first:
         _, start, stage = best[position]
         assert stage is not None
         replica = stage.replica
--- a/persimmonwell/core/forwarding/_placement.py
+++ b/persimmonwell/core/forwarding/_placement.py
@@ -12,8 +12,11 @@
 from persimmonwell.core.forwarding._model import EngineSpec, HeldLayers, Replica
 
 COPY_FACTOR = 1.3
-"""Layers placed in a zone in relation to the model: the rest are spare copies that
-take over when a stage dies. With 1.0 each crash stops the whole zone."""
+"""Least layers placed in a zone in relation to the model: the rest are spare copies
+that take over when a stage dies. With 1.0 each crash stops the whole zone."""
+ROOM_REQUESTS = 48
+"""Requests of the usual size for which a stage keeps memory. More room takes layers
+off the fast cards: every request gets slower, and the next crash meets more of them."""
 MIN_TOKENS = 4_000.0
 """Room for a few requests of the usual size; below it a zone cannot serve."""
 BISECTION_STEPS = 24
@@ -33,6 +36,7 @@
     replica: Replica
     memory_mb: float
     step_factor: float
+    read_factor: float
 
 
 def plan_placement(
@@ -65,7 +69,7 @@
         kind = spec.accelerator(replica.accelerator)
         if kind is None or replica.is_draining:
             continue
-        card = _Card(replica, kind.memory_mb, kind.step_factor)
+        card = _Card(replica, kind.memory_mb, kind.step_factor, kind.read_factor)
         zones.setdefault(replica.availability_zone, []).append(card)
     groups: list[list[_Card]] = []
     pending: list[_Card] = []
@@ -106,8 +110,9 @@
         for card in cards
         if card.replica.layers is not None and card.replica.layers.count > 0
     }
+    usual_tokens = ROOM_REQUESTS * (spec.usual_prompt + spec.usual_answer)
     tokens = max(
-        _room_tokens(cards, spec, spec.layers * COPY_FACTOR),
+        min(usual_tokens, _room_tokens(cards, spec, spec.layers * COPY_FACTOR)),
         min(MIN_TOKENS, _room_tokens(cards, spec, spec.layers)),
     )
     if not held:
@@ -134,7 +139,7 @@
     The first stage takes the callers' connections, so a small card there leaves
     other cards for copies of it.
     """
-    by_speed = sorted(cards, key=lambda card: (card.step_factor, -card.memory_mb))
+    by_speed = sorted(cards, key=lambda card: _layer_ms(card, spec, tokens))
     chosen: list[_Card] = []
     for card in by_speed:
         if _total_layers(chosen, spec, tokens) >= spec.layers:
@@ -143,6 +148,16 @@
     return _lay_out(chosen, spec, tokens, from_end=True)
 
 
+def _layer_ms(card: _Card, spec: EngineSpec, tokens: float) -> float:
+    """Return the time of a layer for one token, with its share of the hop."""
+    count = _capacity(card, spec, tokens)
+    if count == 0:
+        return float("inf")
+    read_ms = spec.usual_prompt / spec.read_tokens_per_s * 1000 * card.read_factor
+    per_layer_ms = spec.step_ms * card.step_factor + read_ms / spec.usual_answer
+    return per_layer_ms / spec.layers + spec.stage_delay_ms / count
+
+
 def _lay_out(
     cards: list[_Card], spec: EngineSpec, tokens: float, *, from_end: bool = False
 ) -> dict[str, HeldLayers]:
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import defaultdict, deque
-from collections.abc import Iterable
+from collections.abc import Mapping
 
 import attrs
 
@@ -11,6 +11,7 @@
     AskStalled,
     AttemptFailure,
     CancelAttempt,
+    CheckReplica,
     Decision,
     Ending,
     Finish,
@@ -58,14 +59,21 @@
 """Interval over which the service's rate of dispatches is measured."""
 SCAN_LIMIT = 6
 """Waiting requests that are tried when the first one finds no room."""
-STALL_GAP_S = 0.6
-"""Silence of a running stream after which its first replica is asked for the
-stalled stage; three times the pause that answers on time may have."""
-STALL_ASK_INTERVAL_S = 0.4
+STALL_GAP_S = 0.25
+"""Silence after which a stream's first replica is asked for the stalled stage. A
+first event that comes 250 ms later is still within the usual objective of 500 ms."""
+STALL_ASK_INTERVAL_S = 0.15
+"""Reports are some 200 ms old, so that the first one may not show the stall yet."""
+REROUTE_GAP_S = 0.1
+"""A request with an event in the last steps does not wait for a dead stage."""
+REROUTE_INTERVAL_S = 0.5
+"""Least time between two changes of one request's path, which reads it again."""
 CROSS_ZONE_STEP_MS = 4.0
 """Added to the step of a path in another zone when paths are compared."""
 SLOW_STEP_SHARE = 0.4
 """Other zones are considered when a step takes this part of the gap objective."""
+REPEATED_SENDS = 2
+"""Sends beyond the number of upstreams that the route allows."""
 REPEAT_MARGIN_S = 0.05
 """Least time left for which another attempt makes sense."""
 
@@ -84,14 +92,28 @@
     replica_id: str | None = None
     replicas: set[str] = attrs.field(factory=set)
     path: Path | None = None
-    may_have_run: bool = False
+    runs: int = 0
+    """Attempts that an upstream may have run."""
     has_answer: bool = False
     """Whether a part of an answer has gone to the caller."""
     sent_s: float = 0.0
     progress_s: float = 0.0
-    asked_s: float = float("-inf")
+    rerouted_s: float = float("-inf")
     reserved: dict[str, int] = attrs.field(factory=dict)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether an upstream may have run the request."""
+        return self.runs > 0
+
+    @property
+    def has_sends_left(self) -> bool:
+        """Return whether the request may be sent once more.
+
+        The route bounds the upstreams, of which one may run a request again.
+        """
+        return self.attempt < self.route.max_attempts + REPEATED_SENDS
+
     @property
     def rank(self) -> tuple[int, int, int]:
         """Return the order of service; the tenant's priority goes first."""
@@ -139,6 +161,7 @@
         """Hosts in the fleet, as far as this one knows."""
         self._active: dict[int, _Active] = {}
         self._services: dict[str, _ServiceState] = defaultdict(_ServiceState)
+        self._asked_s: dict[str, float] = {}
 
     @property
     def config(self) -> ForwardingConfig | None:
@@ -295,7 +318,7 @@
         if active is None:
             return ()
         self._blame(active, failure, fault_address, now_s)
-        active.may_have_run |= failure.has_run
+        active.runs += failure.has_run
         if failure is AttemptFailure.NO_CONNECTION and active.replica_id is not None:
             # Nothing was sent, so that this replica does not count as tried.
             active.replicas.discard(active.replica_id)
@@ -310,6 +333,11 @@
         if active.may_have_run and not active.route.may_repeat:
             return self._finish(active, Ending.UPSTREAM_FAILED, detail)
         left_s = active.give_up_s - now_s
+        if not active.has_sends_left:
+            ending = Ending.OVERLOADED
+            if active.may_have_run:
+                ending = Ending.UPSTREAM_FAILED
+            return self._finish(active, ending, detail or failure.value)
         has_budget = self._budget(active.service.name).try_repeat(
             now_s, hosts=self.hosts
         )
@@ -327,29 +355,59 @@
     def _may_try_more(self, active: _Active) -> bool:
         return len(active.replicas) < active.route.max_attempts
 
-    def stage_stalled(
-        self, key: int, attempt: int, address: str, now_s: float
+    def stages_stalled(
+        self, head_id: str, stalled: Mapping[str, str], now_s: float
     ) -> tuple[Decision, ...]:
-        """Move a request away from a stage that its first replica finds silent."""
-        active = self._running(key, attempt)
-        if active is None or active.path is None:
-            return ()
-        for part in active.path.parts:
-            if part.address == address:
-                self._exclude(part.replica_id, now_s)
+        """Take a first replica's list of requests and the stages they wait for.
+
+        Every request through such a stage moves to another path, also those that
+        the list does not name yet.
+        """
+        for address in set(stalled.values()):
+            self._suspect_address(address, now_s)
+        return self._reroute_suspected(now_s) if stalled else ()
+
+    def replica_checked(
+        self, replica_id: str, now_s: float, *, answers: bool
+    ) -> tuple[Decision, ...]:
+        """Take a suspected replica's answer, or its silence."""
+        self.health.checked(replica_id, answers=answers)
+        return () if answers else self._reroute_suspected(now_s)
+
+    def _suspect_address(self, address: str, now_s: float) -> None:
+        for replica in self.registry.replicas.values():
+            if replica.address == address:
+                self.health.suspect(replica.replica_id, replica.incarnation, now_s)
+
+    def _reroute_suspected(self, now_s: float) -> tuple[Decision, ...]:
+        reroutes = []
+        for active in list(self._active.values()):
+            if active.path is None or active.replica_id is None:
+                continue
+            if now_s - max(active.progress_s, active.sent_s) < REROUTE_GAP_S:
+                continue
+            later = active.path.parts[1:]
+            if any(self.health.is_excluded(p.replica_id, now_s) for p in later):
+                reroute = self._reroute(active, now_s)
+                if reroute is not None:
+                    reroutes.append(reroute)
+        return tuple(reroutes)
+
+    def _reroute(self, active: _Active, now_s: float) -> Reroute | None:
+        assert active.path is not None
         head = active.path.head
         replica = self.registry.replicas.get(head.replica_id)
-        if address == head.address or replica is None:
-            return ()
+        if replica is None or now_s - active.rerouted_s < REROUTE_INTERVAL_S:
+            return None
         # Its own reservation must not count against the request.
         self._release(active)
         path = self._path_in(active, replica.availability_zone, now_s, first=head)
         active.path = path or active.path
         self._reserve(active)
         if path is None:
-            return ()
-        active.progress_s = now_s
-        return (Reroute(key, attempt, path.head.address, path),)
+            return None
+        active.rerouted_s = now_s
+        return Reroute(active.key, active.attempt, path.head.address, path)
 
     # Time
 
@@ -358,13 +416,24 @@
         decisions: list[Decision] = []
         self.loads.expire_peers(now_s)
         self.registry.expire(now_s)
+        silent_heads: dict[str, str] = {}
         for active in list(self._active.values()):
-            decisions += self._check(active, now_s)
+            decisions += self._check(active, now_s, silent_heads)
+        for replica_id, address in silent_heads.items():
+            if now_s - self._asked_s.get(replica_id, -1.0) >= STALL_ASK_INTERVAL_S:
+                self._asked_s[replica_id] = now_s
+                decisions.append(AskStalled(replica_id, address))
+        for replica_id in self.health.due_checks(now_s):
+            replica = self.registry.replicas.get(replica_id)
+            if replica is not None:
+                decisions.append(CheckReplica(replica_id, replica.address))
         for name in list(self._services):
             decisions += self._pump(name, now_s)
         return tuple(decisions)
 
-    def _check(self, active: _Active, now_s: float) -> list[Decision]:
+    def _check(
+        self, active: _Active, now_s: float, silent_heads: dict[str, str]
+    ) -> list[Decision]:
         if active.replica_id is None:
             waited_s = now_s - active.arrived_s
             if now_s >= active.give_up_s or waited_s > active.patience_s:
@@ -378,13 +447,9 @@
             return [cancel, self._finish(active, Ending.TIMED_OUT, "time is over")]
         if active.path is None or active.route.kind is not RouteKind.STREAM:
             return []
-        silent_s = now_s - max(active.progress_s, active.sent_s)
-        asked_s = now_s - active.asked_s
-        if silent_s < STALL_GAP_S or asked_s < STALL_ASK_INTERVAL_S:
-            return []
-        active.asked_s = now_s
-        head = active.path.head
-        return [AskStalled(active.key, active.attempt, head.replica_id, head.address)]
+        if now_s - max(active.progress_s, active.sent_s) >= STALL_GAP_S:
+            silent_heads[active.path.head.replica_id] = active.path.head.address
+        return []
 
     # Sending
 
@@ -451,12 +516,7 @@
             )
         ]
         size = active.request.size or UNKNOWN_SIZE
-        path = find_path(
-            usable, engine, size, loads=self.loads, penalty=lambda replica_id: 1.0
-        )
-        if path is not None and first is not None and path.head != first:
-            return None
-        return path
+        return find_path(usable, engine, size, loads=self.loads, first=first)
 
     def _zones(self, service: str) -> set[str]:
         return {replica.availability_zone for replica in self._usable(service)}
@@ -498,7 +558,6 @@
         active.replica_id = replica_id
         active.replicas.add(replica_id)
         active.sent_s = active.progress_s = now_s
-        active.asked_s = float("-inf")
         self._reserve(active)
         self._services[active.service.name].starts.append(now_s)
         return Send(
@@ -556,9 +615,13 @@
             if replica.service == service and not replica.is_draining
         ]
 
-    def replicas_of(self, service: str) -> Iterable[Replica]:
-        """Return the replicas of a service that take requests."""
-        return self._usable(service)
+    def living_replicas(self, service: str, now_s: float) -> tuple[Replica, ...]:
+        """Return the replicas of a service that are not known to be dead."""
+        return tuple(
+            replica
+            for replica in self._usable(service)
+            if not self.health.is_lost(replica.replica_id, now_s)
+        )
 
     def covers(self, service: ServiceSpec) -> bool:
         """Return whether some zone can serve the service's requests."""
@@ -593,15 +656,20 @@
         replica = self._replica_of(active)
         if active.path is not None and fault_address is not None:
             for part in active.path.parts:
-                if part.address == fault_address:
+                if part.address != fault_address:
+                    continue
+                if failure is AttemptFailure.WRONG_REPLICA:
+                    # It lives, but holds other layers than the registry says.
                     self._exclude(part.replica_id, now_s)
+                else:
+                    self._suspect_address(fault_address, now_s)
             return
-        if replica is None:
+        if replica is None or failure is AttemptFailure.NOT_RUN:
             return
-        if failure is AttemptFailure.ERROR:
-            self.health.failed(replica.replica_id, replica.incarnation)
-        elif failure is not AttemptFailure.NOT_RUN or active.path is not None:
-            self.health.failed(replica.replica_id, replica.incarnation)
+        self.health.failed(replica.replica_id, replica.incarnation)
+        if failure is AttemptFailure.NO_CONNECTION:
+            self.health.suspect(replica.replica_id, replica.incarnation, now_s)
+        elif failure is not AttemptFailure.ERROR:
             self._exclude(replica.replica_id, now_s)
 
     def _budget(self, service: str) -> SendBudget:
--- a/persimmonwell/gateway/_exchange.py
+++ b/persimmonwell/gateway/_exchange.py
@@ -134,6 +134,9 @@
         self.attempt = 0
         self.arrived_s = owner.now_s()
         self.first_event_s: float | None = None
+        self.max_gap_s = 0.0
+        """Longest pause between two pieces that went to the caller."""
+        self._last_event_s = 0.0
         self._owner = owner
         self._caller = caller
         self._raw = raw
@@ -262,6 +265,9 @@
         if not events.data:
             return
         if self._began:
+            now_s = self._owner.now_s()
+            self.max_gap_s = max(self.max_gap_s, now_s - self._last_event_s)
+            self._last_event_s = now_s
             self._caller.write_data(events.data)
         else:
             self._begin(attempt, events.data)
@@ -270,7 +276,7 @@
     def _begin(self, attempt: _Attempt, data: bytes) -> None:
         assert attempt.head is not None
         self._began = True
-        self.first_event_s = self._owner.now_s()
+        self.first_event_s = self._last_event_s = self._owner.now_s()
         headers = answer_headers(attempt.headers)
         self._caller.begin_answer(attempt.head.status, headers, data)
         self._owner.answer_began(self)
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -10,6 +10,7 @@
     AttemptFailure,
     CallerLimits,
     CancelAttempt,
+    CheckReplica,
     Decision,
     Finish,
     ForwardingRouter,
@@ -186,6 +187,12 @@
             attempt=exchange.attempt,
             status=status,
             ms=round((now_s - exchange.arrived_s) * 1000, 1),
+            first_ms=(
+                round((exchange.first_event_s - exchange.arrived_s) * 1000, 1)
+                if exchange.first_event_s is not None
+                else None
+            ),
+            max_gap_ms=round(exchange.max_gap_s * 1000, 1),
         )
         self._exchanges.pop(exchange.key, None)
         self.execute(self.router.finished(exchange.key, exchange.attempt, now_s))
@@ -210,6 +217,12 @@
     def execute(self, decisions: Iterable[Decision]) -> None:
         """Carry decisions out in order."""
         for decision in decisions:
+            if isinstance(decision, AskStalled):
+                self._run(self._ask_stalled(decision))
+                continue
+            if isinstance(decision, CheckReplica):
+                self._run(self._check_replica(decision))
+                continue
             exchange = self._exchanges.get(decision.key)
             if exchange is None:
                 continue
@@ -220,8 +233,6 @@
                 self._finish(exchange, decision)
             elif isinstance(decision, CancelAttempt):
                 exchange.cancel(decision.attempt)
-            elif isinstance(decision, AskStalled):
-                self._run(self._ask_stalled(exchange, decision))
             else:
                 self._run(self._reroute(exchange, decision))
 
@@ -256,27 +267,39 @@
         self._exchanges.pop(exchange.key, None)
         exchange.finish(finish)
 
-    async def _ask_stalled(self, exchange: Exchange, ask: AskStalled) -> None:
+    async def _ask_stalled(self, ask: AskStalled) -> None:
         answer = await call_replica(
             self.pool, ask.address, method="GET", path=REPORT_PATH
         )
         self.metrics.count("stall_questions")
-        request_id = exchange.request.request_id
-        address = decode_stalled(answer.body).get(request_id)
+        stalled = decode_stalled(answer.body) if answer.status == 200 else {}
         self._log.write(
-            "request",
-            "stall_question",
-            id=request_id,
-            attempt=ask.attempt,
-            at=ask.replica_id,
+            "upstream",
+            "stalls_reported",
+            by=ask.replica_id,
             status=answer.status,
-            stalled=address,
+            requests=len(stalled),
+            stages=sorted(set(stalled.values())),
+        )
+        now_s = self.now_s()
+        self.execute(self.router.stages_stalled(ask.replica_id, stalled, now_s))
+
+    async def _check_replica(self, check: CheckReplica) -> None:
+        answer = await call_replica(
+            self.pool, check.address, method="GET", path=REPORT_PATH
+        )
+        answers = answer.status == 200
+        self.metrics.count("replica_checks")
+        self._log.write(
+            "upstream",
+            "alive" if answers else "silent",
+            replica=check.replica_id,
+            status=answer.status,
+            detail=answer.detail,
+        )
+        self.execute(
+            self.router.replica_checked(check.replica_id, self.now_s(), answers=answers)
         )
-        if address is not None:
-            decisions = self.router.stage_stalled(
-                ask.key, ask.attempt, address, self.now_s()
-            )
-            self.execute(decisions)
 
     async def _reroute(self, exchange: Exchange, reroute: Reroute) -> None:
         request_id = exchange.request.request_id
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -12,7 +12,11 @@
     ReplicaLoad,
 )
 from persimmonwell.gateway._gateway import Gateway
-from persimmonwell.gateway._peer_datagrams import SEND_INTERVAL_S, PeerDatagrams
+from persimmonwell.gateway._peer_datagrams import (
+    SEND_INTERVAL_S,
+    OwnState,
+    PeerDatagrams,
+)
 from persimmonwell.gateway._placement_duty import PlacementDuty
 from persimmonwell.gateway._small_server import SmallServerConnection
 from persimmonwell.gateway._store_followers import StoreEvents, StoreFollowers
@@ -42,11 +46,18 @@
             retry_slack=settings.retry_slack,
             retry_window_s=settings.retry_window_s,
         )
+        self._router.hosts = max(1, len(settings.seeds))
         self._gateway = Gateway(router=self._router, log=self._log, seed=seed)
         self._duty = PlacementDuty(
-            router=self._router, pool=self._gateway.pool, log=self._log
+            router=self._router,
+            pool=self._gateway.pool,
+            log=self._log,
+            availability_zone=settings.availability_zone,
+            stands_in=self._stands_in,
         )
         self._servers: list[asyncio.Server] = []
+        self._store_works: dict[str, bool] = {}
+        """Whether the last call of each follower was answered."""
         self._loop: asyncio.AbstractEventLoop | None = None
         self._followers = StoreFollowers(
             url=f"http://{settings.store}",
@@ -56,7 +67,7 @@
                 bad_config=self._on_loop(self._reject_config),
                 replicas=self._on_loop(self._take_replicas),
                 duty=self._on_loop(self._duty.set_lease),
-                store=self._on_loop(self._store_changed),
+                store=self._on_loop(self._store_called),
             ),
         )
         self._peers = PeerDatagrams(
@@ -64,8 +75,8 @@
             availability_zone=settings.availability_zone,
             own=(settings.ip, settings.peer_port),
             seeds=frozenset(seed.host for seed in settings.seeds),
-            own_loads=lambda: self._router.loads.own,
-            on_loads=self._peer_loads,
+            own_state=self._own_state,
+            on_report=self._peer_reported,
             clock=time.monotonic,
         )
 
@@ -200,22 +211,51 @@
             )
         self._router.health.forget(set(after))
 
-    def _store_changed(self, follower: str, works: bool, reason: str) -> None:
-        if works:
-            self._log.write("store", "regained", follower=follower)
-            return
-        self._router.registry.store_failed(time.monotonic())
-        self._gateway.metrics.count("store_failed")
-        self._log.write("store", "failed", follower=follower, reason=reason)
+    def _store_called(self, follower: str, works: bool, reason: str) -> None:
+        if not works:
+            self._router.registry.store_failed(time.monotonic())
+            self._gateway.metrics.count("store_failed")
+        if self._store_works.get(follower, True) is not works:
+            event = "regained" if works else "lost"
+            self._log.write("store", event, follower=follower, reason=reason)
+        self._store_works[follower] = works
 
     # Peers
 
-    def _peer_loads(self, peer: str, loads: Mapping[str, ReplicaLoad]) -> None:
-        self._router.loads.peer_reported(peer, loads, time.monotonic())
+    def _own_state(self) -> OwnState:
+        return OwnState(
+            loads=self._router.loads.own,
+            lost=self._router.health.lost,
+            reads_store=self._reads_store,
+            holds_duty=self._duty.is_held,
+        )
+
+    @property
+    def _reads_store(self) -> bool:
+        return self._store_works.get("replicas", False)
+
+    def _peer_reported(
+        self, peer: str, loads: Mapping[str, ReplicaLoad], lost: list[str]
+    ) -> None:
+        now_s = time.monotonic()
+        self._router.loads.peer_reported(peer, loads, now_s)
+        self._router.health.peer_found_lost(lost, now_s)
+
+    def _stands_in(self) -> bool:
+        """Return whether this host orders for its zone while the store is away."""
+        if self._reads_store:
+            return False
+        live = self._peers.live
+        if any(peer.holds_duty or peer.reads_store for peer in live):
+            return False
+        zone = self._settings.availability_zone
+        names = [p.host_id for p in live if p.availability_zone == zone]
+        return self._settings.host_id <= min(names, default=self._settings.host_id)
 
     def _send_loads(self) -> None:
         self._peers.send()
-        self._router.hosts = 1 + self._peers.live_peers
+        # A cut hides hosts that still use their part of the fleet's budget.
+        self._router.hosts = max(self._router.hosts, 1 + len(self._peers.live))
         self._gateway.pool.close_expired()
         assert self._loop is not None
         self._loop.call_later(SEND_INTERVAL_S, self._send_loads)
--- a/persimmonwell/gateway/_orders.py
+++ b/persimmonwell/gateway/_orders.py
@@ -8,7 +8,8 @@
 from persimmonwell.gateway._http_connection import ConnectionPool, RawHeaders
 from persimmonwell.platform import decode_answer_head
 
-CALL_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 0.6
+"""Reports and orders are answered at once by a replica that is alive."""
 
 
 @attrs.frozen
--- a/persimmonwell/gateway/_peer_datagrams.py
+++ b/persimmonwell/gateway/_peer_datagrams.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable, Mapping
 
+import attrs
 import msgspec
 
 from persimmonwell.core.forwarding import ReplicaLoad
@@ -30,6 +31,31 @@
     availability_zone: str
     loads: list[_Load]
     peers: list[str]
+    lost: list[str]
+    """Replicas that did not answer the sender's question."""
+    reads_store: bool
+    holds_duty: bool
+
+
+@attrs.frozen
+class PeerState:
+    """Hold what a peer said of itself a moment ago."""
+
+    host_id: str
+    availability_zone: str
+    reads_store: bool
+    holds_duty: bool
+    heard_s: float
+
+
+@attrs.frozen
+class OwnState:
+    """Hold what the host tells its peers."""
+
+    loads: Mapping[str, ReplicaLoad]
+    lost: frozenset[str]
+    reads_store: bool
+    holds_duty: bool
 
 
 Address = tuple[str, int]
@@ -45,27 +71,26 @@
         availability_zone: str,
         own: Address,
         seeds: frozenset[str],
-        own_loads: Callable[[], Mapping[str, ReplicaLoad]],
-        on_loads: Callable[[str, Mapping[str, ReplicaLoad]], None],
+        own_state: Callable[[], OwnState],
+        on_report: Callable[[str, Mapping[str, ReplicaLoad], list[str]], None],
         clock: Callable[[], float],
     ) -> None:
         self._host_id = host_id
         self._zone = availability_zone
         self._own = own
         self._seeds = seeds - {own[0]}
-        self._own_loads = own_loads
-        self._on_loads = on_loads
+        self._own_state = own_state
+        self._on_report = on_report
         self._clock = clock
-        self._heard: dict[str, float] = {}
-        self._zones: dict[str, str] = {}
+        self._heard: dict[str, PeerState] = {}
         self._mentioned: set[str] = set()
         self._transport: asyncio.DatagramTransport | None = None
 
     @property
-    def live_peers(self) -> int:
-        """Return how many other hosts were heard a moment ago."""
+    def live(self) -> tuple[PeerState, ...]:
+        """Return the other hosts that were heard a moment ago."""
         limit_s = self._clock() - PEER_TIMEOUT_S
-        return sum(heard_s >= limit_s for heard_s in self._heard.values())
+        return tuple(peer for peer in self._heard.values() if peer.heard_s >= limit_s)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the socket."""
@@ -80,14 +105,19 @@
             return
         if report.host_id == self._host_id:
             return
-        self._heard[addr[0]] = self._clock()
-        self._zones[addr[0]] = report.availability_zone
+        self._heard[addr[0]] = PeerState(
+            host_id=report.host_id,
+            availability_zone=report.availability_zone,
+            reads_store=report.reads_store,
+            holds_duty=report.holds_duty,
+            heard_s=self._clock(),
+        )
         self._mentioned.update(report.peers[:MAX_KNOWN_PEERS])
         loads = {
             load.replica_id: ReplicaLoad(load.requests, load.layer_tokens)
             for load in report.loads
         }
-        self._on_loads(report.host_id, loads)
+        self._on_report(report.host_id, loads, report.lost)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore unreachable peers; they are forgotten by their silence."""
@@ -97,17 +127,21 @@
         if self._transport is None or self._transport.is_closing():
             return
         now_s = self._clock()
-        for address, heard_s in list(self._heard.items()):
-            if now_s - heard_s > 4 * PEER_TIMEOUT_S:
+        for address, peer in list(self._heard.items()):
+            if now_s - peer.heard_s > 4 * PEER_TIMEOUT_S:
                 del self._heard[address]
                 self._mentioned.discard(address)
         targets = (self._seeds | self._mentioned | set(self._heard)) - {self._own[0]}
-        rows = list(self._own_loads().items())[:MAX_LOADS]
+        own = self._own_state()
+        rows = list(own.loads.items())[:MAX_LOADS]
         report = _Report(
             host_id=self._host_id,
             availability_zone=self._zone,
             loads=[_Load(key, load.requests, load.layer_tokens) for key, load in rows],
             peers=sorted(self._heard)[:MAX_KNOWN_PEERS],
+            lost=sorted(own.lost),
+            reads_store=own.reads_store,
+            holds_duty=own.holds_duty,
         )
         data = msgspec.msgpack.encode(report)
         for target in targets:
--- a/persimmonwell/gateway/_placement_duty.py
+++ b/persimmonwell/gateway/_placement_duty.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
 import attrs
 
@@ -43,8 +44,16 @@
     """Hold the duty's lease and the orders that are under way."""
 
     def __init__(
-        self, *, router: ForwardingRouter, pool: ConnectionPool, log: DecisionLog
+        self,
+        *,
+        router: ForwardingRouter,
+        pool: ConnectionPool,
+        log: DecisionLog,
+        availability_zone: str,
+        stands_in: Callable[[], bool],
     ) -> None:
+        self._zone = availability_zone
+        self._stands_in = stands_in
         self._router = router
         self._pool = pool
         self._log = log
@@ -61,6 +70,11 @@
         """Return whether this host gives orders now."""
         return time.monotonic() < self._until_s
 
+    def _may_order(self) -> bool:
+        # Two hosts with orders at once cost loads only: each order names the count
+        # of orders that it was decided on, and no replica gets more than it holds.
+        return self.is_held or self._stands_in()
+
     def start(self) -> None:
         """Start checking the placement."""
         self._check()
@@ -86,15 +100,17 @@
             self._grown_s = now_s
         self._known = set(replicas)
         config = self._router.config
-        if not self.is_held or config is None:
+        if config is None or not self._may_order():
             return
         for service in config.services:
             if service.engine is None or service.engine.layers == 0:
                 continue
             members = [
                 self._with_pending(replica, now_s)
-                for replica in self._router.replicas_of(service.name)
+                for replica in self._router.living_replicas(service.name, now_s)
             ]
+            if not self.is_held:
+                members = [m for m in members if m.availability_zone == self._zone]
             is_first = all(replica.layers is None for replica in members)
             if is_first and now_s - self._grown_s < SETTLE_S:
                 continue
@@ -129,7 +145,7 @@
             self._pool, order.address, method="GET", path=REPORT_PATH
         )
         accepted = decode_order_count(report.body) if report.status == 200 else None
-        if accepted is None or not self.is_held:
+        if accepted is None or not self._may_order():
             self._forget_soon(order, replica)
             return
         body = encode_place_order(
--- a/persimmonwell/gateway/_store_followers.py
+++ b/persimmonwell/gateway/_store_followers.py
@@ -77,7 +77,7 @@
         return StoreClient(url=self._url, timeout_s=CALL_TIMEOUT_S)
 
     def _note(self, name: str, works: bool, reason: str = "") -> None:
-        if self._works.get(name) is not works or not works:
+        if not works or not self._works.get(name):
             self._events.store(name, works, reason)
         self._works[name] = works
 
