Let hosts hear each other, and check the host over real connections

Cause: a check of the transport's type failed at every start, so no host ever sent its loads to the others.

--- a/persimmonwell/gateway/_metrics.py
+++ b/persimmonwell/gateway/_metrics.py
@@ -14,20 +14,26 @@
 
     def __init__(self) -> None:
         self._registry = Registry()
-        self._events = Counter(f"{PREFIX}_events_total", "Events by name.")
-        self._gauges = Gauge(f"{PREFIX}_state", "Values of the host's state by name.")
+        self._events = Counter(
+            f"{PREFIX}_events_total", "Events by name.", registry=self._registry
+        )
+        self._gauges = Gauge(
+            f"{PREFIX}_state",
+            "Values of the host's state by name.",
+            registry=self._registry,
+        )
         self._first_event = Histogram(
             f"{PREFIX}_first_event_seconds",
             "Time from a request to the first event of its answer.",
             buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
         )
         self._answer = Histogram(
             f"{PREFIX}_answer_seconds",
             "Time from a request to the end of its answer.",
             buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
         )
-        for collector in (self._events, self._gauges, self._first_event, self._answer):
-            self._registry.register(collector)
         self._readings: dict[str, Callable[[], float]] = {}
 
     def count(self, event: str) -> None:
--- a/persimmonwell/gateway/_peer_datagrams.py
+++ b/persimmonwell/gateway/_peer_datagrams.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
+from typing import cast
 
 import attrs
 import msgspec
@@ -94,8 +95,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the socket."""
-        assert isinstance(transport, asyncio.DatagramTransport)
-        self._transport = transport
+        # The event loop's datagram transport is no subclass of this type.
+        self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Take a peer's loads and the peers that it knows."""
--- /dev/null
+++ b/tests/gateway/harness.py
@@ -0,0 +1,215 @@
+"""Run one forwarding host against stand-ins of store and replicas."""
+
+import asyncio
+import http.client
+import socket
+import threading
+from collections.abc import Coroutine
+from typing import Any
+
+from persimmonwell.gateway import GatewayHost
+from persimmonwell.platform import parse_node_file
+from standins.log import Log
+from standins.replica import PlatformReplica
+from tests.fleet import wait_until
+
+HOST = "desk.example"
+LAYERS = 8
+KEY = "key-1"
+
+
+def free_port() -> int:
+    """Return a port that is free now."""
+    with socket.create_server(("127.0.0.1", 0)) as found:
+        return int(found.getsockname()[1])
+
+
+def route(name: str, kind: str, service: str, **values: Any) -> dict[str, Any]:
+    """Return one route of the operators' configuration."""
+    base = {
+        "name": name,
+        "host": HOST,
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 5000,
+        "target_latency_ms": 500,
+        "priority": 0,
+        "service": service,
+        "max_attempts": 2,
+        "auth_exempt": False,
+        "sticky": kind == "stream",
+        "stream_resume": kind == "stream",
+    }
+    return {**base, **values}
+
+
+def config(version: int, **values: Any) -> dict[str, Any]:
+    """Return a configuration document as the operator writes it."""
+    engine = {
+        "slots": 8,
+        "kv_token_bytes": 8000,
+        "step_ms": 0.5,
+        "per_seq_ms": 0.01,
+        "context_per_k": 0.01,
+        "read_per_s": 100_000.0,
+        "usual": {"prompt": 100, "answer": 20},
+        "models": [{"name": "m", "load_s": 1.0}],
+        "layers": LAYERS,
+        "layer_mb": 100.0,
+        "kinds": [{"name": "big", "mb": 2000.0, "pace": 1.0, "read_x": 1.0}],
+    }
+    base = {
+        "version": version,
+        "routes": [
+            route("talk", "stream", "model"),
+            route("fixed", "stream", "model", stream_resume=False),
+            route("look", "safe", "desk"),
+            route("book", "unsafe", "desk", max_attempts=1),
+            route("short", "safe", "desk", timeout_ms=400),
+        ],
+        "services": [
+            {"name": "model", "health_path": "/health", "engine": engine},
+            {"name": "desk", "health_path": "/health"},
+        ],
+        "limits": {
+            "max_header_bytes": 4096,
+            "max_body_bytes": 100_000,
+            "header_timeout_ms": 500,
+            "idle_timeout_ms": 2000,
+        },
+        "tenants": [{"name": "range", "api_keys": [KEY]}],
+    }
+    return {**base, **values}
+
+
+class GatewayBed:
+    """Hold a host, its store and its replicas."""
+
+    def __init__(self) -> None:
+        self.store = Log()
+        self.replicas: dict[str, PlatformReplica] = {}
+        self.ports = {name: free_port() for name in ("front", "ready", "peers")}
+        self.host: GatewayHost | None = None
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+
+    def add_replica(
+        self, name: str, service_name: str, zone: str = "za", **values: Any
+    ) -> PlatformReplica:
+        """Start a replica and register it, with changed fields of its entry."""
+        replica = PlatformReplica(name, service=service_name, zone=zone)
+        if service_name == "model":
+            replica.layers = {"from": 0, "to": LAYERS, "version": 1}
+        replica.start()
+        self.replicas[name] = replica
+        self.register(name, **values)
+        return replica
+
+    def register(self, name: str, **values: Any) -> None:
+        """Write a replica's entry to the registry."""
+        entry = self.replicas[name].entry(**values)
+        self.store.put_key("keyed.servers", name, entry)
+
+    def start(self, *, is_ready: bool = True) -> None:
+        """Start the store and the host."""
+        self.store.start()
+        self._thread.start()
+        self.start_host(is_ready=is_ready)
+
+    def start_host(self, *, is_ready: bool = True) -> None:
+        """Start the host."""
+        self.host = GatewayHost(parse_node_file(self.settings()), seed=3)
+        self.run(self.host.start())
+        if is_ready:
+            wait_until(lambda: self.ready() == 200)
+
+    def settings(self) -> str:
+        """Return the settings file."""
+        fields = {
+            "node": "host-1",
+            "ip": "127.0.0.1",
+            "zone": "za",
+            "listen.front": f"127.0.0.1:{self.ports['front']}",
+            "listen.ready_addr": f"127.0.0.1:{self.ports['ready']}",
+            "internal_ports": f"{self.ports['peers']},{self.ports['peers'] + 9}",
+            "seeds": "",
+            "platform.address": self.store.server.address,
+            "bounds.grace_s": "3",
+            "unknown.field": "1",
+        }
+        return "\n".join(f"{name}={value}" for name, value in fields.items())
+
+    def run(self, work: Coroutine[Any, Any, Any]) -> Any:
+        """Run a coroutine on the host's loop."""
+        return asyncio.run_coroutine_threadsafe(work, self._loop).result(20.0)
+
+    def close(self) -> None:
+        """Stop everything."""
+        if self.host is not None:
+            self._loop.call_soon_threadsafe(self.host.close)
+        for replica in self.replicas.values():
+            replica.close()
+        self.store.close()
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(timeout=5.0)
+
+    def ready(self) -> int:
+        """Ask the host whether it is ready."""
+        connection = http.client.HTTPConnection("127.0.0.1", self.ports["ready"])
+        try:
+            connection.request("GET", "/persimmonwell/ready")
+            return connection.getresponse().status
+        except OSError:
+            return 0
+        finally:
+            connection.close()
+
+    def connect(self) -> http.client.HTTPConnection:
+        """Return a caller's connection."""
+        return http.client.HTTPConnection(
+            "127.0.0.1", self.ports["front"], timeout=10.0
+        )
+
+    def send(
+        self,
+        path: str,
+        *,
+        method: str = "POST",
+        body: bytes | None = b"hello",
+        connection: http.client.HTTPConnection | None = None,
+        **headers: str,
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Send one request and return status, headers and body."""
+        found = connection or self.connect()
+        values = {
+            "Host": HOST,
+            "Request-Id": "req-1",
+            "Deadline-Remaining": "5000",
+            "Api-Key": KEY,
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        try:
+            found.request(method, path, body=body, headers=values)
+            answer = found.getresponse()
+            lower = {name.lower(): value for name, value in answer.getheaders()}
+            return answer.status, lower, answer.read()
+        finally:
+            if connection is None:
+                found.close()
+
+    def raw(self, data: bytes, *, wait_s: float = 5.0) -> bytes:
+        """Send bytes as they are and return all that comes back."""
+        address = ("127.0.0.1", self.ports["front"])
+        with socket.create_connection(address, timeout=wait_s) as client:
+            client.sendall(data)
+            received = b""
+            try:
+                while chunk := client.recv(65536):
+                    received += chunk
+            except (TimeoutError, ConnectionResetError):
+                pass
+            return received
+
+    def exhausted(self) -> int:
+        """Return how many requests the replicas ran."""
+        return sum(len(replica.received) for replica in self.replicas.values())
--- /dev/null
+++ b/tests/gateway/test_peer_datagrams.py
@@ -0,0 +1,100 @@
+"""Check what hosts tell each other over real sockets."""
+
+import asyncio
+from collections.abc import Mapping
+
+import pytest
+
+from persimmonwell.core.forwarding import ReplicaLoad
+from persimmonwell.gateway._peer_datagrams import OwnState, PeerDatagrams
+from tests.gateway.harness import free_port
+
+Reports = dict[str, tuple[Mapping[str, ReplicaLoad], list[str]]]
+LOADS = {"i-1": ReplicaLoad(2, 900)}
+
+
+class _Clock:
+    def __init__(self) -> None:
+        self.now_s = 0.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+def peer(
+    name: str, ip: str, port: int, clock: _Clock, *seeds: str
+) -> tuple[PeerDatagrams, Reports]:
+    reports: Reports = {}
+    state = OwnState(LOADS, frozenset({"i-9"}), reads_store=False, holds_duty=True)
+    datagrams = PeerDatagrams(
+        host_id=name,
+        availability_zone="za",
+        own=(ip, port),
+        seeds=frozenset(seeds),
+        own_state=lambda: state,
+        on_report=lambda host, loads, lost: reports.update({host: (loads, lost)}),
+        clock=clock,
+    )
+    return datagrams, reports
+
+
+async def exchange(*peers: tuple[PeerDatagrams, str], port: int, rounds: int) -> None:
+    loop = asyncio.get_running_loop()
+    transports = []
+    for datagrams, ip in peers:
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda datagrams=datagrams: datagrams,  # type: ignore[misc]
+            local_addr=(ip, port),
+        )
+        transports.append(transport)
+    for _ in range(rounds):
+        for datagrams, _ in peers:
+            datagrams.send()
+        await asyncio.sleep(0.05)
+    for transport in transports:
+        transport.close()
+    await asyncio.sleep(0)
+
+
+@pytest.fixture
+def clock() -> _Clock:
+    """Provide a clock that the test moves."""
+    return _Clock()
+
+
+def test_hosts_hear_each_others_loads_and_dead_replicas(clock: _Clock) -> None:
+    """Guards against hosts that fill the same stages because none hears another.
+
+    A check of the transport's type once failed on every start, so that no host sent
+    anything; the bench only showed stages that turned requests away.
+    """
+    port = free_port()
+    one, told_one = peer("h1", "127.0.0.1", port, clock)
+    two, told_two = peer("h2", "127.0.0.2", port, clock, "127.0.0.1")
+    asyncio.run(exchange((one, "127.0.0.1"), (two, "127.0.0.2"), port=port, rounds=3))
+    assert told_one == {"h2": (LOADS, ["i-9"])}
+    assert told_two == {"h1": (LOADS, ["i-9"])}
+    (state,) = one.live
+    assert (state.host_id, state.holds_duty, state.reads_store) == ("h2", True, False)
+    clock.now_s = 3.0
+    assert one.live == ()
+
+
+def test_a_host_learns_of_peers_that_are_no_seeds(clock: _Clock) -> None:
+    """Guards against a replaced host that only the seeds know."""
+    port = free_port()
+    seed, _ = peer("h1", "127.0.0.1", port, clock)
+    two, _ = peer("h2", "127.0.0.2", port, clock, "127.0.0.1")
+    three, told = peer("h3", "127.0.0.3", port, clock, "127.0.0.1")
+    hosts = ((seed, "127.0.0.1"), (two, "127.0.0.2"), (three, "127.0.0.3"))
+    asyncio.run(exchange(*hosts, port=port, rounds=5))
+    assert set(told) == {"h1", "h2"}
+
+
+def test_foreign_datagrams_are_ignored(clock: _Clock) -> None:
+    """Guards against a datagram that stops the exchange."""
+    one, told = peer("h1", "127.0.0.1", 1, clock)
+    for data in (b"", b"\xff\x00", b"\x93\x01\x02\x03"):
+        one.datagram_received(data, ("127.0.0.9", 1))
+    assert told == {}
+    assert one.live == ()
