--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -29,7 +29,11 @@
     WeightedService,
 )
 from persimmonwell.core.forwarding._paths import Part, Path, find_path
-from persimmonwell.core.forwarding._placement import PlacementOrder, plan_placement
+from persimmonwell.core.forwarding._placement import (
+    PlacementOrder,
+    PlacementStep,
+    plan_placement,
+)
 from persimmonwell.core.forwarding._registry import RegistryRecord, ReplicaRegistry
 from persimmonwell.core.forwarding._router import ForwardingRouter
 
@@ -53,6 +57,7 @@
     "Part",
     "Path",
     "PlacementOrder",
+    "PlacementStep",
     "RegistryRecord",
     "Replica",
     "ReplicaLoad",
--- a/persimmonwell/core/forwarding/_model.py
+++ b/persimmonwell/core/forwarding/_model.py
@@ -177,10 +177,14 @@
     expected_output_tokens: int | None = None
     """The caller's estimate, often far off."""
 
-    @property
-    def reserved_tokens(self) -> int:
-        """Return the tokens whose KV cache the request takes at its end."""
-        return self.prompt_tokens + self.max_output_tokens
+    def expected_tokens(self, usual_answer: float) -> int:
+        """Return the tokens whose KV cache the request takes on average.
+
+        Its output grows from nothing, so half of it counts; reserving the most that
+        each request may take left half of the memory unused at full load.
+        """
+        output = self.expected_output_tokens or usual_answer
+        return self.prompt_tokens + int(min(self.max_output_tokens, output) / 2)
 
 
 @attrs.frozen
@@ -209,3 +213,5 @@
     """Layer-tokens whose memory cannot be given up."""
     kv_total: int
     """Layer-tokens that the memory beside the layers holds."""
+    slowness: float = 1.0
+    """Duration of the replica's steps in relation to its kind's usual one."""
--- a/persimmonwell/core/forwarding/_paths.py
+++ b/persimmonwell/core/forwarding/_paths.py
@@ -5,7 +5,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 
@@ -78,13 +78,14 @@
     loads: LoadTable,
     now_s: float,
     first: Part | None = None,
+    slowness: Callable[[str], float] = lambda replica_id: 1.0,
 ) -> Path | None:
     """Return the fastest path with room for the request, None without one.
 
-    A first part that is given stays as it is.
+    A first part that is given stays as it is. slowness multiplies a replica's times.
     """
-    tokens = size.reserved_tokens
-    stages = _stages(replicas, spec, loads, now_s)
+    tokens = size.expected_tokens(spec.usual_answer)
+    stages = _stages(replicas, spec, loads, now_s, slowness)
     start = 0
     if first is not None:
         start = first.stop
@@ -130,6 +131,7 @@
     spec: EngineSpec,
     loads: LoadTable,
     now_s: float,
+    slowness: Callable[[str], float],
 ) -> list[_Stage]:
     kinds = dict(spec.accelerators)
     stages = []
@@ -137,6 +139,7 @@
         kind = kinds.get(replica.accelerator)
         if kind is None or replica.layers is None or replica.layers.count <= 0:
             continue
+        factor = slowness(replica.replica_id)
         load = loads.of(replica.replica_id)
         room_mb = kind.memory_mb - replica.layers.count * spec.layer_mb
         capacity = MEMORY_SHARE * room_mb / spec.layer_token_mb
@@ -149,7 +152,7 @@
                 replica=replica,
                 start=replica.layers.start,
                 stop=min(replica.layers.stop, spec.layers),
-                per_layer_ms=kind.step_factor * pass_ms / spec.layers,
+                per_layer_ms=factor * kind.step_factor * pass_ms / spec.layers,
                 free_layer_tokens=capacity
                 - loads.taken_layer_tokens(replica.replica_id, now_s),
             )
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -238,6 +238,7 @@
 
     def _log_send(self, exchange: Exchange, send: Send) -> None:
         self.metrics.count("sends")
+        size = exchange.request.size
         self._log.write(
             "request",
             "sent",
@@ -245,6 +246,9 @@
             attempt=send.attempt,
             to=send.replica_id,
             stages=len(send.path.parts) if send.path is not None else 0,
+            prompt=size.prompt_tokens if size is not None else None,
+            most=size.max_output_tokens if size is not None else None,
+            hint=size.expected_output_tokens if size is not None else None,
             step_ms=round(send.path.step_ms, 2) if send.path is not None else None,
             waited_ms=round((self.now_s() - exchange.arrived_s) * 1000, 1),
         )
@@ -293,6 +297,7 @@
             replica=check.replica_id,
             kv_used=report.kv_used if report is not None else None,
             kv_total=report.kv_total if report is not None else None,
+            slowness=report.slowness if report is not None else None,
         )
         now_s = self.now_s()
         self.execute(self.router.replica_checked(check.replica_id, report, now_s))
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -2,20 +2,20 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import Any
 
 from persimmonwell.core.forwarding import (
     ForwardingConfig,
     ForwardingRouter,
     RegistryRecord,
-    ReplicaLoad,
 )
 from persimmonwell.gateway._gateway import Gateway
 from persimmonwell.gateway._peer_datagrams import (
     SEND_INTERVAL_S,
     OwnState,
     PeerDatagrams,
+    PeerReport,
 )
 from persimmonwell.gateway._placement_duty import PlacementDuty
 from persimmonwell.gateway._small_server import SmallServerConnection
@@ -226,6 +226,7 @@
         return OwnState(
             loads=self._router.loads.own,
             lost=self._router.health.lost,
+            slow=self._router.health.own_slow(time.monotonic()),
             reads_store=self._reads_store,
             holds_duty=self._duty.is_held,
         )
@@ -234,12 +235,13 @@
     def _reads_store(self) -> bool:
         return self._store_works.get("replicas", False)
 
-    def _peer_reported(
-        self, peer: str, loads: Mapping[str, ReplicaLoad], lost: list[str]
-    ) -> None:
+    def _peer_reported(self, report: PeerReport) -> None:
         now_s = time.monotonic()
-        self._router.loads.peer_reported(peer, loads, now_s)
-        self._router.health.peer_found_lost(lost, now_s)
+        health = self._router.health
+        self._router.loads.peer_reported(report.host_id, report.loads, now_s)
+        health.peer_found_lost(report.lost, now_s)
+        for replica_id, factor in report.slow.items():
+            health.found_slowness(replica_id, factor, now_s, is_own=False)
 
     def _stands_in(self) -> bool:
         """Return whether this host orders for its zone while the store is away."""
--- a/persimmonwell/gateway/_peer_datagrams.py
+++ b/persimmonwell/gateway/_peer_datagrams.py
@@ -36,6 +36,7 @@
     """Replicas that did not answer the sender's question."""
     reads_store: bool
     holds_duty: bool
+    slow: dict[str, float]
 
 
 @attrs.frozen
@@ -49,12 +50,23 @@
     heard_s: float
 
 
+@attrs.frozen
+class PeerReport:
+    """Hold what a peer knows of the replicas."""
+
+    host_id: str
+    loads: Mapping[str, ReplicaLoad]
+    lost: tuple[str, ...]
+    slow: Mapping[str, float]
+
+
 @attrs.frozen
 class OwnState:
     """Hold what the host tells its peers."""
 
     loads: Mapping[str, ReplicaLoad]
     lost: frozenset[str]
+    slow: Mapping[str, float]
     reads_store: bool
     holds_duty: bool
 
@@ -73,7 +85,7 @@
         own: Address,
         seeds: frozenset[str],
         own_state: Callable[[], OwnState],
-        on_report: Callable[[str, Mapping[str, ReplicaLoad], list[str]], None],
+        on_report: Callable[[PeerReport], None],
         clock: Callable[[], float],
     ) -> None:
         self._host_id = host_id
@@ -118,7 +130,9 @@
             load.replica_id: ReplicaLoad(load.requests, load.layer_tokens)
             for load in report.loads
         }
-        self._on_report(report.host_id, loads, report.lost)
+        self._on_report(
+            PeerReport(report.host_id, loads, tuple(report.lost), report.slow)
+        )
 
     def error_received(self, exc: Exception) -> None:
         """Ignore unreachable peers; they are forgotten by their silence."""
@@ -143,6 +157,7 @@
             lost=sorted(own.lost),
             reads_store=own.reads_store,
             holds_duty=own.holds_duty,
+            slow=dict(own.slow),
         )
         data = msgspec.msgpack.encode(report)
         for target in targets:
--- a/persimmonwell/platform/_headers.py
+++ b/persimmonwell/platform/_headers.py
@@ -169,7 +169,7 @@
 def encode_place_order(*, start: int, stop: int, expected_orders: int) -> bytes:
     """Return the body that asks a replica to hold a range of layers."""
     # "expect" names the count of orders accepted so far, not a state.
-    order = {"op": "place", "from": start, "to": stop, "strategy": "wait"}
+    order = {"op": "place", "from": start, "to": stop, "strategy": "cancel"}
     return json.dumps({**order, "expect": expected_orders}).encode()
 
 
@@ -188,6 +188,8 @@
             orders_accepted=int(document["sequence"]),
             kv_used=int(document.get("kv_used") or 0),
             kv_total=int(document.get("kv_total") or 0),
+            # Here "pace" tells of this replica; in the configuration, of its kind.
+            slowness=max(1.0, float(document.get("pace") or 1.0)),
         )
     except (ValueError, LookupError, TypeError, AttributeError):
         return None
--- a/tests/core/forwarding/test_router.py
+++ b/tests/core/forwarding/test_router.py
@@ -410,3 +410,28 @@
     for key in range(6):
         send = only_send(router.arrived(key, request("book"), 0.0))
         assert send.replica_id == "d-3"
+
+
+def test_a_slow_stage_is_asked_and_then_avoided() -> None:
+    """Guards against a zone whose streams all crawl behind one slow replica."""
+    router = make_router(*CHAIN, COPY)
+    fill(router, "d", 50)
+    start_streams(router, 1)
+    router.tick(0.35)
+    checks = router.stages_stalled("a", {}, 0.4)
+    asked = {each.replica_id for each in checks if isinstance(each, CheckReplica)}
+    assert asked == {"a", "b", "c"}
+    assert router.stages_stalled("a", {}, 0.5) == ()
+    router.replica_checked("b", ReplicaReport(1, 0, 100, slowness=12.0), 0.5)
+    send = only_send(router.arrived(9, request("urgent"), 0.6))
+    assert send.path is not None
+    assert "d" in {part.replica_id for part in send.path.parts}
+    assert not router.health.is_excluded("b", 0.6)
+
+
+def test_a_zone_with_a_slow_stage_gives_way_to_another() -> None:
+    """Guards against streams beyond their pause while another zone is at ease."""
+    router = make_router(*CHAIN, *OTHER_ZONE)
+    router.health.found_slowness("b", 200.0, 0.0)
+    assert only_send(router.arrived(1, request("urgent"), 0.1)).replica_id == "x"
+    assert only_send(router.arrived(2, request("urgent"), 9.0)).replica_id == "a"
