Tell a request's story from saved logs, keep wire names in the adapter

Cause: a failed request could be traced only by hand, and two wire names had left the adapter (a route's prefix, the request id of own answers). A record nested too deeply raised an error in two of them; fixed.

--- a/persimmonwell/cli/_commands.py
+++ b/persimmonwell/cli/_commands.py
@@ -8,6 +8,7 @@
     ConfigShowCommand,
     ConfigWaitCommand,
 )
+from persimmonwell.cli._explain_command import ExplainCommand
 from persimmonwell.cli._fleet_commands import (
     DrainHostCommand,
     DrainUpstreamCommand,
@@ -35,6 +36,7 @@
     ConfigWaitCommand,
     DrainHostCommand,
     DrainUpstreamCommand,
+    ExplainCommand,
     HostsCommand,
     LeasesCommand,
     LimitsCommand,
--- /dev/null
+++ b/persimmonwell/cli/_explain_command.py
@@ -0,0 +1,85 @@
+"""Define the command that tells one request's story from saved logs."""
+
+from pathlib import Path
+from typing import Any, ClassVar
+
+import attrs
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from persimmonwell.cli._base import ToolCommand, help_text
+from persimmonwell.cli._exits import EXIT_BAD_INPUT, EXIT_OK
+from persimmonwell.cli._options import UsageError
+from persimmonwell.cli._output import clean
+from persimmonwell.core.timeline import (
+    StoryLine,
+    conclude,
+    read_decision_lines,
+    tell_story,
+)
+
+DEFAULT_MARGIN_S = 1.0
+
+
+class ExplainCommand(ToolCommand):
+    """Tell the story of one request from the logs of all hosts."""
+
+    name = "explain"
+    description = "Tell one request's story from the saved logs of all hosts."
+    help = help_text(
+        "Read decision lines from files and print, in order, what happened to the\n"
+        "request and what its hosts learned meanwhile. Lines of other programs are\n"
+        "passed over. Nothing is asked of a running host.",
+        "explain 9c41d07be2a35f68 host-1.log host-2.log",
+        "explain 9c41d07be2a35f68 all.log --margin 3 --json",
+    )
+    arguments: ClassVar[list[Argument]] = [
+        argument("request", "Id of the request."),
+        argument("logs", "Files with the hosts' output.", multiple=True),
+    ]
+    options: ClassVar[list[Option]] = [
+        option("margin", None, "Seconds before and after to show.", flag=False),
+        option("json", None, "Print one JSON document."),
+    ]
+
+    def run_checked(self) -> int:
+        """Read the logs and print the story."""
+        request_id = str(self.argument("request"))
+        lines: list[dict[str, Any]] = []
+        for name in self.argument("logs"):
+            lines += _read(Path(str(name)))
+        story = tell_story(lines, request_id, margin_s=self._margin_s())
+        sentence = conclude(story)
+        if self.as_json:
+            rows = [attrs.asdict(line) for line in story]
+            self.printer.json({"request": request_id, "end": sentence, "lines": rows})
+        else:
+            for line in story:
+                self.printer.line(_shown(line, story[0].wall_s))
+            self.printer.line(sentence)
+        return EXIT_OK if story else EXIT_BAD_INPUT
+
+    def _margin_s(self) -> float:
+        text = self.option("margin")
+        try:
+            return float(text) if text is not None else DEFAULT_MARGIN_S
+        except ValueError as error:
+            raise UsageError(f"--margin is not a number: {text}") from error
+
+
+def _read(path: Path) -> list[dict[str, Any]]:
+    try:
+        text = path.read_text(encoding="utf-8", errors="replace")
+    except OSError as error:
+        raise UsageError(f"{path}: {error.strerror}") from error
+    return read_decision_lines(text.splitlines())
+
+
+def _shown(line: StoryLine, start_s: float) -> str:
+    mark = " " if line.is_context else "*"
+    fields = " ".join(
+        f"{name}={value}" for name, value in line.fields.items() if value is not None
+    )
+    text = f"{line.wall_s - start_s:+8.3f}s {mark} {line.host} {line.part}: "
+    return clean(f"{text}{line.event} {fields}")
--- a/persimmonwell/core/forwarding/_model.py
+++ b/persimmonwell/core/forwarding/_model.py
@@ -27,7 +27,7 @@
 
     name: str
     host: str
-    path_prefix: str
+    prefix: str
     kind: RouteKind
     services: tuple[WeightedService, ...]
     timeout_s: float
--- a/persimmonwell/core/forwarding/_routes.py
+++ b/persimmonwell/core/forwarding/_routes.py
@@ -41,7 +41,7 @@
         self._config = config
         self._prefixes: dict[str, dict[str, Route]] = defaultdict(dict)
         for route in config.routes:
-            self._prefixes[route.host.lower()][route.path_prefix] = route
+            self._prefixes[route.host.lower()][route.prefix] = route
         self._services = {service.name: service for service in config.services}
         self._tenants = {
             key: tenant for tenant in config.tenants for key in tenant.keys
--- a/persimmonwell/core/timeline/__init__.py
+++ b/persimmonwell/core/timeline/__init__.py
@@ -9,6 +9,12 @@
 from persimmonwell.core.timeline._events import EventFilter, EventKind, TimelineEvent
 from persimmonwell.core.timeline._merge import merge_rings
 from persimmonwell.core.timeline._ring import RingSnapshot, TimelineRing
+from persimmonwell.core.timeline._story import (
+    StoryLine,
+    conclude,
+    read_decision_lines,
+    tell_story,
+)
 
 __all__ = [
     "EventFilter",
@@ -16,10 +22,14 @@
     "HybridClock",
     "HybridTimestamp",
     "RingSnapshot",
+    "StoryLine",
     "TimelineEvent",
     "TimelineRing",
+    "conclude",
     "event_to_document",
     "merge_rings",
+    "read_decision_lines",
     "ring_from_document",
     "ring_to_document",
+    "tell_story",
 ]
--- a/persimmonwell/gateway/_exchange.py
+++ b/persimmonwell/gateway/_exchange.py
@@ -23,6 +23,7 @@
     answer_headers,
     decode_answer_head,
     encode_request_head,
+    own_answer_headers,
 )
 
 MAX_HELD_BYTES = 262_144
@@ -226,12 +227,8 @@
             self._deliver(self._failure)
             return
         status = ENDING_STATUS[finish.ending]
-        headers = [(b"content-type", b"application/json")]
-        if self.request.request_id:
-            request_id = self.request.request_id.encode("latin-1", "replace")
-            headers.append((b"request-id", request_id))
-        if finish.ending.has_not_run:
-            headers.append((b"retry-after", b"%.2f" % finish.retry_after_s))
+        retry_after_s = finish.retry_after_s if finish.ending.has_not_run else None
+        headers = own_answer_headers(self.request.request_id, retry_after_s)
         body = b'{"error":"%b"}' % finish.ending.value.encode()
         self._caller.write_answer(status, headers, body)
 
--- a/persimmonwell/platform/__init__.py
+++ b/persimmonwell/platform/__init__.py
@@ -13,6 +13,7 @@
     encode_request_head,
     encode_reroute_order,
     order_headers,
+    own_answer_headers,
 )
 from persimmonwell.platform._host_list import HostListClient
 from persimmonwell.platform._json_log import JsonLog, StreamSlice
@@ -67,6 +68,7 @@
     "encode_request_head",
     "encode_reroute_order",
     "order_headers",
+    "own_answer_headers",
     "parse_node_file",
     "read_node_file",
 ]
--- a/persimmonwell/platform/_headers.py
+++ b/persimmonwell/platform/_headers.py
@@ -161,6 +161,18 @@
             yield name, value
 
 
+def own_answer_headers(
+    request_id: str, retry_after_s: float | None
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers of an answer that the host gives without an upstream."""
+    headers = [(b"content-type", b"application/json")]
+    if request_id:
+        headers.append((_REQUEST_ID, request_id.encode("latin-1", "replace")))
+    if retry_after_s is not None:
+        headers.append((b"retry-after", b"%.2f" % retry_after_s))
+    return headers
+
+
 def order_headers(replica_id: str) -> tuple[tuple[str, str], ...]:
     """Return the headers that keep an order from another replica's address."""
     return (("Expect-Instance", replica_id),)
@@ -191,7 +203,7 @@
             # Here "pace" tells of this replica; in the configuration, of its kind.
             slowness=max(1.0, float(document.get("pace") or 1.0)),
         )
-    except (ValueError, LookupError, TypeError, AttributeError):
+    except (ValueError, LookupError, TypeError, AttributeError, RecursionError):
         return None
 
 
@@ -200,5 +212,5 @@
     try:
         rows = json.loads(body).get("stalled") or []
         return {str(row["id"]): str(row["address"]) for row in rows}
-    except (ValueError, LookupError, TypeError, AttributeError):
+    except (ValueError, LookupError, TypeError, AttributeError, RecursionError):
         return {}
--- a/persimmonwell/platform/_operator_records.py
+++ b/persimmonwell/platform/_operator_records.py
@@ -137,7 +137,7 @@
     return Route(
         name=route.name,
         host=route.host,
-        path_prefix=route.path_prefix,
+        prefix=route.path_prefix,
         kind=RouteKind(route.kind),
         services=services,
         timeout_s=route.timeout_ms / 1000,
--- a/tests/core/forwarding/fleets.py
+++ b/tests/core/forwarding/fleets.py
@@ -97,7 +97,7 @@
     """Return a route whose prefix is its name."""
     values: dict[str, object] = {
         "host": "desk.example",
-        "path_prefix": f"/{name}/",
+        "prefix": f"/{name}/",
         "services": (WeightedService(service, 1.0),),
         "timeout_s": 20.0 if kind is RouteKind.STREAM else 1.2,
         "objective_s": 0.5,
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,176 @@
+"""Check that the platform's documents become the product's types."""
+
+import json
+from typing import Any
+
+import pytest
+
+from persimmonwell._exceptions import DocumentError
+from persimmonwell.core.forwarding import GenerationSize, HeldLayers, RouteKind
+from persimmonwell.platform import (
+    decode_answer_head,
+    decode_config,
+    decode_replica,
+    decode_report,
+    decode_request,
+    decode_stalled,
+    parse_node_file,
+)
+
+NODE = {
+    "node": "front-1",
+    "zone": "za",
+    "ip": "10.1.0.40",
+    "listen.front": "10.1.0.40:8227",
+    "listen.ready_addr": "10.1.0.40:8220",
+    "listen.control": "10.1.0.40:8229",
+    "internal_ports": "7340,7355",
+    "seeds": "10.1.0.40:8229,10.2.0.29:8229",
+    "platform.address": "10.200.1.7:8223",
+    "bounds.drain_ms": "1500",
+    "a.new.field": "whatever",
+}
+
+
+def node_file(**changes: str) -> str:
+    fields = {**NODE, **{k.replace("__", "."): v for k, v in changes.items()}}
+    return "\n".join(f"{name}={value}" for name, value in fields.items())
+
+
+def test_the_settings_file_is_read_and_new_fields_are_ignored() -> None:
+    """Guards against a host that does not start after a field was added."""
+    settings = parse_node_file(node_file())
+    assert settings.drain_s == 1.5
+    assert (settings.peer_port, settings.metrics_port) == (7340, 7341)
+    assert [str(seed) for seed in settings.seeds] == [
+        "10.1.0.40:8229",
+        "10.2.0.29:8229",
+    ]
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("node", ""),
+        ("listen.front", "10.1.0.40"),
+        ("listen.front", "10.1.0.40:0"),
+        ("platform.address", ""),
+        ("bounds.grace_s", "soon"),
+        ("internal_ports", "all"),
+        ("seeds", "10.1.0.40"),
+    ],
+)
+def test_each_wrong_setting_is_named(field: str, value: str) -> None:
+    """Guards against a host that starts with settings nobody wrote."""
+    text = node_file(**{field.replace(".", "__"): value})
+    with pytest.raises(DocumentError) as caught:
+        parse_node_file(text)
+    assert field in {fault.path for fault in caught.value.faults}
+
+
+def test_headers_become_a_request() -> None:
+    """Guards against deadlines and sizes read in the wrong unit."""
+    headers = (
+        (b"request-id", b"r"),
+        (b"deadline-remaining", b"2500"),
+        (b"token-count", b"1460,80"),
+        (b"length-hint", b"33.0"),
+        (b"prompt-prefix", b"5c:800,e4402b7d:250"),
+    )
+    found = decode_request("POST", "/x", headers, host="h")
+    assert found.deadline_s == 2.5
+    assert found.size == GenerationSize(1460, 80, 33)
+    assert found.prompt_id == "e4402b7d"
+    odd = ((b"deadline-remaining", b"x"), (b"token-count", b"many"))
+    assert decode_request("GET", "/x", odd, host="h").size is None
+
+
+def test_the_head_of_an_answer_tells_whether_it_ran() -> None:
+    """Guards against "not run" read from an answer that does not say so."""
+    assert not decode_answer_head(503, ()).not_run
+    assert decode_answer_head(503, ((b"Not-Executed", b"1"),)).not_run
+    wrong = decode_answer_head(421, ((b"At-Server", b"10.1.1.1:80"),))
+    assert (wrong.not_run, wrong.is_wrong_replica) == (True, True)
+    assert wrong.fault_address == "10.1.1.1:80"
+    kept = decode_answer_head(200, ((b"keep-alive", b"max=3, timeout=7"),))
+    assert kept.keep_alive_s == 7.0
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"version": "7"},
+        {"version": None},
+        {"routes": {}},
+        {"routes": [{"name": "r"}]},
+        {"services": [{"name": "s", "engine": {"slots": "x"}}]},
+    ],
+)
+def test_a_broken_configuration_is_refused_with_a_reason(change: Any) -> None:
+    """Guards against half a configuration in force."""
+    document = {"version": 7, "routes": [], "services": [], **change}
+    with pytest.raises(DocumentError) as caught:
+        decode_config(json.dumps(document).encode())
+    assert caught.value.faults[0].reason
+
+
+def test_a_route_without_a_split_goes_to_its_service() -> None:
+    """Guards against routes that lead nowhere."""
+    row = {"name": "r", "host": "h", "path_prefix": "/r/", "kind": "safe"}
+    document = {
+        "version": 7,
+        "routes": [{**row, "timeout_ms": 1200, "service": "s"}],
+        "services": [{"name": "s"}],
+    }
+    (route,) = decode_config(json.dumps(document).encode()).routes
+    assert route.kind is RouteKind.SAFE
+    assert route.timeout_s == 1.2
+    assert [choice.service for choice in route.services] == ["s"]
+
+
+ENTRY = {"service": "s", "address": "10.1.1.1:80", "zone": "z", "slots": 6}
+ENTRY |= {"state": "ready", "sequence": 4, "cold_remaining_ms": 0}
+
+
+@pytest.mark.parametrize(
+    ("change", "usable"),
+    [
+        ({}, True),
+        ({"state": "draining"}, True),
+        ({"state": "gone"}, False),
+        ({"address": "host:80"}, False),
+        ({"address": "10.1.1.1:99999"}, False),
+        ({"slots": True}, False),
+        ({"slots": -1}, False),
+        ({"born": "1"}, False),
+        ({"kind": 4}, False),
+        ({"layers": {"from": 1, "to": 9, "version": 1}}, True),
+        ({"layers": {"from": 9, "to": 1}}, False),
+        ({"layers": [{"from": 1, "to": 9}]}, True),
+        ({"layers": [1, 9]}, False),
+    ],
+)
+def test_only_a_sound_entry_names_a_replica(change: Any, usable: bool) -> None:
+    """Guards against requests to whatever a broken entry names."""
+    found = decode_replica("i-1", json.dumps({**ENTRY, **change}).encode())
+    assert (found is not None) == usable
+    if "layers" in change and found is not None:
+        assert found.layers == HeldLayers(1, 9)
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff", b"[]", b"4", b"[" * 100_000])
+def test_unreadable_records_are_nothing(data: bytes) -> None:
+    """Guards against one foreign record that stops a host."""
+    assert decode_replica("i-1", data) is None
+    assert decode_report(data) is None
+    assert decode_stalled(data) == {}
+
+
+def test_a_report_tells_orders_memory_and_slowness() -> None:
+    """Guards against the heartbeat count taken for the count of orders."""
+    document = {"sequence": 2, "kv_used": 41, "kv_total": 90, "pace": 12.0}
+    found = decode_report(json.dumps(document).encode())
+    assert found is not None
+    assert (found.orders_accepted, found.kv_used, found.slowness) == (2, 41, 12.0)
+    rows = {"stalled": [{"id": "r", "address": "10.1.1.1:80"}]}
+    assert decode_stalled(json.dumps(rows).encode()) == {"r": "10.1.1.1:80"}
