--- a/persimmonwell/core/forwarding/_budget.py
+++ b/persimmonwell/core/forwarding/_budget.py
@@ -31,13 +31,21 @@
         """Count a request of a caller."""
         self._current(now_s)[1] += 1
 
-    def try_repeat(self, now_s: float, *, hosts: int) -> bool:
-        """Count a repeated send, or return False when none is left."""
-        current = self._current(now_s)
+    def has_left(self, now_s: float, *, hosts: int) -> bool:
+        """Return whether this host may send one more repeat."""
+        self._current(now_s)
         requests = sum(bucket[1] for bucket in self._buckets)
         repeats = sum(bucket[2] for bucket in self._buckets)
         allowed = self._ratio * requests + self._slack / max(1, hosts)
-        if repeats + 1 > SAFE_SHARE * allowed:
+        return repeats + 1 <= SAFE_SHARE * allowed
+
+    def repeated(self, now_s: float) -> None:
+        """Count a repeated send."""
+        self._current(now_s)[2] += 1
+
+    def try_repeat(self, now_s: float, *, hosts: int) -> bool:
+        """Count a repeated send, or return False when none is left."""
+        if not self.has_left(now_s, hosts=hosts):
             return False
-        current[2] += 1
+        self.repeated(now_s)
         return True
--- a/persimmonwell/core/forwarding/_health.py
+++ b/persimmonwell/core/forwarding/_health.py
@@ -18,6 +18,11 @@
 """The registry drops a dead replica after three heartbeats, 3.6 s."""
 CHECK_INTERVAL_S = 0.5
 """Pause between two questions to a suspected replica; each one is priced."""
+LEAVING_AFTER_S = 0.8
+"""A replica that turns requests away with room for that long is leaving; one that
+changes its layers says so in the registry within a heartbeat."""
+LEAVING_MEMORY_S = 4.0
+"""Time until such a replica is tried again."""
 SLOWNESS_MEMORY_S = 2.5
 """A slow replica is asked again before that while streams through it are silent."""
 
@@ -56,6 +61,8 @@
         self._suspicions: dict[str, _Suspicion] = {}
         self._reported: dict[str, float] = {}
         self._slowness: dict[str, _Slowness] = {}
+        self._refusing: dict[str, tuple[tuple[str, int], float]] = {}
+        self._leaving: dict[str, float] = {}
 
     def own_slow(self, now_s: float) -> dict[str, float]:
         """Return the slowness of the replicas that this host itself asked."""
@@ -95,7 +102,27 @@
 
     def is_lost(self, replica_id: str, now_s: float) -> bool:
         """Return whether this host or a peer found a replica dead."""
-        return replica_id in self.lost or self._reported.get(replica_id, 0.0) > now_s
+        return (
+            replica_id in self.lost
+            or self._reported.get(replica_id, 0.0) > now_s
+            or self._leaving.get(replica_id, 0.0) > now_s
+        )
+
+    def refused_with_room(
+        self, replica_id: str, incarnation: tuple[str, int], now_s: float
+    ) -> None:
+        """Note a refusal by a replica that lives and is not full."""
+        self.exclude(replica_id, incarnation, now_s)
+        known = self._refusing.get(replica_id)
+        if known is None or known[0] != incarnation:
+            self._refusing[replica_id] = (incarnation, now_s)
+        elif now_s - known[1] >= LEAVING_AFTER_S:
+            self._leaving[replica_id] = now_s + LEAVING_MEMORY_S
+
+    def entry_changed(self, replica_id: str) -> None:
+        """Forget refusals that a change of the replica's layers explains."""
+        self._refusing.pop(replica_id, None)
+        self._leaving.pop(replica_id, None)
 
     def suspect(
         self, replica_id: str, incarnation: tuple[str, int], now_s: float
@@ -148,6 +175,7 @@
         """Note an answer and the time it took."""
         evidence = self._of(replica_id, incarnation)
         evidence.failure_rate *= 1 - FAILURE_WEIGHT
+        self._refusing.pop(replica_id, None)
         evidence.exclusions = 0
         evidence.samples += 1
         weight = max(FAILURE_WEIGHT, 1 / evidence.samples)
@@ -173,7 +201,7 @@
         """Return whether a replica is left out now."""
         if replica_id in self._suspicions:
             return True
-        if self._reported.get(replica_id, 0.0) > now_s:
+        if self.is_lost(replica_id, now_s):
             return True
         evidence = self._evidence.get(replica_id)
         return evidence is not None and now_s < evidence.excluded_until_s
@@ -202,6 +230,8 @@
             self._suspicions,
             self._reported,
             self._slowness,
+            self._refusing,
+            self._leaving,
         )
         for table in tables:
             for replica_id in table.keys() - known:
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -68,6 +68,8 @@
 first event that comes 250 ms later is still within the usual objective of 500 ms."""
 STALL_ASK_INTERVAL_S = 0.15
 """Reports are some 200 ms old, so that the first one may not show the stall yet."""
+KNOWN_STALL_PAUSE_S = 0.4
+"""Added to the interval between questions while stalled stages are known."""
 STAGE_CHECK_S = 1.5
 """Least time between two questions to a stage that is not suspected to be dead."""
 REROUTE_GAP_S = 0.1
@@ -80,8 +82,9 @@
 """Other zones are considered when a step takes this part of the gap objective."""
 REPEATED_SENDS = 2
 """Sends beyond the number of upstreams that the route allows."""
-FULL_SHARE = 0.85
-"""Used part of a replica's memory from which a refusal means that it is full."""
+FULL_SHARE = 0.6
+"""Used part of a replica's memory from which a refusal may mean that it is full;
+reports are some 200 ms old."""
 REFUSED_PAUSE_S = 0.15
 """First pause before a request that was turned away is sent again; it doubles."""
 REPEAT_MARGIN_S = 0.05
@@ -362,10 +365,9 @@
             if active.may_have_run:
                 ending = Ending.UPSTREAM_FAILED
             return self._finish(active, ending, detail or failure.value)
-        has_budget = self._budget(active.service.name).try_repeat(
-            now_s, hosts=self.hosts
-        )
-        if left_s > REPEAT_MARGIN_S and has_budget:
+        budget = self._budget(active.service.name)
+        may_repeat = budget.try_repeat(now_s, hosts=self.hosts)
+        if left_s > REPEAT_MARGIN_S and may_repeat:
             send = self._try_send(active, now_s)
             if send is not None:
                 return send
@@ -390,6 +392,8 @@
         for address in set(stalled.values()):
             self._suspect_address(address, now_s)
         if stalled:
+            # What is known now need not be asked again at the next chance.
+            self._asked_s[head_id] = now_s + KNOWN_STALL_PAUSE_S
             return self._reroute_suspected(now_s)
         return self._check_stages(head_id, now_s)
 
@@ -426,7 +430,9 @@
         if was_suspected and report.kv_used < FULL_SHARE * report.kv_total:
             # It lives and has room, but turned a request away: it is leaving, or
             # gives up the layers that were asked for.
-            self._exclude(replica_id, now_s)
+            replica = self.registry.replicas.get(replica_id)
+            if replica is not None:
+                self.health.refused_with_room(replica_id, replica.incarnation, now_s)
         return ()
 
     def _suspect_silent(self, replica_id: str, now_s: float) -> None:
@@ -440,7 +446,7 @@
                 self.health.suspect(replica.replica_id, replica.incarnation, now_s)
 
     def _reroute_suspected(self, now_s: float) -> tuple[Decision, ...]:
-        reroutes = []
+        decisions: list[Decision] = []
         for active in list(self._active.values()):
             if active.path is None or active.replica_id is None:
                 continue
@@ -448,16 +454,44 @@
                 continue
             later = active.path.parts[1:]
             if any(self.health.is_excluded(p.replica_id, now_s) for p in later):
-                reroute = self._reroute(active, now_s)
-                if reroute is not None:
-                    reroutes.append(reroute)
-        return tuple(reroutes)
+                decisions += self._leave_stage(active, now_s)
+        return tuple(decisions)
+
+    def _leave_stage(self, active: _Active, now_s: float) -> tuple[Decision, ...]:
+        """Move a request to another path of its zone, else start it in another zone.
+
+        Where neither is possible it stays, as the stage may come back.
+        """
+        if now_s - active.rerouted_s < REROUTE_INTERVAL_S:
+            return ()
+        reroute = self._reroute(active, now_s)
+        if reroute is not None:
+            return (reroute,)
+        budget = self._budget(active.service.name)
+        if not active.route.may_repeat or not active.has_sends_left:
+            return ()
+        if self._services[active.service.name].waiting:
+            # Its prompt would be read again in room that others wait for.
+            return ()
+        if not budget.has_left(now_s, hosts=self.hosts):
+            return ()
+        attempt, path, replica_id = active.attempt, active.path, active.replica_id
+        self._release(active)
+        send = self._try_send(active, now_s)
+        if send is None:
+            active.path, active.replica_id = path, replica_id
+            self._reserve(active)
+            return ()
+        budget.repeated(now_s)
+        active.runs += 1
+        active.rerouted_s = now_s
+        return (CancelAttempt(active.key, attempt), send)
 
     def _reroute(self, active: _Active, now_s: float) -> Reroute | None:
         assert active.path is not None
         head = active.path.head
         replica = self.registry.replicas.get(head.replica_id)
-        if replica is None or now_s - active.rerouted_s < REROUTE_INTERVAL_S:
+        if replica is None:
             return None
         # Its own reservation must not count against the request.
         self._release(active)
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -198,6 +198,7 @@
             old, new = before.get(replica_id), after.get(replica_id)
             if old == new:
                 continue
+            self._router.health.entry_changed(replica_id)
             self._log.write(
                 "registry",
                 "gone" if new is None else "seen" if old is None else "changed",
--- a/tests/core/forwarding/test_router.py
+++ b/tests/core/forwarding/test_router.py
@@ -435,3 +435,66 @@
     router.health.found_slowness("b", 200.0, 0.0)
     assert only_send(router.arrived(1, request("urgent"), 0.1)).replica_id == "x"
     assert only_send(router.arrived(2, request("urgent"), 9.0)).replica_id == "a"
+
+
+def test_a_stream_without_another_path_in_its_zone_goes_on_in_another() -> None:
+    """Guards against streams that wait until the engine cuts them after 2.5 s.
+
+    The story of a failed request showed 2.5 s of the same stalled stage while another
+    zone had room.
+    """
+    router = make_router(*CHAIN, *OTHER_ZONE)
+    start_streams(router, 2)
+    moved = router.stages_stalled("a", {"r": CHAIN[1].address}, 0.5)
+    assert [each.key for each in moved if isinstance(each, CancelAttempt)] == [0, 1]
+    assert {(e.key, e.replica_id, e.attempt) for e in sends(moved)} == {
+        (0, "x", 2),
+        (1, "x", 2),
+    }
+    assert router.loads.of("b").requests == 0
+    assert router.loads.of("x").requests == 2
+
+
+def test_streams_do_not_move_to_a_zone_that_others_wait_for() -> None:
+    """Guards against prompts read twice while new requests find no room."""
+    router = make_router(*CHAIN, *OTHER_ZONE)
+    start_streams(router, 1)
+    for name in ("a", "x"):
+        fill(router, name, 95)
+    only_send(router.arrived(5, request("urgent"), 0.4))
+    assert router.arrived(6, request("urgent"), 0.4) == ()
+    assert router.stages_stalled("a", {"r": CHAIN[1].address}, 0.5) == ()
+
+
+def test_a_stream_that_can_go_nowhere_stays_where_it_is() -> None:
+    """Guards against giving up a stream whose stage may come back."""
+    router = make_router(*CHAIN)
+    start_streams(router, 1)
+    assert router.stages_stalled("a", {"r": CHAIN[1].address}, 0.5) == ()
+    assert router.loads.of("b").requests == 1
+    assert router.finished(0, 1, 0.9) == ()
+    assert router.loads.own == {}
+
+
+def test_a_stream_that_must_not_run_twice_waits_for_its_stage() -> None:
+    """Guards against a second run of an answer that may not be resumed."""
+    router = make_router(*CHAIN, *OTHER_ZONE)
+    only_send(router.arrived(1, request("fixed"), 0.0))
+    assert router.stages_stalled("a", {"r": CHAIN[1].address}, 0.5) == ()
+
+
+def test_a_replica_that_keeps_refusing_with_room_counts_as_leaving() -> None:
+    """Guards against waiting for a replica whose notice an outage of the store hides.
+
+    Five replicas left while the store was away; they stayed in every plan and path
+    for eight seconds and turned each request away.
+    """
+    router = make_router(*CHAIN, COPY)
+    for now_s in (0.0, 0.7, 1.5):
+        router.stages_stalled("a", {"r": CHAIN[1].address}, now_s)
+        router.replica_checked("b", ReplicaReport(1, 5, 100), now_s)
+    living = {each.replica_id for each in router.living_replicas("model", 1.6)}
+    assert living == {"a", "c", "d"}
+    router.health.entry_changed("b")
+    living = {each.replica_id for each in router.living_replicas("model", 1.6)}
+    assert "b" in living
