Remove dead state and a constant that nothing applies

Cause: reading the whole change again. A constant and docs/platform.md said that requests are refused 3 s after SIGTERM; nothing did so. Two fields were written and never read, suspecting a replica was written out three times, and every look-up of a dead replica built a set of all of them on the path choice. Conclusion: no change of behaviour.

--- a/persimmonwell/core/forwarding/_health.py
+++ b/persimmonwell/core/forwarding/_health.py
@@ -102,8 +102,9 @@
 
     def is_lost(self, replica_id: str, now_s: float) -> bool:
         """Return whether this host or a peer found a replica dead."""
+        suspicion = self._suspicions.get(replica_id)
         return (
-            replica_id in self.lost
+            (suspicion is not None and suspicion.is_lost)
             or self._reported.get(replica_id, 0.0) > now_s
             or self._leaving.get(replica_id, 0.0) > now_s
         )
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -417,7 +417,7 @@
         """Take a suspected replica's report, None for its silence."""
         was_suspected = self.health.checked(replica_id, answers=report is not None)
         if report is None:
-            self._suspect_silent(replica_id, now_s)
+            self._suspect(replica_id, now_s)
             return self._reroute_suspected(now_s)
         self.loads.reported(replica_id, report.kv_used, now_s)
         self.health.found_slowness(replica_id, report.slowness, now_s)
@@ -429,7 +429,7 @@
                 self.health.refused_with_room(replica_id, replica.incarnation, now_s)
         return ()
 
-    def _suspect_silent(self, replica_id: str, now_s: float) -> None:
+    def _suspect(self, replica_id: str, now_s: float) -> None:
         replica = self.registry.replicas.get(replica_id)
         if replica is not None:
             self.health.suspect(replica_id, replica.incarnation, now_s)
@@ -437,7 +437,7 @@
     def _suspect_address(self, address: str, now_s: float) -> None:
         for replica in self.registry.replicas.values():
             if replica.address == address:
-                self.health.suspect(replica.replica_id, replica.incarnation, now_s)
+                self._suspect(replica.replica_id, now_s)
 
     def _reroute_suspected(self, now_s: float) -> tuple[Decision, ...]:
         decisions: list[Decision] = []
@@ -762,7 +762,7 @@
             return
         self.health.failed(replica.replica_id, replica.incarnation)
         if failure is AttemptFailure.NO_CONNECTION:
-            self.health.suspect(replica.replica_id, replica.incarnation, now_s)
+            self._suspect(replica.replica_id, now_s)
         elif failure is not AttemptFailure.ERROR:
             self._exclude(replica.replica_id, now_s)
 
--- a/persimmonwell/gateway/_caller_connection.py
+++ b/persimmonwell/gateway/_caller_connection.py
@@ -65,7 +65,6 @@
         self._pending: deque[RawRequest] = deque()
         self._timer: asyncio.TimerHandle | None = None
         self._reset_message()
-        self._chunked = False
         self._close_after = False
 
     @property
@@ -205,7 +204,6 @@
     def _start(self, request: RawRequest) -> None:
         self._cancel_timer()
         self._busy = True
-        self._chunked = False
         handler = self._begin(self, request)
         if self._busy:
             self._handler = handler
@@ -225,7 +223,6 @@
     ) -> None:
         """Write the head of an answer of unknown length and its first piece."""
         head = self._head(status, headers) + b"transfer-encoding: chunked\r\n\r\n"
-        self._chunked = True
         self._write(head + _chunk(data))
 
     def write_data(self, data: bytes) -> None:
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -31,8 +31,6 @@
 """A full queue of new connections delays callers by seconds."""
 ROTATION_S = 2.2
 """The platform asks each second and takes a host out after two misses."""
-LAST_REQUEST_S = 3.0
-"""Time after SIGTERM at which requests that still arrive are refused."""
 GRACE_MARGIN_S = 0.4
 DRAIN_CHECK_S = 0.1
 
--- a/persimmonwell/gateway/_placement_duty.py
+++ b/persimmonwell/gateway/_placement_duty.py
@@ -71,7 +71,6 @@
         self._grown_s = float("-inf")
         self._timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        self.orders = 0
 
     @property
     def is_held(self) -> bool:
@@ -192,7 +191,6 @@
             body=body,
             headers=order_headers(order.replica_id),
         )
-        self.orders += 1
         self._log.write(
             "placement",
             "ordered",
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -33,7 +33,7 @@
     Faults: shed (answer 503, not run), error (status 500), reset_at (event at which
     the stream resets), stall_at, extra (a second answer follows), unframed (no
     length), garbage, delay_s, cut_body (a reset within the body), alive (False: no
-    answer to reports), forget (False seal).
+    answer to reports), reset (no answer at all).
     """
 
     def __init__(self, replica_id: str, *, service: str, zone: str) -> None:
