Take a plain replica's answer without a report for a sign of life

Plain services have no report, so that no answer to the question ever counted, and the host told its peers as well. Change: any answer to a question is a sign of life, but for a 421, which another replica at the same address gives; questions now name the replica that they are meant for. Measured: tests/core/forwarding, tests/gateway: passed; the new test fails without the change. Conclusion: a plain replica is back with its first answer.

--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -284,13 +284,20 @@
         return self._stalls.stage_checks(self._active.values(), head_id, now_s)
 
     def replica_checked(
-        self, replica_id: str, report: ReplicaReport | None, now_s: float
+        self,
+        replica_id: str,
+        report: ReplicaReport | None,
+        now_s: float,
+        *,
+        answers: bool,
     ) -> tuple[Decision, ...]:
-        """Take a suspected replica's report, None for its silence."""
-        was_suspected = self.health.checked(replica_id, answers=report is not None)
-        if report is None:
+        """Take the result of a question; plain services answer without a report."""
+        was_suspected = self.health.checked(replica_id, answers=answers)
+        if not answers:
             self._upstreams.suspect(replica_id, now_s)
             return self._reroute_suspected(now_s)
+        if report is None:
+            return ()
         self.loads.reported(replica_id, report.kv_used, now_s)
         self.health.found_slowness(replica_id, report.slowness, now_s)
         if was_suspected and report.kv_used < FULL_SHARE * report.kv_total:
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -22,12 +22,13 @@
 from persimmonwell.gateway._exchange import Exchange
 from persimmonwell.gateway._http_connection import ConnectionPool, RawHeaders
 from persimmonwell.gateway._metrics import GatewayMetrics
-from persimmonwell.gateway._orders import ask_report, call_replica
+from persimmonwell.gateway._orders import call_replica
 from persimmonwell.observe import DecisionLog
 from persimmonwell.platform import (
     ORDER_PATH,
     REPORT_PATH,
     decode_answer_head,
+    decode_report,
     decode_request,
     decode_stalled,
     encode_reroute_order,
@@ -38,6 +39,8 @@
 """Resolution of time-outs and stall checks; a twelfth of the stall gap."""
 IDLE_CONNECTION_S = 4.0
 """For replicas that do not state how long they keep idle connections."""
+NO_SUCH_REPLICA = (0, 421)
+"""No answer in time, or another replica that has the address now."""
 
 
 class Gateway:
@@ -289,18 +292,31 @@
         self.execute(self.router.stages_stalled(ask.replica_id, stalled, now_s))
 
     async def _check_replica(self, check: CheckReplica) -> None:
-        report = await ask_report(self.pool, check.address)
+        answer = await call_replica(
+            self.pool,
+            check.address,
+            method="GET",
+            path=REPORT_PATH,
+            headers=order_headers(check.replica_id),
+        )
+        report = decode_report(answer.body) if answer.status == 200 else None
+        answers = answer.status not in NO_SUCH_REPLICA
         self.metrics.count("replica_checks")
         self._log.write(
             "upstream",
-            "alive" if report is not None else "silent",
+            "alive" if answers else "silent",
             replica=check.replica_id,
+            status=answer.status,
             kv_used=report.kv_used if report is not None else None,
             kv_total=report.kv_total if report is not None else None,
             slowness=report.slowness if report is not None else None,
         )
         now_s = self.now_s()
-        self.execute(self.router.replica_checked(check.replica_id, report, now_s))
+        self.execute(
+            self.router.replica_checked(
+                check.replica_id, report, now_s, answers=answers
+            )
+        )
 
     async def _reroute(self, exchange: Exchange, reroute: Reroute) -> None:
         request_id = exchange.request.request_id
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -48,6 +48,8 @@
         """Requests whose connection closed while their answer was sent."""
         self.stalled: dict[str, str] = {}
         self.layers: dict[str, int] | None = None
+        self.has_reports = True
+        """Whether it serves a model; plain services have no reports."""
         self._socket = socket.create_server(("127.0.0.1", 0), backlog=128)
         self._thread = threading.Thread(target=self._accept, daemon=True)
         self._open: set[socket.socket] = set()
@@ -114,6 +116,10 @@
             if self.faults.get("alive") is False:
                 time.sleep(2.0)
                 return False
+            if not self.has_reports:
+                # A plain service knows no reports and misses the request's id.
+                connection.sendall(_plain(400, {"Not-Executed": "1"}, b""))
+                return True
             connection.sendall(_plain(200, {}, json.dumps(self._report()).encode()))
             return True
         if request.target == "/persimmonwell/order":
--- a/tests/core/forwarding/test_router.py
+++ b/tests/core/forwarding/test_router.py
@@ -307,7 +307,7 @@
     router.stages_stalled("a", {"r": CHAIN[1].address}, 0.0)
     (check,) = (e for e in router.tick(0.05) if isinstance(e, CheckReplica))
     assert check.replica_id == "b"
-    router.replica_checked("b", None, 0.1)
+    router.replica_checked("b", None, 0.1, answers=False)
     assert "b" not in {each.replica_id for each in router.living_replicas("model", 0.2)}
     for now_s in (1.0, 2.0, 3.0, 4.5):
         key = int(now_s * 10)
@@ -315,10 +315,27 @@
         assert send.path is not None
         assert "b" not in {part.replica_id for part in send.path.parts}
         router.tick(now_s)
-    router.replica_checked("b", ReplicaReport(0, 0, 1000), 5.0)
+    router.replica_checked("b", ReplicaReport(0, 0, 1000), 5.0, answers=True)
     assert "b" in {each.replica_id for each in router.living_replicas("model", 5.0)}
 
 
+def test_a_plain_replica_that_answers_a_question_is_back() -> None:
+    """Guards against a plain replica left out for good after one lost connection.
+
+    Plain services have no report; on a bench day one host took a booking replica for
+    dead from second 34 on and asked it every 0.5 s.
+    """
+    router = make_router(*DESKS)
+    only_send(router.arrived(1, request("look"), 0.0))
+    router.attempt_failed(1, 1, FAILED.NO_CONNECTION, 0.01)
+    (check,) = (e for e in router.tick(0.05) if isinstance(e, CheckReplica))
+    router.replica_checked(check.replica_id, None, 0.1, answers=False)
+    assert router.health.is_lost(check.replica_id, 0.2)
+    router.replica_checked(check.replica_id, None, 0.6, answers=True)
+    assert not router.health.is_lost(check.replica_id, 0.7)
+    assert not any(isinstance(e, CheckReplica) for e in router.tick(2.0))
+
+
 def test_a_peers_word_keeps_requests_off_a_dead_stage() -> None:
     """Guards against every host finding out by losing requests of its own."""
     router = make_router(*CHAIN, COPY)
@@ -336,7 +353,7 @@
     router.attempt_failed(
         1, send.attempt, FAILED.NOT_RUN, 0.01, fault_address=CHAIN[1].address
     )
-    router.replica_checked("b", ReplicaReport(1, 95, 100), 0.02)
+    router.replica_checked("b", ReplicaReport(1, 95, 100), 0.02, answers=True)
     assert not router.health.is_excluded("b", 0.03)
 
 
@@ -344,7 +361,7 @@
     """Guards against the leaving replica whose notice the store could not pass on."""
     router = make_router(*CHAIN, COPY)
     router.stages_stalled("a", {"r": CHAIN[1].address}, 0.0)
-    router.replica_checked("b", ReplicaReport(1, 5, 100), 0.02)
+    router.replica_checked("b", ReplicaReport(1, 5, 100), 0.02, answers=True)
     assert router.health.is_excluded("b", 0.03)
 
 
@@ -422,7 +439,9 @@
     asked = {each.replica_id for each in checks if isinstance(each, CheckReplica)}
     assert asked == {"a", "b", "c"}
     assert router.stages_stalled("a", {}, 0.5) == ()
-    router.replica_checked("b", ReplicaReport(1, 0, 100, slowness=12.0), 0.5)
+    router.replica_checked(
+        "b", ReplicaReport(1, 0, 100, slowness=12.0), 0.5, answers=True
+    )
     send = only_send(router.arrived(9, request("urgent"), 0.6))
     assert send.path is not None
     assert "d" in {part.replica_id for part in send.path.parts}
@@ -492,7 +511,7 @@
     router = make_router(*CHAIN, COPY)
     for now_s in (0.0, 0.7, 1.5):
         router.stages_stalled("a", {"r": CHAIN[1].address}, now_s)
-        router.replica_checked("b", ReplicaReport(1, 5, 100), now_s)
+        router.replica_checked("b", ReplicaReport(1, 5, 100), now_s, answers=True)
     living = {each.replica_id for each in router.living_replicas("model", 1.6)}
     assert living == {"a", "c", "d"}
     router.health.entry_changed("b")
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -31,7 +31,8 @@
     ) -> PlatformReplica:
         """Start a replica and register it, with changed fields of its entry."""
         replica = PlatformReplica(name, service=service_name, zone=zone)
-        if service_name == "model":
+        replica.has_reports = service_name == "model"
+        if replica.has_reports:
             replica.layers = {"from": 0, "to": LAYERS, "version": 1}
         replica.start()
         self.replicas[name] = replica
