Let two hosts of a zone read the store, refuse requests that crash replicas

Change: core/forwarding/_peers.py decides who reads: the first two hosts of each zone that the store answers. Their datagrams name the newest version and the newest change of the registry; the others read the store when they hear of something newer, and every 8 s. A full list from behind removes nothing. core/forwarding/_crashes.py uses the daemon's quarantine: a broken attempt leads to a question, a dead replica accuses the requests there, two crashes refuse the request; hosts tell each other. What follows from a changed registry moved from the host into the core. Both changes touch the datagrams and the host, hence one commit.

--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -8,6 +8,7 @@
     Decision,
     Ending,
     Finish,
+    Quarantined,
     Reroute,
     Send,
 )
@@ -29,6 +30,12 @@
     WeightedService,
 )
 from persimmonwell.core.forwarding._paths import Part, Path, find_path
+from persimmonwell.core.forwarding._peers import (
+    PeerStatus,
+    StoreMarks,
+    should_read_often,
+    should_stand_in,
+)
 from persimmonwell.core.forwarding._placement import (
     PlacementOrder,
     PlacementStep,
@@ -56,8 +63,10 @@
     "LoadTable",
     "Part",
     "Path",
+    "PeerStatus",
     "PlacementOrder",
     "PlacementStep",
+    "Quarantined",
     "RegistryRecord",
     "Replica",
     "ReplicaLoad",
@@ -68,8 +77,11 @@
     "RouteKind",
     "Send",
     "ServiceSpec",
+    "StoreMarks",
     "Tenant",
     "WeightedService",
     "find_path",
     "plan_placement",
+    "should_read_often",
+    "should_stand_in",
 ]
--- a/persimmonwell/core/forwarding/_events.py
+++ b/persimmonwell/core/forwarding/_events.py
@@ -17,6 +17,8 @@
     """No configuration or no usable upstream yet; the request has not run."""
     OVERLOADED = "overloaded"
     """The request has not run."""
+    QUARANTINED = "quarantined"
+    """The request crashes replicas; it has not run this time."""
     UPSTREAM_FAILED = "upstream_failed"
     """The request may have run."""
     TIMED_OUT = "timed_out"
@@ -25,7 +27,7 @@
     @property
     def has_not_run(self) -> bool:
         """Return whether the ending promises that no upstream ran the request."""
-        return self in (Ending.NOT_READY, Ending.OVERLOADED)
+        return self in (Ending.NOT_READY, Ending.OVERLOADED, Ending.QUARANTINED)
 
 
 @attrs.frozen
@@ -88,8 +90,15 @@
     path: Path
 
 
+@attrs.frozen
+class Quarantined:
+    """Tell operators of a request that is refused since it crashes replicas."""
+
+    digest: str
+
+
 RequestDecision: TypeAlias = Send | Finish | CancelAttempt | Reroute
-Decision: TypeAlias = RequestDecision | AskStalled | CheckReplica
+Decision: TypeAlias = RequestDecision | AskStalled | CheckReplica | Quarantined
 
 
 class AttemptFailure(Enum):
--- a/persimmonwell/core/forwarding/_health.py
+++ b/persimmonwell/core/forwarding/_health.py
@@ -148,7 +148,7 @@
                 due.append(replica_id)
         return tuple(due)
 
-    def checked(self, replica_id: str, *, answers: bool) -> bool:
+    def checked(self, replica_id: str, *, answers: bool, now_s: float) -> bool:
         """Take the result of a question; return whether the replica was suspected."""
         suspicion = self._suspicions.get(replica_id)
         if suspicion is None:
@@ -157,6 +157,7 @@
             del self._suspicions[replica_id]
         else:
             suspicion.is_lost = True
+            suspicion.check_s = now_s + CHECK_INTERVAL_S
         return True
 
     def peer_found_lost(self, replica_ids: Iterable[str], until_s: float) -> None:
--- a/persimmonwell/core/forwarding/_model.py
+++ b/persimmonwell/core/forwarding/_model.py
@@ -197,6 +197,8 @@
     deadline_s: float | None = None
     """Time that the caller waits, from its arrival."""
     last_event_id: str | None = None
+    digest: str = ""
+    """Equal for requests with the same path, caller and body; empty if unknown."""
     size: GenerationSize | None = None
 
 
--- a/persimmonwell/core/forwarding/_registry.py
+++ b/persimmonwell/core/forwarding/_registry.py
@@ -26,6 +26,18 @@
         self._offsets: dict[str, int] = {}
         self._lapsed: dict[str, float] = {}
         self._in_outage = False
+        self._newest_offset = -1
+        self._changed_offset = -1
+
+    @property
+    def newest_offset(self) -> int:
+        """Return the offset up to which the registry was read."""
+        return self._newest_offset
+
+    @property
+    def changed_offset(self) -> int:
+        """Return the offset of the newest record that changed an entry."""
+        return self._changed_offset
 
     @property
     def replicas(self) -> dict[str, Replica]:
@@ -40,12 +52,26 @@
         """Note that the registry was read; a removal from now on is a leaving."""
         self._in_outage = False
 
-    def replace(self, records: tuple[RegistryRecord, ...], now_s: float) -> bool:
-        """Take a full list; entries that it lacks are removed."""
+    def replace(
+        self,
+        records: tuple[RegistryRecord, ...],
+        now_s: float,
+        *,
+        end_offset: int | None = None,
+    ) -> bool:
+        """Take a full list up to an offset; entries that it lacks are removed.
+
+        A list that ends before what was read already is stale and removes nothing.
+        """
         listed = {record.replica_id for record in records}
+        is_stale = end_offset is not None and end_offset <= self._newest_offset
         changed = self.apply(records, now_s)
+        if is_stale:
+            return changed
         for replica_id in self._entries.keys() - listed:
-            changed |= self._remove(replica_id, now_s)
+            if self._remove(replica_id, now_s):
+                changed = True
+                self._changed_offset = self._newest_offset
         return changed
 
     def apply(self, records: tuple[RegistryRecord, ...], now_s: float) -> bool:
@@ -55,14 +81,20 @@
             if record.offset <= self._offsets.get(record.replica_id, -1):
                 continue  # A stale read repeats what is known already.
             self._offsets[record.replica_id] = record.offset
-            if record.replica is None:
-                changed |= self._remove(record.replica_id, now_s)
-                continue
-            self._lapsed.pop(record.replica_id, None)
-            changed |= self._entries.get(record.replica_id) != record.replica
-            self._entries[record.replica_id] = record.replica
+            self._newest_offset = max(self._newest_offset, record.offset)
+            if self._take(record, now_s):
+                changed = True
+                self._changed_offset = max(self._changed_offset, record.offset)
         return changed
 
+    def _take(self, record: RegistryRecord, now_s: float) -> bool:
+        if record.replica is None:
+            return self._remove(record.replica_id, now_s)
+        self._lapsed.pop(record.replica_id, None)
+        before = self._entries.get(record.replica_id)
+        self._entries[record.replica_id] = record.replica
+        return before != record.replica
+
     def expire(self, now_s: float) -> bool:
         """Drop lapsed entries whose replica did not come back."""
         due = [key for key, at_s in self._lapsed.items() if at_s <= now_s]
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -8,6 +8,7 @@
 
 from persimmonwell.core.forwarding._active import ActiveRequest
 from persimmonwell.core.forwarding._budget import SendBudget
+from persimmonwell.core.forwarding._crashes import CrashGuard
 from persimmonwell.core.forwarding._events import (
     AttemptFailure,
     CancelAttempt,
@@ -15,6 +16,7 @@
     Decision,
     Ending,
     Finish,
+    Quarantined,
     Reroute,
     Send,
 )
@@ -38,6 +40,7 @@
 from persimmonwell.core.forwarding._stalls import StallWatch
 from persimmonwell.core.forwarding._upstreams import Upstreams
 from persimmonwell.core.forwarding._waiting import WaitingLine
+from persimmonwell.core.retry import Blame
 
 DEFAULT_DEADLINE_S = 30.0
 """For a caller that does not say how long it waits."""
@@ -82,6 +85,7 @@
             availability_zone=availability_zone, randomness=self._random
         )
         self._stalls = StallWatch()
+        self.crashes = CrashGuard()
         self._table: RouteTable | None = None
         self.hosts = 1
         """Hosts in the fleet, as far as this one knows."""
@@ -163,6 +167,8 @@
         active = self._active[key] = _admit(key, request, resolved, now_s)
         state = self._state_of(active)
         state.budget.requested(now_s)
+        if self.crashes.refuses(request.digest):
+            return (self._finish(active, Ending.QUARANTINED, request.digest),)
         if not self._upstreams.usable(active.service.name):
             return (self._finish(active, Ending.NOT_READY, "no replica"),)
         if state.line.ahead_of(active) == 0:
@@ -210,6 +216,7 @@
         if active is None:
             return ()
         self._upstreams.served(active, now_s)
+        self.crashes.answered(active.request.digest)
         del self._active[key]
         self._detach(active)
         return self._pump(active.service.name, now_s)
@@ -229,15 +236,28 @@
         if active is None:
             return ()
         self._upstreams.blame(active, failure, fault_address, now_s)
+        checks: tuple[Decision, ...] = ()
+        if failure is AttemptFailure.BROKEN and active.replica_id is not None:
+            checks = self._accuse(active.replica_id, now_s)
         active.runs += failure.has_run
         if failure is AttemptFailure.NO_CONNECTION and active.replica_id is not None:
             # Nothing was sent, so that this replica does not count as tried.
             active.replicas.discard(active.replica_id)
         self._detach(active)
         decision = self._after_failure(active, failure, detail, now_s)
-        following = self._pump(active.service.name, now_s)
+        following = checks + self._pump(active.service.name, now_s)
         return following if decision is None else (decision, *following)
 
+    def _accuse(self, replica_id: str, now_s: float) -> tuple[CheckReplica, ...]:
+        """Note that a replica may have crashed on one of the requests there."""
+        replica = self.registry.replicas.get(replica_id)
+        if replica is None:
+            return ()
+        running = [e for e in self._active.values() if replica_id in e.reserved]
+        if not self.crashes.replica_failed(replica, running, now_s):
+            return ()
+        return (CheckReplica(replica_id, replica.address),)
+
     def _after_failure(
         self, active: ActiveRequest, failure: AttemptFailure, detail: str, now_s: float
     ) -> Decision | None:
@@ -266,6 +286,10 @@
         ending = Ending.UPSTREAM_FAILED if active.may_have_run else Ending.OVERLOADED
         return self._finish(active, ending, detail or failure.value)
 
+    def peer_blamed(self, blame: Blame, now_s: float) -> tuple[Decision, ...]:
+        """Take a crash that another host saw."""
+        return _quarantined(self.crashes.peer_blamed(blame, now_s))
+
     # Stalled stages
 
     def stages_stalled(
@@ -276,11 +300,13 @@
         Every request through such a stage moves to another path, also those that
         the list does not name yet.
         """
-        for address in set(stalled.values()):
-            self._upstreams.suspect_address(address, now_s)
+        decisions: tuple[Decision, ...] = ()
+        for address in sorted(set(stalled.values())):
+            for replica in self._upstreams.suspect_address(address, now_s):
+                decisions += self._accuse(replica.replica_id, now_s)
         if stalled:
             self._stalls.stages_known(head_id, now_s)
-            return self._reroute_suspected(now_s)
+            return decisions + self._reroute_suspected(now_s)
         return self._stalls.stage_checks(self._active.values(), head_id, now_s)
 
     def replica_checked(
@@ -292,10 +318,14 @@
         answers: bool,
     ) -> tuple[Decision, ...]:
         """Take the result of a question; plain services answer without a report."""
-        was_suspected = self.health.checked(replica_id, answers=answers)
         if not answers:
             self._upstreams.suspect(replica_id, now_s)
-            return self._reroute_suspected(now_s)
+        was_suspected = self.health.checked(replica_id, answers=answers, now_s=now_s)
+        found = self.crashes.replica_checked(
+            replica_id, is_lost=not answers, now_s=now_s
+        )
+        if not answers:
+            return _quarantined(found) + self._reroute_suspected(now_s)
         if report is None:
             return ()
         self.loads.reported(replica_id, report.kv_used, now_s)
@@ -308,6 +338,22 @@
                 self.health.refused_with_room(replica_id, replica.incarnation, now_s)
         return ()
 
+    def registry_changed(
+        self, changed: Mapping[str, Replica | None], now_s: float
+    ) -> tuple[Decision, ...]:
+        """Take the entries that are new, other or, as None, gone."""
+        found: tuple[str, ...] = ()
+        for replica_id, replica in changed.items():
+            self.health.entry_changed(replica_id)
+            if replica is None:
+                found += self.crashes.replica_checked(
+                    replica_id, is_lost=True, now_s=now_s
+                )
+        known = set(self.registry.replicas)
+        self.health.forget(known)
+        self._stalls.forget(known)
+        return _quarantined(found)
+
     def _reroute_suspected(self, now_s: float) -> tuple[Decision, ...]:
         decisions: list[Decision] = []
         for active in list(self._active.values()):
@@ -375,6 +421,7 @@
         decisions: list[Decision] = []
         self.loads.expire_peers(now_s)
         self.registry.expire(now_s)
+        decisions += _quarantined(self.crashes.expire(now_s))
         for active in list(self._active.values()):
             decisions += self._give_up(active, now_s)
         streams = (
@@ -484,6 +531,10 @@
         return self._services[active.service.name]
 
 
+def _quarantined(digests: tuple[str, ...]) -> tuple[Quarantined, ...]:
+    return tuple(Quarantined(digest) for digest in digests)
+
+
 def _admit(
     key: int, request: CallerRequest, resolved: Resolved, now_s: float
 ) -> ActiveRequest:
--- a/persimmonwell/core/forwarding/_stalls.py
+++ b/persimmonwell/core/forwarding/_stalls.py
@@ -43,6 +43,12 @@
                 due.append(AskStalled(replica_id, address))
         return tuple(due)
 
+    def forget(self, known: set[str]) -> None:
+        """Drop what is kept about replicas that are gone."""
+        for table in (self._asked_s, self._checked_s):
+            for replica_id in table.keys() - known:
+                del table[replica_id]
+
     def stages_known(self, head_id: str, now_s: float) -> None:
         """Delay the next question; what is known need not be asked again."""
         self._asked_s[head_id] = now_s + KNOWN_STALL_PAUSE_S
--- a/persimmonwell/core/forwarding/_upstreams.py
+++ b/persimmonwell/core/forwarding/_upstreams.py
@@ -217,8 +217,13 @@
         if replica is not None:
             self.health.suspect(replica_id, replica.incarnation, now_s)
 
-    def suspect_address(self, address: str, now_s: float) -> None:
-        """Suspect the replica at an address."""
-        for replica in self.registry.replicas.values():
-            if replica.address == address:
-                self.suspect(replica.replica_id, now_s)
+    def suspect_address(self, address: str, now_s: float) -> list[Replica]:
+        """Suspect the replica at an address and return it."""
+        found = [
+            replica
+            for replica in self.registry.replicas.values()
+            if replica.address == address
+        ]
+        for replica in found:
+            self.suspect(replica.replica_id, now_s)
+        return found
--- a/persimmonwell/gateway/_exchange.py
+++ b/persimmonwell/gateway/_exchange.py
@@ -39,6 +39,7 @@
     Ending.UNKNOWN_KEY: 401,
     Ending.NOT_READY: 503,
     Ending.OVERLOADED: 503,
+    Ending.QUARANTINED: 503,
     Ending.UPSTREAM_FAILED: 502,
     Ending.TIMED_OUT: 504,
 }
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -14,6 +14,7 @@
     Decision,
     Finish,
     ForwardingRouter,
+    Quarantined,
     Reroute,
     RouteKind,
     Send,
@@ -120,7 +121,9 @@
     def _begin(self, caller: CallerConnection, raw: RawRequest) -> Exchange:
         self._keys += 1
         key = self._keys
-        request = decode_request(raw.method, raw.target, raw.headers, host=raw.host)
+        request = decode_request(
+            raw.method, raw.target, raw.headers, host=raw.host, body=raw.body
+        )
         exchange = Exchange(
             key=key,
             owner=self,
@@ -226,6 +229,10 @@
             if isinstance(decision, CheckReplica):
                 self._run(self._check_replica(decision))
                 continue
+            if isinstance(decision, Quarantined):
+                self.metrics.count("quarantined")
+                self._log.write("request", "quarantined", digest=decision.digest)
+                continue
             exchange = self._exchanges.get(decision.key)
             if exchange is None:
                 continue
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -9,6 +9,9 @@
     ForwardingConfig,
     ForwardingRouter,
     RegistryRecord,
+    StoreMarks,
+    should_read_often,
+    should_stand_in,
 )
 from persimmonwell.gateway._gateway import Gateway
 from persimmonwell.gateway._peer_datagrams import (
@@ -20,6 +23,7 @@
 from persimmonwell.gateway._placement_duty import PlacementDuty
 from persimmonwell.gateway._small_server import SmallServerConnection
 from persimmonwell.gateway._store_followers import (
+    CONFIG_FOLLOWER,
     REPLICA_FOLLOWER,
     StoreEvents,
     StoreFollowers,
@@ -180,6 +184,7 @@
                 routes=len(config.routes),
                 tenants=len(config.tenants),
             )
+            self._tell_zone()
 
     def _reject_config(self, reason: str) -> None:
         current = self._router.config
@@ -187,20 +192,25 @@
         self._log.write("config", "rejected", reason=reason, kept=kept)
 
     def _take_replicas(
-        self, records: tuple[RegistryRecord, ...], is_full: bool
+        self, records: tuple[RegistryRecord, ...], end_offset: int | None
     ) -> None:
         registry = self._router.registry
         now_s = time.monotonic()
         before = dict(registry.replicas)
-        take = registry.replace if is_full else registry.apply
-        if not take(records, now_s):
+        if end_offset is not None:
+            changed = registry.replace(records, now_s, end_offset=end_offset)
+        else:
+            changed = registry.apply(records, now_s)
+        if not changed:
             return
         after = registry.replicas
-        for replica_id in before.keys() | after.keys():
-            old, new = before.get(replica_id), after.get(replica_id)
-            if old == new:
-                continue
-            self._router.health.entry_changed(replica_id)
+        differing = {
+            replica_id: after.get(replica_id)
+            for replica_id in before.keys() | after.keys()
+            if before.get(replica_id) != after.get(replica_id)
+        }
+        for replica_id, new in differing.items():
+            old = before.get(replica_id)
             self._log.write(
                 "registry",
                 "gone" if new is None else "seen" if old is None else "changed",
@@ -212,7 +222,8 @@
                     else None
                 ),
             )
-        self._router.health.forget(set(after))
+        self._gateway.execute(self._router.registry_changed(differing, now_s))
+        self._tell_zone()
 
     def _store_called(self, follower: str, works: bool, reason: str) -> None:
         registry = self._router.registry
@@ -235,8 +246,24 @@
             slow=self._router.health.own_slow(time.monotonic()),
             reads_store=self._reads_store,
             holds_duty=self._duty.is_held,
+            is_reader=self._followers.reads_often,
+            marks=self._marks,
+            blames=self._router.crashes.blames(time.monotonic()),
         )
 
+    @property
+    def _marks(self) -> StoreMarks:
+        config = self._router.config
+        return StoreMarks(
+            config_version=config.version if config is not None else 0,
+            registry_offset=self._router.registry.changed_offset,
+        )
+
+    def _tell_zone(self) -> None:
+        """Tell the hosts of the zone of news, if this one reads for them."""
+        if self._followers.reads_often:
+            self._peers.send_to_zone()
+
     @property
     def _reads_store(self) -> bool:
         return self._store_works.get(REPLICA_FOLLOWER, False)
@@ -249,19 +276,27 @@
         health.peer_found_lost(report.lost, until_s)
         for replica_id, factor in report.slow.items():
             health.found_slowness(replica_id, factor, now_s, is_own=False)
+        for blame in report.blames:
+            self._gateway.execute(self._router.peer_blamed(blame, now_s))
+        if report.marks.config_version > self._marks.config_version:
+            self._followers.told_of_news(CONFIG_FOLLOWER)
+        if report.marks.registry_offset > self._router.registry.newest_offset:
+            self._followers.told_of_news(REPLICA_FOLLOWER)
 
     def _stands_in(self) -> bool:
         """Return whether this host orders for its zone while the store is away."""
-        if self._reads_store:
-            return False
-        live = self._peers.live
-        if any(peer.holds_duty or peer.reads_store for peer in live):
-            return False
-        zone = self._settings.availability_zone
-        names = [p.host_id for p in live if p.availability_zone == zone]
-        return self._settings.host_id <= min(names, default=self._settings.host_id)
+        return not self._reads_store and should_stand_in(
+            self._settings.host_id, self._settings.availability_zone, self._peers.live
+        )
 
     def _send_loads(self) -> None:
+        self._followers.read_often(
+            should_read_often(
+                self._settings.host_id,
+                self._settings.availability_zone,
+                self._peers.live,
+            )
+        )
         self._peers.send()
         # A cut hides hosts that still use their part of the fleet's budget.
         self._router.hosts = max(self._router.hosts, 1 + len(self._peers.live))
@@ -288,6 +323,9 @@
         metrics.add_reading("caller_connections", lambda: self._gateway.connections)
         metrics.add_reading("replicas", lambda: len(router.registry.replicas))
         metrics.add_reading("hosts", lambda: router.hosts)
+        metrics.add_reading(
+            "reads_store_often", lambda: float(self._followers.reads_often)
+        )
         metrics.add_reading("holds_duty", lambda: float(self._duty.is_held))
         metrics.add_reading(
             "config_version",
--- a/persimmonwell/gateway/_peer_datagrams.py
+++ b/persimmonwell/gateway/_peer_datagrams.py
@@ -12,7 +12,8 @@
 import attrs
 import msgspec
 
-from persimmonwell.core.forwarding import ReplicaLoad
+from persimmonwell.core.forwarding import PeerStatus, ReplicaLoad, StoreMarks
+from persimmonwell.core.retry import Blame
 
 SEND_INTERVAL_S = 0.25
 ZONE_PEERS_PER_SEND = 4
@@ -25,6 +26,7 @@
 """Silence after which a peer's address is not tried any more."""
 MAX_LOADS = 60
 """Rows in one datagram, so that it stays below a few kilobytes."""
+MAX_BLAMES = 30
 MAX_KNOWN_PEERS = 64
 """Addresses passed on in one datagram."""
 
@@ -47,16 +49,16 @@
     slow: dict[str, float]
     interval_s: float
     """Time until the sender's next report to the same host."""
+    is_reader: bool
+    config_version: int
+    registry_offset: int
+    blames: list[tuple[str, str]]
+    """Digests of requests, each with the replica that crashed on it."""
 
 
 @attrs.frozen
-class PeerState:
-    """Hold what a peer said of itself a moment ago."""
-
-    host_id: str
-    availability_zone: str
-    reads_store: bool
-    holds_duty: bool
+class _HeardPeer:
+    status: PeerStatus
     heard_s: float
     valid_s: float
 
@@ -66,9 +68,11 @@
     """Hold what a peer knows of the replicas."""
 
     host_id: str
+    marks: StoreMarks
     loads: Mapping[str, ReplicaLoad]
     lost: tuple[str, ...]
     slow: Mapping[str, float]
+    blames: tuple[Blame, ...]
     valid_s: float
     """Time for which the report holds unless another one comes."""
 
@@ -82,6 +86,9 @@
     slow: Mapping[str, float]
     reads_store: bool
     holds_duty: bool
+    is_reader: bool
+    marks: StoreMarks
+    blames: tuple[Blame, ...]
 
 
 Address = tuple[str, int]
@@ -108,17 +115,17 @@
         self._own_state = own_state
         self._on_report = on_report
         self._clock = clock
-        self._heard: dict[str, PeerState] = {}
+        self._heard: dict[str, _HeardPeer] = {}
         self._mentioned: set[str] = set()
         self._transport: asyncio.DatagramTransport | None = None
         self._turn = 0
 
     @property
-    def live(self) -> tuple[PeerState, ...]:
+    def live(self) -> tuple[PeerStatus, ...]:
         """Return the other hosts that were heard a moment ago."""
         now_s = self._clock()
         return tuple(
-            peer
+            peer.status
             for peer in self._heard.values()
             if now_s - peer.heard_s <= peer.valid_s
         )
@@ -137,21 +144,31 @@
         if report.host_id == self._host_id:
             return
         valid_s = MISSED_REPORTS * report.interval_s
-        self._heard[addr[0]] = PeerState(
+        marks = StoreMarks(report.config_version, report.registry_offset)
+        status = PeerStatus(
             host_id=report.host_id,
             availability_zone=report.availability_zone,
             reads_store=report.reads_store,
             holds_duty=report.holds_duty,
-            heard_s=self._clock(),
-            valid_s=valid_s,
+            is_reader=report.is_reader,
+            marks=marks,
         )
+        self._heard[addr[0]] = _HeardPeer(status, self._clock(), valid_s)
         self._mentioned.update(report.peers[:MAX_KNOWN_PEERS])
         loads = {
             load.replica_id: ReplicaLoad(load.requests, load.layer_tokens)
             for load in report.loads
         }
         self._on_report(
-            PeerReport(report.host_id, loads, tuple(report.lost), report.slow, valid_s)
+            PeerReport(
+                host_id=report.host_id,
+                marks=marks,
+                loads=loads,
+                lost=tuple(report.lost),
+                slow=report.slow,
+                blames=tuple(Blame(*each) for each in report.blames),
+                valid_s=valid_s,
+            )
         )
 
     def error_received(self, exc: Exception) -> None:
@@ -167,20 +184,35 @@
                 del self._heard[address]
                 self._mentioned.discard(address)
         known = (self._seeds | self._mentioned | set(self._heard)) - {self._own[0]}
-        zone = {
-            address
-            for address in known
-            if address in self._heard
-            and self._heard[address].availability_zone == self._zone
-        }
+        zone = self._zone_peers()
         self._turn += 1
         self._send_to(sorted(zone), ZONE_PEERS_PER_SEND)
         self._send_to(sorted(known - zone), OTHER_PEERS_PER_SEND)
 
+    def send_to_zone(self) -> None:
+        """Send the state to all peers of the zone at once, as it holds news."""
+        zone = sorted(self._zone_peers())
+        if zone:
+            interval_s = math.ceil(len(zone) / ZONE_PEERS_PER_SEND) * SEND_INTERVAL_S
+            self._transmit(zone, interval_s)
+
+    def _zone_peers(self) -> set[str]:
+        return {
+            address
+            for address, peer in self._heard.items()
+            if peer.status.availability_zone == self._zone
+        }
+
     def _send_to(self, addresses: list[str], count: int) -> None:
-        if not addresses or self._transport is None:
+        if not addresses:
             return
         rounds = math.ceil(len(addresses) / count)
+        start = self._turn % rounds * count
+        self._transmit(addresses[start : start + count], rounds * SEND_INTERVAL_S)
+
+    def _transmit(self, addresses: list[str], interval_s: float) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
         own = self._own_state()
         rows = list(own.loads.items())[:MAX_LOADS]
         report = _Report(
@@ -192,9 +224,14 @@
             reads_store=own.reads_store,
             holds_duty=own.holds_duty,
             slow=dict(own.slow),
-            interval_s=rounds * SEND_INTERVAL_S,
+            interval_s=interval_s,
+            is_reader=own.is_reader,
+            config_version=own.marks.config_version,
+            registry_offset=own.marks.registry_offset,
+            blames=[
+                (each.digest, each.upstream_id) for each in own.blames[:MAX_BLAMES]
+            ],
         )
         data = msgspec.msgpack.encode(report)
-        start = self._turn % rounds * count
-        for address in addresses[start : start + count]:
+        for address in addresses:
             self._transport.sendto(data, (address, self._own[1]))
--- a/persimmonwell/gateway/_store_followers.py
+++ b/persimmonwell/gateway/_store_followers.py
@@ -26,6 +26,10 @@
 """Calls to the store are priced; a leaving replica may get requests for 2 s."""
 CALL_TIMEOUT_S = 0.8
 RETRY_S = 0.25
+RARE_READ_S = 8.0
+"""Interval of hosts that others tell of news; below the 20 s for which the store keeps
+records, and rare enough that their calls weigh little."""
+CONFIG_FOLLOWER = "config"
 REPLICA_FOLLOWER = "replicas"
 DUTY_INTERVAL_S = 1.0
 DUTY_TTL_MS = 4000
@@ -39,8 +43,8 @@
 
     config: Callable[[ForwardingConfig], None]
     bad_config: Callable[[str], None]
-    replicas: Callable[[tuple[RegistryRecord, ...], bool], None]
-    """Changes of the registry; True for a full list."""
+    replicas: Callable[[tuple[RegistryRecord, ...], int | None], None]
+    """Changes of the registry, or a full list with the offset at which it ends."""
     duty: Callable[[float | None], None]
     """Moment until which this host gives orders; None when another one does."""
     store: Callable[[str, bool, str], None]
@@ -55,10 +59,15 @@
         self._member = member
         self._events = events
         self._stop = threading.Event()
+        self._often = threading.Event()
+        self._often.set()
+        self._news = {
+            name: threading.Event() for name in (CONFIG_FOLLOWER, REPLICA_FOLLOWER)
+        }
         self._threads = [
             threading.Thread(target=run, name=name, daemon=True)
             for name, run in (
-                ("config", self._follow_config),
+                (CONFIG_FOLLOWER, self._follow_config),
                 (REPLICA_FOLLOWER, self._follow_replicas),
                 ("duty", self._follow_duty),
             )
@@ -73,6 +82,27 @@
     def close(self) -> None:
         """Ask the threads to stop; they end with their current call."""
         self._stop.set()
+        for news in self._news.values():
+            news.set()
+
+    @property
+    def reads_often(self) -> bool:
+        """Return whether this host reads the store for its zone."""
+        return self._often.is_set()
+
+    def read_often(self, often: bool) -> None:
+        """Read all the time, or only what told_of_news asks for."""
+        if often and not self._often.is_set():
+            self._often.set()
+            for news in self._news.values():
+                news.set()
+        elif not often:
+            self._often.clear()
+
+    def told_of_news(self, follower: str) -> None:
+        """Read once, as a peer has read something newer."""
+        if not self._often.is_set():
+            self._news[follower].set()
 
     def _client(self) -> StoreClient:
         return StoreClient(url=self._url, timeout_s=CALL_TIMEOUT_S)
@@ -84,11 +114,11 @@
 
     def _follow_config(self) -> None:
         self._follow(
-            "config",
+            CONFIG_FOLLOWER,
             CONFIG_TOPIC,
             wait_s=CONFIG_WAIT_S,
             pause_s=0.0,
-            take=lambda records, is_full: self._take_config(records),
+            take=lambda records, end_offset: self._take_config(records),
         )
 
     def _follow_replicas(self) -> None:
@@ -97,8 +127,9 @@
             REPLICA_TOPIC,
             wait_s=0.0,
             pause_s=REPLICA_INTERVAL_S,
-            take=lambda records, is_full: self._events.replicas(
-                tuple(_registry_record(each) for each in records if each.key), is_full
+            take=lambda records, end_offset: self._events.replicas(
+                tuple(_registry_record(each) for each in records if each.key),
+                end_offset,
             ),
         )
 
@@ -109,7 +140,7 @@
         *,
         wait_s: float,
         pause_s: float,
-        take: Callable[[tuple[StoreRecord, ...], bool], None],
+        take: Callable[[tuple[StoreRecord, ...], int | None], None],
     ) -> None:
         client = self._client()
         offset: int | None = None
@@ -117,16 +148,22 @@
             try:
                 if offset is None:
                     listed = client.newest(topic)
-                    take(listed.records, True)
+                    take(listed.records, listed.end_offset)
                     offset = listed.end_offset
                 else:
                     found = client.read(topic, from_offset=offset, wait_s=wait_s)
                     # A stale read ends before what was seen already.
                     if found.records:
-                        take(found.records, False)
+                        take(found.records, None)
                         offset = found.records[-1].offset + 1
                 self._note(name, True)
-                if pause_s:
+                if not self._often.is_set():
+                    self._stop.wait(pause_s)
+                    self._news[name].wait(RARE_READ_S)
+                    self._news[name].clear()
+                    # One full list instead of the heartbeats of many seconds.
+                    offset = None
+                elif pause_s:
                     self._stop.wait(pause_s)
             except RecordsExpiredError:
                 offset = None
@@ -148,7 +185,12 @@
     def _follow_duty(self) -> None:
         client = self._client()
         generation = 0
+        holds = False
         while not self._stop.is_set():
+            if not self._often.is_set() and not holds:
+                # A few candidates are enough for one duty.
+                self._stop.wait(DUTY_INTERVAL_S)
+                continue
             asked_s = time.monotonic()
             try:
                 joined = client.join(
--- a/persimmonwell/platform/_headers.py
+++ b/persimmonwell/platform/_headers.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Iterable, Sequence
+from hashlib import blake2b
 
 import attrs
 
@@ -39,7 +40,7 @@
 
 
 def decode_request(
-    method: str, target: str, headers: Headers, *, host: str
+    method: str, target: str, headers: Headers, *, host: str, body: bytes
 ) -> CallerRequest:
     """Return what decisions need of a caller's request."""
     found = {name: value.decode("latin-1") for name, value in headers}
@@ -51,10 +52,17 @@
         api_key=found.get(_KEY),
         deadline_s=_seconds(found.get(_DEADLINE)),
         last_event_id=found.get(_LAST_EVENT),
+        digest=_digest(method, host, target, found.get(_KEY, ""), body),
         size=_size(found.get(_TOKENS), found.get(_HINT)),
     )
 
 
+def _digest(method: str, host: str, target: str, key: str, body: bytes) -> str:
+    digest = blake2b("\0".join((method, host, target, key)).encode(), digest_size=8)
+    digest.update(body)
+    return digest.hexdigest()
+
+
 def _seconds(milliseconds: str | None) -> float | None:
     try:
         return float(milliseconds) / 1000 if milliseconds else None
--- a/standins/log.py
+++ b/standins/log.py
@@ -5,7 +5,7 @@
 import struct
 import threading
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from typing import Any
 
 from standins.http import Answer, Body, StandinServer, drop_connection
@@ -28,6 +28,8 @@
         self.server = StandinServer(port=port, address=address)
         self.faults: Body = {}
         self.appends = 0
+        self.reads: Counter[str] = Counter()
+        """Calls that read, by topic."""
         self._streams: dict[str, list[Any]] = defaultdict(list)
         self._first: dict[str, int] = defaultdict(int)
         self._changed = threading.Condition()
@@ -98,6 +100,7 @@
             return 503, {"error": "unavailable"}
         time.sleep(self.faults.get("delay_s", 0.0))
         name, start = query["topic"], int(query["from"])
+        self.reads[name] += 1
         wait_s = int(query.get("wait_ms", "0")) / 1000
         with self._changed:
             self._changed.wait_for(
@@ -117,6 +120,7 @@
         if self.faults.get("down"):
             return 503, {"error": "unavailable"}
         with self._changed:
+            self.reads[query["topic"]] += 1
             stream = self._streams[query["topic"]]
             newest = {record[0]: n for n, record in enumerate(stream)}
             items = [
--- a/tests/core/forwarding/test_registry.py
+++ b/tests/core/forwarding/test_registry.py
@@ -67,3 +67,23 @@
     registry.store_answered()
     assert registry.apply((record(6, "i-2", None),), 11.7)
     assert set(registry.replicas) == {"i-1"}
+
+
+def test_a_full_list_that_ends_before_what_was_read_removes_nothing() -> None:
+    """Guards against replicas dropped by a list from behind, as reads may be stale."""
+    registry = listed(record(4, "i-1", ONE))
+    registry.apply((record(9, "i-2", TWO),), 1.0)
+    assert not registry.replace((record(4, "i-1", ONE),), 2.0, end_offset=5)
+    assert set(registry.replicas) == {"i-1", "i-2"}
+    assert registry.replace((record(4, "i-1", ONE),), 3.0, end_offset=11)
+    assert set(registry.replicas) == {"i-1"}
+
+
+def test_heartbeats_are_no_news() -> None:
+    """Guards against hosts that tell each other of every heartbeat."""
+    registry = listed(record(4, "i-1", ONE))
+    assert (registry.changed_offset, registry.newest_offset) == (4, 4)
+    registry.apply((record(9, "i-1", ONE),), 1.0)
+    assert (registry.changed_offset, registry.newest_offset) == (4, 9)
+    registry.apply((record(10, "i-1", None),), 1.0)
+    assert (registry.changed_offset, registry.newest_offset) == (10, 10)
--- a/tests/gateway/test_peer_datagrams.py
+++ b/tests/gateway/test_peer_datagrams.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from persimmonwell.core.forwarding import ReplicaLoad
+from persimmonwell.core.forwarding import ReplicaLoad, StoreMarks
+from persimmonwell.core.retry import Blame
 from persimmonwell.gateway._peer_datagrams import (
     OwnState,
     PeerDatagrams,
@@ -14,6 +15,8 @@
 
 Reports = dict[str, PeerReport]
 LOADS = {"i-1": ReplicaLoad(2, 900)}
+BLAME = Blame("d1", "i-3/0")
+MARKS = StoreMarks(config_version=4, registry_offset=88)
 
 
 class _Clock:
@@ -28,7 +31,16 @@
     name: str, ip: str, port: int, clock: _Clock, *seeds: str
 ) -> tuple[PeerDatagrams, Reports]:
     reports: Reports = {}
-    state = OwnState(LOADS, frozenset({"i-9"}), {"i-7": 4.0}, False, True)
+    state = OwnState(
+        loads=LOADS,
+        lost=frozenset({"i-9"}),
+        slow={"i-7": 4.0},
+        reads_store=False,
+        holds_duty=True,
+        is_reader=True,
+        marks=MARKS,
+        blames=(BLAME,),
+    )
     datagrams = PeerDatagrams(
         host_id=name,
         availability_zone="za",
@@ -41,6 +53,10 @@
     return datagrams, reports
 
 
+def report_of(name: str) -> PeerReport:
+    return PeerReport(name, MARKS, LOADS, ("i-9",), {"i-7": 4.0}, (BLAME,), 0.625)
+
+
 async def exchange(*peers: tuple[PeerDatagrams, str], port: int, rounds: int) -> None:
     loop = asyncio.get_running_loop()
     transports = []
@@ -75,8 +91,8 @@
     one, told_one = peer("h1", "127.0.0.1", port, clock)
     two, told_two = peer("h2", "127.0.0.2", port, clock, "127.0.0.1")
     asyncio.run(exchange((one, "127.0.0.1"), (two, "127.0.0.2"), port=port, rounds=3))
-    assert told_one == {"h2": PeerReport("h2", LOADS, ("i-9",), {"i-7": 4.0}, 0.625)}
-    assert told_two == {"h1": PeerReport("h1", LOADS, ("i-9",), {"i-7": 4.0}, 0.625)}
+    assert told_one == {"h2": report_of("h2")}
+    assert told_two == {"h1": report_of("h1")}
     (state,) = one.live
     assert (state.host_id, state.holds_duty, state.reads_store) == ("h2", True, False)
     clock.now_s = 3.0
