Let broken answers wait for room, let callers who come back go first

Change: a broken answer waits for room for the time its caller stays, ahead of its rank; refused requests are remembered by digest, also at the other hosts, and go before new ones of their rank.

--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -42,9 +42,11 @@
     plan_placement,
 )
 from persimmonwell.core.forwarding._registry import RegistryRecord, ReplicaRegistry
+from persimmonwell.core.forwarding._returning import RETURN_WINDOW_S
 from persimmonwell.core.forwarding._router import ForwardingRouter
 
 __all__ = [
+    "RETURN_WINDOW_S",
     "AcceleratorKind",
     "AskStalled",
     "AttemptFailure",
--- a/persimmonwell/core/forwarding/_active.py
+++ b/persimmonwell/core/forwarding/_active.py
@@ -46,6 +46,8 @@
     not_before_s: float = float("-inf")
     """Moment until which a request that was turned away waits."""
     refusals: int = 0
+    is_returning: bool = False
+    """Whether it was refused before and came back."""
     reserved: dict[str, int] = attrs.field(factory=dict)
 
     @property
@@ -67,21 +69,29 @@
         return len(self.replicas) < self.route.max_attempts
 
     @property
-    def rank(self) -> tuple[int, int, int]:
-        """Return the order of service; the tenant's priority goes first."""
+    def rank(self) -> tuple[int, int, int, int]:
+        """Return the order of service; the tenant's priority goes first.
+
+        Of equal ones, answers that broke off go first, then callers who come back.
+        """
         priority = self.route.priority
         if self.tenant is not None and self.tenant.priority is not None:
             priority = self.tenant.priority
-        return (priority, self.route.priority, self.key)
+        turn = 0 if self.has_answer else 1 if self.is_returning else 2
+        return (priority, self.route.priority, turn, self.key)
 
     @property
     def patience_s(self) -> float:
-        """Return how long the request may wait for its first send."""
+        """Return how long the request may wait for a send."""
         limit_s = max(
             MIN_CALLER_PATIENCE_S, (WAIT_OBJECTIVES + 1) * self.route.objective_s
         )
         return PATIENCE_SHARE * min(limit_s, self.give_up_s - self.arrived_s)
 
+    def waited_s(self, now_s: float) -> float:
+        """Return how long the caller has waited for the next part of the answer."""
+        return now_s - (self.progress_s if self.has_answer else self.arrived_s)
+
     def silent_s(self, now_s: float) -> float:
         """Return the time since the last event, or since the send."""
         return now_s - max(self.progress_s, self.sent_s)
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -31,6 +31,7 @@
     RouteKind,
 )
 from persimmonwell.core.forwarding._registry import ReplicaRegistry
+from persimmonwell.core.forwarding._returning import ReturningRequests
 from persimmonwell.core.forwarding._routes import (
     Resolved,
     RouteTable,
@@ -86,6 +87,7 @@
         )
         self._stalls = StallWatch()
         self.crashes = CrashGuard()
+        self.returning = ReturningRequests()
         self._table: RouteTable | None = None
         self.hosts = 1
         """Hosts in the fleet, as far as this one knows."""
@@ -165,6 +167,7 @@
         except UnknownKey:
             return (Finish(key, Ending.UNKNOWN_KEY),)
         active = self._active[key] = _admit(key, request, resolved, now_s)
+        active.is_returning = self.returning.takes_back(request.digest, now_s)
         state = self._state_of(active)
         state.budget.requested(now_s)
         if self.crashes.refuses(request.digest):
@@ -181,7 +184,7 @@
         line = self._state_of(active).line
         expected_s = line.expected_wait_s(active, now_s)
         if expected_s > active.patience_s:
-            return (self._finish(active, Ending.OVERLOADED, "queue", expected_s),)
+            return (self._refuse(active, "queue", expected_s, now_s),)
         line.add(active)
         return ()
 
@@ -270,21 +273,22 @@
                 pause_s = REFUSED_PAUSE_S * 2.0 ** (active.refusals - 2)
                 active.not_before_s = now_s + pause_s * self._random.uniform(0.7, 1.3)
         if not active.has_sends_left:
-            ending = Ending.OVERLOADED
-            if active.may_have_run:
-                ending = Ending.UPSTREAM_FAILED
-            return self._finish(active, ending, detail or failure.value)
+            return self._end_failed(active, detail or failure.value, now_s)
         budget = self._state_of(active).budget
         may_repeat = budget.try_repeat(now_s, hosts=self.hosts)
-        if left_s > REPEAT_MARGIN_S and may_repeat:
-            send = self._try_send(active, now_s)
-            if send is not None:
-                return send
-            if not active.has_answer and active.may_try_more:
-                queued = self._enqueue(active, now_s)
-                return queued[0] if queued else None
-        ending = Ending.UPSTREAM_FAILED if active.may_have_run else Ending.OVERLOADED
-        return self._finish(active, ending, detail or failure.value)
+        if left_s <= REPEAT_MARGIN_S or not may_repeat:
+            return self._end_failed(active, detail or failure.value, now_s)
+        send = self._try_send(active, now_s)
+        if send is not None:
+            return send
+        # Answers that have begun wait as well: callers stay for two seconds.
+        queued = self._enqueue(active, now_s)
+        return queued[0] if queued else None
+
+    def _end_failed(self, active: ActiveRequest, detail: str, now_s: float) -> Finish:
+        if active.may_have_run:
+            return self._finish(active, Ending.UPSTREAM_FAILED, detail)
+        return self._refuse(active, detail, 0.0, now_s)
 
     def peer_blamed(self, blame: Blame, now_s: float) -> tuple[Decision, ...]:
         """Take a crash that another host saw."""
@@ -441,13 +445,13 @@
     def _give_up(self, active: ActiveRequest, now_s: float) -> list[Decision]:
         """End a request that has waited or run for too long."""
         if active.replica_id is None:
-            waited_s = now_s - active.arrived_s
-            if now_s >= active.give_up_s or waited_s > active.patience_s:
-                ending = Ending.OVERLOADED
-                if active.may_have_run:
-                    ending = Ending.TIMED_OUT
-                return [self._finish(active, ending, "waited")]
-        elif now_s >= active.give_up_s:
+            if now_s < active.give_up_s and active.waited_s(now_s) <= active.patience_s:
+                return []
+            if active.may_have_run:
+                return [self._finish(active, Ending.TIMED_OUT, "waited")]
+            wait_s = self._state_of(active).line.expected_wait_s(active, now_s)
+            return [self._refuse(active, "waited", wait_s, now_s)]
+        if now_s >= active.give_up_s:
             cancel = CancelAttempt(active.key, active.attempt)
             return [cancel, self._finish(active, Ending.TIMED_OUT, "time is over")]
         return []
@@ -511,6 +515,16 @@
         active.replica_id = None
         self._state_of(active).line.discard(active)
 
+    def _refuse(
+        self, active: ActiveRequest, detail: str, wait_s: float, now_s: float
+    ) -> Finish:
+        """End a request that has not run, and remember it until it comes back."""
+        finish = self._finish(active, Ending.OVERLOADED, detail, wait_s)
+        self.returning.refused(
+            active.request.digest, retry_s=finish.retry_after_s, now_s=now_s
+        )
+        return finish
+
     def _finish(
         self, active: ActiveRequest, ending: Ending, detail: str, wait_s: float = 0.0
     ) -> Finish:
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from persimmonwell.core.forwarding import (
+    RETURN_WINDOW_S,
     ForwardingConfig,
     ForwardingRouter,
     RegistryRecord,
@@ -249,6 +250,7 @@
             is_reader=self._followers.reads_often,
             marks=self._marks,
             blames=self._router.crashes.blames(time.monotonic()),
+            refused=self._router.returning.to_tell(time.monotonic()),
         )
 
     @property
@@ -276,6 +278,7 @@
         health.peer_found_lost(report.lost, until_s)
         for replica_id, factor in report.slow.items():
             health.found_slowness(replica_id, factor, now_s, is_own=False)
+        self._router.returning.peer_refused(report.refused, now_s + RETURN_WINDOW_S)
         for blame in report.blames:
             self._gateway.execute(self._router.peer_blamed(blame, now_s))
         if report.marks.config_version > self._marks.config_version:
--- a/persimmonwell/gateway/_peer_datagrams.py
+++ b/persimmonwell/gateway/_peer_datagrams.py
@@ -54,6 +54,8 @@
     registry_offset: int
     blames: list[tuple[str, str]]
     """Digests of requests, each with the replica that crashed on it."""
+    refused: list[str]
+    """Digests of requests that the sender refused and that may come back."""
 
 
 @attrs.frozen
@@ -73,6 +75,7 @@
     lost: tuple[str, ...]
     slow: Mapping[str, float]
     blames: tuple[Blame, ...]
+    refused: tuple[str, ...]
     valid_s: float
     """Time for which the report holds unless another one comes."""
 
@@ -89,6 +92,7 @@
     is_reader: bool
     marks: StoreMarks
     blames: tuple[Blame, ...]
+    refused: tuple[str, ...]
 
 
 Address = tuple[str, int]
@@ -167,6 +171,7 @@
                 lost=tuple(report.lost),
                 slow=report.slow,
                 blames=tuple(Blame(*each) for each in report.blames),
+                refused=tuple(report.refused),
                 valid_s=valid_s,
             )
         )
@@ -231,6 +236,7 @@
             blames=[
                 (each.digest, each.upstream_id) for each in own.blames[:MAX_BLAMES]
             ],
+            refused=list(own.refused),
         )
         data = msgspec.msgpack.encode(report)
         for address in addresses:
--- a/tests/core/forwarding/test_router.py
+++ b/tests/core/forwarding/test_router.py
@@ -385,6 +385,62 @@
     assert send.replica_id in ("a", "x")
 
 
+def test_a_broken_stream_waits_for_room() -> None:
+    """Guards against an answer cut short because no path had room at that moment.
+
+    On trouble-1 of sahil-lanes answers broken off midway were the second price.
+    """
+    router = make_router(*CHAIN)
+    start_streams(router, 1)
+    fill(router, "a", 96)
+    router.progressed(0, 1, 2.0)
+    decisions = router.attempt_failed(0, 1, FAILED.BROKEN, 2.1)
+    assert not any(isinstance(each, Send | Finish) for each in decisions)
+    router.health.entry_changed("a")
+    router.arrived(7, request("urgent"), 2.2)
+    for _ in range(96):
+        router.loads.remove("a", 0)
+    (send, *_) = sends(router.tick(2.9))
+    assert (send.key, send.attempt) == (0, 2)
+
+
+def test_a_broken_stream_without_room_ends_before_its_caller_leaves() -> None:
+    """Guards against holding a stream that nothing can go on with."""
+    router = make_router(*CHAIN)
+    start_streams(router, 1)
+    fill(router, "a", 96)
+    router.progressed(0, 1, 5.0)
+    router.attempt_failed(0, 1, FAILED.BROKEN, 5.1)
+    assert not any(isinstance(each, Finish) for each in router.tick(6.3))
+    (finish,) = (e for e in router.tick(6.5) if isinstance(e, Finish))
+    assert not finish.ending.has_not_run
+
+
+def test_callers_who_come_back_go_before_new_ones() -> None:
+    """Guards against refusing the same callers again in a burst.
+
+    'Refused again' was the largest price but machines on trouble-1 of sahil-lanes.
+    """
+    router, other = make_router(*CHAIN), make_router(*CHAIN)
+    fill(router, "a", 96)
+    refused = None
+    for key in range(60):
+        for each in router.arrived(key, request("urgent", digest=f"d{key}"), 0.0):
+            assert isinstance(each, Finish)
+            refused = f"d{key}"
+    assert refused is not None
+    other.returning.peer_refused(router.returning.to_tell(0.2), 3.0)
+    for host in (router, other):
+        fill(host, "a", 96)
+        host.tick(1.5)  # The queue of the burst has given up.
+        assert host.arrived(90, request("batch", digest="x"), 1.6) == ()
+        assert host.arrived(91, request("urgent", digest="new"), 1.6) == ()
+        assert host.arrived(92, request("urgent", digest=refused), 1.7) == ()
+        for _ in range(192):
+            host.loads.remove("a", 0)
+        assert [each.key for each in sends(host.tick(1.8))] == [92, 91, 90]
+
+
 def test_a_stream_that_may_not_be_resumed_is_not_run_again() -> None:
     """Guards against an answer made of two runs."""
     router = make_router(*CHAIN, *OTHER_ZONE)
--- a/tests/gateway/test_peer_datagrams.py
+++ b/tests/gateway/test_peer_datagrams.py
@@ -40,6 +40,7 @@
         is_reader=True,
         marks=MARKS,
         blames=(BLAME,),
+        refused=("d2",),
     )
     datagrams = PeerDatagrams(
         host_id=name,
@@ -54,7 +55,9 @@
 
 
 def report_of(name: str) -> PeerReport:
-    return PeerReport(name, MARKS, LOADS, ("i-9",), {"i-7": 4.0}, (BLAME,), 0.625)
+    return PeerReport(
+        name, MARKS, LOADS, ("i-9",), {"i-7": 4.0}, (BLAME,), ("d2",), 0.625
+    )
 
 
 async def exchange(*peers: tuple[PeerDatagrams, str], port: int, rounds: int) -> None:
