--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -272,7 +272,9 @@
             if active.refusals > 1:
                 pause_s = REFUSED_PAUSE_S * 2.0 ** (active.refusals - 2)
                 active.not_before_s = now_s + pause_s * self._random.uniform(0.7, 1.3)
-        if not active.has_sends_left:
+        # An error is tried at another upstream; the same one would only repeat it.
+        is_final = failure is AttemptFailure.ERROR and not active.may_try_more
+        if is_final or not active.has_sends_left:
             return self._end_failed(active, detail or failure.value, now_s)
         budget = self._state_of(active).budget
         may_repeat = budget.try_repeat(now_s, hosts=self.hosts)
--- a/tests/core/forwarding/test_router.py
+++ b/tests/core/forwarding/test_router.py
@@ -155,6 +155,19 @@
     assert only_finish(decisions).ending is Ending.UPSTREAM_FAILED
 
 
+def test_an_error_of_every_allowed_upstream_is_the_answer() -> None:
+    """Guards against runs in vain while the caller could try again.
+
+    On a quiet day each look-up that failed ran four times at two replicas.
+    """
+    router = make_router(*DESKS)
+    (first,) = sends(router.arrived(1, request("look"), 0.0))
+    (second,) = sends(router.attempt_failed(1, 1, FAILED.ERROR, 0.03))
+    assert first.replica_id != second.replica_id
+    finish = only_finish(router.attempt_failed(1, 2, FAILED.ERROR, 0.06))
+    assert finish.ending is Ending.UPSTREAM_FAILED
+
+
 def test_repeats_of_all_requests_stay_in_the_budget() -> None:
     """Guards against a retry storm when every answer is lost."""
     router = make_router(*DESKS)
