--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: install demo test lint bench capacity soak
+.PHONY: install demo test lint bench capacity soak report
 
 install: $(VENV)/.installed
 
@@ -29,6 +29,9 @@
 capacity: install
 	$(BIN)/python -m bench.capacity
 
+report: install
+	$(BIN)/python -m bench.report --out target/report.html
+
 SEEDS ?= 50
 
 soak: install
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -20,11 +20,16 @@
 import attrs
 
 from standins.log import Log
-from standins.platform_config import HOST, KEY, config, free_port
+from standins.platform_config import HOST, KEY, config, free_port, route
 from standins.proxy import FaultyProxy
 from standins.replica import STREAM_EVENTS, PlatformReplica
 
+HOSTS = 4
+"""Two of a zone's hosts read the store for the others, which also have to be tested."""
 CALLERS = 6
+NEWS_S = 2.5
+"""Time after which a host must know a version or a leaving replica while the store
+answers it: the 2 s of the rules and what a loaded machine takes to run the test."""
 READY_LIMIT_S = 15.0
 REPLICA_FAULTS: tuple[dict[str, Any], ...] = (
     *({"reset": True}, {"garbage": True}, {"cut_body": True}, {"error": True}),
@@ -92,7 +97,14 @@
             PlatformReplica("model-2", service="model", zone="za"),
         ]
         ports = {name: free_port() for name in ("front", "ready", "peers")}
-        self.hosts = [_HostProcess(folder, number, ports) for number in (1, 2)]
+        self.hosts = [
+            _HostProcess(folder, number, ports) for number in range(1, HOSTS + 1)
+        ]
+        self._incarnations: Counter[str] = Counter()
+        """Starts by host, so that versions are compared within one life."""
+        self._known: dict[tuple[str, int], int] = {}
+        """Newest version whose route a host's incarnation has served."""
+        self._reverted: list[str] = []
         self._stop = threading.Event()
 
     def run(self) -> list[str]:
@@ -100,14 +112,15 @@
         self.store.start()
         self.store.put_key("keyed.op", "config", config(1))
         for replica in self.replicas:
-            if replica.service == "model":
+            replica.has_reports = replica.service == "model"
+            if replica.has_reports:
                 replica.layers = {"from": 0, "to": 8, "version": 1}
             replica.start()
             self.store.put_key("keyed.servers", replica.replica_id, replica.entry())
         try:
             for host in self.hosts:
                 self._configure(host)
-                host.start()
+                self._start(host)
             if not self._wait_ready():
                 return ["hosts were not ready in time"]
             callers = [
@@ -120,10 +133,14 @@
             self._stop.set()
             for caller in callers:
                 caller.join()
-            return self._broken() + self._unrecovered()
+            return self._broken() + self._unrecovered() + self._late_news()
         finally:
             self._close()
 
+    def _start(self, host: _HostProcess) -> None:
+        self._incarnations[host.ip] += 1
+        host.start()
+
     def _configure(self, host: _HostProcess) -> None:
         host.proxy = FaultyProxy(self.store.server.address)
         host.proxy.start()
@@ -163,6 +180,7 @@
             self._fault_store,
             self._change_config,
             self._hang_up,
+            self._leave_and_return,
         )
         while time.monotonic() < end_s:
             self._random.choice(actions)()
@@ -177,12 +195,12 @@
     def _kill(self) -> None:
         host = self._random.choice(self.hosts)
         host.stop(signal.SIGKILL)
-        host.start()
+        self._start(host)
 
     def _terminate(self) -> None:
         host = self._random.choice(self.hosts)
         host.stop(signal.SIGTERM)
-        host.start()
+        self._start(host)
 
     def _pause(self) -> None:
         host = self._random.choice(self.hosts)
@@ -203,9 +221,23 @@
         if proxy is not None:
             proxy.mode = self._random.choice((*STORE_MODES, "pass"))
 
-    def _change_config(self) -> None:
-        versions = self.store.records("keyed.op")
-        self.store.put_key("keyed.op", "config", config(len(versions) + 1))
+    def _change_config(self) -> int:
+        """Add a route to the last version's; return the new version."""
+        version = len(self.store.records("keyed.op")) + 1
+        added = [route(f"v{each}", "safe", "desk") for each in range(2, version + 1)]
+        document = config(version)
+        document["routes"] += added
+        self.store.put_key("keyed.op", "config", document)
+        return version
+
+    def _leave_and_return(self) -> None:
+        """Drain one of two replicas, then start it again."""
+        replica = self._random.choice(self.replicas[:2])
+        name = replica.replica_id
+        entry = replica.entry(state="draining")
+        self.store.put_key("keyed.servers", name, entry)
+        time.sleep(self._random.uniform(0.1, 0.5))
+        self.store.put_key("keyed.servers", name, replica.entry(sequence=2))
 
     # Callers
 
@@ -214,24 +246,40 @@
         count = 0
         while not self._stop.is_set():
             count += 1
-            route = rng.choice(("book", "look", "talk"))
+            name = rng.choice(("book", "look", "talk"))
             host = rng.choice(self.hosts)
-            self.answers.append(self._ask(host, route, f"{number}-{count}"))
+            self.answers.append(self._ask(host, name, f"{number}-{count}"))
+            if number == 0:
+                self._check_version(host, f"version-{count}")
             time.sleep(0.01)
 
-    def _ask(self, host: _HostProcess, route: str, request_id: str) -> Answer:
+    def _check_version(self, host: _HostProcess, request_id: str) -> None:
+        """Note a host that served a version and then only knows an older one."""
+        life = (host.ip, self._incarnations[host.ip])
+        version = len(self.store.records("keyed.op"))
+        if version < 2:
+            return
+        known = self._known.get(life, 0)
+        if self._ask(host, f"v{version}", request_id).status == 200:
+            self._known[life] = max(known, version)
+        elif known >= 2:
+            answer = self._ask(host, f"v{known}", f"{request_id}-again")
+            if answer.status == 404 and life[1] == self._incarnations[host.ip]:
+                self._reverted.append(f"{host.ip} went back from version {known}")
+
+    def _ask(self, host: _HostProcess, name: str, request_id: str) -> Answer:
         port = host.ports["front"]
         connection = http.client.HTTPConnection(host.ip, port, timeout=4.0)
         headers = {"Host": HOST, "Api-Key": KEY, "Request-Id": request_id}
         headers["Deadline-Remaining"] = "3000"
         try:
-            path = f"/{route}/{request_id}"
+            path = f"/{name}/{request_id}"
             connection.request("POST", path, body=b"x", headers=headers)
             answer = connection.getresponse()
             found = {name.lower(): value for name, value in answer.getheaders()}
-            return Answer(request_id, route, answer.status, found, answer.read())
+            return Answer(request_id, name, answer.status, found, answer.read())
         except (OSError, http.client.HTTPException):
-            return Answer(request_id, route, 0, {}, b"")
+            return Answer(request_id, name, 0, {}, b"")
         finally:
             connection.close()
 
@@ -244,9 +292,27 @@
             for received in replica.received
         )
 
+    def _late_news(self) -> list[str]:
+        """Check that all hosts know a new version and a leaving replica in time."""
+        version = self._change_config()
+        leaving, staying = self.replicas[:2]
+        entry = leaving.entry(state="draining")
+        self.store.put_key("keyed.servers", leaving.replica_id, entry)
+        time.sleep(NEWS_S)
+        before = len(leaving.received)
+        late = [
+            f"{host.ip} does not know version {version}"
+            for host in self.hosts
+            for number in range(4)
+            if self._ask(host, f"v{version}", f"{host.ip}-{number}").status != 200
+        ]
+        if len(leaving.received) > before:
+            late.append(f"{leaving.replica_id} got requests after it had left")
+        return late
+
     def _broken(self) -> list[str]:
         runs = self._runs()
-        broken = []
+        broken = list(self._reverted)
         for answer in self.answers:
             name, ran = answer.request_id, runs[answer.request_id]
             if answer.route == "book" and ran > 1:
@@ -290,11 +356,16 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=6.0)
+    parser.add_argument("--logs", type=Path, help="keep the hosts' logs in here")
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
-        with tempfile.TemporaryDirectory() as folder:
-            soak = Soak(seed=seed, seconds=options.seconds, folder=Path(folder))
+        with tempfile.TemporaryDirectory() as temporary:
+            folder = Path(temporary)
+            if options.logs is not None:
+                folder = options.logs / f"seed-{seed}"
+                folder.mkdir(parents=True, exist_ok=True)
+            soak = Soak(seed=seed, seconds=options.seconds, folder=folder)
             broken = soak.run()
         counts = Counter(answer.status for answer in soak.answers)
         print(f"seed {seed}: {dict(counts)}; broken: {broken or 'none'}", flush=True)
