Keep a host that gets SIGHUP while it starts, take changed settings on reload

A reload also only logged. A reload takes seeds, grace time and retry budget, and repeats that were counted before hold against the new budget.

--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -3,6 +3,7 @@
 import random
 from collections import defaultdict
 from collections.abc import Mapping
+from functools import partial
 
 import attrs
 
@@ -92,12 +93,11 @@
         self.hosts = 1
         """Hosts in the fleet, as far as this one knows."""
         self._active: dict[int, ActiveRequest] = {}
+        self._new_budget = partial(
+            SendBudget, ratio=retry_ratio, slack=retry_slack, window_s=retry_window_s
+        )
         self._services: dict[str, _ServiceState] = defaultdict(
-            lambda: _ServiceState(
-                SendBudget(
-                    ratio=retry_ratio, slack=retry_slack, window_s=retry_window_s
-                )
-            )
+            lambda: _ServiceState(self._new_budget())
         )
 
     @property
@@ -143,6 +143,14 @@
         self._table = RouteTable(config)
         return True
 
+    def set_retry_budget(self, *, ratio: float, slack: float, window_s: float) -> None:
+        """Take changed bounds; what was counted before holds against them."""
+        self._new_budget = partial(
+            SendBudget, ratio=ratio, slack=slack, window_s=window_s
+        )
+        for state in self._services.values():
+            state.budget = self._new_budget(earlier=state.budget)
+
     def route_of(self, key: int) -> Route | None:
         """Return the route of a request that is still open."""
         active = self._active.get(key)
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import attrs
+
 from persimmonwell.core.forwarding import (
     RETURN_WINDOW_S,
     ForwardingConfig,
@@ -157,7 +159,28 @@
 
     def reload(self, settings: ForwarderSettings) -> None:
         """Take changed settings; addresses stay until the next start."""
-        self._log.write("host", "settings_read", seeds=len(settings.seeds))
+        self._settings = attrs.evolve(
+            self._settings,
+            seeds=settings.seeds,
+            grace_s=settings.grace_s,
+            retry_ratio=settings.retry_ratio,
+            retry_slack=settings.retry_slack,
+            retry_window_s=settings.retry_window_s,
+        )
+        self._peers.set_seeds(frozenset(seed.host for seed in settings.seeds))
+        self._router.set_retry_budget(
+            ratio=settings.retry_ratio,
+            slack=settings.retry_slack,
+            window_s=settings.retry_window_s,
+        )
+        self._log.write(
+            "host",
+            "settings_read",
+            seeds=len(settings.seeds),
+            grace_s=settings.grace_s,
+            retry_ratio=settings.retry_ratio,
+            retry_slack=settings.retry_slack,
+        )
 
     def reload_failed(self, reason: str) -> None:
         """Keep the last good settings."""
--- a/persimmonwell/gateway/_peer_datagrams.py
+++ b/persimmonwell/gateway/_peer_datagrams.py
@@ -134,6 +134,10 @@
             if now_s - peer.heard_s <= peer.valid_s
         )
 
+    def set_seeds(self, seeds: frozenset[str]) -> None:
+        """Replace the addresses that are tried before any peer was heard."""
+        self._seeds = seeds - {self._own[0]}
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the socket."""
         # The event loop's datagram transport is no subclass of this type.
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -64,7 +64,7 @@
     def start(self) -> None:
         with self.log.open("ab") as output:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "persimmonwell.gateway"],
+                [sys.executable, "-m", "persimmonwell.gateway_process"],
                 env={**os.environ, "PERSIMMONWELL_NODE_FILE": str(self.path)},
                 stdout=output,
                 stderr=output,
--- a/tests/core/forwarding/test_router.py
+++ b/tests/core/forwarding/test_router.py
@@ -184,6 +184,30 @@
     assert 0 < repeats <= 0.7 * (0.2 * 200 + 20)
 
 
+def test_a_changed_budget_counts_the_repeats_before_it() -> None:
+    """Guards against a fresh allowance with every change of the settings."""
+    router = make_router(*DESKS)
+
+    def repeats(first: int) -> int:
+        count = 0
+        for key in range(first, first + 50):
+            decisions = router.arrived(key, request("look"), 1.0)
+            while found := sends(decisions):
+                count += found[0].attempt > 1
+                decisions = router.attempt_failed(
+                    key, found[0].attempt, FAILED.ERROR, 1.0
+                )
+        return count
+
+    before = repeats(0)
+    router.set_retry_budget(ratio=0.2, slack=40.0, window_s=10.0)
+    # 0.7 of the ratio's share of the 50 further requests.
+    assert before > 0
+    assert repeats(50) <= 7
+    router.set_retry_budget(ratio=0.2, slack=200.0, window_s=10.0)
+    assert repeats(100) == 50
+
+
 def test_a_failing_replica_gets_less_than_its_peers() -> None:
     """Guards against a replica that fails quickly and so attracts requests."""
     router = make_router(*DESKS, zone="za")
