--- /dev/null
+++ b/bench/relay_cost.py
@@ -0,0 +1,144 @@
+"""Measure the processor time of a relayed event and of a plain request.
+
+A real host process between stand-ins on loopback; its own processor time counts.
+Run: python -m bench.relay_cost
+"""
+
+import http.client
+import os
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import psutil
+
+from standins.log import Log
+from standins.platform_config import HOST, KEY, LAYERS, config, free_port
+from standins.replica import PlatformReplica
+
+PLAIN_REQUESTS = 1500
+STREAMS = 24
+CONCURRENT = 8
+EVENTS = (10, 310)
+EVENT_INTERVAL_S = 0.004
+IDLE_S = 3.0
+
+
+def _cpu_s(process: psutil.Process) -> float:
+    times = process.cpu_times()
+    return float(times.user + times.system)
+
+
+def _ask(connection: http.client.HTTPConnection, path: str, name: str) -> None:
+    headers = {"Host": HOST, "Api-Key": KEY, "Request-Id": name}
+    headers["Deadline-Remaining"] = "20000"
+    connection.request("POST", path, body=b"x" * 200, headers=headers)
+    answer = connection.getresponse()
+    answer.read()
+    if answer.status != 200:
+        raise RuntimeError(f"{path} answered {answer.status}")
+
+
+def _calls(port: int, path: str, count: int) -> None:
+    """Make calls on some connections at once."""
+
+    def work(number: int) -> None:
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=30.0)
+        for index in range(number, count, CONCURRENT):
+            _ask(connection, path, f"{number}-{index}")
+        connection.close()
+
+    threads = [threading.Thread(target=work, args=(n,)) for n in range(CONCURRENT)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def _settings(folder: Path, store: str) -> tuple[Path, int]:
+    ports = {name: free_port() for name in ("front", "ready", "peers")}
+    path = folder / "node.conf"
+    path.write_text(
+        f"node=host-1\nip=127.0.0.1\nzone=za\nlisten.front=127.0.0.1:{ports['front']}\n"
+        f"listen.ready_addr=127.0.0.1:{ports['ready']}\n"
+        f"internal_ports={ports['peers']},{ports['peers'] + 1}\n"
+        f"platform.address={store}\n",
+        encoding="utf-8",
+    )
+    return path, ports["front"]
+
+
+def _wait_ready(port: int) -> None:
+    limit_s = time.monotonic() + 20.0
+    while True:
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5.0)
+        try:
+            _ask(connection, "/look/x", "ready")
+            return
+        except (OSError, RuntimeError):
+            if time.monotonic() > limit_s:
+                raise
+            time.sleep(0.2)
+        finally:
+            connection.close()
+
+
+def _measure(process: psutil.Process, port: int, replica: PlatformReplica) -> None:
+    before_s = _cpu_s(process)
+    time.sleep(IDLE_S)
+    idle_share = (_cpu_s(process) - before_s) / IDLE_S
+
+    def cost_s(work: Callable[[], None]) -> float:
+        start_s, cpu_s = time.monotonic(), _cpu_s(process)
+        work()
+        return _cpu_s(process) - cpu_s - idle_share * (time.monotonic() - start_s)
+
+    plain_s = cost_s(lambda: _calls(port, "/look/x", PLAIN_REQUESTS))
+    streams_s = []
+    for events in EVENTS:
+        replica.stream_events = events
+        streams_s.append(cost_s(lambda: _calls(port, "/talk/x", STREAMS)))
+    per_event_s = (streams_s[1] - streams_s[0]) / STREAMS / (EVENTS[1] - EVENTS[0])
+    print(f"idle: {idle_share * 100:.2f}% of a core")
+    print(f"plain request: {plain_s / PLAIN_REQUESTS * 1e6:.0f} us")
+    print(f"relayed event: {per_event_s * 1e6:.0f} us")
+    print(f"threads: {process.num_threads()}")
+
+
+def main() -> None:
+    """Start the host and its stand-ins and print the costs."""
+    store = Log()
+    store.put_key("keyed.op", "config", config(1))
+    store.start()
+    plain = PlatformReplica("desk-1", service="desk", zone="za")
+    model = PlatformReplica("model-1", service="model", zone="za")
+    model.layers = {"from": 0, "to": LAYERS, "version": 1}
+    model.event_interval_s = EVENT_INTERVAL_S
+    for replica in (plain, model):
+        replica.start()
+        entry = replica.entry(slots=96)
+        store.put_key("keyed.servers", replica.replica_id, entry)
+    with tempfile.TemporaryDirectory() as folder:
+        path, port = _settings(Path(folder), store.server.address)
+        process = subprocess.Popen(
+            [sys.executable, "-m", "persimmonwell.gateway_process"],
+            env={**os.environ, "PERSIMMONWELL_NODE_FILE": str(path)},
+            stdout=subprocess.DEVNULL,
+        )
+        try:
+            _wait_ready(port)
+            _measure(psutil.Process(process.pid), port, model)
+        finally:
+            process.kill()
+            process.wait()
+            for replica in (plain, model):
+                replica.close()
+            store.close()
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -48,6 +48,8 @@
         """Requests whose connection closed while their answer was sent."""
         self.stalled: dict[str, str] = {}
         self.layers: dict[str, int] | None = None
+        self.stream_events = STREAM_EVENTS
+        self.event_interval_s = EVENT_INTERVAL_S
         self.has_reports = True
         """Whether it serves a model; plain services have no reports."""
         self._socket = socket.create_server(("127.0.0.1", 0), backlog=128)
@@ -182,7 +184,7 @@
         connection.sendall(_head(200, chunked) + b"\r\n")
         first = int(request.headers.get("last-event-id", "0")) + 1
         request_id = request.headers["request-id"]
-        for number in range(first, STREAM_EVENTS + 1):
+        for number in range(first, self.stream_events + 1):
             event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
             if number == self.faults.get("reset_at"):
                 connection.sendall(_chunk(event[:-7]))
@@ -192,7 +194,7 @@
             if number == self.faults.get("stall_at"):
                 time.sleep(3.0)
             connection.sendall(_chunk(event))
-            time.sleep(EVENT_INTERVAL_S)
+            time.sleep(self.event_interval_s)
         connection.sendall(b"0\r\n\r\n")
         return True
 
