Plan the placement only when the replicas changed

Cause: the holder of the duty planned five times a second although nothing had changed; a plan takes 58 ms at 1,300 replicas, 29 % of a core (docs/CAPACITY.md). Change: replicas for which the last plan had no orders are not planned again. Measured: tests/gateway/test_placement_duty.py, fails without the change (3 plans in 0.7 s). Conclusion: a fleet at rest costs one comparison of its list in each check.

--- a/persimmonwell/gateway/_placement_duty.py
+++ b/persimmonwell/gateway/_placement_duty.py
@@ -67,6 +67,8 @@
         self._until_s = float("-inf")
         self._pending: dict[str, _Pending] = {}
         self._planned: dict[str, dict[tuple[str, PlacementStep], float]] = {}
+        self._settled: dict[str, list[Replica]] = {}
+        """Replicas of each service for which the last plan had no orders."""
         self._known: set[str] = set()
         self._grown_s = float("-inf")
         self._timer: asyncio.TimerHandle | None = None
@@ -121,11 +123,15 @@
             is_first = all(replica.layers is None for replica in members)
             if is_first and now_s - self._grown_s < SETTLE_S:
                 continue
+            if members == self._settled.get(service.name):
+                # A plan takes 58 ms at 1,300 replicas and would be the same.
+                continue
             orders = plan_placement(
                 members,
                 service.engine,
                 requests_at=lambda name: self._router.loads.of(name).requests,
             )
+            self._settled[service.name] = [] if orders else members
             for order in self._confirmed(service.name, orders, now_s):
                 if order.replica_id not in self._pending:
                     self._give(order, replicas[order.replica_id], now_s)
