Write a host's settings file in one place of the stand-ins

Cause: the soak, the relay bench and two tests each wrote the same settings file out. Change: standins/platform_config.py has node_file and free_ports, which all four call. Measured: tests/test_gateway_process.py, tests/test_soak.py, tests/gateway/test_gateway.py passed.

--- a/bench/relay_cost.py
+++ b/bench/relay_cost.py
@@ -17,7 +17,7 @@
 import psutil
 
 from standins.log import Log
-from standins.platform_config import HOST, KEY, LAYERS, config, free_port
+from standins.platform_config import HOST, KEY, LAYERS, config, free_ports, node_file
 from standins.replica import PlatformReplica
 
 PLAIN_REQUESTS = 1500
@@ -60,15 +60,10 @@
 
 
 def _settings(folder: Path, store: str) -> tuple[Path, int]:
-    ports = {name: free_port() for name in ("front", "ready", "peers")}
+    ports = free_ports()
     path = folder / "node.conf"
-    path.write_text(
-        f"node=host-1\nip=127.0.0.1\nzone=za\nlisten.front=127.0.0.1:{ports['front']}\n"
-        f"listen.ready_addr=127.0.0.1:{ports['ready']}\n"
-        f"internal_ports={ports['peers']},{ports['peers'] + 1}\n"
-        f"platform.address={store}\n",
-        encoding="utf-8",
-    )
+    text = node_file(ip="127.0.0.1", ports=ports, store=store)
+    path.write_text(text, encoding="utf-8")
     return path, ports["front"]
 
 
--- a/standins/platform_config.py
+++ b/standins/platform_config.py
@@ -25,6 +25,26 @@
         return port
 
 
+def node_file(*, ip: str, ports: dict[str, int], store: str, **values: str) -> str:
+    """Return a host's settings file; ports are front, ready and peers."""
+    fields = {
+        "node": "host-1",
+        "ip": ip,
+        "zone": "za",
+        "listen.front": f"{ip}:{ports['front']}",
+        "listen.ready_addr": f"{ip}:{ports['ready']}",
+        "internal_ports": f"{ports['peers']},{ports['peers'] + 9}",
+        "platform.address": store,
+        **values,
+    }
+    return "\n".join(f"{name}={value}" for name, value in fields.items())
+
+
+def free_ports() -> dict[str, int]:
+    """Return the ports that a settings file names."""
+    return {name: free_port() for name in ("front", "ready", "peers")}
+
+
 def route(name: str, kind: str, service: str, **values: Any) -> dict[str, Any]:
     """Return one route of the operators' configuration."""
     base = {
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -20,7 +20,7 @@
 import attrs
 
 from standins.log import Log
-from standins.platform_config import HOST, KEY, config, free_port, route
+from standins.platform_config import HOST, KEY, config, free_ports, node_file, route
 from standins.proxy import FaultyProxy
 from standins.replica import STREAM_EVENTS, PlatformReplica
 
@@ -96,7 +96,7 @@
             PlatformReplica("model-1", service="model", zone="za"),
             PlatformReplica("model-2", service="model", zone="za"),
         ]
-        ports = {name: free_port() for name in ("front", "ready", "peers")}
+        ports = free_ports()
         self.hosts = [
             _HostProcess(folder, number, ports) for number in range(1, HOSTS + 1)
         ]
@@ -144,19 +144,15 @@
     def _configure(self, host: _HostProcess) -> None:
         host.proxy = FaultyProxy(self.store.server.address)
         host.proxy.start()
-        fields = {
-            "node": f"host-{host.ip}",
-            "ip": host.ip,
-            "zone": "za",
-            "listen.front": f"{host.ip}:{host.ports['front']}",
-            "listen.ready_addr": f"{host.ip}:{host.ports['ready']}",
-            "internal_ports": f"{host.ports['peers']},{host.ports['peers'] + 9}",
-            "seeds": f"127.0.0.1:{host.ports['ready']}",
-            "platform.address": host.proxy.address,
-            "bounds.grace_s": "3",
-        }
-        lines = [f"{name}={value}" for name, value in fields.items()]
-        host.path.write_text("\n".join(lines), encoding="utf-8")
+        text = node_file(
+            ip=host.ip,
+            ports=host.ports,
+            store=host.proxy.address,
+            node=f"host-{host.ip}",
+            seeds=f"127.0.0.1:{host.ports['ready']}",
+            **{"bounds.grace_s": "3"},
+        )
+        host.path.write_text(text, encoding="utf-8")
 
     def _close(self) -> None:
         self._stop.set()
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -10,7 +10,7 @@
 from persimmonwell.gateway import GatewayHost
 from persimmonwell.platform import parse_node_file
 from standins.log import Log
-from standins.platform_config import HOST, KEY, LAYERS, free_port
+from standins.platform_config import HOST, KEY, LAYERS, free_ports, node_file
 from standins.replica import PlatformReplica
 from tests.fleet import wait_until
 
@@ -21,7 +21,7 @@
     def __init__(self) -> None:
         self.store = Log()
         self.replicas: dict[str, PlatformReplica] = {}
-        self.ports = {name: free_port() for name in ("front", "ready", "peers")}
+        self.ports = free_ports()
         self.host: GatewayHost | None = None
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
@@ -59,19 +59,13 @@
 
     def settings(self) -> str:
         """Return the settings file."""
-        fields = {
-            "node": "host-1",
-            "ip": "127.0.0.1",
-            "zone": "za",
-            "listen.front": f"127.0.0.1:{self.ports['front']}",
-            "listen.ready_addr": f"127.0.0.1:{self.ports['ready']}",
-            "internal_ports": f"{self.ports['peers']},{self.ports['peers'] + 9}",
-            "seeds": "",
-            "platform.address": self.store.server.address,
-            "bounds.grace_s": "3",
-            "unknown.field": "1",
-        }
-        return "\n".join(f"{name}={value}" for name, value in fields.items())
+        values = {"seeds": "", "bounds.grace_s": "3", "unknown.field": "1"}
+        return node_file(
+            ip="127.0.0.1",
+            ports=self.ports,
+            store=self.store.server.address,
+            **values,
+        )
 
     def run(self, work: Coroutine[Any, Any, Any]) -> Any:
         """Run a coroutine on the host's loop."""
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from standins.platform_config import free_port
+from standins.platform_config import free_ports, node_file
 
 
 @pytest.mark.parametrize("delay_s", [0.15, 0.4])
@@ -19,15 +19,9 @@
 
     Seed 4 of the soak: a host that had just been restarted got SIGHUP and was gone.
     """
-    ports = {name: free_port() for name in ("front", "ready", "peers")}
     settings = tmp_path / "node.conf"
-    settings.write_text(
-        f"node=host-1\nip=127.0.0.1\nzone=za\nlisten.front=127.0.0.1:{ports['front']}\n"
-        f"listen.ready_addr=127.0.0.1:{ports['ready']}\n"
-        f"internal_ports={ports['peers']},{ports['peers'] + 1}\n"
-        "platform.address=127.0.0.1:9\n",
-        encoding="utf-8",
-    )
+    text = node_file(ip="127.0.0.1", ports=free_ports(), store="127.0.0.1:9")
+    settings.write_text(text, encoding="utf-8")
     arguments = ["--settings", str(settings)]
     process = subprocess.Popen(
         [sys.executable, "-m", "persimmonwell.gateway_process", *arguments],
