Change a budget's bounds in place

Cause: a reload built a second budget that copied the private buckets of the first. Change: SendBudget.configure, as the daemon's RetryBudget has; no change of behaviour. Conclusion: one way to change bounds.

--- a/persimmonwell/core/forwarding/_budget.py
+++ b/persimmonwell/core/forwarding/_budget.py
@@ -11,20 +11,15 @@
 class SendBudget:
     """Hold the first and repeated sends of one service in the window."""
 
-    def __init__(
-        self,
-        *,
-        ratio: float,
-        slack: float,
-        window_s: float,
-        earlier: "SendBudget | None" = None,
-    ) -> None:
+    def __init__(self, *, ratio: float, slack: float, window_s: float) -> None:
+        self.configure(ratio=ratio, slack=slack, window_s=window_s)
+        self._buckets: deque[list[float]] = deque()
+
+    def configure(self, *, ratio: float, slack: float, window_s: float) -> None:
+        """Change the bounds; what was counted before holds against them."""
         self._ratio = ratio
         self._slack = slack
         self._bucket_s = window_s / BUCKETS
-        self._buckets: deque[list[float]] = deque()
-        if earlier is not None:
-            self._buckets.extend(earlier._buckets)
 
     def _current(self, now_s: float) -> list[float]:
         start_s = now_s - now_s % self._bucket_s
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -149,7 +149,7 @@
             SendBudget, ratio=ratio, slack=slack, window_s=window_s
         )
         for state in self._services.values():
-            state.budget = self._new_budget(earlier=state.budget)
+            state.budget.configure(ratio=ratio, slack=slack, window_s=window_s)
 
     def route_of(self, key: int) -> Route | None:
         """Return the route of a request that is still open."""
