Trace the thread warning of the gateway tests to the replica stand-in

Cause: PlatformReplica._serve set a socket option outside its try block. Measured: before, 2 warnings in one run of tests/gateway, tests/platform and tests/core/forwarding. Conclusion: a fault of the stand-in, not of the product.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -103,9 +103,9 @@
             ).start()
 
     def _serve(self, connection: socket.socket) -> None:
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        file = connection.makefile("rb")
         try:
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            file = connection.makefile("rb")
             while (request := _read_request(file)) is not None:
                 if not self._handle_request(connection, request):
                     break
