Let only the end of a stream complete a stream

Cause: Exchange.answer_ended treated any complete answer of an upstream as the end of a partial answer. Its kin, found while reading every place that writes to a caller: forward_large_answer began an answer from an unsealed 200, began one from a large 500 that could have been retried, and wrote a large failure body into a stream that had begun; a safe plain answer that had begun was retried and joined with the second run; a stream resumed by the caller itself was not checked for a gap. Change: core/forwarding/_answers.py holds what the caller was promised (pending, plain, stream, ended); each head, part and end of an attempt goes through it. A failed resume is an ERROR, which the router retries or breaks off. ActiveRequest.may_run_again refuses to join plain runs.

--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -4,6 +4,14 @@
 decisions that persimmonwell.gateway carries out.
 """
 
+from persimmonwell.core.forwarding._answers import (
+    AnswerPhase,
+    AnswerState,
+    BodyUse,
+    Completion,
+    FailedAttempt,
+    UpstreamAnswer,
+)
 from persimmonwell.core.forwarding._caller_retries import CALLER_RETRY_WINDOW_S
 from persimmonwell.core.forwarding._events import (
     AttemptFailure,
@@ -52,13 +60,18 @@
 __all__ = [
     "CALLER_RETRY_WINDOW_S",
     "AcceleratorKind",
+    "AnswerPhase",
+    "AnswerState",
     "AttemptFailure",
+    "BodyUse",
     "CallerLimits",
     "CallerRequest",
     "CancelAttempt",
+    "Completion",
     "Decision",
     "Ending",
     "EngineSpec",
+    "FailedAttempt",
     "FetchStallReport",
     "Finish",
     "ForwardingConfig",
@@ -85,6 +98,7 @@
     "Stage",
     "StoreVersions",
     "Tenant",
+    "UpstreamAnswer",
     "WeightedService",
     "find_path",
     "plan_placement",
--- a/persimmonwell/core/forwarding/_active.py
+++ b/persimmonwell/core/forwarding/_active.py
@@ -5,6 +5,7 @@
 from persimmonwell.core.forwarding._model import (
     CallerRequest,
     Route,
+    RouteKind,
     ServiceSpec,
     Tenant,
 )
@@ -57,6 +58,15 @@
         """Return whether an upstream may have run an earlier attempt."""
         return self.possible_runs > 0
 
+    @property
+    def may_run_again(self) -> bool:
+        """Return whether an upstream may run the request after another one may have.
+
+        A plain answer that has begun cannot be joined with that of another run.
+        """
+        is_joinable = not self.has_partial_answer or self.route.kind is RouteKind.STREAM
+        return self.route.is_retryable and is_joinable
+
     @property
     def has_attempts_left(self) -> bool:
         """Return whether one more attempt is allowed.
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -288,7 +288,7 @@
     def _decide_after_failure(
         self, active: ActiveRequest, failure: AttemptFailure, detail: str, now_s: float
     ) -> Decision | None:
-        if active.may_have_run and not active.route.is_retryable:
+        if active.may_have_run and not active.may_run_again:
             return self._finish(active, Ending.UPSTREAM_FAILED, detail)
         remaining_s = active.deadline_s - now_s
         if failure is AttemptFailure.NOT_RUN:
@@ -424,7 +424,7 @@
         if reroute is not None:
             return (reroute,)
         state = self._state_of(active)
-        if not active.route.is_retryable or not active.has_attempts_left:
+        if not active.may_run_again or not active.has_attempts_left:
             return ()
         if len(state.queue) > 0:
             # The repeated prefill would take capacity that queued requests wait for.
--- a/persimmonwell/gateway/_event_stream.py
+++ b/persimmonwell/gateway/_event_stream.py
@@ -20,9 +20,10 @@
     one, at which another attempt resumes.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, last_id: str | None = None) -> None:
         self._partial_event = b""
-        self.last_id: bytes | None = None
+        self.last_id = last_id.encode("latin-1", "replace") if last_id else None
+        """Id of the last complete event, at first that of the caller's last one."""
 
     @property
     def has_partial_event(self) -> bool:
--- a/persimmonwell/gateway/_exchange.py
+++ b/persimmonwell/gateway/_exchange.py
@@ -5,9 +5,13 @@
 from typing import Protocol
 
 from persimmonwell.core.forwarding import (
+    AnswerState,
     AttemptFailure,
+    BodyUse,
     CallerRequest,
+    Completion,
     Ending,
+    FailedAttempt,
     Finish,
     Send,
 )
@@ -89,9 +93,9 @@
         self.connection: UpstreamConnection | None = None
         self.head: AnswerHead | None = None
         self.headers: RawHeaders = ()
+        self.body_use = BodyUse.DISCARD
         self.body: list[bytes] = []
         self.body_bytes = 0
-        self.is_dropped = False
 
     def on_head(self, status: int, headers: RawHeaders) -> None:
         """Decode the head of the answer and the keep-alive time it advertises."""
@@ -99,17 +103,22 @@
         self.headers = list(headers)
         if self.connection is not None:
             self.connection.keep_alive_s = self.head.keep_alive_s
+        self.body_use = self.exchange.use_body(self)
 
     def on_data(self, data: bytes) -> None:
         """Forward a part of a stream, or buffer a part of a plain answer."""
-        assert self.head is not None
-        if self.exchange.is_stream and self.head.status == 200 and self.head.has_seal:
+        if self.body_use is BodyUse.FORWARD_EVENTS:
             self.exchange.forward_events(self, data)
             return
         self.body_bytes += len(data)
-        self.body.append(data)
-        if self.body_bytes > MAX_BUFFERED_BYTES:
+        if self.body_use is not BodyUse.DISCARD:
+            self.body.append(data)
+        if self.body_bytes <= MAX_BUFFERED_BYTES:
+            return
+        if self.body_use is BodyUse.FORWARD_PLAIN:
             self.exchange.forward_large_answer(self)
+        else:
+            self.exchange.reject_large_answer(self)
 
     def on_end(self, *, is_framed: bool) -> None:
         """End the attempt with a complete answer."""
@@ -152,9 +161,8 @@
         self._raw = raw
         self._is_stream = is_stream
         self._current_attempt: _Attempt | None = None
-        self._event_parser = EventStreamParser()
-        self._has_partial_answer = False
-        self._is_finished = False
+        self._event_parser = EventStreamParser(last_id=request.last_event_id)
+        self._answer = AnswerState()
         self._failed_attempt: _Attempt | None = None
         self._connecting: asyncio.Task[None] | None = None
 
@@ -166,13 +174,14 @@
     @property
     def has_partial_answer(self) -> bool:
         """Return whether a part of an answer was sent to the caller."""
-        return self._has_partial_answer
+        return self._answer.has_begun
 
     # Decisions
 
     def send(self, send: Send) -> None:
         """Start an attempt on an idle connection, or else on a new one."""
         self.attempt = send.attempt
+        self._answer.begin_attempt(send.attempt)
         self._event_parser.discard_partial_event()
         current = self._current_attempt = _Attempt(self, send)
         max_idle_s = (
@@ -193,7 +202,7 @@
                 attempt, AttemptFailure.NO_CONNECTION, type(error).__name__
             )
             return
-        if attempt is not self._current_attempt or self._is_finished:
+        if not self._is_current(attempt):
             connection.close()
             return
         self._write(attempt, connection)
@@ -210,11 +219,7 @@
             deadline_ms=remaining_ms,
             replica_id=send.replica_id,
             tenant=send.tenant,
-            last_event_id=(
-                last_id.decode("latin-1")
-                if last_id is not None
-                else self.request.last_event_id
-            ),
+            last_event_id=last_id.decode("latin-1") if last_id is not None else None,
             path=send.path,
         )
         attempt.connection = connection
@@ -233,10 +238,11 @@
 
         A failed request gets the last server error of an upstream, if there was one.
         """
-        if self._is_finished:
+        if self._answer.is_ended:
             return
-        self._is_finished = True
-        if self._has_partial_answer:
+        has_begun = self._answer.has_begun
+        self._answer.end()
+        if has_begun:
             self._caller.abort_answer()
             return
         if self._failed_attempt is not None and finish.ending is Ending.UPSTREAM_FAILED:
@@ -252,9 +258,9 @@
 
     def caller_left(self) -> None:
         """Stop all work for the request, since the caller closed its connection."""
-        if not self._is_finished:
-            self._is_finished = True
+        if not self._answer.is_ended:
             self._owner.caller_left(self)
+            self._answer.end()
 
     def set_upstream_paused(self, paused: bool) -> None:
         """Pause or resume reading from the upstream as the caller's buffer fills."""
@@ -267,9 +273,17 @@
 
     # Answers
 
+    def _is_current(self, attempt: _Attempt) -> bool:
+        return attempt is self._current_attempt and not self._answer.is_ended
+
+    def use_body(self, attempt: _Attempt) -> BodyUse:
+        """Return what to do with the body that follows the head of an answer."""
+        assert attempt.head is not None
+        return self._answer.body_use(attempt.head.facts, is_stream=self.is_stream)
+
     def forward_events(self, attempt: _Attempt, data: bytes) -> None:
         """Forward the events that are complete."""
-        if attempt is not self._current_attempt or self._is_finished:
+        if not self._is_current(attempt):
             return
         events = self._event_parser.feed(data)
         if not events.is_in_order:
@@ -277,18 +291,17 @@
             return
         if not events.data:
             return
-        if self._has_partial_answer:
+        if self._answer.add_events():
+            self._begin_answer(attempt, events.data)
+        else:
             now_s = self._owner.now_s()
             self.max_gap_s = max(self.max_gap_s, now_s - self._last_event_s)
             self._last_event_s = now_s
             self._caller.write_data(events.data)
-        else:
-            self._begin_answer(attempt, events.data)
         self._owner.event_forwarded(self)
 
     def _begin_answer(self, attempt: _Attempt, data: bytes) -> None:
         assert attempt.head is not None
-        self._has_partial_answer = True
         self.first_event_s = self._last_event_s = self._owner.now_s()
         headers = forwarded_answer_headers(attempt.headers)
         self._caller.begin_answer(attempt.head.status, headers, data)
@@ -296,62 +309,61 @@
 
     def forward_large_answer(self, attempt: _Attempt) -> None:
         """Forward the buffered part of an answer that is too large to buffer."""
-        if attempt is not self._current_attempt or self._is_finished:
+        if not self._is_current(attempt):
             return
         data, attempt.body = b"".join(attempt.body), []
         attempt.body_bytes = MAX_BUFFERED_BYTES
-        if self._has_partial_answer:
+        if self._answer.has_begun:
             self._caller.write_data(data)
         else:
+            self._answer.begin_plain()
             self._begin_answer(attempt, data)
 
+    def reject_large_answer(self, attempt: _Attempt) -> None:
+        """Abort an attempt whose failure has a body that is too large to keep."""
+        assert attempt.head is not None
+        facts = attempt.head.facts
+        verdict = self._judge_end(attempt, is_framed=True)
+        failure = AttemptFailure.BROKEN
+        if isinstance(verdict, FailedAttempt):
+            failure = verdict.failure
+        detail = f"status {facts.status} with more than {MAX_BUFFERED_BYTES} bytes"
+        self._abort_attempt(attempt, failure, detail, attempt.head.fault_address)
+
+    def _judge_end(
+        self, attempt: _Attempt, *, is_framed: bool
+    ) -> Completion | FailedAttempt:
+        assert attempt.head is not None
+        return self._answer.judge_end(
+            attempt.head.facts,
+            is_stream=self.is_stream,
+            ends_within_event=self._event_parser.has_partial_event,
+            is_framed=is_framed,
+        )
+
     def answer_ended(self, attempt: _Attempt, *, is_framed: bool) -> None:
-        """Forward a complete answer, or report the failure that it states."""
-        if attempt is not self._current_attempt or self._is_finished:
+        """Complete the caller's answer, or report the failure of the attempt."""
+        if not self._is_current(attempt):
             return
         head = attempt.head
         assert head is not None
-        if head.not_run:
-            failure = AttemptFailure.NOT_RUN
-            if head.is_wrong_replica:
-                failure = AttemptFailure.WRONG_REPLICA
+        verdict = self._judge_end(attempt, is_framed=is_framed)
+        if isinstance(verdict, FailedAttempt):
+            if verdict.failure is AttemptFailure.ERROR and not self._answer.has_begun:
+                self._failed_attempt = attempt
             self._report_failure(
-                attempt, failure, f"status {head.status}", head.fault_address
+                attempt, verdict.failure, verdict.detail, head.fault_address
             )
             return
-        if not head.has_seal and head.status < 300:
-            self._report_failure(
-                attempt, AttemptFailure.BROKEN, "answer without a seal"
-            )
-            return
-        if self.is_stream and head.status == 200:
-            self._end_stream(attempt)
-            return
-        if self._has_partial_answer:
-            self._is_finished = True
-            if attempt.body:
+        self._answer.end()
+        if verdict is Completion.WHOLE:
+            self._forward_answer(attempt)
+        else:
+            if verdict is Completion.END_OF_PLAIN and attempt.body:
                 self._caller.write_data(b"".join(attempt.body))
             self._caller.end_answer()
-            self._owner.answer_completed(self, head.status)
-            return
-        if head.status >= 500:
-            self._failed_attempt = attempt
-            self._report_failure(attempt, AttemptFailure.ERROR, f"status {head.status}")
-            return
-        self._is_finished = True
-        self._forward_answer(attempt)
         self._owner.answer_completed(self, head.status)
 
-    def _end_stream(self, attempt: _Attempt) -> None:
-        if self._event_parser.has_partial_event or not self._has_partial_answer:
-            self._report_failure(
-                attempt, AttemptFailure.BROKEN, "stream ended within an event"
-            )
-            return
-        self._is_finished = True
-        self._caller.end_answer()
-        self._owner.answer_completed(self, 200)
-
     def _forward_answer(self, attempt: _Attempt) -> None:
         assert attempt.head is not None
         self._caller.write_answer(
@@ -362,16 +374,20 @@
 
     def answer_broken(self, attempt: _Attempt, detail: str) -> None:
         """Report a truncated or malformed answer."""
-        if attempt is self._current_attempt and not self._is_finished:
+        if self._is_current(attempt):
             self._report_failure(attempt, AttemptFailure.BROKEN, detail)
 
     def _abort_attempt(
-        self, attempt: _Attempt, failure: AttemptFailure, detail: str
+        self,
+        attempt: _Attempt,
+        failure: AttemptFailure,
+        detail: str,
+        fault_address: str | None = None,
     ) -> None:
         if attempt.connection is not None:
             attempt.connection.abort()
-        if attempt is self._current_attempt and not self._is_finished:
-            self._report_failure(attempt, failure, detail)
+        if self._is_current(attempt):
+            self._report_failure(attempt, failure, detail, fault_address)
 
     def _report_failure(
         self,
--- a/persimmonwell/platform/_headers.py
+++ b/persimmonwell/platform/_headers.py
@@ -11,6 +11,7 @@
     GenerationSize,
     PipelinePath,
     ReplicaReport,
+    UpstreamAnswer,
 )
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -136,17 +137,16 @@
 class AnswerHead:
     """Parts of the head of a replica's answer that the gateway needs."""
 
-    status: int
+    facts: UpstreamAnswer
     request_id: str | None
-    not_run: bool
-    """Whether the replica states that it did not run the request."""
-    is_wrong_replica: bool
     fault_address: str | None
     """Address of the replica that the answering one reports as faulty."""
-    has_seal: bool
-    """Whether the answer has a replica's seal; a success without one is invalid."""
     keep_alive_s: float | None
-    will_close: bool
+
+    @property
+    def status(self) -> int:
+        """Return the status code."""
+        return self.facts.status
 
 
 def decode_answer_head(status: int, headers: Headers) -> AnswerHead:
@@ -155,14 +155,15 @@
     request_id = values.get(_REQUEST_ID)
     fault = values.get(b"at-server")
     return AnswerHead(
-        status=status,
+        facts=UpstreamAnswer(
+            status=status,
+            has_seal=b"response-seal" in values,
+            not_run=b"not-executed" in values or status == 421,
+            is_wrong_replica=status == 421,
+        ),
         request_id=request_id.decode("latin-1") if request_id else None,
-        not_run=b"not-executed" in values or status == 421,
-        is_wrong_replica=status == 421,
         fault_address=fault.decode("latin-1") if fault else None,
-        has_seal=b"response-seal" in values,
         keep_alive_s=_parse_keep_alive_s(values.get(b"keep-alive")),
-        will_close=b"close" in values.get(b"connection", b"").lower(),
     )
 
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -85,10 +85,10 @@
 
 def test_answer_head_tells_whether_the_request_ran() -> None:
     """Guards against "not run" decoded from an answer that does not state it."""
-    assert not decode_answer_head(503, ()).not_run
-    assert decode_answer_head(503, ((b"Not-Executed", b"1"),)).not_run
+    assert not decode_answer_head(503, ()).facts.not_run
+    assert decode_answer_head(503, ((b"Not-Executed", b"1"),)).facts.not_run
     wrong = decode_answer_head(421, ((b"At-Server", b"10.1.1.1:80"),))
-    assert (wrong.not_run, wrong.is_wrong_replica) == (True, True)
+    assert (wrong.facts.not_run, wrong.facts.is_wrong_replica) == (True, True)
     assert wrong.fault_address == "10.1.1.1:80"
     kept = decode_answer_head(200, ((b"keep-alive", b"max=3, timeout=7"),))
     assert kept.keep_alive_s == 7.0
