Bound what a replica in trouble may send without end

Cause: a replica may send a head, chunk sizes, trailers, a body, an event or comments without end. The host read them until the caller's deadline, kept heads and events in memory, and forwarded an unsealed body or a large failure to the caller. A second copy of a refusal that came late on a kept connection was taken for the answer to the next attempt of the same request, since both bear its id: a request that runs was reported as not run. Comments of a stalled stream counted as events. Change: 64 KB without a byte of a body, 256 KB without the end of an event or of skipped answers, and 1 MB of a report close the connection. An attempt never reuses a connection that an earlier attempt of its request used. Comments wait for the next event. The stand-in's free ports of one host are distinct now: one set-up of a test failed once with an address in use. A copy of an answer under another id was already skipped; a copy of a refusal to the same id was the gap.

--- a/persimmonwell/gateway/_event_stream.py
+++ b/persimmonwell/gateway/_event_stream.py
@@ -17,11 +17,13 @@
     """Splits a stream into complete events and checks the order of their ids.
 
     It buffers the incomplete event at the end and keeps the id of the last complete
-    one, at which another attempt resumes.
+    one, at which another attempt resumes. Comments are held until the next event, so
+    that a stalled stream that only sends comments does not count as active.
     """
 
     def __init__(self, *, last_id: str | None = None) -> None:
         self._partial_event = b""
+        self._comments = b""
         self.last_id = last_id.encode("latin-1", "replace") if last_id else None
         """Id of the last complete event, at first that of the caller's last one."""
 
@@ -30,28 +32,54 @@
         """Return whether the stream so far ends within an event."""
         return bool(self._partial_event)
 
+    @property
+    def held_bytes(self) -> int:
+        """Return how many bytes wait for the end of an event."""
+        return len(self._partial_event) + len(self._comments)
+
     def discard_partial_event(self) -> None:
         """Discard an incomplete event, as the next attempt sends it again."""
-        self._partial_event = b""
+        self._partial_event = self._comments = b""
+
+    def take_comments(self) -> bytes:
+        """Return the comments after the last event and forget them."""
+        comments, self._comments = self._comments, b""
+        return comments
 
     def feed(self, data: bytes) -> CompleteEvents:
         """Add a piece of the stream and return the events that are complete now."""
+        searched = max(0, len(self._partial_event) - 1)
         data = self._partial_event + data if self._partial_event else data
-        end = data.rfind(b"\n\n")
+        end = data.rfind(b"\n\n", searched)
         if end < 0:
             self._partial_event = data
             return CompleteEvents(b"", 0, self.last_id, True)
         complete, self._partial_event = data[: end + 2], data[end + 2 :]
         count = 0
         in_order = True
+        position = end_of_events = 0
         for event in complete[:-2].split(b"\n\n"):
-            count += 1
+            position += len(event) + 2
             event_id = _parse_event_id(event)
+            if event_id is None and not _has_data(event):
+                continue
+            count += 1
+            end_of_events = position
             if event_id is None:
                 continue
             in_order = in_order and _is_next_id(self.last_id, event_id)
             self.last_id = event_id
-        return CompleteEvents(complete, count, self.last_id, in_order)
+        if count:
+            events = self._comments + complete[:end_of_events]
+            self._comments = complete[end_of_events:]
+        else:
+            events = b""
+            self._comments += complete
+        return CompleteEvents(events, count, self.last_id, in_order)
+
+
+def _has_data(event: bytes) -> bool:
+    return event.startswith(b"data") or b"\ndata" in event
 
 
 def _parse_event_id(event: bytes) -> bytes | None:
--- a/persimmonwell/gateway/_exchange.py
+++ b/persimmonwell/gateway/_exchange.py
@@ -33,6 +33,8 @@
 MAX_BUFFERED_BYTES = 262_144
 """A plain answer up to this size is buffered until it is complete, so that a truncated
 one can be retried; larger ones are forwarded as they arrive."""
+MAX_EVENT_BYTES = 262_144
+"""Bytes of a stream without a complete event after which it is broken off."""
 MAX_IDLE_S = 60.0
 """Idle time up to which a connection is reused for a request that may be retried."""
 MAX_IDLE_UNRETRYABLE_S = 1.0
@@ -164,6 +166,9 @@
         self._event_parser = EventStreamParser(last_id=request.last_event_id)
         self._answer = AnswerState()
         self._failed_attempt: _Attempt | None = None
+        self._used_connections: list[UpstreamConnection] = []
+        """A late second copy of the answer to an attempt bears the same request id as
+        the next attempt, which therefore uses another connection."""
         self._connecting: asyncio.Task[None] | None = None
 
     @property
@@ -187,7 +192,9 @@
         max_idle_s = (
             MAX_IDLE_S if send.may_reuse_idle_connection else MAX_IDLE_UNRETRYABLE_S
         )
-        idle = self._owner.pool.acquire_idle(send.address, max_idle_s=max_idle_s)
+        idle = self._owner.pool.acquire_idle(
+            send.address, max_idle_s=max_idle_s, excluded=self._used_connections
+        )
         if idle is not None:
             self._write(current, idle)
             return
@@ -223,6 +230,7 @@
             path=send.path,
         )
         attempt.connection = connection
+        self._used_connections.append(connection)
         connection.send(head + self._raw.body, self.request.request_id, attempt)
 
     def cancel(self, attempt: int) -> None:
@@ -289,6 +297,9 @@
         if not events.is_in_order:
             self._abort_attempt(attempt, AttemptFailure.BROKEN, "events out of order")
             return
+        if self._event_parser.held_bytes > MAX_EVENT_BYTES:
+            self._abort_attempt(attempt, AttemptFailure.BROKEN, "event without end")
+            return
         if not events.data:
             return
         if self._answer.add_events():
@@ -359,8 +370,9 @@
         if verdict is Completion.WHOLE:
             self._forward_answer(attempt)
         else:
-            if verdict is Completion.END_OF_PLAIN and attempt.body:
-                self._caller.write_data(b"".join(attempt.body))
+            rest = self._event_parser.take_comments() or b"".join(attempt.body)
+            if rest:
+                self._caller.write_data(rest)
             self._caller.end_answer()
         self._owner.answer_completed(self, head.status)
 
--- a/persimmonwell/gateway/_http_connection.py
+++ b/persimmonwell/gateway/_http_connection.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import socket
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import Protocol
 
 import httptools
@@ -18,6 +18,11 @@
 KEEPALIVE_PROBES = 2
 MAX_SKIPPED_ANSWERS = 2
 """Answers to earlier requests that are skipped while one request waits."""
+MAX_SKIPPED_BYTES = 262_144
+"""Body bytes of skipped answers while one request waits."""
+MAX_FRAMING_BYTES = 65_536
+"""Bytes without a byte of a body: heads, chunk sizes with their extensions, trailers. A
+faulty replica may send them without end."""
 
 RawHeaders = Sequence[tuple[bytes, bytes]]
 
@@ -75,6 +80,8 @@
         self._request_id = ""
         self._is_skipping = False
         self._skipped_count = 0
+        self._skipped_bytes = 0
+        self._framing_bytes = 0
         self._in_message = False
         self._is_framed = True
         self._is_reusable = True
@@ -100,7 +107,7 @@
         assert self._transport is not None and self._handler is None
         self._handler = handler
         self._request_id = request_id
-        self._skipped_count = 0
+        self._skipped_count = self._skipped_bytes = self._framing_bytes = 0
         self.use_count += 1
         self._transport.write(data)
 
@@ -134,12 +141,16 @@
             # The data belongs to no request; it may be an unsolicited second answer.
             self.abort()
             return
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserCallbackError) as error:
             self._fail(f"no HTTP: {type(error).__name__}")
         except httptools.HttpParserUpgrade:
             self._fail("protocol upgrade")
+        else:
+            if self._framing_bytes > MAX_FRAMING_BYTES and self._handler is not None:
+                self._fail(f"{self._framing_bytes} bytes without an answer")
 
     def eof_received(self) -> bool:
         """Record the end of the stream, which completes an answer without a length."""
@@ -202,8 +213,15 @@
 
     def on_body(self, data: bytes) -> None:
         """Hand a part of the body to the handler."""
-        if self._handler is not None and not self._is_skipping:
+        self._framing_bytes = 0
+        if self._handler is None:
+            return
+        if not self._is_skipping:
             self._handler.on_data(data)
+            return
+        self._skipped_bytes += len(data)
+        if self._skipped_bytes > MAX_SKIPPED_BYTES:
+            raise ValueError("a long answer to another request")
 
     def on_message_complete(self) -> None:
         """End the answer and return the connection to the pool, if it is reusable."""
@@ -250,15 +268,24 @@
         """Connection attempts since the start."""
 
     def acquire_idle(
-        self, address: str, *, max_idle_s: float
+        self,
+        address: str,
+        *,
+        max_idle_s: float,
+        excluded: Collection[UpstreamConnection] = (),
     ) -> UpstreamConnection | None:
-        """Return the most recently used connection that is within its idle limit."""
+        """Return the most recently used connection that is within its idle limit.
+
+        The excluded connections stay in the pool.
+        """
         connections = self._idle.get(address, [])
-        while connections:
-            connection = connections.pop()
-            idle_s = self._clock() - connection.idle_since_s
+        for connection in reversed(list(connections)):
+            if connection in excluded and connection.is_open:
+                continue
+            connections.remove(connection)
             if not connection.is_open:
                 continue
+            idle_s = self._clock() - connection.idle_since_s
             if idle_s > min(max_idle_s, self._idle_timeout_s(connection)):
                 connection.close()
                 continue
--- a/persimmonwell/gateway/_replica_calls.py
+++ b/persimmonwell/gateway/_replica_calls.py
@@ -12,6 +12,9 @@
 CALL_TIMEOUT_S = 0.6
 """A live replica answers reports and orders without delay."""
 
+MAX_ANSWER_BYTES = 1_048_576
+"""Far above the size of a report that lists every request of a full replica."""
+
 
 @attrs.frozen
 class CallAnswer:
@@ -27,11 +30,17 @@
         self._future = future
         self._status = 0
         self._body: list[bytes] = []
+        self._body_bytes = 0
 
     def on_head(self, status: int, headers: RawHeaders) -> None:
         self._status = status
 
     def on_data(self, data: bytes) -> None:
+        self._body_bytes += len(data)
+        if self._body_bytes > MAX_ANSWER_BYTES:
+            self._body.clear()
+            self._set_answer(CallAnswer(0, detail="answer too large"))
+            return
         self._body.append(data)
 
     def on_end(self, *, is_framed: bool) -> None:
@@ -73,10 +82,12 @@
     connection.send(data, "", _AnswerCollector(future))
     try:
         async with asyncio.timeout(CALL_TIMEOUT_S):
-            return await future
+            answer = await future
     except TimeoutError:
+        answer = CallAnswer(0, detail="no answer")
+    if answer.status == 0:
         connection.abort()
-        return CallAnswer(0, detail="no answer")
+    return answer
 
 
 async def fetch_report(pool: ConnectionPool, address: str) -> ReplicaReport | None:
--- a/standins/platform_config.py
+++ b/standins/platform_config.py
@@ -41,8 +41,13 @@
 
 
 def free_ports() -> dict[str, int]:
-    """Return free ports for the front, ready and peers listeners."""
-    return {name: free_port() for name in ("front", "ready", "peers")}
+    """Return distinct free ports for the front, ready and peers listeners."""
+    ports: dict[str, int] = {}
+    for name in ("front", "ready", "peers"):
+        while (port := free_port()) in ports.values():
+            pass
+        ports[name] = port
+    return ports
 
 
 def route(name: str, kind: str, service: str, **values: Any) -> dict[str, Any]:
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -15,6 +15,30 @@
 
 STREAM_EVENTS = 6
 EVENT_INTERVAL_S = 0.01
+SEALED_HEAD = b"HTTP/1.1 200 OK\r\nResponse-Seal: flood\r\nRequest-Id: %s\r\n"
+CHUNKED_HEAD = SEALED_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+FLOODS: dict[str, tuple[bytes, bytes]] = {
+    "headers": (SEALED_HEAD, b"X-More: 0123456789abcdef\r\n"),
+    "header line": (SEALED_HEAD + b"X-Long: ", b"0123456789abcdef"),
+    "interim answers": (b"", b"HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"),
+    "chunk size": (CHUNKED_HEAD, b"0"),
+    "chunk extension": (CHUNKED_HEAD + b"5;x=", b"0123456789abcdef"),
+    "trailers": (CHUNKED_HEAD + b"0\r\n", b"X-More: 0123456789abcdef\r\n"),
+    "unsealed body": (b"HTTP/1.1 200 OK\r\n\r\n", b"0123456789abcdef"),
+    "error body": (
+        b"HTTP/1.1 500 Error\r\nResponse-Seal: flood\r\n\r\n",
+        b"0123456789abcdef",
+    ),
+    "answer to another": (
+        b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"10\r\n0123456789abcdef\r\n",
+    ),
+    "report": (b"HTTP/1.1 200 OK\r\n\r\n", b'{"stalled": [], '),
+    "event": (SEALED_HEAD + b"\r\nid: 1\ndata: ", b"0123456789abcdef"),
+    "comments": (SEALED_HEAD + b"\r\n", b": still here\n\n"),
+}
+"""Beginning of a response, and the bytes that are repeated after it without end."""
+FLOOD_REPEATS = 4096
 
 
 @attrs.frozen
@@ -34,7 +58,10 @@
     number at which the stream resets), stall_at (event number), extra (a second
     response follows "now" or "late"), unframed (no Content-Length), garbage (not HTTP),
     delay_s, cut_body (resets within the body), alive (False: reports time out), reset
-    (resets without a response).
+    (resets without a response), shed_once, flood (a key of FLOODS, sent until the
+    caller closes), report_flood (the same in response to one report request),
+    comments_at (event number before which only comments follow), copy_late_s (a second
+    copy of the response follows after this time).
     """
 
     def __init__(self, replica_id: str, *, service: str, zone: str) -> None:
@@ -45,6 +72,9 @@
         self.received: list[ReceivedRequest] = []
         self.orders: list[dict[str, Any]] = []
         self.connections = 0
+        self.flooded_bytes = 0
+        """Bytes of floods that the network took."""
+        self.is_flooding = False
         self.broken_connections = 0
         """Number of connections that failed while a request was read or answered."""
         self.stalled: dict[str, str] = {}
@@ -126,6 +156,8 @@
                 # A plain service has no report path and rejects the missing request id.
                 connection.sendall(_build_response(400, {"Not-Executed": "1"}, b""))
                 return True
+            if self.faults.pop("report_flood", None):
+                return self._flood(connection, "report", "")
             connection.sendall(
                 _build_response(200, {}, json.dumps(self._report()).encode())
             )
@@ -152,8 +184,11 @@
                 _build_response(421, {"Instance-Id": self.replica_id}, b"")
             )
             return True
-        if self.faults.get("shed"):
-            connection.sendall(_build_response(503, {"Not-Executed": "1"}, b""))
+        if self.faults.get("shed") or self.faults.pop("shed_once", None):
+            refusal = {"Not-Executed": "1", "Request-Id": request_id}
+            answer = _build_response(503, refusal, b"")
+            connection.sendall(answer)
+            self._schedule_copy(connection, answer)
             return True
         self.received.append(request)
         time.sleep(self.faults.get("delay_s", 0.0))
@@ -163,6 +198,8 @@
         if self.faults.get("reset"):
             _reset_connection(connection)
             return False
+        if flood := self.faults.get("flood"):
+            return self._flood(connection, flood, request_id)
         if "hop-count" in request.headers:
             return self._stream(connection, request, response_headers)
         body = f"{self.replica_id} {request.method} {request.target}".encode()
@@ -180,6 +217,7 @@
         if extra == "now":
             answer += answer
         connection.sendall(answer)
+        self._schedule_copy(connection, answer)
         if extra == "late":
             # Read by the client as the response to its next request on this connection.
             self.faults.pop("extra")
@@ -191,6 +229,23 @@
             )
         return True
 
+    def _schedule_copy(self, connection: socket.socket, answer: bytes) -> None:
+        delay_s = self.faults.pop("copy_late_s", None)
+        if delay_s is not None:
+            threading.Timer(delay_s, _send_quietly, (connection, answer)).start()
+
+    def _flood(self, connection: socket.socket, flood: str, request_id: str) -> bool:
+        head, repeated = FLOODS[flood]
+        connection.sendall(head.replace(b"%s", request_id.encode()))
+        block = repeated * FLOOD_REPEATS
+        self.is_flooding = True
+        try:
+            while True:
+                connection.sendall(block)
+                self.flooded_bytes += len(block)
+        finally:
+            self.is_flooding = False
+
     def _stream(
         self,
         connection: socket.socket,
@@ -211,6 +266,10 @@
                 return False
             if number == self.faults.get("stall_at"):
                 time.sleep(3.0)
+            if number == self.faults.get("comments_at"):
+                while True:
+                    connection.sendall(_chunk(b": still here\n\n"))
+                    time.sleep(0.1)
             connection.sendall(_chunk(event))
             time.sleep(self.event_interval_s)
         connection.sendall(b"0\r\n\r\n")
@@ -245,6 +304,13 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
+def _send_quietly(connection: socket.socket, data: bytes) -> None:
+    try:
+        connection.sendall(data)
+    except OSError:
+        return
+
+
 def _reset_connection(connection: socket.socket) -> None:
     """Close a connection with a TCP reset: SO_LINGER with a zero timeout."""
     linger = struct.pack("ii", 1, 0)
--- /dev/null
+++ b/tests/gateway/test_event_stream.py
@@ -0,0 +1,45 @@
+"""Tests of the parser of event streams."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from persimmonwell.gateway._event_stream import EventStreamParser
+
+COMMENT = b": still here\n\n"
+
+
+def event(number: int) -> bytes:
+    return b"id: %d\ndata: %d\n\n" % (number, number)
+
+
+@given(st.lists(st.booleans(), max_size=12), st.lists(st.integers(1, 9), min_size=1))
+def test_parts_of_any_size_give_the_same_bytes(
+    kinds: list[bool], sizes: list[int]
+) -> None:
+    """Guards against bytes that are lost, repeated or forwarded too early."""
+    numbers = iter(range(1, 20))
+    blocks = [event(next(numbers)) if is_event else COMMENT for is_event in kinds]
+    stream = b"".join(blocks)
+    parser = EventStreamParser()
+    forwarded, count, position = b"", 0, 0
+    for size in sizes * (len(stream) + 1):
+        events = parser.feed(stream[position : position + size])
+        assert events.is_in_order
+        assert not events.data or b"data" in events.data
+        forwarded += events.data
+        count += events.count
+        position += size
+    assert not parser.has_partial_event
+    assert forwarded + parser.take_comments() == stream
+    assert count == sum(kinds)
+
+
+def test_comments_do_not_count_as_events() -> None:
+    """Guards against a stalled stream that stays alive by its comments."""
+    parser = EventStreamParser()
+    assert parser.feed(COMMENT * 3).count == 0
+    assert parser.held_bytes == 3 * len(COMMENT)
+    assert parser.feed(event(1)).data == COMMENT * 3 + event(1)
+    parser.feed(COMMENT)
+    parser.discard_partial_event()
+    assert parser.take_comments() == b""
