Answer every request that was accepted before a close

Cause: a pipelined request that asks to close, a malformed one, or a planned stop made the host close the connection after the current answer; the complete requests between were dropped without an answer. A request without end (chunk extension, body) and a body that stalls held a connection for good. A request queued behind a caller that had left was started all the same. Change: the connection announces its close only on the last answer it owes, and answers a malformed request after the sound ones before it. Bytes without a body, and bytes over the size limit, end the connection; a stalled body gets 408 after the idle time-out. An unexpected error of the host closes the connection instead of calling the request malformed.

--- a/persimmonwell/gateway/_caller_connection.py
+++ b/persimmonwell/gateway/_caller_connection.py
@@ -16,6 +16,9 @@
 """Unsent bytes to one caller above which reading from its upstream is paused."""
 MAX_PIPELINED_REQUESTS = 4
 """Pipelined requests that wait on one connection before reading is paused."""
+MAX_DISCARDED_BODY_BYTES = 1_048_576
+"""Bytes over the size limit that are read before the connection is closed; a caller
+that is still sending would lose the answer 413 to the reset."""
 
 RawHeaders = Sequence[tuple[bytes, bytes]]
 
@@ -65,19 +68,33 @@
         self._pipelined: deque[RawRequest] = deque()
         self._timer: asyncio.TimerHandle | None = None
         self._reset_message()
-        self._close_after_answer = False
+        self._last_data_s = 0.0
+        self._idle_since_s = 0.0
+        self._is_last_request = False
+        """Whether the caller asked to close after the last request it sent."""
+        self._is_close_announced = False
+        self._rejection: HTTPStatus | None = None
+        """Status owed to a malformed request behind the ones that are answered."""
 
     @property
     def is_idle(self) -> bool:
         """Return whether no request is being received, queued or answered."""
-        return not self._is_answering and not self._is_receiving and not self._pipelined
+        return not self._is_answering and not self._has_more_requests
+
+    @property
+    def _has_more_requests(self) -> bool:
+        """Return whether another request, or a part of one, follows the current one."""
+        return bool(
+            self._pipelined or self._is_receiving or self._rejection is not None
+        )
 
     def _reset_message(self) -> None:
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._body_bytes = 0
-        self._received_head_bytes = 0
+        self._framing_bytes = 0
+        """Received bytes of the request since the last byte of its body."""
         self._is_receiving = False
         self._in_body = False
 
@@ -90,14 +107,17 @@
         set_socket_options(transport)
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         self._on_open_change(self, True)
+        self._idle_since_s = asyncio.get_running_loop().time()
         self._set_timer(self._limits().idle_timeout_s)
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; reject malformed requests and oversized heads."""
-        if self._close_after_answer and not self._is_answering:
+        if self._is_close_announced or self._is_last_request:
             return
-        if not self._in_body:
-            self._received_head_bytes += len(data)
+        if self._rejection is not None:
+            return
+        self._last_data_s = asyncio.get_running_loop().time()
+        self._framing_bytes += len(data)
         if not self._is_receiving and not self._is_answering:
             self._is_receiving = True
             self._set_timer(self._limits().header_timeout_s)
@@ -105,15 +125,28 @@
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._reject(HTTPStatus.NOT_IMPLEMENTED)
-        except (httptools.HttpParserError, httptools.HttpParserCallbackError):
-            self._reject(HTTPStatus.BAD_REQUEST)
+        except httptools.HttpParserCallbackError as error:
+            # A fault of the host, not of the request; nothing is promised about it.
+            self._abort_after_error(error)
+        except httptools.HttpParserError:
+            if not self._is_last_request:
+                self._reject(HTTPStatus.BAD_REQUEST)
         else:
-            if (
-                self._is_receiving
-                and not self._in_body
-                and self._received_head_bytes > self._limits().max_header_bytes
-            ):
+            if not self._is_receiving:
+                return
+            if self._framing_bytes > self._limits().max_header_bytes:
                 self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+            elif self._body_bytes > (
+                self._limits().max_body_bytes + MAX_DISCARDED_BODY_BYTES
+            ):
+                self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+
+    def _abort_after_error(self, error: Exception) -> None:
+        asyncio.get_running_loop().call_exception_handler(
+            {"message": "a caller's request failed", "exception": error}
+        )
+        if self._transport is not None:
+            self._transport.abort()
 
     def pause_writing(self) -> None:
         """Pause the upstream of the current request: the write buffer is full."""
@@ -138,9 +171,9 @@
 
     def on_message_begin(self) -> None:
         """Reset the state of the previous request."""
-        head_bytes = self._received_head_bytes
+        framing_bytes = self._framing_bytes
         self._reset_message()
-        self._received_head_bytes = head_bytes
+        self._framing_bytes = framing_bytes
         self._is_receiving = True
 
     def on_url(self, url: bytes) -> None:
@@ -154,7 +187,7 @@
     def on_headers_complete(self) -> None:
         """Answer `Expect: 100-continue`, if the body may be sent now."""
         self._in_body = True
-        self._received_head_bytes = 0
+        self._framing_bytes = 0
         expects_continue = any(
             name == b"expect" and value.lower() == b"100-continue"
             for name, value in self._headers
@@ -164,6 +197,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body; one over the size limit is not kept."""
+        self._framing_bytes = 0
         self._body_bytes += len(data)
         if self._body_bytes > self._limits().max_body_bytes:
             self._body.clear()
@@ -193,7 +227,7 @@
             self._reject(HTTPStatus.BAD_REQUEST)
             return
         if not keep_alive:
-            self._close_after_answer = True
+            self._is_last_request = True
         if self._is_answering or self._pipelined:
             self._pipelined.append(request)
             if (
@@ -205,6 +239,8 @@
         self._start_request(request)
 
     def _start_request(self, request: RawRequest) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
         self._cancel_timer()
         self._is_answering = True
         handler = self._on_request(self, request)
@@ -248,9 +284,13 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def close_idle(self) -> None:
-        """Close the connection if it is idle."""
-        if self.is_idle and self._transport is not None:
+    def close_idle(self, *, min_idle_s: float) -> None:
+        """Close the connection if it has been idle for some time.
+
+        The first request of a connection that was just accepted may be on its way.
+        """
+        idle_s = asyncio.get_running_loop().time() - self._idle_since_s
+        if self.is_idle and idle_s >= min_idle_s and self._transport is not None:
             self._transport.close()
 
     def _encode_head(
@@ -259,8 +299,9 @@
         phrase = HTTPStatus(status).phrase if status in _KNOWN_STATUSES else "Unknown"
         lines = [f"HTTP/1.1 {status} {phrase}".encode()]
         lines += [name + b": " + value for name, value in headers]
-        if self._close_after_answer or self._is_draining():
-            self._close_after_answer = True
+        may_close = self._is_last_request or self._is_draining()
+        if may_close and not self._has_more_requests:
+            self._is_close_announced = True
             lines.append(b"connection: close")
         return b"\r\n".join(lines) + b"\r\n"
 
@@ -273,9 +314,6 @@
         self._is_answering = False
         if self._transport is None or self._transport.is_closing():
             return
-        if self._close_after_answer:
-            self._transport.close()
-            return
         if self._pipelined:
             request = self._pipelined.popleft()
             self._transport.resume_reading()
@@ -283,6 +321,13 @@
             self._is_answering = True
             asyncio.get_running_loop().call_soon(self._start_request, request)
             return
+        if self._rejection is not None:
+            self._write_rejection(self._rejection)
+            return
+        if self._is_close_announced or self._is_last_request:
+            self._transport.close()
+            return
+        self._idle_since_s = asyncio.get_running_loop().time()
         if self._is_receiving:
             self._set_timer(self._limits().header_timeout_s)
         else:
@@ -291,13 +336,17 @@
     def _reject(self, status: HTTPStatus) -> None:
         """Answer an unacceptable request with an error status and close.
 
-        While another answer is written, the connection only closes after it.
+        The requests before it are answered first.
         """
-        self._close_after_answer = True
         self._is_receiving = False
         if self._is_answering:
-            self._pipelined.clear()
+            self._rejection = status
             return
+        self._write_rejection(status)
+
+    def _write_rejection(self, status: HTTPStatus) -> None:
+        self._rejection = None
+        self._is_last_request = True
         self._write(self._encode_head(status, ()) + b"content-length: 0\r\n\r\n")
         if self._transport is not None:
             self._transport.close()
@@ -320,7 +369,12 @@
         if self._is_receiving and not self._in_body:
             self._reject(HTTPStatus.REQUEST_TIMEOUT)
         elif self._is_receiving:
-            self._set_timer(self._limits().idle_timeout_s)
+            limit_s = self._limits().idle_timeout_s
+            silent_s = asyncio.get_running_loop().time() - self._last_data_s
+            if silent_s >= limit_s:
+                self._reject(HTTPStatus.REQUEST_TIMEOUT)
+            else:
+                self._set_timer(limit_s - silent_s)
         elif self._transport is not None:
             self._transport.close()
 
