Keep a host running through unexpected errors, and stop it without cutting requests

Cause: closing the callers' listener reset the connections in its accept queue; a connection just accepted was closed as idle before its request was read; requests that waited were broken off at the end of the grace time. One unexpected error ended the timer of all time-outs, the exchange with the peers, a store follower's thread or the log's thread for good, while the process went on and said it was ready. A datagram with an endless interval left its loads for good, one with a host name as an address would block on a look-up, and a registry key with a line break added a header. Change: a stop accepts what is in the queue, closes connections after 0.5 s idle, and refuses what waits 1 s before the end, as not run. Timers are set before their work; followers and the log go on after any error and log it (host unexpected_error). Datagrams, reports and registry entries are checked for ranges, addresses and names.

--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -98,6 +98,7 @@
         self.host_count = 1
         """Hosts of the fleet that this host knows of, with itself."""
         self._active: dict[int, ActiveRequest] = {}
+        self._is_stopping = False
         self._new_retry_budget = partial(
             RetryBudget, ratio=retry_ratio, slack=retry_slack, window_s=retry_window_s
         )
@@ -171,10 +172,9 @@
         self, key: int, request: CallerRequest, now_s: float
     ) -> tuple[Decision, ...]:
         """Send, queue or refuse a new request."""
-        if self._route_table is None:
-            return (
-                Finish(key, Ending.NOT_READY, NOT_READY_RETRY_AFTER_S, "no config"),
-            )
+        if self._route_table is None or self._is_stopping:
+            reason = "stopping" if self._is_stopping else "no config"
+            return (Finish(key, Ending.NOT_READY, NOT_READY_RETRY_AFTER_S, reason),)
         try:
             resolved = self._route_table.resolve(request, draw=self._random.random())
         except UnknownRouteError:
@@ -203,6 +203,19 @@
         queue.add(active)
         return ()
 
+    def stop_admission(self, now_s: float) -> tuple[Decision, ...]:
+        """Refuse the queued requests that have not run, and all that arrive from now.
+
+        A host that is about to stop could only break them off.
+        """
+        self._is_stopping = True
+        return tuple(
+            self._refuse(active, "stopping", 0.0, now_s)
+            for state in self._services.values()
+            for active in state.queue
+            if not active.may_have_run
+        )
+
     def caller_left(self, key: int, now_s: float) -> tuple[Decision, ...]:
         """Drop a request whose caller closed its connection, and cancel its attempt."""
         active = self._active.pop(key, None)
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -106,10 +106,14 @@
             on_open_change=self._caller_open_changed,
         )
 
-    def close_idle_callers(self) -> None:
-        """Close the callers' connections that are idle."""
+    def close_idle_callers(self, *, min_idle_s: float) -> None:
+        """Close the callers' connections that have been idle for some time."""
         for caller in list(self._callers):
-            caller.close_idle()
+            caller.close_idle(min_idle_s=min_idle_s)
+
+    def stop_admission(self) -> None:
+        """Refuse the requests that wait and those that still arrive, as not run."""
+        self.execute(self.router.stop_admission(self.now_s()))
 
     def _caller_limits(self) -> CallerLimits:
         config = self.router.config
@@ -357,9 +361,10 @@
     # Timer
 
     def _tick(self) -> None:
-        self.execute(self.router.tick(self.now_s()))
+        # Scheduled first, so that an unexpected error does not end all time-outs.
         loop = asyncio.get_running_loop()
         self._tick_timer = loop.call_later(TICK_S, self._tick)
+        self.execute(self.router.tick(self.now_s()))
 
     def _run_in_background(self, work: "asyncio._CoroutineLike[None]") -> None:
         task = asyncio.get_running_loop().create_task(work)
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -1,7 +1,9 @@
 """Forwarding host: wires the gateway to the store, the peers and the platform."""
 
 import asyncio
+import socket
 import time
+import traceback
 from collections.abc import Callable
 from typing import Any
 
@@ -39,9 +41,14 @@
 DEREGISTRATION_S = 2.2
 """Time in which the platform stops sending new connections: it probes readiness each
 second and deregisters a host after two failed probes."""
+MAX_TRACE_CHARACTERS = 4000
 GRACE_MARGIN_S = 0.4
 """Part of the grace time that is left for closing."""
 DRAIN_CHECK_INTERVAL_S = 0.1
+DRAIN_MIN_IDLE_S = 0.5
+"""Idle time after which a stopping host closes a caller's connection."""
+LAST_ADMISSION_S = 1.0
+"""Time before the end of the grace time from which requests are refused."""
 
 
 class GatewayHost:
@@ -67,6 +74,7 @@
             may_plan_without_store=self._may_plan_without_store,
         )
         self._servers: list[asyncio.Server] = []
+        self._callers_socket: socket.socket | None = None
         self._store_available: dict[str, bool] = {}
         """Whether the store answered the last call, by follower."""
         self._loop: asyncio.AbstractEventLoop | None = None
@@ -79,6 +87,7 @@
                 on_replicas=self._call_on_loop(self._apply_registry_records),
                 on_duty=self._call_on_loop(self._duty.set_lease),
                 on_store_status=self._call_on_loop(self._record_store_status),
+                on_error=self._call_on_loop(self._log_follower_error),
             ),
         )
         self._peers = PeerDatagrams(
@@ -94,6 +103,7 @@
     async def start(self) -> None:
         """Listen on all ports, follow the store and exchange state with peers."""
         self._loop = asyncio.get_running_loop()
+        self._loop.set_exception_handler(self._log_unexpected_error)
         self._log.start()
         settings = self._settings
         await self._listen(
@@ -107,7 +117,17 @@
             await self._listen(
                 settings.control, lambda: StatusServerConnection(self._answer_readiness)
             )
-        await self._listen(settings.callers, self._gateway.create_caller_connection)
+        self._callers_socket = socket.create_server(
+            (settings.callers.host, settings.callers.port), backlog=BACKLOG
+        )
+        self._callers_socket.setblocking(False)
+        self._servers.append(
+            await self._loop.create_server(
+                self._gateway.create_caller_connection,
+                sock=self._callers_socket,
+                backlog=BACKLOG,
+            )
+        )
         await self._loop.create_datagram_endpoint(
             lambda: self._peers, local_addr=(settings.ip, settings.peer_port)
         )
@@ -147,13 +167,14 @@
         )
         end_s = start_s + self._settings.grace_s - GRACE_MARGIN_S
         is_listening = True
-        while time.monotonic() < end_s:
-            drained_s = time.monotonic() - start_s
-            if is_listening and drained_s > DEREGISTRATION_S:
+        while (now_s := time.monotonic()) < end_s:
+            if is_listening and now_s - start_s > DEREGISTRATION_S:
                 is_listening = False
-                self._servers[-1].close()
+                await self._stop_listening()
+            if now_s > end_s - LAST_ADMISSION_S:
+                self._gateway.stop_admission()
             if not is_listening:
-                self._gateway.close_idle_callers()
+                self._gateway.close_idle_callers(min_idle_s=DRAIN_MIN_IDLE_S)
                 if (
                     not self._gateway.open_request_count
                     and not self._gateway.caller_connection_count
@@ -162,6 +183,26 @@
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
         self.close()
 
+    async def _stop_listening(self) -> None:
+        """Close the callers' listener, but keep the connections in its queue.
+
+        The kernel resets a connection that was not accepted when the listener closes.
+        """
+        assert self._loop is not None and self._callers_socket is not None
+        accepted = []
+        while True:
+            try:
+                connection, _ = self._callers_socket.accept()
+            except (BlockingIOError, ConnectionAbortedError, InterruptedError):
+                break
+            accepted.append(connection)
+        self._servers[-1].close()
+        for connection in accepted:
+            connection.setblocking(False)
+            await self._loop.connect_accepted_socket(
+                self._gateway.create_caller_connection, connection
+            )
+
     def close(self) -> None:
         """Stop at once; open requests are aborted."""
         self._log.write(
@@ -203,6 +244,26 @@
         """Log that a reload was rejected; the previous settings stay in force."""
         self._log.write("host", "settings_rejected", reason=reason)
 
+    def _log_follower_error(self, follower: str, error: Exception) -> None:
+        assert self._loop is not None
+        message = f"follower {follower} failed"
+        self._log_unexpected_error(self._loop, {"message": message, "exception": error})
+
+    def _log_unexpected_error(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """Log an error of one callback; the host goes on."""
+        self._gateway.metrics.count_event("unexpected_errors")
+        error = context.get("exception")
+        trace = traceback.format_exception(error) if error is not None else []
+        self._log.write(
+            "host",
+            "unexpected_error",
+            message=context.get("message"),
+            error=repr(error),
+            trace="".join(trace)[-MAX_TRACE_CHARACTERS:],
+        )
+
     # Store
 
     def _call_on_loop(self, function: Callable[..., None]) -> Callable[..., None]:
@@ -343,6 +404,9 @@
         )
 
     def _send_state(self) -> None:
+        assert self._loop is not None
+        # Scheduled first, so that an unexpected error does not end the exchange.
+        self._loop.call_later(SEND_INTERVAL_S, self._send_state)
         self._followers.set_continuous_reading(
             should_be_reader(
                 self._settings.host_id,
@@ -357,8 +421,6 @@
             self._router.host_count, 1 + len(self._peers.live_peers)
         )
         self._gateway.pool.close_expired()
-        assert self._loop is not None
-        self._loop.call_later(SEND_INTERVAL_S, self._send_state)
 
     # Readiness and metrics
 
--- a/persimmonwell/gateway/_peer_datagrams.py
+++ b/persimmonwell/gateway/_peer_datagrams.py
@@ -5,9 +5,10 @@
 """
 
 import asyncio
+import ipaddress
 import math
 from collections.abc import Callable, Mapping
-from typing import cast
+from typing import Annotated, cast
 
 import attrs
 import msgspec
@@ -32,10 +33,15 @@
 """Peer addresses in one datagram."""
 
 
+Count = Annotated[int, msgspec.Meta(ge=0, le=1 << 48)]
+Factor = Annotated[float, msgspec.Meta(ge=1.0, le=1000.0)]
+Interval = Annotated[float, msgspec.Meta(ge=0.0, le=PEER_EXPIRY_S)]
+
+
 class _Load(msgspec.Struct, array_like=True):
     replica_id: str
-    requests: int
-    layer_tokens: int
+    requests: Count
+    layer_tokens: Count
 
 
 class _Report(msgspec.Struct, array_like=True):
@@ -47,8 +53,8 @@
     """Replicas that did not answer the sender's probe."""
     reads_store: bool
     holds_duty: bool
-    slow: dict[str, float]
-    interval_s: float
+    slow: dict[str, Factor]
+    interval_s: Interval
     """Time until the sender's next report to the same host."""
     is_reader: bool
     config_version: int
@@ -152,7 +158,7 @@
         """Apply a peer's report; malformed datagrams are ignored."""
         try:
             report = msgspec.msgpack.decode(data, type=_Report)
-        except msgspec.MsgspecError:
+        except (msgspec.MsgspecError, ValueError, RecursionError):
             return
         if report.host_id == self._host_id:
             return
@@ -167,7 +173,8 @@
             store_versions=store_versions,
         )
         self._peers[addr[0]] = _PeerEntry(status, self._clock(), valid_s)
-        self._learned_addresses.update(report.peers[:MAX_PEER_ADDRESSES])
+        new_addresses = set(report.peers[:MAX_PEER_ADDRESSES]) - self._learned_addresses
+        self._learned_addresses.update(filter(_is_ipv4_address, new_addresses))
         loads = {
             load.replica_id: ReplicaLoad(load.requests, load.layer_tokens)
             for load in report.loads
@@ -254,3 +261,12 @@
         data = msgspec.msgpack.encode(report)
         for address in addresses:
             self._transport.sendto(data, (address, self._local_address[1]))
+
+
+def _is_ipv4_address(text: str) -> bool:
+    """Return whether a datagram can be sent there without a blocking name look-up."""
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
--- a/persimmonwell/gateway/_store_followers.py
+++ b/persimmonwell/gateway/_store_followers.py
@@ -50,6 +50,8 @@
     """Monotonic time at which this host's lease ends; None if another host holds it."""
     on_store_status: Callable[[str, bool, str], None]
     """Name of the follower, whether the store answered, and the reason if not."""
+    on_error: Callable[[str, Exception], None]
+    """Name of the follower and an unexpected error, after which it goes on."""
 
 
 class StoreFollowers:
@@ -182,6 +184,12 @@
             except PlatformUnavailableError as error:
                 self._report_store_status(name, False, error.reason)
                 self._stop.wait(RETRY_DELAY_S)
+            except Exception as error:
+                # The thread must not end: the host would never learn of a change again.
+                self._callbacks.on_error(name, error)
+                self._report_store_status(name, False, type(error).__name__)
+                offset = None
+                self._stop.wait(RETRY_DELAY_S)
         client.close()
 
     def _handle_config(self, records: tuple[StoreRecord, ...]) -> None:
@@ -223,6 +231,9 @@
             except PlatformUnavailableError as error:
                 self._report_store_status("duty", False, error.reason)
                 self._resigned.wait(RETRY_DELAY_S)
+            except Exception as error:
+                self._callbacks.on_error("duty", error)
+                self._resigned.wait(RETRY_DELAY_S)
         if generation:
             self._leave_duty(client, generation)
         client.close()
--- a/persimmonwell/observe/_decision_log.py
+++ b/persimmonwell/observe/_decision_log.py
@@ -65,7 +65,12 @@
             self.write("log", "lines_dropped", count=dropped)
         chunks: list[bytes] = []
         while self._lines:
-            chunks.append(msgspec.json.encode(self._lines.popleft(), enc_hook=str))
+            line = self._lines.popleft()
+            try:
+                chunks.append(msgspec.json.encode(line, enc_hook=str))
+            except (ValueError, TypeError, RecursionError):
+                # Text that is not valid Unicode; the thread must go on.
+                chunks.append(msgspec.json.encode({"unreadable": ascii(line)}))
         if not chunks:
             return
         try:
--- a/persimmonwell/platform/_headers.py
+++ b/persimmonwell/platform/_headers.py
@@ -18,6 +18,8 @@
 
 REPORT_PATH = "/persimmonwell/report"
 ORDER_PATH = "/persimmonwell/order"
+MAX_SLOWNESS = 1000.0
+"""Upper bound of a replica's slowness; reports may state any number."""
 
 _REQUEST_ID = b"request-id"
 _DEADLINE_REMAINING = b"deadline-remaining"
@@ -46,6 +48,11 @@
     }
 )
 """Request headers that the host consumes, or sets itself."""
+_MALFORMED = (
+    *(ValueError, LookupError, TypeError, AttributeError),
+    *(RecursionError, OverflowError),
+)
+"""Errors that a malformed document raises while its fields are read."""
 
 
 def decode_request(
@@ -225,10 +232,10 @@
             kv_total=int(document.get("kv_total") or 0),
             # Here "pace" is the state of this replica; in the configuration, it is a
             # property of its accelerator.
-            slowness=max(1.0, float(document.get("pace") or 1.0)),
+            slowness=min(MAX_SLOWNESS, max(1.0, float(document.get("pace") or 1.0))),
             is_busy=document.get("busy") is True,
         )
-    except (ValueError, LookupError, TypeError, AttributeError, RecursionError):
+    except _MALFORMED:
         return None
 
 
@@ -237,5 +244,5 @@
     try:
         rows = json.loads(body).get("stalled") or []
         return {str(row["id"]): str(row["address"]) for row in rows}
-    except (ValueError, LookupError, TypeError, AttributeError, RecursionError):
+    except _MALFORMED:
         return {}
--- a/persimmonwell/platform/_operator_records.py
+++ b/persimmonwell/platform/_operator_records.py
@@ -29,6 +29,7 @@
 DEFAULT_HOP_DELAY_MS = 0.2
 MAX_ENTRY_BYTES = 64 * 1024
 """Far above the size of any valid entry; larger ones of other writers are ignored."""
+MAX_NAME_CHARACTERS = 256
 
 
 class _Split(msgspec.Struct):
@@ -131,7 +132,12 @@
             ),
             limits=_build_limits(document.limits),
         )
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+    except (
+        msgspec.MsgspecError,
+        ValueError,
+        ArithmeticError,
+        RecursionError,
+    ) as error:
         raise DocumentError(faults=(Fault(path="/", reason=str(error)),)) from error
 
 
@@ -202,7 +208,7 @@
 
     Other writers may use the topic, so each field is validated.
     """
-    if len(data) > MAX_ENTRY_BYTES:
+    if len(data) > MAX_ENTRY_BYTES or not _is_name(replica_id):
         return None
     try:
         document = json.loads(data)
@@ -218,9 +224,7 @@
     born = document.get("born", 0)
     accelerator = document.get("kind", "")
     # The entry's "sequence" counts heartbeats; the one in a report counts orders.
-    if not (
-        _is_nonempty_text(service) and _is_address(address) and _is_nonempty_text(zone)
-    ):
+    if not (_is_name(service) and _is_address(address) and _is_name(zone)):
         return None
     if state not in ("ready", "draining") or not isinstance(accelerator, str):
         return None
@@ -260,8 +264,14 @@
     return HeldLayers(start, stop)
 
 
-def _is_nonempty_text(value: object) -> TypeGuard[str]:
-    return isinstance(value, str) and bool(value)
+def _is_name(value: object) -> TypeGuard[str]:
+    # Names are sent in headers, so that a line break in one would add a header.
+    return (
+        isinstance(value, str)
+        and 0 < len(value) <= MAX_NAME_CHARACTERS
+        and value.isascii()
+        and value.isprintable()
+    )
 
 
 def _is_count(value: object) -> TypeGuard[int]:
--- a/persimmonwell/platform/_store_client.py
+++ b/persimmonwell/platform/_store_client.py
@@ -85,11 +85,15 @@
                 end = int(answer["end"]) if end is None else end
                 for item in answer["items"]:
                     value = base64.b64decode(item["value"])
-                    records.append(StoreRecord(item["offset"], item["key"], value))
+                    record = StoreRecord(int(item["offset"]), str(item["key"]), value)
+                    records.append(record)
                 if not answer.get("has_more") or not answer["items"]:
                     return StoreSlice(tuple(records), 0, end)
                 after = str(answer["items"][-1]["key"])
-            except (LookupError, TypeError, ValueError) as error:
+            except (
+                *(LookupError, TypeError, ValueError, AttributeError),
+                OverflowError,
+            ) as error:
                 raise PlatformUnavailableError("log", str(error)) from error
 
     def read(
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -23,6 +23,7 @@
         self.replicas: dict[str, PlatformReplica] = {}
         self.ports = free_ports()
         self.host: GatewayHost | None = None
+        self.grace_s = 3
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
 
@@ -59,7 +60,8 @@
 
     def settings(self) -> str:
         """Return the content of the settings file."""
-        values = {"seeds": "", "bounds.grace_s": "3", "unknown.field": "1"}
+        values = {"seeds": "", "unknown.field": "1"}
+        values["bounds.grace_s"] = str(self.grace_s)
         return node_file(
             ip="127.0.0.1",
             ports=self.ports,
--- a/tests/gateway/test_peer_datagrams.py
+++ b/tests/gateway/test_peer_datagrams.py
@@ -1,12 +1,18 @@
 """Tests of the state exchange between hosts, over real sockets."""
 
 import asyncio
+import socket
 
+import msgspec
 import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
 
 from persimmonwell.core.forwarding import ReplicaLoad, StoreVersions
 from persimmonwell.core.retry import Blame
 from persimmonwell.gateway._peer_datagrams import (
+    MAX_MISSED_REPORTS,
+    PEER_EXPIRY_S,
     LocalState,
     PeerDatagrams,
     PeerReport,
@@ -122,6 +128,53 @@
     assert one.live_peers == ()
 
 
+def sample_report() -> list[object]:
+    """Return the fields of a valid report, in the order of the wire."""
+    return [
+        *("h2", "za", [["i-1", 2, 900]], ["10.1.0.2"], ["i-9"], True, False),
+        *({"i-7": 4.0}, 0.25, True, 4, 88, [["d1", "i-3/0"]], ["d2"]),
+    ]
+
+
+junk = st.recursive(
+    st.none() | st.booleans() | st.floats() | st.integers(-(2**63), 2**63) | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=3), inner, max_size=3)
+    ),
+    max_leaves=5,
+)
+
+
+@given(st.integers(0, 13), junk)
+@example(2, [["i-1", -1, 900]])
+@example(3, ["desk.example"])
+@example(7, {"i-7": 1e9})
+@example(8, float("inf"))
+def test_report_with_any_wrong_field_does_no_lasting_harm(
+    field: int, value: object
+) -> None:
+    """Guards against a load, a peer or an address that one bad datagram leaves."""
+    clock = _Clock()
+    one, reports = peer("h1", "127.0.0.1", 1, clock)
+    fields = sample_report()
+    fields[field] = value
+    one.datagram_received(msgspec.msgpack.encode(fields), ("127.0.0.9", 1))
+    for report in reports.values():
+        assert 0.0 <= report.valid_s <= MAX_MISSED_REPORTS * PEER_EXPIRY_S
+        assert all(load.requests >= 0 for load in report.loads.values())
+        assert all(1.0 <= factor <= 1000.0 for factor in report.slow.values())
+    for address in one._learned_addresses:
+        socket.inet_aton(address)
+
+
+@given(st.binary(max_size=300))
+def test_any_bytes_as_a_datagram_are_survived(data: bytes) -> None:
+    """Guards against an error that ends the state exchange."""
+    one, _ = peer("h1", "127.0.0.1", 1, _Clock())
+    one.datagram_received(data, ("127.0.0.9", 1))
+
+
 def test_datagrams_per_send_are_limited_in_a_large_fleet(clock: _Clock) -> None:
     """Guards against control traffic that grows with the square of the host count.
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -1,9 +1,12 @@
 """Tests of the decoders of the platform's settings, headers and documents."""
 
 import json
+from contextlib import suppress
 from typing import Any
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from persimmonwell._exceptions import DocumentError
 from persimmonwell.core.forwarding import GenerationSize, HeldLayers, RouteKind
@@ -172,3 +175,42 @@
     assert (decoded.orders_accepted, decoded.kv_used, decoded.slowness) == (2, 41, 12.0)
     rows = {"stalled": [{"id": "r", "address": "10.1.1.1:80"}]}
     assert decode_stalled_stages(json.dumps(rows).encode()) == {"r": "10.1.1.1:80"}
+
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.floats() | st.integers() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(
+                ["id", "address", "stalled", "sequence", "pace", "kv_used", "layers"]
+                + ["from", "to", "slots", "zone", "service", "state", "born", "version"]
+                + ["routes", "services", "limits", "tenants", "engine", "host", "name"]
+            ),
+            inner,
+            max_size=6,
+        )
+    ),
+    max_leaves=12,
+)
+
+
+@given(json_values | st.binary(max_size=60))
+def test_no_document_breaks_a_decoder(document: object) -> None:
+    """Guards against an unexpected error that ends the work it happens in."""
+    data = document if isinstance(document, bytes) else json.dumps(document).encode()
+    report = decode_report(data)
+    assert report is None or 1.0 <= report.slowness <= 1000.0
+    decode_stalled_stages(data)
+    decode_replica("i-1", data)
+    with suppress(DocumentError):
+        decode_config(data)
+
+
+@pytest.mark.parametrize("name", ["", "i\r\nTenant: x", "i-\ud800", "i" * 300])
+def test_replica_id_that_no_header_can_carry_is_ignored(name: str) -> None:
+    """Guards against a header that another writer of the registry adds by its key."""
+    entry = {"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 1}
+    data = json.dumps({**entry, "state": "ready"}).encode()
+    assert decode_replica("i-1", data) is not None
+    assert decode_replica(name, data) is None
