Stop the holder of a claim at the point that its test names

The test did not hold the holder where it says; the product was not at fault. Change: the log stand-in can hold the answers of a topic after an append has taken effect; the test releases them once the process is stopped. Conclusion: a fault of the test's timing.

--- a/standins/log.py
+++ b/standins/log.py
@@ -13,6 +13,7 @@
 LENGTH_PREFIX = struct.Struct(">I")
 READ_HEADER = struct.Struct(">QQ")
 READ_LIMIT_RECORDS = 500
+MAX_HOLD_S = 10.0
 KEYED_PREFIX = "keyed."
 """Topics with this prefix hold key-value records; all others hold JSON records."""
 
@@ -22,7 +23,8 @@
 
     Each topic has one partition. Faults: down (answers 503), down_after (number of
     appends after which down is set), delay_s (before reads and appends), lose_answers
-    (number of appends that take effect but whose answer is dropped).
+    (number of appends that take effect but whose answer is dropped), hold (topic whose
+    answers wait for release_answers, after an append has taken effect).
     """
 
     def __init__(self, *, port: int = 0, address: str = "127.0.0.1") -> None:
@@ -70,6 +72,17 @@
         value = b"" if document is None else json.dumps(document).encode()
         self.put(topic, (key, value))
 
+    def release_answers(self) -> None:
+        """Send the answers that the fault hold delays."""
+        with self._changed:
+            self.faults.pop("hold", None)
+            self._changed.notify_all()
+
+    def _wait_while_held(self, topic: str) -> None:
+        self._changed.wait_for(
+            lambda: self.faults.get("hold") != topic, timeout=MAX_HOLD_S
+        )
+
     def truncate(self, topic: str, first: int) -> None:
         """Make offsets below first unreadable, as retention does."""
         with self._changed:
@@ -97,6 +110,7 @@
                 self.faults["down_after"] -= 1
                 self.faults["down"] = not self.faults["down_after"]
             self._changed.notify_all()
+            self._wait_while_held(name)
         if answers_to_lose:
             return drop_connection()
         return 200, {"offset": start, "end": start + len(records)}
@@ -112,6 +126,7 @@
             self._changed.wait_for(
                 lambda: len(self._topics[name]) > start, timeout=wait_s
             )
+            self._wait_while_held(name)
             if self.faults.get("down"):
                 return 503, {"error": "unavailable"}
             stream, first = self._topics[name], self._first_offsets[name]
--- a/tests/daemon/test_failures.py
+++ b/tests/daemon/test_failures.py
@@ -6,6 +6,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
+import psutil
 import pytest
 import urllib3
 
@@ -50,6 +51,10 @@
         return None
 
 
+def is_stopped(pid: int) -> bool:
+    return psutil.Process(pid).status() == psutil.STATUS_STOPPED
+
+
 def claim_record_types(fleet: SmallFleet) -> list[str]:
     return [record["type"] for record in fleet.log.records("claims")]
 
@@ -87,13 +92,15 @@
 def test_paused_holder_books_at_most_once(process_fleet: ProcessFleet) -> None:
     """Guards against a holder that sends its call after a pause past the deadline."""
     standins, (first, second) = process_fleet.standins, process_fleet.hosts
-    standins.log.faults["delay_s"] = 0.3
+    # The holder learns of its claim only after it was stopped and has woken up again.
+    standins.log.faults["hold"] = "claims"
     with ThreadPoolExecutor(1) as pool:
         paused = pool.submit(call_or_none, post_booking, first.callers, "k", 1, 1200)
         wait_until(lambda: claim_record_types(standins) == ["claim"])
         first.process.send_signal(signal.SIGSTOP)
         try:
-            standins.log.faults["delay_s"] = 0.0
+            wait_until(lambda: is_stopped(first.process.pid))
+            standins.log.release_answers()
             repeat = post_booking(second.callers, "k", 2, 1500)
         finally:
             first.process.send_signal(signal.SIGCONT)
