Relay changes of the registry within a zone instead of reading them at every host

The calls grew with the hosts. Change: a reader sends the changes of the last 4 s (up to 30) with their offsets. A host applies them if it knows everything before; otherwise it reads for itself. It also reads when no reader of its zone has confirmed its versions for 8 s, and in any case after 60 s. Removals that only a full list shows are relayed too, and a record older than a full list that lacked it is ignored: a slower host's word cannot bring back a replica that left before a restart. Ways weighed: every host reads (calls grow with hosts times changes); one reader a zone (its loss delays drains by its detection); the relay (calls grow with zones, 3 KB datagrams while entries change, age bounded by the reader's interval plus one report). A property-based test compares a relayed registry with the store's log over puts, removals, lost datagrams and waits.

--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -54,7 +54,11 @@
     PlacementScope,
     plan_placement,
 )
-from persimmonwell.core.forwarding._registry import RegistryRecord, ReplicaRegistry
+from persimmonwell.core.forwarding._registry import (
+    RegistryChanges,
+    RegistryRecord,
+    ReplicaRegistry,
+)
 from persimmonwell.core.forwarding._router import ForwardingRouter
 
 __all__ = [
@@ -85,6 +89,7 @@
     "PlacementScope",
     "ProbeReplica",
     "Quarantined",
+    "RegistryChanges",
     "RegistryRecord",
     "Replica",
     "ReplicaLoad",
--- a/persimmonwell/core/forwarding/_registry.py
+++ b/persimmonwell/core/forwarding/_registry.py
@@ -1,4 +1,11 @@
-"""View of the replicas that are registered in the platform's store."""
+"""View of the replicas that are registered in the platform's store.
+
+Load pattern: dozens of hosts of a zone follow the same registry, and when replicas fall
+or move, several entries change a second. One host of the zone reads a change and relays
+it, with the offsets that show whether the receiver has missed one.
+"""
+
+from collections import deque
 
 import attrs
 
@@ -18,6 +25,23 @@
     replica: Replica | None
 
 
+@attrs.frozen
+class RegistryChanges:
+    """Newest changes of entries, complete for a host that knows all before them."""
+
+    after_offset: int
+    """Every change of an entry after this offset is listed."""
+    end_offset: int
+    """Newest offset that the sender has read."""
+    records: tuple[RegistryRecord, ...]
+
+
+@attrs.frozen
+class _Change:
+    record: RegistryRecord
+    seen_s: float
+
+
 class ReplicaRegistry:
     """Newest entry of each replica, merged from full lists and changes."""
 
@@ -28,6 +52,10 @@
         self._in_outage = False
         self._newest_offset = -1
         self._changed_offset = -1
+        self._list_end_offset = 0
+        """End of the newest full list; what it lacks was removed before that offset."""
+        self._changes: deque[_Change] = deque()
+        self._changes_after_offset = -1
 
     @property
     def newest_offset(self) -> int:
@@ -65,14 +93,48 @@
         Returns whether an entry changed.
         """
         listed = {record.replica_id for record in records}
+        is_first = self._newest_offset < 0
         is_stale = end_offset is not None and end_offset <= self._newest_offset
         changed = self.apply(records, now_s)
         if is_stale:
             return changed
+        if end_offset is not None:
+            self._list_end_offset = end_offset
+            self._newest_offset = max(self._newest_offset, end_offset - 1)
         for replica_id in self._entries.keys() - listed:
             if self._remove(replica_id, now_s):
                 changed = True
-                self._changed_offset = self._newest_offset
+                self._record_removal(replica_id, now_s)
+        if is_first:
+            # The first list is no change that others could miss.
+            self._changes.clear()
+            self._changes_after_offset = self._newest_offset
+        return changed
+
+    def changes(self, now_s: float, *, max_age_s: float, limit: int) -> RegistryChanges:
+        """Return the changes of the last seconds, the newest ones up to a limit."""
+        while self._changes and (
+            now_s - self._changes[0].seen_s > max_age_s or len(self._changes) > limit
+        ):
+            dropped = self._changes.popleft()
+            self._changes_after_offset = max(
+                self._changes_after_offset, dropped.record.offset
+            )
+        return RegistryChanges(
+            self._changes_after_offset,
+            self._newest_offset,
+            tuple(change.record for change in self._changes),
+        )
+
+    def apply_changes(self, changes: RegistryChanges, now_s: float) -> bool | None:
+        """Apply changes that another host has read.
+
+        Returns whether an entry changed, None if changes between were missed.
+        """
+        if self._newest_offset < changes.after_offset:
+            return None
+        changed = self.apply(changes.records, now_s)
+        self._newest_offset = max(self._newest_offset, changes.end_offset)
         return changed
 
     def apply(self, records: tuple[RegistryRecord, ...], now_s: float) -> bool:
@@ -81,13 +143,29 @@
         for record in records:
             if record.offset <= self._offsets.get(record.replica_id, -1):
                 continue  # Stale reads return records that were applied already.
+            if (
+                record.replica_id not in self._entries
+                and record.offset < self._list_end_offset
+            ):
+                continue  # A later full list did not have it any more.
             self._offsets[record.replica_id] = record.offset
             self._newest_offset = max(self._newest_offset, record.offset)
             if self._apply_record(record, now_s):
                 changed = True
-                self._changed_offset = max(self._changed_offset, record.offset)
+                self._record_change(record, now_s)
         return changed
 
+    def _record_change(self, record: RegistryRecord, now_s: float) -> None:
+        self._changed_offset = max(self._changed_offset, record.offset)
+        self._changes.append(_Change(record, now_s))
+
+    def _record_removal(self, replica_id: str, now_s: float) -> None:
+        # No record states it; its offset is before the newest one that was read.
+        self._record_change(
+            RegistryRecord(replica_id, self._newest_offset, None), now_s
+        )
+        self._offsets[replica_id] = self._newest_offset
+
     def _apply_record(self, record: RegistryRecord, now_s: float) -> bool:
         if record.replica is None:
             return self._remove(record.replica_id, now_s)
@@ -101,7 +179,8 @@
         due = [key for key, at_s in self._lapsed_until_s.items() if at_s <= now_s]
         for key in due:
             del self._lapsed_until_s[key]
-            self._entries.pop(key, None)
+            if self._entries.pop(key, None) is not None:
+                self._record_removal(key, now_s)
         return bool(due)
 
     def _remove(self, replica_id: str, now_s: float) -> bool:
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -4,7 +4,8 @@
 import socket
 import time
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 import attrs
@@ -13,6 +14,7 @@
     CALLER_RETRY_WINDOW_S,
     ForwardingConfig,
     ForwardingRouter,
+    RegistryChanges,
     RegistryRecord,
     StoreVersions,
     should_be_reader,
@@ -41,6 +43,10 @@
 DEREGISTRATION_S = 2.2
 """Time in which the platform stops sending new connections: it probes readiness each
 second and deregisters a host after two failed probes."""
+RELAY_AGE_S = 4.0
+"""Time for which a change is repeated to the zone, some reports to each host."""
+MAX_RELAYED_CHANGES = 30
+"""Changes in one datagram, some 3 KB; a host that missed more reads the store."""
 MAX_TRACE_CHARACTERS = 4000
 GRACE_MARGIN_S = 0.4
 """Part of the grace time that is left for closing."""
@@ -298,19 +304,28 @@
     ) -> None:
         registry = self._router.registry
         now_s = time.monotonic()
+        with self._registry_change(now_s):
+            if end_offset is not None:
+                registry.replace(records, now_s, end_offset=end_offset)
+            else:
+                registry.apply(records, now_s)
+
+    @contextmanager
+    def _registry_change(self, now_s: float) -> Iterator[None]:
+        """Log the entries that a block changes and tell the router and the zone."""
+        registry = self._router.registry
         before = dict(registry.replicas)
-        if end_offset is not None:
-            changed = registry.replace(records, now_s, end_offset=end_offset)
-        else:
-            changed = registry.apply(records, now_s)
-        if not changed:
-            return
+        yield
         after = registry.replicas
+        # Compared by identity first, as most entries are the same objects.
         changed_replicas = {
             replica_id: after.get(replica_id)
             for replica_id in before.keys() | after.keys()
-            if before.get(replica_id) != after.get(replica_id)
+            if before.get(replica_id) is not after.get(replica_id)
+            and before.get(replica_id) != after.get(replica_id)
         }
+        if not changed_replicas:
+            return
         for replica_id, new in changed_replicas.items():
             old = before.get(replica_id)
             self._log.write(
@@ -358,6 +373,14 @@
             store_versions=self._store_versions,
             blames=self._router.crashes.blames(time.monotonic()),
             refused=self._router.caller_retries.recent_digests(time.monotonic()),
+            registry_changes=self._relayed_changes(),
+        )
+
+    def _relayed_changes(self) -> RegistryChanges | None:
+        if not (self._followers.reads_continuously and self._reads_store):
+            return None
+        return self._router.registry.changes(
+            time.monotonic(), max_age_s=RELAY_AGE_S, limit=MAX_RELAYED_CHANGES
         )
 
     @property
@@ -390,9 +413,33 @@
         )
         for blame in report.blames:
             self._gateway.execute(self._router.record_peer_blame(blame, now_s))
-        if report.store_versions.config_version > self._store_versions.config_version:
+        self._follow_reader(report, now_s)
+
+    def _follow_reader(self, report: PeerReport, now_s: float) -> None:
+        """Take over what a host of the zone has read from the store, or read it too."""
+        status = report.status
+        if status.availability_zone != self._settings.availability_zone:
+            # The readers of this zone find the same changes at the same interval.
+            return
+        if not (status.is_reader and status.reads_store):
+            return
+        newest_version = status.store_versions.config_version
+        if newest_version > self._store_versions.config_version:
             self._followers.request_read(CONFIG_FOLLOWER)
-        if report.store_versions.registry_offset > self._router.registry.newest_offset:
+        else:
+            self._followers.confirm(CONFIG_FOLLOWER)
+        registry = self._router.registry
+        if report.registry_changes is None:
+            if status.store_versions.registry_offset > registry.newest_offset:
+                self._followers.request_read(REPLICA_FOLLOWER)
+            return
+        with self._registry_change(now_s):
+            is_complete = (
+                registry.apply_changes(report.registry_changes, now_s) is not None
+            )
+        if is_complete:
+            self._followers.confirm(REPLICA_FOLLOWER)
+        else:
             self._followers.request_read(REPLICA_FOLLOWER)
 
     def _may_plan_without_store(self) -> bool:
--- a/persimmonwell/gateway/_peer_datagrams.py
+++ b/persimmonwell/gateway/_peer_datagrams.py
@@ -13,7 +13,15 @@
 import attrs
 import msgspec
 
-from persimmonwell.core.forwarding import PeerStatus, ReplicaLoad, StoreVersions
+from persimmonwell.core.forwarding import (
+    HeldLayers,
+    PeerStatus,
+    RegistryChanges,
+    RegistryRecord,
+    Replica,
+    ReplicaLoad,
+    StoreVersions,
+)
 from persimmonwell.core.retry import Blame
 
 SEND_INTERVAL_S = 0.25
@@ -35,6 +43,9 @@
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=1 << 48)]
 Factor = Annotated[float, msgspec.Meta(ge=1.0, le=1000.0)]
+Offset = Annotated[int, msgspec.Meta(ge=-1, le=1 << 62)]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[\x20-\x7e]{1,256}$")]
+Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]+$")]
 Interval = Annotated[float, msgspec.Meta(ge=0.0, le=PEER_EXPIRY_S)]
 
 
@@ -44,6 +55,30 @@
     layer_tokens: Count
 
 
+class _Entry(msgspec.Struct, array_like=True):
+    service: Name
+    address: Address
+    availability_zone: Name
+    slots: Count
+    is_draining: bool
+    started_at_ms: Count
+    accelerator: str
+    layers: tuple[Count, Count] | None
+    is_busy: bool
+
+
+class _Change(msgspec.Struct, array_like=True):
+    replica_id: Name
+    offset: Count
+    entry: _Entry | None
+
+
+class _Changes(msgspec.Struct, array_like=True):
+    after_offset: Offset
+    end_offset: Offset
+    changes: list[_Change]
+
+
 class _Report(msgspec.Struct, array_like=True):
     host_id: str
     availability_zone: str
@@ -63,6 +98,8 @@
     """Request digests, each with the replica that crashed on the request."""
     refused: list[str]
     """Digests of requests that the sender refused and that callers may retry."""
+    registry_changes: _Changes | None = None
+    """Absent from hosts that do not read the store, and from earlier builds."""
 
 
 @attrs.frozen
@@ -76,8 +113,7 @@
 class PeerReport:
     """State of a peer: its view of the replicas and the versions it has read."""
 
-    host_id: str
-    store_versions: StoreVersions
+    status: PeerStatus
     loads: Mapping[str, ReplicaLoad]
     lost: tuple[str, ...]
     slow: Mapping[str, float]
@@ -85,6 +121,13 @@
     refused: tuple[str, ...]
     valid_s: float
     """Time for which the report is valid if no other one arrives."""
+    registry_changes: RegistryChanges | None = None
+    """Changes that a host which reads the store relays to its availability zone."""
+
+    @property
+    def host_id(self) -> str:
+        """Return the id of the host that sent the report."""
+        return self.status.host_id
 
 
 @attrs.frozen
@@ -100,9 +143,10 @@
     store_versions: StoreVersions
     blames: tuple[Blame, ...]
     refused: tuple[str, ...]
+    registry_changes: RegistryChanges | None = None
 
 
-Address = tuple[str, int]
+SocketAddress = tuple[str, int]
 
 
 class PeerDatagrams(asyncio.DatagramProtocol):
@@ -116,7 +160,7 @@
         *,
         host_id: str,
         availability_zone: str,
-        local_address: Address,
+        local_address: SocketAddress,
         seeds: frozenset[str],
         local_state: Callable[[], LocalState],
         on_report: Callable[[PeerReport], None],
@@ -154,7 +198,7 @@
         # isinstance check fails.
         self._transport = cast(asyncio.DatagramTransport, transport)
 
-    def datagram_received(self, data: bytes, addr: Address) -> None:
+    def datagram_received(self, data: bytes, addr: SocketAddress) -> None:
         """Apply a peer's report; malformed datagrams are ignored."""
         try:
             report = msgspec.msgpack.decode(data, type=_Report)
@@ -181,14 +225,14 @@
         }
         self._on_report(
             PeerReport(
-                host_id=report.host_id,
-                store_versions=store_versions,
+                status=status,
                 loads=loads,
                 lost=tuple(report.lost),
                 slow=report.slow,
                 blames=tuple(Blame(*blame) for blame in report.blames),
                 refused=tuple(report.refused),
                 valid_s=valid_s,
+                registry_changes=_decode_changes(report.registry_changes),
             )
         )
 
@@ -257,12 +301,68 @@
                 (blame.digest, blame.upstream_id) for blame in state.blames[:MAX_BLAMES]
             ],
             refused=list(state.refused),
+            registry_changes=_encode_changes(state.registry_changes),
         )
         data = msgspec.msgpack.encode(report)
         for address in addresses:
             self._transport.sendto(data, (address, self._local_address[1]))
 
 
+def _encode_changes(changes: RegistryChanges | None) -> _Changes | None:
+    if changes is None:
+        return None
+    rows = [
+        _Change(record.replica_id, record.offset, _encode_entry(record.replica))
+        for record in changes.records
+    ]
+    return _Changes(changes.after_offset, changes.end_offset, rows)
+
+
+def _encode_entry(replica: Replica | None) -> _Entry | None:
+    if replica is None:
+        return None
+    layers = replica.layers
+    return _Entry(
+        service=replica.service,
+        address=replica.address,
+        availability_zone=replica.availability_zone,
+        slots=replica.slots,
+        is_draining=replica.is_draining,
+        started_at_ms=replica.started_at_ms,
+        accelerator=replica.accelerator,
+        layers=(layers.start, layers.stop) if layers is not None else None,
+        is_busy=replica.is_busy,
+    )
+
+
+def _decode_changes(changes: _Changes | None) -> RegistryChanges | None:
+    if changes is None:
+        return None
+    records = tuple(
+        RegistryRecord(row.replica_id, row.offset, _decode_entry(row))
+        for row in changes.changes
+    )
+    return RegistryChanges(changes.after_offset, changes.end_offset, records)
+
+
+def _decode_entry(row: _Change) -> Replica | None:
+    entry = row.entry
+    if entry is None:
+        return None
+    return Replica(
+        replica_id=row.replica_id,
+        service=entry.service,
+        address=entry.address,
+        availability_zone=entry.availability_zone,
+        slots=entry.slots,
+        is_draining=entry.is_draining,
+        started_at_ms=entry.started_at_ms,
+        accelerator=entry.accelerator,
+        layers=HeldLayers(*entry.layers) if entry.layers is not None else None,
+        is_busy=entry.is_busy,
+    )
+
+
 def _is_ipv4_address(text: str) -> bool:
     """Return whether a datagram can be sent there without a blocking name look-up."""
     try:
--- a/persimmonwell/gateway/_store_followers.py
+++ b/persimmonwell/gateway/_store_followers.py
@@ -28,8 +28,11 @@
 CALL_TIMEOUT_S = 0.8
 RETRY_DELAY_S = 0.25
 FALLBACK_READ_INTERVAL_S = 8.0
-"""Read interval of hosts that are notified of changes by their zone's reader. It limits
-the delay for a host that misses every datagram, at a tenth of a reader's calls."""
+"""Time without a read and without a reader's word that nothing newer is in the store,
+after which a host reads for itself."""
+MAX_UNREAD_S = 60.0
+"""Time after which a host reads for itself whatever its zone's readers say."""
+RELAY_CHECK_INTERVAL_S = 1.0
 CONFIG_FOLLOWER = "config"
 REPLICA_FOLLOWER = "replicas"
 DUTY_RENEWAL_INTERVAL_S = 1.0
@@ -80,6 +83,7 @@
             )
         ]
         self._store_available: dict[str, bool] = {}
+        self._confirmed_s = dict.fromkeys(self._read_requests, float("-inf"))
 
     def start(self) -> None:
         """Start the threads."""
@@ -116,6 +120,10 @@
         if not self._reads_continuously.is_set():
             self._read_requests[follower].set()
 
+    def confirm(self, follower: str) -> None:
+        """Record that a reader of the zone has just read what this host knows."""
+        self._confirmed_s[follower] = time.monotonic()
+
     def _client(self) -> StoreClient:
         return StoreClient(url=self._url, timeout_s=CALL_TIMEOUT_S)
 
@@ -173,8 +181,7 @@
                 self._report_store_status(name, True)
                 if not self._reads_continuously.is_set():
                     self._stop.wait(pause_s)
-                    self._read_requests[name].wait(FALLBACK_READ_INTERVAL_S)
-                    self._read_requests[name].clear()
+                    self._wait_until_read_is_due(name)
                     # A snapshot is smaller than the heartbeats of many seconds.
                     offset = None
                 elif pause_s:
@@ -192,6 +199,18 @@
                 self._stop.wait(RETRY_DELAY_S)
         client.close()
 
+    def _wait_until_read_is_due(self, name: str) -> None:
+        """Wait for a request to read, or until the readers' word is too old."""
+        read_s = time.monotonic()
+        while not self._read_requests[name].wait(RELAY_CHECK_INTERVAL_S):
+            now_s = time.monotonic()
+            known_s = max(read_s, self._confirmed_s[name])
+            if now_s - known_s > FALLBACK_READ_INTERVAL_S:
+                break
+            if now_s - read_s > MAX_UNREAD_S:
+                break
+        self._read_requests[name].clear()
+
     def _handle_config(self, records: tuple[StoreRecord, ...]) -> None:
         for record in reversed(records):
             if record.key != CONFIG_KEY or not record.value:
--- a/tests/core/forwarding/test_registry.py
+++ b/tests/core/forwarding/test_registry.py
@@ -1,6 +1,8 @@
 """Tests of the registry view: stale reads, removals and outages of the store."""
 
 import attrs
+from hypothesis import given
+from hypothesis import strategies as st
 
 from persimmonwell.core.forwarding import RegistryRecord, Replica, ReplicaRegistry
 from tests.core.forwarding.fleets import desk_replica
@@ -87,3 +89,82 @@
     assert (registry.last_change_offset, registry.newest_offset) == (4, 9)
     registry.apply((record(10, "i-1", None),), 1.0)
     assert (registry.last_change_offset, registry.newest_offset) == (10, 10)
+
+
+def test_a_stale_reader_does_not_restore_what_a_full_list_lacks() -> None:
+    """Guards against a replica that left before a restarted host read its first list.
+
+    The host has no record of its removal; a slower host may still relay its entry.
+    """
+    registry = ReplicaRegistry()
+    registry.replace((record(8, "i-2", TWO),), 0.0, end_offset=20)
+    assert not registry.apply((record(12, "i-1", ONE),), 1.0)
+    assert registry.apply((record(21, "i-1", ONE),), 1.0)
+    assert set(registry.replicas) == {"i-1", "i-2"}
+
+
+def test_removal_that_only_a_full_list_shows_is_relayed() -> None:
+    """Guards against a replica that stays in use at the hosts that do not read."""
+    reader, host = ReplicaRegistry(), ReplicaRegistry()
+    for registry in (reader, host):
+        registry.replace((record(1, "i-1", ONE), record(2, "i-2", TWO)), 0.0)
+    reader.replace((record(2, "i-2", TWO),), 1.0, end_offset=9)
+    host.apply_changes(reader.changes(1.0, max_age_s=4.0, limit=9), 1.0)
+    assert set(host.replicas) == {"i-2"}
+    assert not host.apply((record(7, "i-1", ONE),), 2.0)
+
+
+steps = st.lists(
+    st.one_of(
+        st.tuples(st.just("put"), st.integers(0, 4), st.booleans()),
+        st.tuples(st.just("drop"), st.integers(0, 4), st.booleans()),
+        st.tuples(st.just("read"), st.just(0), st.booleans()),
+        st.tuples(st.just("relay"), st.just(0), st.booleans()),
+        st.tuples(st.just("wait"), st.just(0), st.booleans()),
+    ),
+    max_size=40,
+)
+
+
+@given(steps)
+def test_relayed_changes_lead_to_the_state_of_the_store(
+    steps: list[tuple[str, int, bool]],
+) -> None:
+    """Guards against a host that believes a relay although it missed a change."""
+    log: list[RegistryRecord] = []
+    reader, host = ReplicaRegistry(), ReplicaRegistry()
+    now_s, read_offset = 0.0, 0
+
+    def full_list() -> tuple[RegistryRecord, ...]:
+        newest = {each.replica_id: each for each in log}
+        return tuple(each for each in newest.values() if each.replica is not None)
+
+    def relay() -> None:
+        changes = reader.changes(now_s, max_age_s=4.0, limit=3)
+        if host.apply_changes(changes, now_s) is None:
+            host.replace(full_list(), now_s, end_offset=len(log))
+
+    reader.replace(full_list(), now_s, end_offset=0)
+    host.replace(full_list(), now_s, end_offset=0)
+    for kind, number, flag in steps:
+        name = f"i-{number}"
+        if kind == "put":
+            replica = attrs.evolve(desk_replica(name), is_draining=flag)
+            log.append(record(len(log), name, replica))
+        elif kind == "drop":
+            log.append(record(len(log), name, None))
+        elif kind == "wait":
+            now_s += 3.0
+        elif kind == "read" and flag:
+            reader.replace(full_list(), now_s, end_offset=len(log))
+            read_offset = len(log)
+        elif kind == "read":
+            reader.apply(tuple(log[read_offset:]), now_s)
+            read_offset = len(log)
+        elif flag:  # Otherwise the datagram is lost.
+            relay()
+    reader.apply(tuple(log[read_offset:]), now_s)
+    relay()
+    expected = {each.replica_id: each.replica for each in full_list()}
+    assert reader.replicas == expected
+    assert host.replicas == expected
--- a/tests/gateway/test_peer_datagrams.py
+++ b/tests/gateway/test_peer_datagrams.py
@@ -3,12 +3,19 @@
 import asyncio
 import socket
 
+import attrs
 import msgspec
 import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
 
-from persimmonwell.core.forwarding import ReplicaLoad, StoreVersions
+from persimmonwell.core.forwarding import (
+    PeerStatus,
+    RegistryChanges,
+    RegistryRecord,
+    ReplicaLoad,
+    StoreVersions,
+)
 from persimmonwell.core.retry import Blame
 from persimmonwell.gateway._peer_datagrams import (
     MAX_MISSED_REPORTS,
@@ -18,10 +25,20 @@
     PeerReport,
 )
 from standins.platform_config import free_port
+from tests.core.forwarding.fleets import desk_replica, staged_replica
 
 Reports = dict[str, PeerReport]
 LOADS = {"i-1": ReplicaLoad(2, 900)}
 BLAME = Blame("d1", "i-3/0")
+CHANGES = RegistryChanges(
+    after_offset=80,
+    end_offset=91,
+    records=(
+        RegistryRecord("i-1", 85, staged_replica("i-1", "za", 0, 4)),
+        RegistryRecord("i-2", 88, attrs.evolve(desk_replica("i-2"), is_draining=True)),
+        RegistryRecord("i-3", 90, None),
+    ),
+)
 STORE_VERSIONS = StoreVersions(config_version=4, registry_offset=88)
 
 
@@ -47,6 +64,7 @@
         store_versions=STORE_VERSIONS,
         blames=(BLAME,),
         refused=("d2",),
+        registry_changes=CHANGES,
     )
     datagrams = PeerDatagrams(
         host_id=name,
@@ -61,8 +79,16 @@
 
 
 def report_of(name: str) -> PeerReport:
+    status = PeerStatus(
+        host_id=name,
+        availability_zone="za",
+        reads_store=False,
+        holds_duty=True,
+        is_reader=True,
+        store_versions=STORE_VERSIONS,
+    )
     return PeerReport(
-        name, STORE_VERSIONS, LOADS, ("i-9",), {"i-7": 4.0}, (BLAME,), ("d2",), 0.625
+        *(status, LOADS, ("i-9",), {"i-7": 4.0}, (BLAME,), ("d2",), 0.625, CHANGES)
     )
 
 
--- a/tests/gateway/test_store_followers.py
+++ b/tests/gateway/test_store_followers.py
@@ -6,6 +6,7 @@
 import pytest
 
 from persimmonwell.core.forwarding import RegistryRecord
+from persimmonwell.gateway import _store_followers
 from persimmonwell.gateway._store_followers import (
     CONFIG_FOLLOWER,
     REPLICA_FOLLOWER,
@@ -40,6 +41,7 @@
                 on_replicas=lambda records, end: self.replicas.append(records),
                 on_duty=self.lease_ends_s.append,
                 on_store_status=lambda name, is_available, reason: None,
+                on_error=lambda name, error: None,
             ),
         )
 
@@ -148,3 +150,21 @@
     wait_until(
         lambda: followed_store.replicas[-1][-1].replica_id == "i-3", timeout_s=1.5
     )
+
+
+def test_host_whose_reader_confirms_its_state_does_not_read(
+    followed_store: _FollowedStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against reads of every host, which grow with the size of the fleet."""
+    monkeypatch.setattr(_store_followers, "FALLBACK_READ_INTERVAL_S", 1.0)
+    followers = followed_store.followers
+    followers.set_continuous_reading(False)
+    time.sleep(2.5)
+    before = followed_store.count_reads()
+    for _ in range(30):
+        followers.confirm(CONFIG_FOLLOWER)
+        followers.confirm(REPLICA_FOLLOWER)
+        time.sleep(0.1)
+    assert followed_store.count_reads() == before
+    # Without the reader's word the host reads again, also after a lost request.
+    wait_until(lambda: followed_store.count_reads() >= before + 2, timeout_s=3.5)
