Tell which requests landed when replicas or hosts vanish

Cause: the users ask which bookings landed when many replicas fall together. The log did not name the route or kind of a send, nor whether an answer had begun, and no command put them together. Change: persimmonwell outcomes reads the output of all hosts, those that are gone included, and says for each request that must not be repeated: not_run, answered, answer_lost (its replica began to answer) or may_have_run, with the replica's incarnation and the last thing known. The line of such a send is written at once instead of with the batch of 100 ms; no request has more lines than before. ended names route, kind, rank and place in the queue; unknown_route names the path; counters unrepeatable_not_run and unrepeatable_may_have_run. Measured: tests/gateway/test_gateway_outcomes.py compares the log's outcomes with what a stand-in replica ran, over six kinds of end: no not_run that ran. Conclusion: the log thread may still lose the line of a send that a kill follows within the time the thread needs to wake; such a request has no line and is missing from the list.

--- a/persimmonwell/cli/_commands.py
+++ b/persimmonwell/cli/_commands.py
@@ -15,6 +15,7 @@
     HostsCommand,
     UpstreamsCommand,
 )
+from persimmonwell.cli._outcomes_command import OutcomesCommand
 from persimmonwell.cli._send_command import SendCommand
 from persimmonwell.cli._settings_command import CheckSettingsCommand
 from persimmonwell.cli._state_commands import (
@@ -41,6 +42,7 @@
     LeasesCommand,
     LimitsCommand,
     OrdersCommand,
+    OutcomesCommand,
     QuarantineClearCommand,
     QuarantineListCommand,
     SendCommand,
--- a/persimmonwell/cli/_explain_command.py
+++ b/persimmonwell/cli/_explain_command.py
@@ -10,11 +10,10 @@
 
 from persimmonwell.cli._base import ToolCommand, help_text
 from persimmonwell.cli._exits import EXIT_BAD_INPUT, EXIT_OK
-from persimmonwell.cli._options import UsageError
+from persimmonwell.cli._options import UsageError, read_log_file
 from persimmonwell.cli._output import escape_control_chars
 from persimmonwell.core.timeline import (
     TraceLine,
-    read_decision_lines,
     summarize_trace,
     trace_request,
 )
@@ -50,7 +49,7 @@
         request_id = str(self.argument("request"))
         lines: list[dict[str, Any]] = []
         for name in self.argument("logs"):
-            lines += _read_log(Path(str(name)))
+            lines += read_log_file(Path(str(name)))
         trace = trace_request(lines, request_id, margin_s=self._margin_s())
         conclusion = summarize_trace(trace)
         if self.as_json:
@@ -70,14 +69,6 @@
             raise UsageError(f"--margin is not a number: {text}") from error
 
 
-def _read_log(path: Path) -> list[dict[str, Any]]:
-    try:
-        text = path.read_text(encoding="utf-8", errors="replace")
-    except OSError as error:
-        raise UsageError(f"{path}: {error.strerror}") from error
-    return read_decision_lines(text.splitlines())
-
-
 def _format_line(line: TraceLine, start_s: float) -> str:
     mark = " " if line.is_context else "*"
     fields = " ".join(
--- a/persimmonwell/cli/_options.py
+++ b/persimmonwell/cli/_options.py
@@ -6,6 +6,7 @@
 import time
 from datetime import UTC, datetime
 from pathlib import Path
+from typing import Any
 
 import attrs
 from cleo.commands.command import Command
@@ -13,6 +14,7 @@
 from cleo.io.inputs.option import Option
 
 from persimmonwell.cli._client import OperatorClient
+from persimmonwell.core.timeline import read_decision_lines
 
 DEFAULT_ADDRESS = "127.0.0.1:7001"
 DEFAULT_TIMEOUT_S = 10.0
@@ -202,3 +204,12 @@
     except (OSError, UnicodeDecodeError) as error:
         reason = getattr(error, "strerror", None) or "is not UTF-8 text"
         raise UsageError(f"{label} {path!r}: {reason}") from error
+
+
+def read_log_file(path: Path) -> list[dict[str, Any]]:
+    """Return the decision lines in a file with the output of hosts."""
+    try:
+        text = path.read_text(encoding="utf-8", errors="replace")
+    except OSError as error:
+        raise UsageError(f"{path}: {error.strerror}") from error
+    return read_decision_lines(text.splitlines())
--- a/persimmonwell/core/forwarding/_events.py
+++ b/persimmonwell/core/forwarding/_events.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from persimmonwell.core.forwarding._model import Route
 from persimmonwell.core.forwarding._paths import PipelinePath
 
 
@@ -54,6 +55,9 @@
     ending: Ending
     retry_after_s: float = 0.0
     detail: str = ""
+    route: Route | None = None
+    requests_ahead: int | None = None
+    """Queued requests that are served before this one, where that decided."""
 
 
 @attrs.frozen
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -178,7 +178,7 @@
         try:
             resolved = self._route_table.resolve(request, draw=self._random.random())
         except UnknownRouteError:
-            return (Finish(key, Ending.UNKNOWN_ROUTE),)
+            return (Finish(key, Ending.UNKNOWN_ROUTE, detail=request.path),)
         except UnknownKeyError:
             return (Finish(key, Ending.UNKNOWN_KEY),)
         active = self._active[key] = _open_request(key, request, resolved, now_s)
@@ -589,12 +589,20 @@
     def _finish(
         self, active: ActiveRequest, ending: Ending, detail: str, wait_s: float = 0.0
     ) -> Finish:
+        ahead = self._state_of(active).queue.count_ahead_of(active)
         self._detach(active)
         self._active.pop(active.key, None)
         retry_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
         # Jitter of up to half the interval, so that callers do not retry together.
         retry_s *= self._random.uniform(1.0, 1.5)
-        return Finish(active.key, ending, retry_s, detail)
+        return Finish(
+            active.key,
+            ending,
+            retry_s,
+            detail,
+            route=active.route,
+            requests_ahead=ahead if ending is Ending.OVERLOADED else None,
+        )
 
     def _running_attempt(self, key: int, attempt: int) -> ActiveRequest | None:
         active = self._active.get(key)
--- a/persimmonwell/core/timeline/__init__.py
+++ b/persimmonwell/core/timeline/__init__.py
@@ -8,6 +8,12 @@
 )
 from persimmonwell.core.timeline._events import EventFilter, EventKind, TimelineEvent
 from persimmonwell.core.timeline._merge import merge_rings
+from persimmonwell.core.timeline._outcomes import (
+    LandedOutcome,
+    OutcomeFilter,
+    RequestOutcome,
+    list_outcomes,
+)
 from persimmonwell.core.timeline._request_trace import (
     TraceLine,
     read_decision_lines,
@@ -21,12 +27,16 @@
     "EventKind",
     "HybridClock",
     "HybridTimestamp",
+    "LandedOutcome",
+    "OutcomeFilter",
+    "RequestOutcome",
     "RingSnapshot",
     "TraceLine",
     "TimelineEvent",
     "TimelineRing",
     "summarize_trace",
     "event_to_document",
+    "list_outcomes",
     "merge_rings",
     "read_decision_lines",
     "ring_from_document",
--- a/persimmonwell/gateway/_exchange.py
+++ b/persimmonwell/gateway/_exchange.py
@@ -154,6 +154,8 @@
         self.request = request
         self.attempt = 0
         self.arrived_s = owner.now_s()
+        self.may_have_run = False
+        """Whether an attempt may have run whose outcome is not known."""
         self.first_event_s: float | None = None
         self.max_gap_s = 0.0
         """Longest interval between two parts of a stream sent to the caller."""
@@ -163,6 +165,7 @@
         self._raw = raw
         self._is_stream = is_stream
         self._current_attempt: _Attempt | None = None
+        self._last_attempt: _Attempt | None = None
         self._event_parser = EventStreamParser(last_id=request.last_event_id)
         self._answer = AnswerState()
         self._failed_attempt: _Attempt | None = None
@@ -176,6 +179,12 @@
         """Return whether the answer is a stream of events."""
         return self._is_stream()
 
+    @property
+    def answer_status(self) -> int | None:
+        """Return the status that the current attempt has received so far."""
+        attempt = self._last_attempt
+        return attempt.head.status if attempt is not None and attempt.head else None
+
     @property
     def has_partial_answer(self) -> bool:
         """Return whether a part of an answer was sent to the caller."""
@@ -188,7 +197,7 @@
         self.attempt = send.attempt
         self._answer.begin_attempt(send.attempt)
         self._event_parser.discard_partial_event()
-        current = self._current_attempt = _Attempt(self, send)
+        current = self._current_attempt = self._last_attempt = _Attempt(self, send)
         max_idle_s = (
             MAX_IDLE_S if send.may_reuse_idle_connection else MAX_IDLE_UNRETRYABLE_S
         )
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -10,6 +10,7 @@
     CallerLimits,
     CancelAttempt,
     Decision,
+    Ending,
     FetchStallReport,
     Finish,
     ForwardingRouter,
@@ -160,6 +161,7 @@
     ) -> None:
         """Log a failed attempt and execute the router's decisions on it."""
         self.metrics.count_event(f"failed_{failure.value}")
+        exchange.may_have_run |= failure.has_run
         self._log.write(
             "request",
             "attempt_failed",
@@ -168,6 +170,7 @@
             failure=failure.value,
             fault=fault_address,
             detail=detail,
+            answer=exchange.answer_status,
             began=exchange.has_partial_answer,
         )
         decisions = self.router.attempt_failed(
@@ -260,12 +263,20 @@
     def _log_send(self, exchange: Exchange, send: Send) -> None:
         self.metrics.count_event("sends")
         size = exchange.request.size
+        route = self.router.route_of(exchange.key)
+        replica = self.router.registry.replicas.get(send.replica_id)
+        is_repeatable = route is not None and route.is_retryable
         self._log.write(
             "request",
             "sent",
+            is_urgent=not is_repeatable,
             id=exchange.request.request_id,
+            route=route.name if route is not None else None,
+            kind=route.kind.value if route is not None else None,
+            tenant=send.tenant,
             attempt=send.attempt,
             to=send.replica_id,
+            born=replica.started_at_ms if replica is not None else None,
             stages=len(send.path.stages) if send.path is not None else 0,
             prompt=size.prompt_tokens if size is not None else None,
             most=size.max_output_tokens if size is not None else None,
@@ -277,12 +288,21 @@
     def _finish(self, exchange: Exchange, finish: Finish) -> None:
         self.metrics.count_event(f"ended_{finish.ending.value}")
         config = self.router.config
+        if finish.route is not None and not finish.route.is_retryable:
+            outcome = "may_have_run" if exchange.may_have_run else "not_run"
+            if finish.ending is Ending.TIMED_OUT and exchange.attempt:
+                outcome = "may_have_run"
+            self.metrics.count_event(f"unrepeatable_{outcome}")
         self._log.write(
             "request",
             "ended",
             id=exchange.request.request_id,
             ending=finish.ending.value,
             detail=finish.detail,
+            route=finish.route.name if finish.route is not None else None,
+            kind=finish.route.kind.value if finish.route is not None else None,
+            rank=finish.route.priority if finish.route is not None else None,
+            ahead=finish.requests_ahead,
             retry_after_s=round(finish.retry_after_s, 2),
             config=config.version if config is not None else None,
             waiting=self.router.queued_request_count,
--- a/persimmonwell/observe/_decision_log.py
+++ b/persimmonwell/observe/_decision_log.py
@@ -26,6 +26,7 @@
         self._lines: deque[dict[str, object]] = deque()
         self._dropped = 0
         self._stop = threading.Event()
+        self._wake = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name="decision-log", daemon=True
         )
@@ -37,10 +38,17 @@
     def close(self) -> None:
         """Write the queued lines and stop the thread."""
         self._stop.set()
+        self._wake.set()
         self._thread.join(timeout=1.0)
 
-    def write(self, part: str, event: str, **fields: object) -> None:
-        """Queue one line; part names the component, by which logs are filtered."""
+    def write(
+        self, part: str, event: str, *, is_urgent: bool = False, **fields: object
+    ) -> None:
+        """Queue one line; part names the component, by which logs are filtered.
+
+        An urgent line is written at once rather than with the next batch, without
+        waiting for it.
+        """
         if len(self._lines) >= MAX_QUEUED_LINES:
             self._dropped += 1
             return
@@ -53,9 +61,13 @@
                 **fields,
             }
         )
+        if is_urgent:
+            self._wake.set()
 
     def _run(self) -> None:
-        while not self._stop.wait(WRITE_INTERVAL_S):
+        while not self._stop.is_set():
+            self._wake.wait(WRITE_INTERVAL_S)
+            self._wake.clear()
             self._flush()
         self._flush()
 
