--- a/standins/replica.py
+++ b/standins/replica.py
@@ -54,14 +54,14 @@
 class PlatformReplica:
     """HTTP server of one replica with injectable faults.
 
-    Faults: shed (503 without running the request), error (status 500), reset_at (event
-    number at which the stream resets), stall_at (event number), extra (a second
-    response follows "now" or "late"), unframed (no Content-Length), garbage (not HTTP),
-    delay_s, cut_body (resets within the body), alive (False: reports time out), reset
-    (resets without a response), shed_once, flood (a key of FLOODS, sent until the
-    caller closes), report_flood (the same in response to one report request),
-    comments_at (event number before which only comments follow), copy_late_s (a second
-    copy of the response follows after this time).
+    Faults: shed (503 without running the request), shed_once, error (status 500),
+    reset_at (event number at which the stream resets), stall_at (event number, for
+    stall_s), comments_at (event number before which only comments follow), extra (a
+    second response follows "now" or "late"), copy_late_s (a second copy of the response
+    follows after this time), unframed (no Content-Length), garbage (not HTTP), delay_s,
+    cut_body (resets within the body), alive (False: reports time out), reset (resets
+    without a response), flood (a key of FLOODS, sent until the caller closes),
+    report_flood (the same in response to one report request).
     """
 
     def __init__(self, replica_id: str, *, service: str, zone: str) -> None:
@@ -265,7 +265,7 @@
                 _reset_connection(connection)
                 return False
             if number == self.faults.get("stall_at"):
-                time.sleep(3.0)
+                time.sleep(self.faults.get("stall_s", 3.0))
             if number == self.faults.get("comments_at"):
                 while True:
                     connection.sendall(_chunk(b": still here\n\n"))
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -112,10 +112,7 @@
         """Send one request and return status, headers and body."""
         client = connection or self.connect()
         values = {
-            "Host": HOST,
-            "Request-Id": "req-1",
-            "Deadline-Remaining": "5000",
-            "Api-Key": API_KEY,
+            **self.caller_headers(),
             **{name.replace("_", "-"): value for name, value in headers.items()},
         }
         try:
@@ -127,6 +124,15 @@
             if connection is None:
                 client.close()
 
+    def caller_headers(self) -> dict[str, str]:
+        """Return the headers of a caller's request."""
+        return {
+            "Host": HOST,
+            "Request-Id": "req-1",
+            "Deadline-Remaining": "5000",
+            "Api-Key": API_KEY,
+        }
+
     def send_raw(self, data: bytes, *, wait_s: float = 5.0) -> bytes:
         """Send raw bytes and return all that is received within `wait_s`."""
         address = ("127.0.0.1", self.ports["front"])
