Share the retries of an outage among the hosts of a zone

Cause: while the store is away every host becomes a reader of its zone and each of its three followers tried again every 0.25 s: 12 calls a second a host, some 900 at 78 hosts, all refused and priced. Change: the interval of a host is 0.25 s times the hosts of its zone (4 s at most, with jitter), so a zone as a whole tries as often as one host did. The first host that reaches the store relays what it reads; a report with something newer ends the wait of the others, and a complete relay ends the outage's grace for removed entries. Measured: test_calls_of_an_outage_do_not_grow_with_the_hosts_of_a_zone: 36 calls in 3 s at any size before, at most 6 at 16 hosts now. Conclusion: the calls of an outage grow with zones, not hosts.

--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -444,6 +444,8 @@
                 registry.apply_changes(report.registry_changes, now_s) is not None
             )
         if is_complete:
+            # The reader's word also shows that the store is back after an outage.
+            registry.mark_store_available()
             self._followers.confirm(REPLICA_FOLLOWER)
         else:
             self._followers.request_read(REPLICA_FOLLOWER)
@@ -467,6 +469,12 @@
                 self._peers.live_peers,
             )
         )
+        zone_peers = [
+            peer
+            for peer in self._peers.live_peers
+            if peer.availability_zone == self._settings.availability_zone
+        ]
+        self._followers.set_zone_host_count(1 + len(zone_peers))
         self._peers.send()
         # Hosts hidden by a network partition still use their share of the fleet's
         # retry budget, so the count never decreases.
--- a/persimmonwell/gateway/_store_followers.py
+++ b/persimmonwell/gateway/_store_followers.py
@@ -1,5 +1,6 @@
 """Threads that follow the store: configuration, replica registry, placement duty."""
 
+import random
 import threading
 import time
 from collections.abc import Callable
@@ -27,6 +28,10 @@
 may get requests for 2 s."""
 CALL_TIMEOUT_S = 0.8
 RETRY_DELAY_S = 0.25
+"""Interval at which one availability zone tries again to reach the store; the hosts of
+the zone share it, so that the calls of an outage grow with zones instead of hosts."""
+MAX_RETRY_DELAY_S = 4.0
+RETRY_JITTER = 0.25
 FALLBACK_READ_INTERVAL_S = 8.0
 """Time without a read and without a reader's word that nothing newer is in the store,
 after which a host reads for itself."""
@@ -84,6 +89,8 @@
         ]
         self._store_available: dict[str, bool] = {}
         self._confirmed_s = dict.fromkeys(self._read_requests, float("-inf"))
+        self._zone_host_count = 1
+        self._random = random.Random(member)
 
     def start(self) -> None:
         """Start the threads."""
@@ -115,9 +122,17 @@
         elif not enabled:
             self._reads_continuously.clear()
 
+    def set_zone_host_count(self, count: int) -> None:
+        """Set the number of hosts that share the retries of this zone."""
+        self._zone_host_count = max(1, count)
+
     def request_read(self, follower: str) -> None:
-        """Read once, since a peer has read something newer."""
-        if not self._reads_continuously.is_set():
+        """Read now, since a peer has read something newer.
+
+        A host that reads continuously only does so while it waits to try again.
+        """
+        is_retrying = not self._store_available.get(follower, True)
+        if is_retrying or not self._reads_continuously.is_set():
             self._read_requests[follower].set()
 
     def confirm(self, follower: str) -> None:
@@ -190,15 +205,23 @@
                 offset = None
             except PlatformUnavailableError as error:
                 self._report_store_status(name, False, error.reason)
-                self._stop.wait(RETRY_DELAY_S)
+                self._wait_to_retry(name)
             except Exception as error:
                 # The thread must not end: the host would never learn of a change again.
                 self._callbacks.on_error(name, error)
                 self._report_store_status(name, False, type(error).__name__)
                 offset = None
-                self._stop.wait(RETRY_DELAY_S)
+                self._wait_to_retry(name)
         client.close()
 
+    def _retry_delay_s(self) -> float:
+        delay_s = min(MAX_RETRY_DELAY_S, RETRY_DELAY_S * self._zone_host_count)
+        return delay_s * self._random.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER)
+
+    def _wait_to_retry(self, name: str) -> None:
+        if self._read_requests[name].wait(self._retry_delay_s()):
+            self._read_requests[name].clear()
+
     def _wait_until_read_is_due(self, name: str) -> None:
         """Wait for a request to read, or until the readers' word is too old."""
         read_s = time.monotonic()
@@ -249,10 +272,10 @@
                 self._resigned.wait(DUTY_RENEWAL_INTERVAL_S)
             except PlatformUnavailableError as error:
                 self._report_store_status("duty", False, error.reason)
-                self._resigned.wait(RETRY_DELAY_S)
+                self._resigned.wait(self._retry_delay_s())
             except Exception as error:
                 self._callbacks.on_error("duty", error)
-                self._resigned.wait(RETRY_DELAY_S)
+                self._resigned.wait(self._retry_delay_s())
         if generation:
             self._leave_duty(client, generation)
         client.close()
--- a/standins/log.py
+++ b/standins/log.py
@@ -31,6 +31,8 @@
         self.server = StandinServer(port=port, address=address)
         self.faults: Body = {}
         self.appends = 0
+        self.refused_calls = 0
+        """Number of calls that the fault down refused."""
         self.reads: Counter[str] = Counter()
         """Number of read calls by topic."""
         self._topics: dict[str, list[Any]] = defaultdict(list)
@@ -72,6 +74,10 @@
         value = b"" if document is None else json.dumps(document).encode()
         self.put(topic, (key, value))
 
+    def _refuse(self) -> Answer:
+        self.refused_calls += 1
+        return 503, {"error": "unavailable"}
+
     def release_answers(self) -> None:
         """Send the answers that the fault hold delays."""
         with self._changed:
@@ -94,7 +100,7 @@
 
     def _handle_append(self, body: Body, query: dict[str, str]) -> Answer:
         if self.faults.get("down"):
-            return 503, {"error": "unavailable"}
+            return self._refuse()
         time.sleep(self.faults.get("delay_s", 0.0))
         name = query["topic"]
         records = _parse_records(body["raw"].encode("latin-1"), name)
@@ -117,7 +123,7 @@
 
     def _handle_read(self, body: Body, query: dict[str, str]) -> Answer:
         if self.faults.get("down"):
-            return 503, {"error": "unavailable"}
+            return self._refuse()
         time.sleep(self.faults.get("delay_s", 0.0))
         name, start = query["topic"], int(query["from"])
         self.reads[name] += 1
@@ -128,7 +134,7 @@
             )
             self._wait_while_held(name)
             if self.faults.get("down"):
-                return 503, {"error": "unavailable"}
+                return self._refuse()
             stream, first = self._topics[name], self._first_offsets[name]
             if start < first:
                 return 410, {"first": first}
@@ -141,7 +147,7 @@
 
     def _handle_newest(self, body: Body, query: dict[str, str]) -> Answer:
         if self.faults.get("down"):
-            return 503, {"error": "unavailable"}
+            return self._refuse()
         with self._changed:
             self.reads[query["topic"]] += 1
             stream = self._topics[query["topic"]]
@@ -159,7 +165,7 @@
 
     def _handle_join(self, body: Body, query: dict[str, str]) -> Answer:
         if self.faults.get("down"):
-            return 503, {"error": "unavailable"}
+            return self._refuse()
         with self._changed:
             members = self._members[body["group"]]
             if body["member"] not in members:
@@ -172,7 +178,7 @@
 
     def _handle_leave(self, body: Body, query: dict[str, str]) -> Answer:
         if self.faults.get("down"):
-            return 503, {"error": "unavailable"}
+            return self._refuse()
         with self._changed:
             members = self._members[body["group"]]
             if body["member"] in members:
--- a/tests/gateway/test_store_followers.py
+++ b/tests/gateway/test_store_followers.py
@@ -168,3 +168,36 @@
     assert followed_store.count_reads() == before
     # Without the reader's word the host reads again, also after a lost request.
     wait_until(lambda: followed_store.count_reads() >= before + 2, timeout_s=3.5)
+
+
+@pytest.mark.parametrize("host_count", [1, 16])
+def test_calls_of_an_outage_do_not_grow_with_the_hosts_of_a_zone(
+    followed_store: _FollowedStore, host_count: int
+) -> None:
+    """Guards against an outage in which every host of a zone calls four times a second.
+
+    78 hosts made 900 calls a second then.
+    """
+    followed_store.followers.set_zone_host_count(host_count)
+    followed_store.store.faults["down"] = True
+    wait_until(lambda: followed_store.store.refused_calls >= 3)
+    before = followed_store.store.refused_calls
+    time.sleep(3.0)
+    calls = followed_store.store.refused_calls - before
+    # Three followers, each with a zone's rate of four calls a second.
+    assert calls <= 3 * 4 * 3.0 * 1.4 / host_count + 3
+
+
+def test_host_that_waits_to_retry_reads_when_a_peer_has_read(
+    followed_store: _FollowedStore,
+) -> None:
+    """Guards against seconds without a new configuration after an outage."""
+    followers = followed_store.followers
+    followers.set_zone_host_count(16)
+    followed_store.store.faults["down"] = True
+    wait_until(lambda: not followers._store_available[CONFIG_FOLLOWER])
+    time.sleep(0.5)
+    followed_store.store.put_key("keyed.op", "config", config(8))
+    followed_store.store.faults["down"] = False
+    followers.request_read(CONFIG_FOLLOWER)
+    wait_until(lambda: followed_store.versions[-1] == 8, timeout_s=0.5)
