Test that the datagrams of two builds are understood

Cause: the relay of registry changes added a field to the hosts' reports; a rolling upgrade mixes builds. Change: a test with a report of the earlier build and one with a field of a later build.

--- a/tests/gateway/test_peer_datagrams.py
+++ b/tests/gateway/test_peer_datagrams.py
@@ -238,6 +238,17 @@
     assert reached_addresses == set(one._learned_addresses)
 
 
+def test_hosts_of_two_builds_understand_each_other(clock: _Clock) -> None:
+    """Guards against two builds that do not hear each other in a rolling upgrade."""
+    one, reports = peer("h1", "127.0.0.1", 1, clock)
+    earlier_report = sample_report()[:14]
+    one.datagram_received(msgspec.msgpack.encode(earlier_report), ("127.0.0.9", 1))
+    assert reports["h2"].registry_changes is None
+    later_report = [*sample_report(), {"a": "field of a later build"}]
+    one.datagram_received(msgspec.msgpack.encode(later_report), ("127.0.0.9", 1))
+    assert reports["h2"].registry_changes is not None
+
+
 class _Network:
     """Delivers datagrams between hosts in memory, as their transport."""
 
