Bound the changes of the registry that a host keeps

Cause: only readers drop old changes when they relay them; a host that relays none kept every change since its start (found when reading the change as a newcomer). Change: at most 200 are kept; the offset after which the list is complete moves with them.

--- a/persimmonwell/core/forwarding/_registry.py
+++ b/persimmonwell/core/forwarding/_registry.py
@@ -15,6 +15,9 @@
 """Time for replicas to register again after an outage of the store. Live ones do so
 within about 2 s; the interval counts from the first successful read."""
 
+MAX_KEPT_CHANGES = 200
+"""Changes that a host keeps although it does not relay them."""
+
 
 @attrs.frozen
 class RegistryRecord:
@@ -116,10 +119,7 @@
         while self._changes and (
             now_s - self._changes[0].seen_s > max_age_s or len(self._changes) > limit
         ):
-            dropped = self._changes.popleft()
-            self._changes_after_offset = max(
-                self._changes_after_offset, dropped.record.offset
-            )
+            self._drop_oldest_change()
         return RegistryChanges(
             self._changes_after_offset,
             self._newest_offset,
@@ -158,6 +158,14 @@
     def _record_change(self, record: RegistryRecord, now_s: float) -> None:
         self._changed_offset = max(self._changed_offset, record.offset)
         self._changes.append(_Change(record, now_s))
+        if len(self._changes) > MAX_KEPT_CHANGES:
+            self._drop_oldest_change()
+
+    def _drop_oldest_change(self) -> None:
+        dropped = self._changes.popleft()
+        self._changes_after_offset = max(
+            self._changes_after_offset, dropped.record.offset
+        )
 
     def _record_removal(self, replica_id: str, now_s: float) -> None:
         # No record states it; its offset is before the newest one that was read.
--- a/tests/core/forwarding/test_registry.py
+++ b/tests/core/forwarding/test_registry.py
@@ -114,6 +114,19 @@
     assert not host.apply((record(7, "i-1", ONE),), 2.0)
 
 
+def test_changes_of_a_host_that_relays_none_are_bounded() -> None:
+    """Guards against memory that grows with every change of a long-lived fleet."""
+    registry, host = registry_with(record(0, "i-1", ONE)), ReplicaRegistry()
+    host.replace((), 0.0, end_offset=300)
+    for offset in range(1, 1000):
+        replica = attrs.evolve(ONE, is_draining=bool(offset % 2))
+        registry.apply((record(offset, "i-1", replica),), 0.0)
+    changes = registry.changes(0.0, max_age_s=4.0, limit=1000)
+    assert len(changes.records) == 200
+    assert changes.after_offset == 799
+    assert host.apply_changes(changes, 0.0) is None
+
+
 steps = st.lists(
     st.one_of(
         st.tuples(st.just("put"), st.integers(0, 4), st.booleans()),
