Let a stop go on when a connection cannot be accepted

Cause: an error of accept other than an empty queue, such as no descriptor left, would have ended the drain and with it the process (found when reading the change as a newcomer). Change: any such error ends the emptying of the queue only. Three conditions of data_received have one name. Measured: tests/gateway/test_host.py and test_caller_connection.py pass; no bench run. Conclusion: no other change of behaviour.

--- a/persimmonwell/gateway/_caller_connection.py
+++ b/persimmonwell/gateway/_caller_connection.py
@@ -82,6 +82,15 @@
         """Return whether no request is being received, queued or answered."""
         return not self._is_answering and not self._has_more_requests
 
+    @property
+    def _accepts_requests(self) -> bool:
+        """Return whether further bytes of the caller can still be a request."""
+        return not (
+            self._is_close_announced
+            or self._is_last_request
+            or self._rejection is not None
+        )
+
     @property
     def _has_more_requests(self) -> bool:
         """Return whether another request, or a part of one, follows the current one."""
@@ -113,9 +122,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; reject malformed requests and oversized heads."""
-        if self._is_close_announced or self._is_last_request:
-            return
-        if self._rejection is not None:
+        if not self._accepts_requests:
             return
         self._last_data_s = asyncio.get_running_loop().time()
         self._framing_bytes += len(data)
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -205,7 +205,8 @@
         while True:
             try:
                 connection, _ = self._callers_socket.accept()
-            except (BlockingIOError, ConnectionAbortedError, InterruptedError):
+            except OSError:
+                # The queue is empty, or no descriptor is left; the stop goes on.
                 break
             accepted.append(connection)
         self._servers[-1].close()
