Start no poll of config wait that is too short for an answer

Cause: config wait polled as long as 0.2 s were left and slept 0.2 s first, so its last poll had next to no time and hosts that had answered before were reported as unreachable. Change: a poll is started only with 0.3 s left for it. Conclusion: a fault of the tool, not of load.

--- a/persimmonwell/cli/_config_commands.py
+++ b/persimmonwell/cli/_config_commands.py
@@ -44,6 +44,9 @@
 )
 
 WAIT_POLL_S = 0.2
+MIN_POLL_S = 0.3
+"""Time that a poll needs; with less left, hosts that answered before would be reported
+as unreachable."""
 DEFAULT_HISTORY_LIMIT = 20
 
 
@@ -230,7 +233,7 @@
             outdated = {host: v for host, v in versions.items() if v < version}
             if not outdated and not unreachable:
                 break
-            if client.remaining_s <= WAIT_POLL_S:
+            if client.remaining_s <= WAIT_POLL_S + MIN_POLL_S:
                 break
             time.sleep(WAIT_POLL_S)
         self._report(version, versions, unreachable)
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -6,6 +6,7 @@
 import pytest
 import urllib3
 
+from persimmonwell.cli import _config_commands
 from persimmonwell.cli._exits import combine_exit_statuses
 from persimmonwell.daemon import Daemon
 from persimmonwell.daemon._operator_service import OperatorService
@@ -130,6 +131,17 @@
     assert [a["document"]["version"] for a in shown["answers"]] == [2, 2]
 
 
+def test_config_wait_does_not_forget_hosts_that_answered(
+    tool: Tool, listed_fleet: SmallFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a last poll that is too short for any answer."""
+    monkeypatch.setattr(_config_commands, "WAIT_POLL_S", 0.46)
+    address_1 = listed_fleet.daemons["host-1"].operator_address
+    late = tool("config", "wait", "9", "--host", address_1, "--timeout", "0.5")
+    assert late.code == 1 and "did not answer" not in late.err
+    assert "host-1 is still at" in late.err and "host-2 is still at" in late.err
+
+
 def test_drained_hosts_and_upstreams_get_no_new_work(
     tool: Tool, listed_fleet: SmallFleet
 ) -> None:
@@ -164,7 +176,7 @@
     list_entry_host(listed_fleet, "host-4", "")
     wait_until(lambda: count_known_hosts(listed_fleet, "host-1") == 4)
     commands = ("hosts --fleet", "upstreams --fleet", "timeline", "config show --fleet")
-    for line in (*commands, "config wait 1 --timeout 4"):
+    for line in (*commands, "config wait 1 --timeout 0.6"):
         run = tool(*line.split(), "--host", address_1)
         assert run.code == 5 and "host-1" in run.out, line
         assert f"{UNREACHABLE_ADDRESS} did not answer" in run.err
