Log which requests were starting on a lost replica

What callers saw: replicas crashed one after the other under requests that the logs could not name. Cause: the log had the digests of quarantined requests, but neither the requests that a lost replica had not begun to answer nor their prompt parts. Change: the line crash_suspected with these requests and the parts that others may share; a counter crashes_suspected.

--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -16,6 +16,7 @@
 from persimmonwell.core.forwarding._events import (
     AttemptFailure,
     CancelAttempt,
+    CrashSuspected,
     Decision,
     Ending,
     FetchStallReport,
@@ -71,6 +72,7 @@
     "CallerLimits",
     "CallerRequest",
     "CancelAttempt",
+    "CrashSuspected",
     "Completion",
     "Decision",
     "Ending",
--- a/persimmonwell/core/forwarding/_events.py
+++ b/persimmonwell/core/forwarding/_events.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from persimmonwell.core.forwarding._model import Route
+from persimmonwell.core.forwarding._model import CallerRequest, Route
 from persimmonwell.core.forwarding._paths import PipelinePath
 
 
@@ -94,6 +94,17 @@
     path: PipelinePath
 
 
+@attrs.frozen
+class CrashSuspected:
+    """Report to operators a lost replica with the requests that may have crashed it."""
+
+    replica_id: str
+    starting: tuple[CallerRequest, ...]
+    """Requests that had received no part of their answer from the replica."""
+    running_count: int
+    """All requests of this host that passed through the replica."""
+
+
 @attrs.frozen
 class Quarantined:
     """Report to operators a request that is refused because it crashes replicas."""
@@ -102,7 +113,8 @@
 
 
 RequestDecision: TypeAlias = Send | Finish | CancelAttempt | Reroute
-Decision: TypeAlias = RequestDecision | FetchStallReport | ProbeReplica | Quarantined
+Report: TypeAlias = CrashSuspected | Quarantined
+Decision: TypeAlias = RequestDecision | FetchStallReport | ProbeReplica | Report
 
 
 class AttemptFailure(Enum):
--- a/persimmonwell/core/forwarding/_model.py
+++ b/persimmonwell/core/forwarding/_model.py
@@ -205,6 +205,8 @@
     last_event_id: str | None = None
     digest: str = ""
     """Digest of path, caller and body; empty if unknown."""
+    shared_parts: tuple[str, ...] = ()
+    """Ids of the prompt's parts that other requests may have too."""
     size: GenerationSize | None = None
 
 
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -14,6 +14,7 @@
 from persimmonwell.core.forwarding._events import (
     AttemptFailure,
     CancelAttempt,
+    CrashSuspected,
     Decision,
     Ending,
     Finish,
@@ -291,10 +292,11 @@
 
     def _record_suspected_crash(
         self, replica_id: str, now_s: float
-    ) -> tuple[ProbeReplica, ...]:
+    ) -> tuple[Decision, ...]:
         """Record that a replica may have crashed on one of its requests.
 
-        Returns a probe to confirm the crash, if there are requests to attribute it to.
+        Returns a report and a probe to confirm the crash, if there are requests to
+        attribute it to.
         """
         replica = self.registry.replicas.get(replica_id)
         if replica is None:
@@ -304,7 +306,13 @@
         ]
         if not self.crashes.record_replica_failure(replica, running, now_s):
             return ()
-        return (ProbeReplica(replica_id, replica.address),)
+        starting = tuple(
+            active.request for active in running if not active.has_partial_answer
+        )
+        return (
+            CrashSuspected(replica_id, starting, len(running)),
+            ProbeReplica(replica_id, replica.address),
+        )
 
     def _decide_after_failure(
         self, active: ActiveRequest, failure: AttemptFailure, detail: str, now_s: float
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -9,6 +9,7 @@
     AttemptFailure,
     CallerLimits,
     CancelAttempt,
+    CrashSuspected,
     Decision,
     Ending,
     FetchStallReport,
@@ -39,6 +40,8 @@
 
 TICK_S = 0.05
 """Resolution of time-outs and stall detection: a twelfth of the stall gap."""
+MAX_LOGGED_REQUESTS = 20
+"""Requests in the log line of one suspected crash."""
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 """Idle time-out of replicas that do not advertise one in a keep-alive header."""
 REPLICA_GONE_STATUSES = (0, 421)
@@ -246,6 +249,9 @@
             if isinstance(decision, ProbeReplica):
                 self._run_in_background(self._probe_replica(decision))
                 continue
+            if isinstance(decision, CrashSuspected):
+                self._log_suspected_crash(decision)
+                continue
             if isinstance(decision, Quarantined):
                 self.metrics.count_event("quarantined")
                 self._log.write("request", "quarantined", digest=decision.digest)
@@ -263,6 +269,19 @@
             else:
                 self._run_in_background(self._send_reroute_order(exchange, decision))
 
+    def _log_suspected_crash(self, suspected: CrashSuspected) -> None:
+        self.metrics.count_event("crashes_suspected")
+        self._log.write(
+            "upstream",
+            "crash_suspected",
+            replica=suspected.replica_id,
+            running=suspected.running_count,
+            starting=[
+                {"id": request.request_id, "parts": request.shared_parts}
+                for request in suspected.starting[:MAX_LOGGED_REQUESTS]
+            ],
+        )
+
     def _log_send(self, exchange: Exchange, send: Send) -> None:
         self.metrics.count_event("sends")
         size = exchange.request.size
--- a/persimmonwell/platform/_headers.py
+++ b/persimmonwell/platform/_headers.py
@@ -27,6 +27,7 @@
 _LAST_EVENT_ID = b"last-event-id"
 _TOKEN_COUNT = b"token-count"
 _LENGTH_HINT = b"length-hint"
+_PROMPT_PREFIX = b"prompt-prefix"
 _HOP_BY_HOP = frozenset(
     {
         *(b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate"),
@@ -70,6 +71,7 @@
         last_event_id=values.get(_LAST_EVENT_ID),
         digest=_request_digest(method, host, target, values.get(_API_KEY, ""), body),
         size=_parse_generation_size(values.get(_TOKEN_COUNT), values.get(_LENGTH_HINT)),
+        shared_parts=_parse_shared_parts(values.get(_PROMPT_PREFIX)),
     )
 
 
@@ -99,6 +101,14 @@
         return None
 
 
+def _parse_shared_parts(prefix: str | None) -> tuple[str, ...]:
+    """Return the ids of all parts but the last, which belongs to the request alone."""
+    if not prefix:
+        return ()
+    ids = (entry.partition(":")[0].strip() for entry in prefix.split(",")[:-1])
+    return tuple(dict.fromkeys(part_id for part_id in ids if part_id))
+
+
 def encode_request_head(
     method: str,
     target: str,
--- a/tests/core/forwarding/test_crashes.py
+++ b/tests/core/forwarding/test_crashes.py
@@ -2,6 +2,7 @@
 
 from persimmonwell.core.forwarding import (
     AttemptFailure,
+    CrashSuspected,
     Decision,
     Ending,
     Finish,
@@ -107,3 +108,17 @@
     other += two.record_peer_blame(Blame("worse", "y/0"), 5.1)
     assert other == (Quarantined("worse"),)
     assert one.crashes.blames(60.0) == ()
+
+
+def test_a_suspected_crash_names_the_requests_that_were_starting() -> None:
+    """Guards against crashes whose cause the logs cannot tell."""
+    router = make_router(
+        staged_replica("a", "za", 0, 40), staged_replica("b", "za", 40, 80)
+    )
+    router.request_arrived(1, request("urgent", digest="r1"), 0.0)
+    router.answer_began(1, 1, 0.1)
+    router.request_arrived(2, request("urgent", digest="r2"), 0.1)
+    found = router.attempt_failed(2, 1, FAILED.BROKEN, 0.2)
+    (suspected,) = [e for e in found if isinstance(e, CrashSuspected)]
+    assert suspected.replica_id == "a" and suspected.running_count == 2
+    assert [request.digest for request in suspected.starting] == ["r2"]
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -78,10 +78,12 @@
         (b"deadline-remaining", b"2500"),
         (b"token-count", b"1460,80"),
         (b"length-hint", b"33.0"),
+        (b"prompt-prefix", b"5c1e07a2:800, 91bd3f06:410,e4402b7d:250"),
     )
     decoded = decode_request("POST", "/x", headers, host="h", body=b"")
     assert decoded.timeout_s == 2.5
     assert decoded.size == GenerationSize(1460, 80, 33)
+    assert decoded.shared_parts == ("5c1e07a2", "91bd3f06")
     malformed = ((b"deadline-remaining", b"x"), (b"token-count", b"many"))
     assert decode_request("GET", "/x", malformed, host="h", body=b"").size is None
 
