--- a/standins/replica.py
+++ b/standins/replica.py
@@ -61,7 +61,8 @@
     follows after this time), unframed (no Content-Length), garbage (not HTTP), delay_s,
     cut_body (resets within the body), alive (False: reports time out), reset (resets
     without a response), flood (a key of FLOODS, sent until the caller closes),
-    report_flood (the same in response to one report request).
+    report_flood (the same in response to one report request), deadly_part (id of a
+    prompt part; the replica crashes when it begins to answer a request with it).
     """
 
     def __init__(self, replica_id: str, *, service: str, zone: str) -> None:
@@ -255,6 +256,10 @@
         response_headers = {**response_headers, "Content-Type": "text/event-stream"}
         chunked = {**response_headers, "Transfer-Encoding": "chunked"}
         connection.sendall(_build_head(200, chunked) + b"\r\n")
+        if self._has_deadly_part(request):
+            time.sleep(0.02)
+            self.close()
+            return False
         first = int(request.headers.get("last-event-id", "0")) + 1
         request_id = request.headers["request-id"]
         for number in range(first, self.stream_events + 1):
@@ -275,6 +280,11 @@
         connection.sendall(b"0\r\n\r\n")
         return True
 
+    def _has_deadly_part(self, request: ReceivedRequest) -> bool:
+        part_id = self.faults.get("deadly_part")
+        prefix = request.headers.get("prompt-prefix", "")
+        return part_id in [entry.partition(":")[0] for entry in prefix.split(",")]
+
 
 def _read_request(file: Any) -> ReceivedRequest | None:
     line = file.readline().decode("latin-1")
