Quarantine prompt parts under which replicas crash

Cause: a crash was attributed to the digest of path, caller and body. Requests that share a deadly prompt part are all different, so each one started without evidence. A resumable request was also sent again before the probe had shown that it crashed its replica. Change: evidence is kept by prompt part: crashes while a request with the part was starting, and answers that began. A part is quarantined after two separate crashes without an answer between them, one more for each doubling of its earlier answers; parts that only accompany it are cleared. Hosts merge the evidence from each other's datagrams and pass it on; an answer ends a quarantine everywhere. Waiting requests with the part are refused, too. After a break before the first part of an answer, a retry waits 0.1 s for the probe. The test replaces its form for datagrams of two builds by one more field; a stand-in that closes no longer accepts one more connection. Conclusion: the class of fault is evidence kept at too fine a key.

--- a/persimmonwell/core/forwarding/_active.py
+++ b/persimmonwell/core/forwarding/_active.py
@@ -43,6 +43,10 @@
     """Failed or cancelled attempts that an upstream may have run."""
     has_partial_answer: bool = False
     """Whether a part of an answer has been sent to the caller."""
+    has_answer_head: bool = False
+    """Whether the current attempt has received the head of a success."""
+    has_answer_part: bool = False
+    """Whether the current attempt has received an event or a part of a body."""
     sent_s: float = 0.0
     last_event_s: float = 0.0
     rerouted_s: float = float("-inf")
@@ -51,8 +55,19 @@
     refusals: int = 0
     is_caller_retry: bool = False
     """Whether the caller repeats a request that a host refused."""
+    is_trial: bool = False
+    """Whether the request was let through to test a quarantined prompt part."""
     reserved: dict[str, int] = attrs.field(factory=dict)
 
+    @property
+    def is_starting(self) -> bool:
+        """Return whether the upstream may be writing the first part of its answer.
+
+        The head of a stream precedes its first event; a plain answer comes at once.
+        """
+        is_open = self.has_answer_head or self.route.kind is not RouteKind.STREAM
+        return self.replica_id is not None and is_open and not self.has_answer_part
+
     @property
     def may_have_run(self) -> bool:
         """Return whether an upstream may have run an earlier attempt."""
--- a/persimmonwell/core/forwarding/_crashes.py
+++ b/persimmonwell/core/forwarding/_crashes.py
@@ -1,27 +1,45 @@
-"""Quarantine of requests that crash the replicas that run them.
+"""Quarantine of requests and prompt parts that crash the replicas that run them.
 
 Such a request takes down every replica that starts to run it, and its caller retries
-at any host. Each crash removes layers from a zone for seconds, so a request is refused
-once two crashes are attributed to it.
+at any host; requests with such a part come from many callers. Each crash removes
+layers from a zone for seconds, so a request is refused once two crashes are attributed
+to it or to one of its parts.
 """
 
 from collections.abc import Iterable
 
+import attrs
+
 from persimmonwell.core.forwarding._active import ActiveRequest
-from persimmonwell.core.forwarding._model import Replica
-from persimmonwell.core.retry import Blame, Quarantine, QuarantineChange
+from persimmonwell.core.forwarding._model import CallerRequest, Replica
+from persimmonwell.core.retry import (
+    Blame,
+    PartEvidence,
+    PromptPartQuarantine,
+    Quarantine,
+    QuarantineChange,
+)
 
 BLAME_GOSSIP_S = 10.0
 """Time for which a crash is repeated to the peers, since single datagrams get lost."""
 
 
+@attrs.frozen
+class _UnconfirmedCrash:
+    incarnation: str
+    starting_parts: tuple[tuple[str, ...], ...]
+    """Shared prompt parts of each request that was starting."""
+    at_s: float
+
+
 class CrashTracker:
-    """Attribution of replica crashes to request digests, shared with the peers."""
+    """Attribution of replica crashes to requests and parts, shared with the peers."""
 
     def __init__(self) -> None:
         self._quarantine = Quarantine()
-        self._incarnations: dict[str, str] = {}
-        """Incarnations with an unconfirmed crash, by replica id."""
+        self._parts = PromptPartQuarantine()
+        self._unconfirmed: dict[str, _UnconfirmedCrash] = {}
+        """Unconfirmed crashes by replica id."""
         self._gossip_until_s: dict[Blame, float] = {}
 
     @property
@@ -29,9 +47,26 @@
         """Return the digests whose requests are refused."""
         return self._quarantine.digests
 
-    def is_quarantined(self, digest: str) -> bool:
-        """Return whether requests with this digest are refused."""
-        return self._quarantine.is_quarantined(digest)
+    @property
+    def quarantined_parts(self) -> frozenset[str]:
+        """Return the prompt parts whose requests are refused."""
+        return self._parts.quarantined
+
+    def find_cause(self, request: CallerRequest) -> str | None:
+        """Return the digest or the part because of which a request is refused."""
+        if self._quarantine.is_quarantined(request.digest):
+            return request.digest
+        return self._parts.find_quarantined(request.shared_parts)
+
+    def is_trial_due(self, cause: str, now_s: float) -> bool:
+        """Return whether one request may show that a quarantined part is harmless."""
+        return cause in self._parts.quarantined and self._parts.is_trial_due(
+            cause, now_s
+        )
+
+    def record_answer(self, request: CallerRequest, now_s: float) -> None:
+        """Record that a replica began the answer to a request."""
+        self._parts.record_answer(request.shared_parts, now_s)
 
     def record_completion(self, digest: str) -> None:
         """Clear the suspicion against a request that was answered."""
@@ -46,10 +81,13 @@
         """
         digests: set[str] = set()
         fresh: set[str] = set()
+        starting_parts = []
         for active in running:
             digests.add(active.request.digest)
             if not active.has_partial_answer:
                 fresh.add(active.request.digest)
+            if active.is_starting and active.request.shared_parts:
+                starting_parts.append(active.request.shared_parts)
         digests.discard("")
         incarnation = f"{replica.replica_id}/{replica.started_at_ms}"
         if not digests or not self._quarantine.record_loss(
@@ -59,19 +97,37 @@
             now_s=now_s,
         ):
             return False
-        self._incarnations[replica.replica_id] = incarnation
+        self._unconfirmed[replica.replica_id] = _UnconfirmedCrash(
+            incarnation, tuple(starting_parts), now_s
+        )
         return True
 
     def record_probe(
         self, replica_id: str, *, is_lost: bool, now_s: float
     ) -> tuple[str, ...]:
         """Confirm or dismiss a suspected crash; return newly quarantined digests."""
-        incarnation = self._incarnations.pop(replica_id, None)
-        if incarnation is None:
+        crash = self._unconfirmed.pop(replica_id, None)
+        if crash is None:
             return ()
-        return self._apply_change(
-            self._quarantine.resolve_loss(incarnation, lost=is_lost, now_s=now_s), now_s
+        change = self._quarantine.resolve_loss(
+            crash.incarnation, lost=is_lost, now_s=now_s
         )
+        quarantined = self._apply_change(change, now_s)
+        if is_lost:
+            quarantined += self._parts.record_crash(
+                crash.incarnation, crash.starting_parts, crash.at_s
+            )
+        return quarantined
+
+    def part_evidence(self, now_s: float) -> tuple[PartEvidence, ...]:
+        """Return the evidence about prompt parts to share with the peers."""
+        return self._parts.evidence(now_s)
+
+    def record_peer_evidence(
+        self, evidence: PartEvidence, now_s: float
+    ) -> tuple[str, ...]:
+        """Merge a peer's evidence about a part; return newly quarantined parts."""
+        return self._parts.record_peer_evidence(evidence, now_s)
 
     def record_peer_blame(self, blame: Blame, now_s: float) -> tuple[str, ...]:
         """Record a crash that a peer attributed; return newly quarantined digests."""
@@ -90,7 +146,9 @@
         for blame, until_s in list(self._gossip_until_s.items()):
             if until_s <= now_s:
                 del self._gossip_until_s[blame]
-        return self._apply_change(self._quarantine.expire(now_s), now_s)
+        quarantined = self._apply_change(self._quarantine.expire(now_s), now_s)
+        self._parts.expire(now_s)
+        return quarantined
 
     def _apply_change(self, change: QuarantineChange, now_s: float) -> tuple[str, ...]:
         for blame in change.blames:
--- a/persimmonwell/core/forwarding/_events.py
+++ b/persimmonwell/core/forwarding/_events.py
@@ -100,16 +100,17 @@
 
     replica_id: str
     starting: tuple[CallerRequest, ...]
-    """Requests that had received no part of their answer from the replica."""
+    """Requests whose answer had been opened, without any part of it so far."""
     running_count: int
     """All requests of this host that passed through the replica."""
 
 
 @attrs.frozen
 class Quarantined:
-    """Report to operators a request that is refused because it crashes replicas."""
+    """Report to operators a request or prompt part under which replicas crash."""
 
-    digest: str
+    cause: str
+    """Digest of the request, or id of the part."""
 
 
 RequestDecision: TypeAlias = Send | Finish | CancelAttempt | Reroute
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -43,7 +43,7 @@
 )
 from persimmonwell.core.forwarding._stalls import StallDetector
 from persimmonwell.core.forwarding._upstreams import UpstreamPool
-from persimmonwell.core.retry import Blame
+from persimmonwell.core.retry import Blame, PartEvidence
 
 DEFAULT_CALLER_TIMEOUT_S = 30.0
 """Timeout of a caller that does not state one."""
@@ -63,6 +63,8 @@
 margin is for reports that are some 200 ms old."""
 REFUSAL_BACKOFF_S = 0.15
 """First back-off after repeated refusals of a request; it doubles each time."""
+CRASH_CONFIRM_S = 0.1
+"""Pause after a replica broke off before the first part of an answer."""
 MIN_RETRY_TIME_S = 0.05
 """Minimum time to the deadline for another attempt."""
 
@@ -191,8 +193,9 @@
         active.is_caller_retry = self.caller_retries.pop_refusal(request.digest, now_s)
         state = self._state_of(active)
         state.budget.record_request(now_s)
-        if self.crashes.is_quarantined(request.digest):
-            return (self._finish(active, Ending.QUARANTINED, request.digest),)
+        active.is_trial = self._starts_trial(request, now_s)
+        if (cause := self._quarantine_cause(active)) is not None:
+            return (self._finish(active, Ending.QUARANTINED, cause),)
         if not self._upstreams.available(active.service.name):
             return (self._finish(active, Ending.NOT_READY, "no replica"),)
         if state.queue.count_ahead_of(active) == 0:
@@ -201,6 +204,29 @@
                 return (send,)
         return self._enqueue(active, now_s)
 
+    def _starts_trial(self, request: CallerRequest, now_s: float) -> bool:
+        """Return whether a request is let through to test its quarantined part.
+
+        Each host lets through a share, so that about one request of the fleet runs
+        before its outcome is known everywhere.
+        """
+        cause = self.crashes.find_cause(request)
+        return (
+            cause is not None
+            and self.crashes.is_trial_due(cause, now_s)
+            and self._random.random() * self.host_count < 1.0
+        )
+
+    def _quarantine_cause(self, active: ActiveRequest) -> str | None:
+        """Return the digest or prompt part because of which a request may not run."""
+        return None if active.is_trial else self.crashes.find_cause(active.request)
+
+    def _end_quarantined(self, active: ActiveRequest, cause: str) -> Finish:
+        ending = Ending.QUARANTINED
+        if active.may_have_run:
+            ending = Ending.UPSTREAM_FAILED
+        return self._finish(active, ending, cause)
+
     def _enqueue(self, active: ActiveRequest, now_s: float) -> tuple[Decision, ...]:
         queue = self._state_of(active).queue
         expected_s = queue.expected_wait_s(active, now_s)
@@ -237,18 +263,30 @@
 
     # Events of upstreams
 
+    def answer_opened(self, key: int, attempt: int) -> None:
+        """Record that an upstream sent the head of a success."""
+        active = self._running_attempt(key, attempt)
+        if active is not None:
+            active.has_answer_head = True
+
     def answer_began(self, key: int, attempt: int, now_s: float) -> None:
         """Record that the first part of an answer was sent to the caller."""
         active = self._running_attempt(key, attempt)
         if active is not None:
             active.has_partial_answer = True
-            active.last_event_s = now_s
+            self._record_answer_part(active, now_s)
 
     def event_received(self, key: int, attempt: int, now_s: float) -> None:
         """Record an event of a stream."""
         active = self._running_attempt(key, attempt)
         if active is not None:
-            active.last_event_s = now_s
+            self._record_answer_part(active, now_s)
+
+    def _record_answer_part(self, active: ActiveRequest, now_s: float) -> None:
+        active.last_event_s = now_s
+        if not active.has_answer_part:
+            active.has_answer_part = True
+            self.crashes.record_answer(active.request, now_s)
 
     def answer_completed(
         self, key: int, attempt: int, now_s: float
@@ -259,6 +297,8 @@
             return ()
         self._upstreams.record_success(active, now_s)
         self.crashes.record_completion(active.request.digest)
+        if active.route.kind is not RouteKind.STREAM:
+            self._record_answer_part(active, now_s)
         del self._active[key]
         self._detach(active)
         return self._dispatch_queue(active.service.name, now_s)
@@ -281,6 +321,9 @@
         probes: tuple[Decision, ...] = ()
         if failure is AttemptFailure.BROKEN and active.replica_id is not None:
             probes = self._record_suspected_crash(active.replica_id, now_s)
+            if active.is_starting:
+                # The probe shows whether the request crashed it.
+                active.not_before_s = now_s + CRASH_CONFIRM_S
         active.possible_runs += failure.has_run
         if failure is AttemptFailure.NO_CONNECTION and active.replica_id is not None:
             # Nothing was sent, so this replica does not count as tried.
@@ -306,9 +349,7 @@
         ]
         if not self.crashes.record_replica_failure(replica, running, now_s):
             return ()
-        starting = tuple(
-            active.request for active in running if not active.has_partial_answer
-        )
+        starting = tuple(active.request for active in running if active.is_starting)
         return (
             CrashSuspected(replica_id, starting, len(running)),
             ProbeReplica(replica_id, replica.address),
@@ -329,6 +370,9 @@
         is_final = (
             failure is AttemptFailure.ERROR and not active.may_use_another_upstream
         )
+        active.is_trial = active.is_trial and not failure.has_run
+        if (cause := self._quarantine_cause(active)) is not None:
+            return self._end_quarantined(active, cause)
         if is_final or not active.has_attempts_left:
             return self._finish_failed(active, detail or failure.value, now_s)
         budget = self._state_of(active).budget
@@ -349,6 +393,12 @@
             return self._finish(active, Ending.UPSTREAM_FAILED, detail)
         return self._refuse(active, detail, 0.0, now_s)
 
+    def record_peer_evidence(
+        self, evidence: PartEvidence, now_s: float
+    ) -> tuple[Decision, ...]:
+        """Merge a peer's evidence about a prompt part under which replicas crash."""
+        return _quarantine_decisions(self.crashes.record_peer_evidence(evidence, now_s))
+
     def record_peer_blame(self, blame: Blame, now_s: float) -> tuple[Decision, ...]:
         """Record a crash that a peer attributed to a request."""
         return _quarantine_decisions(self.crashes.record_peer_blame(blame, now_s))
@@ -538,6 +588,9 @@
         decisions: list[Decision] = []
         blocked = 0
         for active in queue:
+            if (cause := self._quarantine_cause(active)) is not None:
+                decisions.append(self._end_quarantined(active, cause))
+                continue
             send = self._try_send(active, now_s)
             if send is None:
                 blocked += 1
@@ -572,6 +625,7 @@
         active.attempt += 1
         active.replica_id = replica_id
         active.tried_replica_ids.add(replica_id)
+        active.has_answer_head = active.has_answer_part = False
         active.sent_s = active.last_event_s = now_s
         self._upstreams.reserve(active)
         self._state_of(active).queue.record_send(now_s)
--- a/persimmonwell/core/retry/__init__.py
+++ b/persimmonwell/core/retry/__init__.py
@@ -11,6 +11,7 @@
 )
 from persimmonwell.core.retry._backoff import backoff_s
 from persimmonwell.core.retry._budget import RetryBudget
+from persimmonwell.core.retry._prompt_parts import PartEvidence, PromptPartQuarantine
 from persimmonwell.core.retry._quarantine import Blame, Quarantine, QuarantineChange
 
 __all__ = [
@@ -20,6 +21,8 @@
     "DropReason",
     "Dropped",
     "EndFrame",
+    "PartEvidence",
+    "PromptPartQuarantine",
     "Quarantine",
     "QuarantineChange",
     "RetryBudget",
--- /dev/null
+++ b/persimmonwell/core/retry/_prompt_parts.py
@@ -0,0 +1,266 @@
+"""Quarantine of prompt parts under which upstreams crash.
+
+Requests that share such a part are otherwise all different, so that no request has a
+history of its own. A part is quarantined when crash follows crash while requests with
+it were starting and none with it got an answer. Hosts merge their evidence; the merge
+is commutative and idempotent, so that it may arrive in any order and more than once.
+"""
+
+import math
+from collections import OrderedDict
+from collections.abc import Iterable, Mapping
+from hashlib import blake2b
+
+import attrs
+
+MIN_CRASHES = 2
+"""Crashes for the quarantine of a part that was never answered. Each doubling of the
+answers that a part had before requires one more."""
+MAX_COUNTED_ANSWERS = 63
+MIN_CRASH_INTERVAL_S = 0.2
+"""Crashes that follow sooner count once, since a common cause such as the loss of a
+rack takes many upstreams at the same moment."""
+CRASH_TTL_S = 300.0
+"""Time after which a crash no longer counts."""
+FIRST_TRIAL_S = 30.0
+"""Time from the last crash to a trial of a quarantined part; each crash beyond those
+that were needed doubles it."""
+SHARE_S = 20.0
+"""Time for which evidence that does not quarantine a part is sent to the peers."""
+MAX_SHARED_PARTS = 16
+MAX_CRASHES = 32
+"""Crashes kept for one part, the newest ones."""
+MAX_ANSWERED_PARTS = 8192
+MAX_SUSPECT_PARTS = 1024
+
+
+@attrs.frozen
+class PartEvidence:
+    """Evidence about one prompt part, as hosts send it to each other.
+
+    Times are ages, since the clocks of two hosts differ.
+    """
+
+    part_id: str
+    depth: int
+    """Position in the prompt; fewer requests share a deeper part."""
+    answers: int
+    """Answers that began, as far as one host counted them."""
+    answer_age_s: float | None
+    """Time since an answer to a request with the part began, None if none did."""
+    crash_ages_s: Mapping[int, float]
+    """Time since each crash, by the crash's id."""
+
+
+@attrs.define
+class _Answers:
+    count: int = 0
+    last_s: float = float("-inf")
+
+
+@attrs.define
+class _Suspect:
+    depth: int
+    changed_s: float
+    answers: _Answers = attrs.field(factory=_Answers)
+    crashes: dict[int, float] = attrs.field(factory=dict)
+    """Time of each crash since the last answer, by the crash's id."""
+
+    @property
+    def crashes_needed(self) -> float:
+        answers = min(self.answers.count, MAX_COUNTED_ANSWERS)
+        return MIN_CRASHES + math.log2(1 + answers)
+
+    def count_crashes(self, explained: Iterable[int] = ()) -> int:
+        """Return the number of separate crashes, without explained ones."""
+        times_s = sorted(
+            at_s for crash_id, at_s in self.crashes.items() if crash_id not in explained
+        )
+        count, counted_s = 0, float("-inf")
+        for at_s in times_s:
+            if at_s - counted_s >= MIN_CRASH_INTERVAL_S:
+                count, counted_s = count + 1, at_s
+        return count
+
+    def add_crash(self, crash_id: int, at_s: float) -> None:
+        """Add a crash, and drop the oldest one if there are too many."""
+        self.crashes.setdefault(crash_id, at_s)
+        if len(self.crashes) > MAX_CRASHES:
+            del self.crashes[min(self.crashes, key=self.crashes.__getitem__)]
+
+    def drop_crashes_before(self, at_s: float) -> bool:
+        """Drop the crashes up to a moment; return whether there were any."""
+        before = len(self.crashes)
+        self.crashes = {
+            crash_id: crashed_s
+            for crash_id, crashed_s in self.crashes.items()
+            if crashed_s > at_s
+        }
+        return len(self.crashes) < before
+
+
+class PromptPartQuarantine:
+    """Answers and crashes by prompt part, bounded in number and age."""
+
+    def __init__(self) -> None:
+        self._answered: OrderedDict[str, _Answers] = OrderedDict()
+        self._suspects: OrderedDict[str, _Suspect] = OrderedDict()
+        self._quarantined: frozenset[str] = frozenset()
+
+    @property
+    def quarantined(self) -> frozenset[str]:
+        """Return the parts whose requests are refused."""
+        return self._quarantined
+
+    def find_quarantined(self, part_ids: Iterable[str]) -> str | None:
+        """Return the first quarantined part among those of a request, if any."""
+        if not self._quarantined:
+            return None
+        return next((part for part in part_ids if part in self._quarantined), None)
+
+    def is_trial_due(self, part_id: str, now_s: float) -> bool:
+        """Return whether one request may show that a quarantined part is harmless."""
+        suspect = self._suspects[part_id]
+        crashes = suspect.count_crashes()
+        extra = max(0, crashes - math.ceil(suspect.crashes_needed))
+        return now_s - max(suspect.crashes.values()) >= FIRST_TRIAL_S * 2.0**extra
+
+    def record_answer(self, part_ids: Iterable[str], now_s: float) -> None:
+        """Record that the answer to a request with these parts began."""
+        is_released = False
+        for part_id in part_ids:
+            answers = self._answered.pop(part_id, None) or _Answers()
+            self._answered[part_id] = answers
+            if len(self._answered) > MAX_ANSWERED_PARTS:
+                self._answered.popitem(last=False)
+            answers.count += 1
+            answers.last_s = now_s
+            suspect = self._suspects.get(part_id)
+            if suspect is None:
+                continue
+            suspect.answers.count = max(suspect.answers.count, answers.count)
+            suspect.answers.last_s = now_s
+            if suspect.drop_crashes_before(now_s):
+                suspect.changed_s = now_s
+                is_released |= part_id in self._quarantined
+        if is_released:
+            self._judge()
+
+    def record_crash(
+        self, incarnation: str, starting: Iterable[tuple[str, ...]], at_s: float
+    ) -> tuple[str, ...]:
+        """Record a crash with the parts of each request that was starting.
+
+        Returns the parts that are quarantined because of it.
+        """
+        crash_id = _crash_id(incarnation)
+        for part_ids in starting:
+            for depth, part_id in enumerate(part_ids):
+                suspect = self._get_or_add_suspect(part_id, depth, at_s)
+                suspect.changed_s = at_s
+                suspect.add_crash(crash_id, at_s)
+        return self._judge()
+
+    def record_peer_evidence(
+        self, evidence: PartEvidence, now_s: float
+    ) -> tuple[str, ...]:
+        """Merge a peer's evidence; return the parts that are quarantined by it."""
+        if evidence.part_id not in self._suspects and not evidence.crash_ages_s:
+            return ()
+        suspect = self._get_or_add_suspect(evidence.part_id, evidence.depth, now_s)
+        answers = suspect.answers
+        needed_before = suspect.crashes_needed
+        answers.count = max(answers.count, evidence.answers)
+        is_changed = False
+        if evidence.answer_age_s is not None:
+            answers.last_s = max(answers.last_s, now_s - evidence.answer_age_s)
+            is_changed = suspect.drop_crashes_before(answers.last_s)
+        oldest_s = max(answers.last_s, now_s - CRASH_TTL_S)
+        for crash_id, age_s in evidence.crash_ages_s.items():
+            if crash_id not in suspect.crashes and now_s - age_s > oldest_s:
+                suspect.add_crash(crash_id, now_s - age_s)
+                is_changed = True
+        if is_changed:
+            suspect.changed_s = now_s
+        elif suspect.crashes_needed == needed_before:
+            return ()
+        return self._judge()
+
+    def evidence(self, now_s: float) -> tuple[PartEvidence, ...]:
+        """Return the evidence to send to the peers, on quarantined parts first."""
+        rows = [
+            (part_id not in self._quarantined, -suspect.changed_s, part_id, suspect)
+            for part_id, suspect in self._suspects.items()
+            if part_id in self._quarantined or now_s - suspect.changed_s < SHARE_S
+        ]
+        return tuple(
+            PartEvidence(
+                part_id=part_id,
+                depth=suspect.depth,
+                answers=suspect.answers.count,
+                answer_age_s=(
+                    max(0.0, now_s - suspect.answers.last_s)
+                    if math.isfinite(suspect.answers.last_s)
+                    else None
+                ),
+                crash_ages_s={
+                    crash_id: max(0.0, now_s - at_s)
+                    for crash_id, at_s in suspect.crashes.items()
+                },
+            )
+            for _, _, part_id, suspect in sorted(rows, key=lambda row: row[:3])[
+                :MAX_SHARED_PARTS
+            ]
+        )
+
+    def expire(self, now_s: float) -> None:
+        """Drop crashes that no longer count."""
+        is_changed = False
+        for part_id, suspect in list(self._suspects.items()):
+            is_changed |= suspect.drop_crashes_before(now_s - CRASH_TTL_S)
+            if not suspect.crashes and now_s - suspect.changed_s >= SHARE_S:
+                del self._suspects[part_id]
+        if is_changed:
+            self._judge()
+
+    def _get_or_add_suspect(self, part_id: str, depth: int, now_s: float) -> _Suspect:
+        suspect = self._suspects.get(part_id)
+        if suspect is None:
+            answers = self._answered.get(part_id, _Answers())
+            suspect = self._suspects[part_id] = _Suspect(
+                depth, now_s, attrs.evolve(answers)
+            )
+            if len(self._suspects) > MAX_SUSPECT_PARTS:
+                self._suspects.popitem(last=False)
+        suspect.depth = max(suspect.depth, depth)
+        return suspect
+
+    def _judge(self) -> tuple[str, ...]:
+        """Quarantine the fewest parts that explain the crashes; return the new ones.
+
+        A part that only accompanies a quarantined one loses the crashes that the
+        latter explains.
+        """
+        explained: set[int] = set()
+        found: set[str] = set()
+        while True:
+            ranked = []
+            for part_id, suspect in self._suspects.items():
+                if part_id in found:
+                    continue
+                excess = suspect.count_crashes(explained) - suspect.crashes_needed
+                if excess >= 0:
+                    rank = (excess, -suspect.answers.count, suspect.depth, part_id)
+                    ranked.append(rank)
+            if not ranked:
+                break
+            part_id = max(ranked)[-1]
+            found.add(part_id)
+            explained |= self._suspects[part_id].crashes.keys()
+        new = tuple(sorted(found - self._quarantined))
+        self._quarantined = frozenset(found)
+        return new
+
+
+def _crash_id(incarnation: str) -> int:
+    return int.from_bytes(blake2b(incarnation.encode(), digest_size=4).digest())
--- a/persimmonwell/gateway/_exchange.py
+++ b/persimmonwell/gateway/_exchange.py
@@ -70,6 +70,9 @@
     ) -> None:
         """Handle a failed attempt: retry the request or finish it."""
 
+    def answer_opened(self, exchange: "Exchange") -> None:
+        """Record that an upstream sent the head of a success."""
+
     def answer_began(self, exchange: "Exchange") -> None:
         """Record that the first part of an answer was sent to the caller."""
 
@@ -106,6 +109,8 @@
         if self.connection is not None:
             self.connection.keep_alive_s = self.head.keep_alive_s
         self.body_use = self.exchange.use_body(self)
+        if self.body_use in (BodyUse.FORWARD_EVENTS, BodyUse.FORWARD_PLAIN):
+            self.exchange.answer_opened(self)
 
     def on_data(self, data: bytes) -> None:
         """Forward a part of a stream, or buffer a part of a plain answer."""
@@ -298,6 +303,11 @@
         assert attempt.head is not None
         return self._answer.body_use(attempt.head.facts, is_stream=self.is_stream)
 
+    def answer_opened(self, attempt: _Attempt) -> None:
+        """Report the head of a success."""
+        if self._is_current(attempt):
+            self._owner.answer_opened(self)
+
     def forward_events(self, attempt: _Attempt, data: bytes) -> None:
         """Forward the events that are complete."""
         if not self._is_current(attempt):
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -189,6 +189,10 @@
         )
         self.execute(decisions)
 
+    def answer_opened(self, exchange: Exchange) -> None:
+        """Record that an upstream sent the head of a success."""
+        self.router.answer_opened(exchange.key, exchange.attempt)
+
     def answer_began(self, exchange: Exchange) -> None:
         """Record that the first part of an answer was sent to the caller."""
         now_s = self.now_s()
@@ -254,7 +258,7 @@
                 continue
             if isinstance(decision, Quarantined):
                 self.metrics.count_event("quarantined")
-                self._log.write("request", "quarantined", digest=decision.digest)
+                self._log.write("request", "quarantined", cause=decision.cause)
                 continue
             exchange = self._exchanges.get(decision.key)
             if exchange is None:
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -380,6 +380,7 @@
             store_versions=self._store_versions,
             blames=self._router.crashes.blames(time.monotonic()),
             refused=self._router.caller_retries.recent_digests(time.monotonic()),
+            part_evidence=self._router.crashes.part_evidence(time.monotonic()),
             registry_changes=self._relayed_changes(),
         )
 
@@ -420,6 +421,8 @@
         )
         for blame in report.blames:
             self._gateway.execute(self._router.record_peer_blame(blame, now_s))
+        for evidence in report.part_evidence:
+            self._gateway.execute(self._router.record_peer_evidence(evidence, now_s))
         self._follow_reader(report, now_s)
 
     def _follow_reader(self, report: PeerReport, now_s: float) -> None:
--- a/persimmonwell/gateway/_peer_datagrams.py
+++ b/persimmonwell/gateway/_peer_datagrams.py
@@ -19,12 +19,14 @@
     ReplicaLoad,
     StoreVersions,
 )
-from persimmonwell.core.retry import Blame
+from persimmonwell.core.retry import Blame, PartEvidence
 from persimmonwell.gateway._peer_messages import (
     Load,
     Report,
     decode_changes,
+    decode_evidence,
     encode_changes,
+    encode_evidence,
 )
 
 SEND_INTERVAL_S = 0.25
@@ -48,6 +50,8 @@
 """Loads in one datagram, the largest first; about the replicas that a host uses in its
 own availability zone and some of the others."""
 MAX_BLAMES = 30
+MAX_SHARED_PARTS = 16
+"""Suspected prompt parts that are read from one datagram."""
 MAX_PEER_ADDRESSES = 64
 """Peer addresses in one datagram, the next ones in turn; with the same ones each time,
 the last hosts of a larger fleet never learned of each other."""
@@ -74,6 +78,7 @@
     """Time for which the report is valid if no other one arrives."""
     registry_changes: RegistryChanges | None = None
     """Changes that a host which reads the store relays to its availability zone."""
+    part_evidence: tuple[PartEvidence, ...] = ()
 
     @property
     def host_id(self) -> str:
@@ -95,6 +100,7 @@
     blames: tuple[Blame, ...]
     refused: tuple[str, ...]
     registry_changes: RegistryChanges | None = None
+    part_evidence: tuple[PartEvidence, ...] = ()
 
 
 SocketAddress = tuple[str, int]
@@ -184,6 +190,10 @@
                 blames=tuple(Blame(*blame) for blame in report.blames),
                 refused=tuple(report.refused),
                 valid_s=min(valid_s, MAX_LOAD_VALIDITY_S),
+                part_evidence=tuple(
+                    decode_evidence(part)
+                    for part in report.suspect_parts[:MAX_SHARED_PARTS]
+                ),
                 registry_changes=decode_changes(report.registry_changes),
             )
         )
@@ -276,6 +286,7 @@
             ],
             refused=list(state.refused),
             registry_changes=encode_changes(state.registry_changes),
+            suspect_parts=[encode_evidence(part) for part in state.part_evidence],
         )
         data = msgspec.msgpack.encode(report)
         for address in addresses:
--- a/persimmonwell/gateway/_peer_messages.py
+++ b/persimmonwell/gateway/_peer_messages.py
@@ -13,6 +13,7 @@
     RegistryRecord,
     Replica,
 )
+from persimmonwell.core.retry import PartEvidence
 
 MAX_INTERVAL_S = 120.0
 """Longest interval between two reports to one peer: those to other availability zones,
@@ -25,6 +26,8 @@
 Address = Annotated[
     str, msgspec.Meta(pattern=r"\A[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]+\Z")
 ]
+Age = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
+"""Seconds since an event."""
 Interval = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_INTERVAL_S)]
 
 
@@ -66,6 +69,16 @@
     changes: list[Change]
 
 
+class SuspectPart(msgspec.Struct, array_like=True):
+    """Evidence about a prompt part under which replicas crashed; see PartEvidence."""
+
+    part_id: Name
+    depth: Count
+    answers: Count
+    answer_age_s: Age | None
+    crash_ages_s: list[tuple[Count, Age]]
+
+
 class Report(msgspec.Struct, array_like=True):
     """State of a host; each report replaces the previous one of its sender."""
 
@@ -89,6 +102,30 @@
     """Digests of requests that the sender refused and that callers may retry."""
     registry_changes: Changes | None = None
     """Absent from hosts that do not read the store, and from earlier builds."""
+    suspect_parts: list[SuspectPart] = []
+    """Absent from earlier builds."""
+
+
+def encode_evidence(evidence: PartEvidence) -> SuspectPart:
+    """Return the message for the evidence about a prompt part."""
+    return SuspectPart(
+        evidence.part_id,
+        evidence.depth,
+        evidence.answers,
+        evidence.answer_age_s,
+        list(evidence.crash_ages_s.items()),
+    )
+
+
+def decode_evidence(part: SuspectPart) -> PartEvidence:
+    """Return the evidence in a message."""
+    return PartEvidence(
+        part_id=part.part_id,
+        depth=part.depth,
+        answers=part.answers,
+        answer_age_s=part.answer_age_s,
+        crash_ages_s=dict(part.crash_ages_s),
+    )
 
 
 def encode_changes(changes: RegistryChanges | None) -> Changes | None:
--- a/persimmonwell/platform/_headers.py
+++ b/persimmonwell/platform/_headers.py
@@ -1,6 +1,7 @@
 """Codec of the headers and bodies exchanged with callers and replicas."""
 
 import json
+import re
 from collections.abc import Iterable, Sequence
 from hashlib import blake2b
 
@@ -28,6 +29,7 @@
 _TOKEN_COUNT = b"token-count"
 _LENGTH_HINT = b"length-hint"
 _PROMPT_PREFIX = b"prompt-prefix"
+_PART_ID = re.compile("[0-9A-Za-z]{1,64}")
 _HOP_BY_HOP = frozenset(
     {
         *(b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate"),
@@ -106,7 +108,7 @@
     if not prefix:
         return ()
     ids = (entry.partition(":")[0].strip() for entry in prefix.split(",")[:-1])
-    return tuple(dict.fromkeys(part_id for part_id in ids if part_id))
+    return tuple(dict.fromkeys(filter(_PART_ID.fullmatch, ids)))
 
 
 def encode_request_head(
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -4,6 +4,7 @@
 response to one request, or a response without a length.
 """
 
+import contextlib
 import json
 import socket
 import struct
@@ -117,6 +118,9 @@
 
     def close(self) -> None:
         """Stop accepting and reset all open connections."""
+        with contextlib.suppress(OSError):
+            # Without it a thread in accept() takes one more connection.
+            self._socket.shutdown(socket.SHUT_RDWR)
         self._socket.close()
         for connection in list(self._open_connections):
             _reset_connection(connection)
--- a/tests/core/forwarding/test_crashes.py
+++ b/tests/core/forwarding/test_crashes.py
@@ -9,6 +9,7 @@
     ForwardingRouter,
     ProbeReplica,
     Quarantined,
+    RegistryRecord,
     Send,
 )
 from persimmonwell.core.retry import Blame
@@ -76,7 +77,7 @@
     assert isinstance(send, Send)
     router.answer_completed(2, 1, 3.1)
     crash(router, 3, 6.0, digest="popular")
-    assert not router.crashes.is_quarantined("popular")
+    assert "popular" not in router.crashes.quarantined
 
 
 def test_requests_in_flight_at_a_dead_stage_are_not_quarantined() -> None:
@@ -117,8 +118,87 @@
     )
     router.request_arrived(1, request("urgent", digest="r1"), 0.0)
     router.answer_began(1, 1, 0.1)
-    router.request_arrived(2, request("urgent", digest="r2"), 0.1)
+    for key in (2, 3):
+        router.request_arrived(key, request("urgent", digest=f"r{key}"), 0.1)
+    router.answer_opened(2, 1)
     found = router.attempt_failed(2, 1, FAILED.BROKEN, 0.2)
     (suspected,) = [e for e in found if isinstance(e, CrashSuspected)]
-    assert suspected.replica_id == "a" and suspected.running_count == 2
+    assert suspected.replica_id == "a" and suspected.running_count == 3
     assert [request.digest for request in suspected.starting] == ["r2"]
+
+
+def crash_part(
+    router: ForwardingRouter, key: int, now_s: float
+) -> tuple[Decision, ...]:
+    """Crash the replica of a request with the part, before its first event."""
+    parts = ("root", "dead")
+    found = router.request_arrived(
+        key, request("fixed", digest=f"r{key}", shared_parts=parts), now_s
+    )
+    router.answer_opened(key, 1)
+    found += router.attempt_failed(key, 1, FAILED.BROKEN, now_s + 0.01)
+    for probe in [each for each in found if isinstance(each, ProbeReplica)]:
+        found += router.replica_probed(
+            probe.replica_id, None, now_s + 0.02, is_alive=False
+        )
+    return found
+
+
+def staged_router(count: int = 6) -> ForwardingRouter:
+    """Return a router with as many paths of two stages."""
+    return make_router(
+        *(staged_replica(f"a{number}", "za", 0, 40) for number in range(count)),
+        *(staged_replica(f"b{number}", "za", 40, 80) for number in range(count)),
+    )
+
+
+def test_unlike_requests_that_share_a_crashing_part_are_refused() -> None:
+    """Guards against a crash by each request of a kind, since no two are alike."""
+    router = staged_router()
+    crash_part(router, 1, 1.0)
+    assert Quarantined("dead") in crash_part(router, 2, 2.0)
+    (refused,) = crash_part(router, 3, 3.0)
+    assert isinstance(refused, Finish)
+    assert refused.ending is Ending.QUARANTINED and refused.detail == "dead"
+    sound = request("fixed", digest="sound", shared_parts=("root", "other"))
+    (send,) = router.request_arrived(4, sound, 3.0)
+    assert isinstance(send, Send)
+
+
+def test_waiting_requests_with_a_quarantined_part_are_refused() -> None:
+    """Guards against a queue that crashes replicas after its part is quarantined."""
+    router = staged_router(2)
+    crash_part(router, 1, 1.0)
+    crash_part(router, 2, 2.0)
+    other = staged_router(0)
+    other.registry.apply(
+        (RegistryRecord("x", 0, staged_replica("x", "za", 0, 40)),), 0.0
+    )
+    assert (
+        other.request_arrived(
+            1, request("fixed", digest="q", shared_parts=("root", "dead")), 2.0
+        )
+        == ()
+    )
+    for evidence in router.crashes.part_evidence(2.1):
+        other.record_peer_evidence(evidence, 2.1)
+    ends = [each for each in other.tick(2.2) if isinstance(each, Finish)]
+    assert [(end.ending, end.detail) for end in ends] == [(Ending.QUARANTINED, "dead")]
+
+
+def test_one_request_tries_a_quarantined_part_after_a_while() -> None:
+    """Guards against a sound part that is refused until it is no longer asked for."""
+    router = staged_router()
+    crash_part(router, 1, 1.0)
+    crash_part(router, 2, 2.0)
+    parts = ("root", "dead")
+    trial = request("fixed", digest="trial", shared_parts=parts)
+    (send,) = router.request_arrived(3, trial, 60.0)
+    assert isinstance(send, Send)
+    router.answer_opened(3, 1)
+    router.answer_began(3, 1, 60.1)
+    assert router.crashes.quarantined_parts == frozenset()
+    (send,) = router.request_arrived(
+        4, request("fixed", digest="next", shared_parts=parts), 60.2
+    )
+    assert isinstance(send, Send)
--- /dev/null
+++ b/tests/core/retry/test_prompt_parts.py
@@ -0,0 +1,152 @@
+"""Tests of the quarantine of prompt parts under which upstreams crash."""
+
+from collections.abc import Sequence
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from persimmonwell.core.retry import PromptPartQuarantine
+from persimmonwell.core.retry._prompt_parts import (
+    CRASH_TTL_S,
+    FIRST_TRIAL_S,
+    MAX_SHARED_PARTS,
+    SHARE_S,
+)
+
+Crash = tuple[float, tuple[tuple[str, ...], ...]]
+
+
+def after_crashes(
+    crashes: Sequence[Crash], answered: Sequence[tuple[str, ...]] = ()
+) -> PromptPartQuarantine:
+    """Return the state after answers at second 0 and crashes at the given times."""
+    parts = PromptPartQuarantine()
+    for part_ids in answered:
+        parts.record_answer(part_ids, 0.0)
+    for number, (at_s, starting) in enumerate(crashes):
+        parts.record_crash(f"i-{number}/1", starting, at_s)
+    return parts
+
+
+DEADLY = ("root", "dead")
+
+
+@pytest.mark.parametrize(
+    ("crashes", "answered", "quarantined"),
+    [
+        pytest.param([(1.0, (DEADLY,))], [], set(), id="one crash"),
+        pytest.param([(1.0, (DEADLY,)), (2.0, (DEADLY,))], [], {"dead"}, id="two"),
+        pytest.param(
+            [(1.0, (DEADLY,)), (1.1, (DEADLY,)), (1.15, (DEADLY,))],
+            [],
+            set(),
+            id="many upstreams at one moment",
+        ),
+        pytest.param(
+            [(1.0, (("root",),)), (2.0, (("root",),)), (3.0, (("root",),))],
+            [("root",)] * 3,
+            set(),
+            id="a part that was often answered",
+        ),
+        pytest.param(
+            [(float(second), (DEADLY, ("root", "rare"))) for second in (1, 2, 3, 4)]
+            + [(5.0, (DEADLY,))],
+            [("root",)],
+            {"dead"},
+            id="another part was there most times",
+        ),
+        pytest.param(
+            [(float(second), (DEADLY, ("root", "worse"))) for second in (1, 2)]
+            + [(3.0, (DEADLY,)), (3.5, (DEADLY,))]
+            + [(4.0, (("worse",),)), (5.0, (("worse",),))],
+            [("root",)] * 9,
+            {"dead", "worse"},
+            id="two parts crash upstreams",
+        ),
+    ],
+)
+def test_only_the_part_at_fault_is_quarantined(
+    crashes: Sequence[Crash], answered: Sequence[tuple[str, ...]], quarantined: set[str]
+) -> None:
+    """Guards against refusing sound requests that share other parts."""
+    assert after_crashes(crashes, answered).quarantined == quarantined
+
+
+def test_an_answer_ends_the_quarantine_on_all_hosts() -> None:
+    """Guards against a sound part that stays refused after crashes by chance."""
+    one = after_crashes([(1.0, (DEADLY,)), (2.0, (DEADLY,))])
+    two = PromptPartQuarantine()
+    for evidence in one.evidence(2.5):
+        two.record_peer_evidence(evidence, 2.5)
+    assert two.find_quarantined(DEADLY) == "dead"
+    two.record_answer(DEADLY, 3.0)
+    for evidence in two.evidence(3.5):
+        one.record_peer_evidence(evidence, 3.5)
+    assert one.quarantined == two.quarantined == frozenset()
+    for evidence in one.evidence(3.6):
+        two.record_peer_evidence(evidence, 3.6)
+    assert two.quarantined == frozenset()
+
+
+def test_a_host_that_starts_late_learns_of_a_quarantine() -> None:
+    """Guards against a restarted host that crashes replicas again."""
+    parts = after_crashes([(1.0, (DEADLY,)), (2.0, (DEADLY,))])
+    late_s = 2.0 + 5 * SHARE_S
+    new_host = PromptPartQuarantine()
+    for evidence in parts.evidence(late_s):
+        new_host.record_peer_evidence(evidence, late_s)
+    assert new_host.quarantined == {"dead"}
+
+
+def test_a_quarantined_part_is_tried_again_more_and_more_seldom() -> None:
+    """Guards against a part that is refused for ever, and against frequent trials."""
+    parts = after_crashes([(1.0, (DEADLY,)), (2.0, (DEADLY,))])
+    assert not parts.is_trial_due("dead", 1.9 + FIRST_TRIAL_S)
+    assert parts.is_trial_due("dead", 2.0 + FIRST_TRIAL_S)
+    parts.record_crash("i-9/1", (DEADLY,), 40.0)
+    assert not parts.is_trial_due("dead", 39.9 + 2 * FIRST_TRIAL_S)
+    assert parts.is_trial_due("dead", 40.0 + 2 * FIRST_TRIAL_S)
+    parts.expire(41.0 + CRASH_TTL_S)
+    assert parts.quarantined == frozenset()
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 20),
+            st.lists(st.sampled_from("abcd"), max_size=3, unique=True).map(tuple),
+            st.booleans(),
+        ),
+        max_size=20,
+    ),
+    st.randoms(use_true_random=False),
+)
+def test_hosts_that_hear_of_each_other_agree(
+    events: list[tuple[int, tuple[str, ...], bool]], random: object
+) -> None:
+    """Guards against verdicts that depend on the order in which evidence arrives."""
+    hosts = [PromptPartQuarantine() for _ in range(3)]
+    for number, (second, part_ids, is_crash) in enumerate(sorted(events)):
+        host = hosts[number % len(hosts)]
+        now_s = second + number / 100
+        if is_crash:
+            host.record_crash(f"i-{number}/1", (part_ids,), now_s)
+        else:
+            host.record_answer(part_ids, now_s)
+    pairs = [(a, b) for a in hosts for b in hosts if a is not b] * 3
+    random.shuffle(pairs)  # type: ignore[attr-defined]
+    for _ in range(3):
+        for sender, receiver in pairs:
+            for evidence in sender.evidence(21.0):
+                receiver.record_peer_evidence(evidence, 21.0)
+    assert hosts[0].quarantined == hosts[1].quarantined == hosts[2].quarantined
+
+
+def test_evidence_of_many_parts_is_bounded() -> None:
+    """Guards against datagrams that grow with the number of parts."""
+    crashes = [
+        (float(second), tuple((f"p{second}-{row}",) for row in range(50)))
+        for second in range(5)
+    ]
+    assert len(after_crashes(crashes).evidence(5.0)) == MAX_SHARED_PARTS
--- a/tests/gateway/test_peer_datagrams.py
+++ b/tests/gateway/test_peer_datagrams.py
@@ -16,7 +16,7 @@
     ReplicaLoad,
     StoreVersions,
 )
-from persimmonwell.core.retry import Blame
+from persimmonwell.core.retry import Blame, PartEvidence, PromptPartQuarantine
 from persimmonwell.gateway._peer_datagrams import (
     MAX_LOAD_VALIDITY_S,
     SEND_INTERVAL_S,
@@ -39,6 +39,9 @@
         RegistryRecord("i-3", 90, None),
     ),
 )
+EVIDENCE = PartEvidence(
+    part_id="p-1", depth=1, answers=0, answer_age_s=None, crash_ages_s={7: 0.5}
+)
 STORE_VERSIONS = StoreVersions(config_version=4, registry_offset=88)
 
 
@@ -65,6 +68,7 @@
         blames=(BLAME,),
         refused=("d2",),
         registry_changes=CHANGES,
+        part_evidence=(EVIDENCE,),
     )
     datagrams = PeerDatagrams(
         host_id=name,
@@ -88,7 +92,8 @@
         store_versions=STORE_VERSIONS,
     )
     return PeerReport(
-        *(status, LOADS, ("i-9",), {"i-7": 4.0}, (BLAME,), ("d2",), 0.625, CHANGES)
+        *(status, LOADS, ("i-9",), {"i-7": 4.0}, (BLAME,), ("d2",), 0.625, CHANGES),
+        part_evidence=(EVIDENCE,),
     )
 
 
@@ -161,6 +166,7 @@
         *("h2", "za", [["i-1", 2, 900]], ["10.1.0.2"], ["i-9"], True, False),
         *({"i-7": 4.0}, 0.25, True, 4, 88, [["d1", "i-3/0"]], ["d2"]),
         [80, 91, [["i-1", 85, entry], ["i-2", 90, None]]],
+        [["p-1", 1, 0, None, [[7, 0.5]]]],
     ]
 
 
@@ -174,13 +180,15 @@
 )
 
 
-@given(st.integers(0, 14), junk)
+@given(st.integers(0, 15), junk)
 @example(2, [["i-1", -1, 900]])
 @example(3, ["desk.example"])
 @example(7, {"i-7": 1e9})
 @example(8, float("inf"))
 @example(14, [80, 91, [["i-1\n", 85, None]]])
 @example(14, [80, 91, [["i-1", -5, None]]])
+@example(15, [["p-1", 1, 0, -1.0, [[7, 0.5]]]])
+@example(15, [["p-1", 1, 0, None, [[7, float("nan")]]]])
 def test_report_with_any_wrong_field_does_no_lasting_harm(
     field: int, value: object
 ) -> None:
@@ -244,9 +252,11 @@
     earlier_report = sample_report()[:14]
     one.datagram_received(msgspec.msgpack.encode(earlier_report), ("127.0.0.9", 1))
     assert reports["h2"].registry_changes is None
+    assert reports["h2"].part_evidence == ()
     later_report = [*sample_report(), {"a": "field of a later build"}]
     one.datagram_received(msgspec.msgpack.encode(later_report), ("127.0.0.9", 1))
     assert reports["h2"].registry_changes is not None
+    assert reports["h2"].part_evidence == (EVIDENCE,)
 
 
 class _Network:
@@ -296,3 +306,46 @@
             if status.availability_zone == datagrams._availability_zone
         ]
         assert len(live_of_zone) == len(zone_peers)
+
+
+@pytest.mark.parametrize("host_count", [4, 78, 340])
+def test_all_hosts_of_a_fleet_refuse_a_part_before_it_crashes_more_replicas(
+    clock: _Clock, host_count: int
+) -> None:
+    """Guards against evidence that only the hosts in touch with its source hear."""
+    network = _Network()
+    parts: dict[str, PromptPartQuarantine] = {}
+    for number in range(host_count):
+        zone = number * 5 // host_count
+        ip = f"10.{zone + 1}.{number // 200}.{number % 200 + 1}"
+        datagrams, _ = peer(f"h{number:03}", ip, 1, clock, "10.1.0.1", zone=f"z{zone}")
+        datagrams.connection_made(network)  # type: ignore[arg-type]
+        network.hosts[ip] = datagrams
+        own = parts[ip] = PromptPartQuarantine()
+        empty = attrs.evolve(
+            datagrams._local_state(),
+            loads={},
+            registry_changes=None,
+            part_evidence=(),
+        )
+        datagrams._local_state = lambda own=own, empty=empty: attrs.evolve(
+            empty, part_evidence=own.evidence(clock.now_s)
+        )
+        datagrams._on_report = lambda report, own=own: [
+            own.record_peer_evidence(evidence, clock.now_s)
+            for evidence in report.part_evidence
+        ]
+
+    def run(seconds: float) -> None:
+        for _ in range(int(seconds / SEND_INTERVAL_S)):
+            for ip, datagrams in network.hosts.items():
+                network.sender = ip
+                datagrams.send()
+            clock.now_s += SEND_INTERVAL_S
+
+    run(6.0)
+    first, *_, last = parts.values()
+    first.record_crash("i-1/1", [("root", "dead")], clock.now_s - 1.0)
+    last.record_crash("i-2/1", [("root", "dead")], clock.now_s)
+    run(3.0)
+    assert all(own.quarantined == {"dead"} for own in parts.values())
