Log the rate limits that replicas state

What callers saw: nothing; replicas got more requests than they had said they take. Cause: the header Server-Limit was not read, so that no log could show it. Change: the limit is decoded with an answer's head, the newest statement of the newest start is kept, and a change is logged as limit_stated and counted as limits_changed. No request is held back yet.

--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -23,6 +23,7 @@
     Finish,
     ProbeReplica,
     Quarantined,
+    RateLimitChanged,
     Reroute,
     Send,
 )
@@ -55,6 +56,7 @@
     PlacementScope,
     plan_placement,
 )
+from persimmonwell.core.forwarding._rate_limits import StatedLimit
 from persimmonwell.core.forwarding._registry import (
     RegistryChanges,
     RegistryRecord,
@@ -91,6 +93,7 @@
     "PlacementScope",
     "ProbeReplica",
     "Quarantined",
+    "RateLimitChanged",
     "RegistryChanges",
     "RegistryRecord",
     "Replica",
@@ -103,6 +106,7 @@
     "Send",
     "ServiceSpec",
     "Stage",
+    "StatedLimit",
     "StoreVersions",
     "Tenant",
     "UpstreamAnswer",
--- a/persimmonwell/core/forwarding/_events.py
+++ b/persimmonwell/core/forwarding/_events.py
@@ -105,6 +105,14 @@
     """All requests of this host that passed through the replica."""
 
 
+@attrs.frozen
+class RateLimitChanged:
+    """Report to operators a limit that a replica stated, or takes back with None."""
+
+    replica_id: str
+    rate_per_s: float | None
+
+
 @attrs.frozen
 class Quarantined:
     """Report to operators a request or prompt part under which replicas crash."""
@@ -114,7 +122,7 @@
 
 
 RequestDecision: TypeAlias = Send | Finish | CancelAttempt | Reroute
-Report: TypeAlias = CrashSuspected | Quarantined
+Report: TypeAlias = CrashSuspected | Quarantined | RateLimitChanged
 Decision: TypeAlias = RequestDecision | FetchStallReport | ProbeReplica | Report
 
 
--- a/persimmonwell/core/forwarding/_registry.py
+++ b/persimmonwell/core/forwarding/_registry.py
@@ -75,6 +75,11 @@
         """Return all entries by replica id."""
         return self._entries
 
+    def has_incarnation(self, replica_id: str, started_at_ms: int) -> bool:
+        """Return whether the entry of a replica is of that start."""
+        replica = self._entries.get(replica_id)
+        return replica is not None and replica.started_at_ms == started_at_ms
+
     def mark_store_unavailable(self) -> None:
         """Start the outage mode, in which removed entries are kept for a grace time."""
         self._in_outage = True
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -20,6 +20,7 @@
     Finish,
     ProbeReplica,
     Quarantined,
+    RateLimitChanged,
     Reroute,
     Send,
 )
@@ -34,6 +35,10 @@
     RouteKind,
 )
 from persimmonwell.core.forwarding._queue import RequestQueue
+from persimmonwell.core.forwarding._rate_limits import (
+    ReplicaRateLimits,
+    StatedLimit,
+)
 from persimmonwell.core.forwarding._registry import ReplicaRegistry
 from persimmonwell.core.forwarding._routes import (
     ResolvedRoute,
@@ -130,6 +135,11 @@
         """Return the health of the replicas."""
         return self._upstreams.health
 
+    @property
+    def rate_limits(self) -> ReplicaRateLimits:
+        """Return the rate limits that replicas stated."""
+        return self._upstreams.rate_limits
+
     @property
     def is_ready(self) -> bool:
         """Return whether a configuration and a registered replica are known."""
@@ -263,6 +273,29 @@
 
     # Events of upstreams
 
+    def limit_stated(
+        self, key: int, attempt: int, rate_per_s: float | None, now_s: float
+    ) -> tuple[Decision, ...]:
+        """Record the rate limit in an answer's head, None if it states none."""
+        active = self._running_attempt(key, attempt)
+        if active is None or active.replica_id is None:
+            return ()
+        replica = self.registry.replicas.get(active.replica_id)
+        if replica is None:
+            return ()
+        return self.record_limit(
+            StatedLimit(replica.replica_id, replica.started_at_ms, rate_per_s, 0.0),
+            now_s,
+        )
+
+    def record_limit(
+        self, stated: StatedLimit, now_s: float
+    ) -> tuple[RateLimitChanged, ...]:
+        """Record a replica's rate limit, stated to this host or to a peer."""
+        if not self.rate_limits.record(stated, now_s):
+            return ()
+        return (RateLimitChanged(stated.replica_id, stated.rate_per_s),)
+
     def answer_opened(self, key: int, attempt: int) -> None:
         """Record that an upstream sent the head of a success."""
         active = self._running_attempt(key, attempt)
@@ -546,6 +579,7 @@
         """Expire what is due, query stalls, probe suspects and send queued requests."""
         decisions: list[Decision] = []
         self.loads.expire_peers(now_s)
+        self.rate_limits.expire(now_s, self.registry.has_incarnation)
         self.registry.expire(now_s)
         decisions += _quarantine_decisions(self.crashes.expire(now_s))
         for active in list(self._active.values()):
--- a/persimmonwell/core/forwarding/_upstreams.py
+++ b/persimmonwell/core/forwarding/_upstreams.py
@@ -15,6 +15,7 @@
     Stage,
     find_path,
 )
+from persimmonwell.core.forwarding._rate_limits import ReplicaRateLimits
 from persimmonwell.core.forwarding._registry import ReplicaRegistry
 
 CROSS_ZONE_PENALTY_MS = 4.0
@@ -32,6 +33,7 @@
         self.registry = ReplicaRegistry()
         self.loads = LoadTable()
         self.health = ReplicaHealth()
+        self.rate_limits = ReplicaRateLimits()
 
     def available(self, service: str) -> list[Replica]:
         """Return the registered replicas of a service that are not draining."""
--- a/persimmonwell/gateway/_exchange.py
+++ b/persimmonwell/gateway/_exchange.py
@@ -70,6 +70,9 @@
     ) -> None:
         """Handle a failed attempt: retry the request or finish it."""
 
+    def limit_stated(self, exchange: "Exchange", rate_per_s: float | None) -> None:
+        """Record the rate limit in the head of an answer, None if it states none."""
+
     def answer_opened(self, exchange: "Exchange") -> None:
         """Record that an upstream sent the head of a success."""
 
@@ -109,8 +112,7 @@
         if self.connection is not None:
             self.connection.keep_alive_s = self.head.keep_alive_s
         self.body_use = self.exchange.use_body(self)
-        if self.body_use in (BodyUse.FORWARD_EVENTS, BodyUse.FORWARD_PLAIN):
-            self.exchange.answer_opened(self)
+        self.exchange.head_received(self)
 
     def on_data(self, data: bytes) -> None:
         """Forward a part of a stream, or buffer a part of a plain answer."""
@@ -303,9 +305,16 @@
         assert attempt.head is not None
         return self._answer.body_use(attempt.head.facts, is_stream=self.is_stream)
 
-    def answer_opened(self, attempt: _Attempt) -> None:
-        """Report the head of a success."""
-        if self._is_current(attempt):
+    def head_received(self, attempt: _Attempt) -> None:
+        """Report what the head of an answer says."""
+        if not self._is_current(attempt):
+            return
+        assert attempt.head is not None
+        facts, rate_per_s = attempt.head.facts, attempt.head.rate_limit_per_s
+        # An answer without a seal may come from something else than the replica.
+        if facts.has_seal or (rate_per_s is not None and not facts.is_wrong_replica):
+            self._owner.limit_stated(self, rate_per_s)
+        if attempt.body_use in (BodyUse.FORWARD_EVENTS, BodyUse.FORWARD_PLAIN):
             self._owner.answer_opened(self)
 
     def forward_events(self, attempt: _Attempt, data: bytes) -> None:
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -17,6 +17,7 @@
     ForwardingRouter,
     ProbeReplica,
     Quarantined,
+    RateLimitChanged,
     Reroute,
     RouteKind,
     Send,
@@ -189,6 +190,14 @@
         )
         self.execute(decisions)
 
+    def limit_stated(self, exchange: Exchange, rate_per_s: float | None) -> None:
+        """Record the rate limit in the head of an answer, None if it states none."""
+        self.execute(
+            self.router.limit_stated(
+                exchange.key, exchange.attempt, rate_per_s, self.now_s()
+            )
+        )
+
     def answer_opened(self, exchange: Exchange) -> None:
         """Record that an upstream sent the head of a success."""
         self.router.answer_opened(exchange.key, exchange.attempt)
@@ -256,6 +265,15 @@
             if isinstance(decision, CrashSuspected):
                 self._log_suspected_crash(decision)
                 continue
+            if isinstance(decision, RateLimitChanged):
+                self.metrics.count_event("limits_changed")
+                self._log.write(
+                    "upstream",
+                    "limit_stated",
+                    replica=decision.replica_id,
+                    rate_per_s=decision.rate_per_s,
+                )
+                continue
             if isinstance(decision, Quarantined):
                 self.metrics.count_event("quarantined")
                 self._log.write("request", "quarantined", cause=decision.cause)
--- a/persimmonwell/platform/_headers.py
+++ b/persimmonwell/platform/_headers.py
@@ -1,6 +1,7 @@
 """Codec of the headers and bodies exchanged with callers and replicas."""
 
 import json
+import math
 import re
 from collections.abc import Iterable, Sequence
 from hashlib import blake2b
@@ -161,6 +162,8 @@
     fault_address: str | None
     """Address of the replica that the answering one reports as faulty."""
     keep_alive_s: float | None
+    rate_limit_per_s: float | None
+    """Requests a second that the replica takes from all hosts together."""
 
     @property
     def status(self) -> int:
@@ -183,9 +186,18 @@
         request_id=request_id.decode("latin-1") if request_id else None,
         fault_address=fault.decode("latin-1") if fault else None,
         keep_alive_s=_parse_keep_alive_s(values.get(b"keep-alive")),
+        rate_limit_per_s=_parse_rate(values.get(b"server-limit")),
     )
 
 
+def _parse_rate(value: bytes | None) -> float | None:
+    try:
+        rate = float(value) if value is not None else math.nan
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0.0 else None
+
+
 def _parse_keep_alive_s(value: bytes | None) -> float | None:
     if value is None:
         return None
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -88,6 +88,17 @@
     assert decode_request("GET", "/x", malformed, host="h", body=b"").size is None
 
 
+@pytest.mark.parametrize(
+    ("value", "rate_per_s"),
+    [(b"1.8", 1.8), (b"0", 0.0), (b"", None), (b"nan", None), (b"-1", None)],
+)
+def test_stated_rate_limit_is_decoded(value: bytes, rate_per_s: float | None) -> None:
+    """Guards against a malformed limit that stops all requests to a replica."""
+    head = decode_answer_head(200, ((b"Server-Limit", value),))
+    assert head.rate_limit_per_s == rate_per_s
+    assert decode_answer_head(200, ()).rate_limit_per_s is None
+
+
 def test_answer_head_tells_whether_the_request_ran() -> None:
     """Guards against "not run" decoded from an answer that does not state it."""
     assert not decode_answer_head(503, ()).facts.not_run
