Reproduce the exceeded limit in failing tests

What callers saw: nothing; a replica that states 2 requests a second gets all that hosts choose to send. Evidence: E assert 41 <= 17.0;E assert {200} == {200, 503}; at most 17 of 4 s are allowed.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -63,7 +63,8 @@
     cut_body (resets within the body), alive (False: reports time out), reset (resets
     without a response), flood (a key of FLOODS, sent until the caller closes),
     report_flood (the same in response to one report request), deadly_part (id of a
-    prompt part; the replica crashes when it begins to answer a request with it).
+    prompt part; the replica crashes when it begins to answer a request with it), limit
+    (requests a second that its answers state, as text).
     """
 
     def __init__(self, replica_id: str, *, service: str, zone: str) -> None:
@@ -72,6 +73,7 @@
         self.zone = zone
         self.faults: dict[str, Any] = {}
         self.received: list[ReceivedRequest] = []
+        self.received_at_s: list[float] = []
         self.orders: list[dict[str, Any]] = []
         self.connections = 0
         self.flooded_bytes = 0
@@ -184,6 +186,8 @@
             "Request-Id": request_id,
             "Response-Seal": f"seal-{self.replica_id}",
         }
+        if limit := self.faults.get("limit"):
+            response_headers["Server-Limit"] = limit
         if request.headers.get("expect-instance") != self.replica_id:
             connection.sendall(
                 _build_response(421, {"Instance-Id": self.replica_id}, b"")
@@ -196,6 +200,7 @@
             self._schedule_copy(connection, answer)
             return True
         self.received.append(request)
+        self.received_at_s.append(time.monotonic())
         time.sleep(self.faults.get("delay_s", 0.0))
         if self.faults.get("garbage"):
             connection.sendall(b"this is not HTTP\r\n\r\n")
