Keep to a share of the rate limits that replicas state

What callers saw: nothing; a replica that had stated 1.8 requests a second got up to 5.8 a second. Cause: hosts chose replicas by load, health and memory alone. A limit that holds for all hosts together was not read, and no host knew its part of it. Change: each host keeps a token bucket for a limited replica: the hosts of the replica's zone divide nine tenths of the limit, the others the rest. A first stage or plain replica without a token is no candidate, so that the request goes to another one, waits, or is refused. All sends count, retries too. A limit ends with an answer that does not repeat it, with the replica's incarnation, or after 30 s. The shares add up to the limit without a message between hosts; of two kinds that were weighed, shares by reported use are wrong by the number of hosts while reports are under way. Conclusion: the class of fault is a bound on the fleet that no host divides.

--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -56,7 +56,6 @@
     PlacementScope,
     plan_placement,
 )
-from persimmonwell.core.forwarding._rate_limits import StatedLimit
 from persimmonwell.core.forwarding._registry import (
     RegistryChanges,
     RegistryRecord,
@@ -106,7 +105,6 @@
     "Send",
     "ServiceSpec",
     "Stage",
-    "StatedLimit",
     "StoreVersions",
     "Tenant",
     "UpstreamAnswer",
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -35,10 +35,7 @@
     RouteKind,
 )
 from persimmonwell.core.forwarding._queue import RequestQueue
-from persimmonwell.core.forwarding._rate_limits import (
-    ReplicaRateLimits,
-    StatedLimit,
-)
+from persimmonwell.core.forwarding._rate_limits import ReplicaRateLimits
 from persimmonwell.core.forwarding._registry import ReplicaRegistry
 from persimmonwell.core.forwarding._routes import (
     ResolvedRoute,
@@ -283,18 +280,9 @@
         replica = self.registry.replicas.get(active.replica_id)
         if replica is None:
             return ()
-        return self.record_limit(
-            StatedLimit(replica.replica_id, replica.started_at_ms, rate_per_s, 0.0),
-            now_s,
-        )
-
-    def record_limit(
-        self, stated: StatedLimit, now_s: float
-    ) -> tuple[RateLimitChanged, ...]:
-        """Record a replica's rate limit, stated to this host or to a peer."""
-        if not self.rate_limits.record(stated, now_s):
+        if not self.rate_limits.record(replica, rate_per_s, now_s):
             return ()
-        return (RateLimitChanged(stated.replica_id, stated.rate_per_s),)
+        return (RateLimitChanged(replica.replica_id, rate_per_s),)
 
     def answer_opened(self, key: int, attempt: int) -> None:
         """Record that an upstream sent the head of a success."""
@@ -663,6 +651,7 @@
         active.sent_s = active.last_event_s = now_s
         self._upstreams.reserve(active)
         self._state_of(active).queue.record_send(now_s)
+        self.rate_limits.record_send(replica_id)
         return Send(
             key=active.key,
             attempt=active.attempt,
--- a/persimmonwell/core/forwarding/_upstreams.py
+++ b/persimmonwell/core/forwarding/_upstreams.py
@@ -33,7 +33,9 @@
         self.registry = ReplicaRegistry()
         self.loads = LoadTable()
         self.health = ReplicaHealth()
-        self.rate_limits = ReplicaRateLimits()
+        self.rate_limits = ReplicaRateLimits(
+            availability_zone=availability_zone, rng=rng
+        )
 
     def available(self, service: str) -> list[Replica]:
         """Return the registered replicas of a service that are not draining."""
@@ -93,7 +95,10 @@
                 replica.layers is None
                 or replica.layers.start > 0
                 or first_stage is not None
-                or active.may_send_to(replica.replica_id)
+                or (
+                    active.may_send_to(replica.replica_id)
+                    and self.rate_limits.may_send(replica, now_s)
+                )
             )
         ]
         return find_path(
@@ -120,6 +125,7 @@
             for replica in self.available(active.service.name)
             if active.may_send_to(replica.replica_id)
             and self.loads.total(replica.replica_id).requests < max(1, replica.slots)
+            and self.rate_limits.may_send(replica, now_s)
         ]
         untried = [
             replica
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -4,6 +4,7 @@
 import socket
 import time
 import traceback
+from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import Any
@@ -479,6 +480,14 @@
             if peer.availability_zone == self._settings.availability_zone
         ]
         self._followers.set_zone_host_count(1 + len(zone_peers))
+        self._router.rate_limits.set_hosts(
+            Counter(
+                [
+                    self._settings.availability_zone,
+                    *(peer.availability_zone for peer in self._peers.live_peers),
+                ]
+            )
+        )
         self._peers.send()
         # Hosts hidden by a network partition still use their share of the fleet's
         # retry budget, so the count never decreases.
