Keep quarantined prompt parts when many parts are suspected

The pause for the probe also held retries of plain requests, which have no prompt parts and aims of 200 ms. Change: the oldest suspect that is not quarantined is dropped; only requests with prompt parts wait for the probe. Measured: test_no_number_of_suspects_evicts_a_quarantined_part failed before.

--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -66,7 +66,7 @@
 REFUSAL_BACKOFF_S = 0.15
 """First back-off after repeated refusals of a request; it doubles each time."""
 CRASH_CONFIRM_S = 0.1
-"""Pause after a replica broke off before the first part of an answer."""
+"""Pause after a replica broke off before the first part of an answer to a prompt."""
 MIN_RETRY_TIME_S = 0.05
 """Minimum time to the deadline for another attempt."""
 
@@ -342,7 +342,7 @@
         probes: tuple[Decision, ...] = ()
         if failure is AttemptFailure.BROKEN and active.replica_id is not None:
             probes = self._record_suspected_crash(active.replica_id, now_s)
-            if active.is_starting:
+            if active.is_starting and active.request.shared_parts:
                 # The probe shows whether the request crashed it.
                 active.not_before_s = now_s + CRASH_CONFIRM_S
         active.possible_runs += failure.has_run
--- a/persimmonwell/core/retry/_prompt_parts.py
+++ b/persimmonwell/core/retry/_prompt_parts.py
@@ -231,10 +231,19 @@
                 depth, now_s, attrs.evolve(answers)
             )
             if len(self._suspects) > MAX_SUSPECT_PARTS:
-                self._suspects.popitem(last=False)
+                self._evict_oldest()
         suspect.depth = max(suspect.depth, depth)
         return suspect
 
+    def _evict_oldest(self) -> None:
+        """Drop the oldest suspect, one that is not quarantined if possible."""
+        oldest = next(iter(self._suspects))
+        evicted = next(
+            (part for part in self._suspects if part not in self._quarantined), oldest
+        )
+        del self._suspects[evicted]
+        self._quarantined -= {evicted}
+
     def _judge(self) -> tuple[str, ...]:
         """Quarantine the fewest parts that explain the crashes; return the new ones.
 
--- a/tests/core/retry/test_prompt_parts.py
+++ b/tests/core/retry/test_prompt_parts.py
@@ -11,6 +11,7 @@
     CRASH_TTL_S,
     FIRST_TRIAL_S,
     MAX_SHARED_PARTS,
+    MAX_SUSPECT_PARTS,
     SHARE_S,
 )
 
@@ -150,3 +151,12 @@
         for second in range(5)
     ]
     assert len(after_crashes(crashes).evidence(5.0)) == MAX_SHARED_PARTS
+
+
+def test_no_number_of_suspects_evicts_a_quarantined_part() -> None:
+    """Guards against a host that fails, or forgets, when many parts are suspected."""
+    parts = after_crashes([(1.0, (DEADLY,)), (2.0, (DEADLY,))])
+    for number in range(2 * MAX_SUSPECT_PARTS):
+        parts.record_crash("i-9/1", ((f"p{number}",),), 3.0)
+    assert parts.find_quarantined(DEADLY) == "dead"
+    assert not parts.is_trial_due("dead", 4.0)
