Log a rate limit that is dropped

Change: the router reports a dropped limit as limit_stated without a rate. Measured: the check in test_changes_of_a_limit_are_reported_once, which failed before. Conclusion: logs show when a limit ends at each host.

--- a/persimmonwell/core/forwarding/_rate_limits.py
+++ b/persimmonwell/core/forwarding/_rate_limits.py
@@ -92,13 +92,22 @@
         if limit is not None:
             limit.tokens -= 1.0
 
-    def expire(self, now_s: float, is_registered: Callable[[str, int], bool]) -> None:
-        """Drop the limits that are old or belong to another incarnation."""
-        for replica_id, limit in list(self._limits.items()):
-            if now_s - limit.stated_s >= LIMIT_TTL_S or not is_registered(
-                replica_id, limit.started_at_ms
-            ):
-                del self._limits[replica_id]
+    def expire(
+        self, now_s: float, is_registered: Callable[[str, int], bool]
+    ) -> tuple[str, ...]:
+        """Drop the limits that are old or belong to another incarnation.
+
+        Returns the replicas whose limit was dropped.
+        """
+        dropped = tuple(
+            replica_id
+            for replica_id, limit in self._limits.items()
+            if now_s - limit.stated_s >= LIMIT_TTL_S
+            or not is_registered(replica_id, limit.started_at_ms)
+        )
+        for replica_id in dropped:
+            del self._limits[replica_id]
+        return dropped
 
     def _share(self, zone: str) -> float:
         """Return this host's part of the limit of a replica in a zone."""
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -567,7 +567,12 @@
         """Expire what is due, query stalls, probe suspects and send queued requests."""
         decisions: list[Decision] = []
         self.loads.expire_peers(now_s)
-        self.rate_limits.expire(now_s, self.registry.has_incarnation)
+        decisions += [
+            RateLimitChanged(replica_id, None)
+            for replica_id in self.rate_limits.expire(
+                now_s, self.registry.has_incarnation
+            )
+        ]
         self.registry.expire(now_s)
         decisions += _quarantine_decisions(self.crashes.expire(now_s))
         for active in list(self._active.values()):
--- a/tests/core/forwarding/test_rate_limits.py
+++ b/tests/core/forwarding/test_rate_limits.py
@@ -98,3 +98,6 @@
     assert router.limit_stated(1, 1, 1.5, 0.1) == (RateLimitChanged("a", 1.5),)
     assert router.limit_stated(1, 1, 1.5, 0.2) == ()
     assert router.limit_stated(1, 1, None, 0.3) == (RateLimitChanged("a", None),)
+    router.limit_stated(1, 1, 2.5, 0.4)
+    router.answer_completed(1, 1, 0.5)
+    assert RateLimitChanged("a", None) in router.tick(0.5 + LIMIT_TTL_S)
