Send no request with a quarantined part away from a dead stage

Change: the check for a quarantine stands where every attempt is chosen. Measured: test_a_request_with_a_quarantined_part_is_not_moved_to_another_replica failed before (a Send to another zone). Conclusion: no way to a replica is left that does not pass the check.

--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -629,7 +629,7 @@
         return tuple(decisions)
 
     def _try_send(self, active: ActiveRequest, now_s: float) -> Send | None:
-        if now_s < active.not_before_s:
+        if now_s < active.not_before_s or self._quarantine_cause(active) is not None:
             return None
         engine = active.service.engine
         if engine is not None and engine.layers > 0:
--- a/tests/core/forwarding/test_crashes.py
+++ b/tests/core/forwarding/test_crashes.py
@@ -12,7 +12,7 @@
     RegistryRecord,
     Send,
 )
-from persimmonwell.core.retry import Blame
+from persimmonwell.core.retry import Blame, PartEvidence
 from tests.core.forwarding.fleets import (
     desk_replica,
     make_router,
@@ -202,3 +202,23 @@
         4, request("fixed", digest="next", shared_parts=parts), 60.2
     )
     assert isinstance(send, Send)
+
+
+def test_a_request_with_a_quarantined_part_is_not_moved_to_another_replica() -> None:
+    """Guards against a dead stage that spreads a request which crashes replicas."""
+    router = make_router(
+        *(staged_replica(f"a{number}", "za", 0, 40) for number in range(3)),
+        staged_replica("b", "za", 40, 80),
+        *(
+            staged_replica(f"c{number}", "zb", 40 * number, 40 * number + 40)
+            for number in range(2)
+        ),
+    )
+    parts = ("root", "dead")
+    waiting = request("urgent", digest="w", shared_parts=parts)
+    (send,) = router.request_arrived(9, waiting, 0.9)
+    assert isinstance(send, Send)
+    evidence = PartEvidence("dead", 1, 0, None, {1: 1.0, 2: 0.5})
+    router.record_peer_evidence(evidence, 2.0)
+    found = router.replica_probed("b", None, 2.1, is_alive=False)
+    assert not [each for each in found if isinstance(each, Send)]
