Hold a retry for the probe only when its prompt is suspected

Cause: after every broken start of a prompt the retry waited 0.1 s for the probe, though only a request with a part that is suspected already may crash the next replica. Sound requests whose replica died waited, too. Change: the pause needs an earlier crash under one of the request's parts.

--- a/persimmonwell/core/forwarding/_crashes.py
+++ b/persimmonwell/core/forwarding/_crashes.py
@@ -58,6 +58,10 @@
             return request.digest
         return self._parts.find_quarantined(request.shared_parts)
 
+    def is_suspect(self, request: CallerRequest) -> bool:
+        """Return whether a replica crashed under a part of a request before."""
+        return self._parts.has_suspect(request.shared_parts)
+
     def is_trial_due(self, cause: str, now_s: float) -> bool:
         """Return whether one request may show that a quarantined part is harmless."""
         return cause in self._parts.quarantined and self._parts.is_trial_due(
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -342,7 +342,7 @@
         probes: tuple[Decision, ...] = ()
         if failure is AttemptFailure.BROKEN and active.replica_id is not None:
             probes = self._record_suspected_crash(active.replica_id, now_s)
-            if active.is_starting and active.request.shared_parts:
+            if active.is_starting and self.crashes.is_suspect(active.request):
                 # The probe shows whether the request crashed it.
                 active.not_before_s = now_s + CRASH_CONFIRM_S
         active.possible_runs += failure.has_run
--- a/persimmonwell/core/retry/_prompt_parts.py
+++ b/persimmonwell/core/retry/_prompt_parts.py
@@ -118,6 +118,11 @@
             return None
         return next((part for part in part_ids if part in self._quarantined), None)
 
+    def has_suspect(self, part_ids: Iterable[str]) -> bool:
+        """Return whether an upstream crashed under a part that had no answer since."""
+        suspects = (self._suspects.get(part_id) for part_id in part_ids)
+        return any(suspect is not None and suspect.crashes for suspect in suspects)
+
     def is_trial_due(self, part_id: str, now_s: float) -> bool:
         """Return whether one request may show that a quarantined part is harmless."""
         suspect = self._suspects[part_id]
