Count the live hosts once a send

Change: one count by zone serves the readers' election, the zone's share of reads, the limits and the fleet's retry budget. Conclusion: behaviour is the same.

--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -467,33 +467,19 @@
         assert self._loop is not None
         # Scheduled first, so that an unexpected error does not end the exchange.
         self._loop.call_later(SEND_INTERVAL_S, self._send_state)
+        zone = self._settings.availability_zone
+        live_peers = self._peers.live_peers
+        hosts_by_zone = Counter(peer.availability_zone for peer in live_peers)
+        hosts_by_zone[zone] += 1
         self._followers.set_continuous_reading(
-            should_be_reader(
-                self._settings.host_id,
-                self._settings.availability_zone,
-                self._peers.live_peers,
-            )
-        )
-        zone_peers = [
-            peer
-            for peer in self._peers.live_peers
-            if peer.availability_zone == self._settings.availability_zone
-        ]
-        self._followers.set_zone_host_count(1 + len(zone_peers))
-        self._router.rate_limits.set_hosts(
-            Counter(
-                [
-                    self._settings.availability_zone,
-                    *(peer.availability_zone for peer in self._peers.live_peers),
-                ]
-            )
+            should_be_reader(self._settings.host_id, zone, live_peers)
         )
-        self._peers.send()
+        self._followers.set_zone_host_count(hosts_by_zone[zone])
+        self._router.rate_limits.set_hosts(hosts_by_zone)
         # Hosts hidden by a network partition still use their share of the fleet's
         # retry budget, so the count never decreases.
-        self._router.host_count = max(
-            self._router.host_count, 1 + len(self._peers.live_peers)
-        )
+        self._router.host_count = max(self._router.host_count, hosts_by_zone.total())
+        self._peers.send()
         self._gateway.pool.close_expired()
 
     # Readiness and metrics
