Log the offsets and the era of a read that resumes

Change: the client decodes Store-Era; the first read after a failure or in another era is logged with its offsets, and so is a configuration that is read although a newer one is in force. The stand-in store can be restored from a copy and states its era in every answer.

--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -35,6 +35,7 @@
     REPLICA_FOLLOWER,
     StoreCallbacks,
     StoreFollowers,
+    StoreRead,
 )
 from persimmonwell.observe import DecisionLog
 from persimmonwell.settings import Endpoint, ForwarderSettings
@@ -97,6 +98,7 @@
                 on_replicas=self._call_on_loop(self._apply_registry_records),
                 on_duty=self._call_on_loop(self._duty.set_lease),
                 on_store_status=self._call_on_loop(self._record_store_status),
+                on_read_resumed=self._call_on_loop(self._log_resumed_read),
                 on_error=self._call_on_loop(self._log_follower_error),
             ),
         )
@@ -301,6 +303,12 @@
                 tenants=len(config.tenants),
             )
             self._notify_zone()
+            return
+        current = self._router.config
+        if current is not None and config.version < current.version:
+            self._log.write(
+                "config", "older_read", version=config.version, kept=current.version
+            )
 
     def _log_rejected_config(self, reason: str) -> None:
         current = self._router.config
@@ -368,6 +376,17 @@
             self._log.write("store", event, follower=follower, reason=reason)
         self._store_available[follower] = is_available
 
+    def _log_resumed_read(self, read: StoreRead) -> None:
+        self._log.write(
+            "store",
+            "read_resumed",
+            follower=read.follower,
+            era=read.era,
+            from_offset=read.from_offset,
+            end_offset=read.end_offset,
+            records=read.record_count,
+        )
+
     # Peers
 
     def _local_state(self) -> LocalState:
--- a/persimmonwell/gateway/_store_followers.py
+++ b/persimmonwell/gateway/_store_followers.py
@@ -16,6 +16,7 @@
     RecordsExpiredError,
     StoreClient,
     StoreRecord,
+    StoreSlice,
     decode_config,
     decode_replica,
 )
@@ -46,6 +47,18 @@
 DUTY_TOPIC = "placement"
 
 
+@attrs.frozen
+class StoreRead:
+    """Position of one read, which shows whether the follower could miss records."""
+
+    follower: str
+    era: int | None
+    from_offset: int | None
+    """None for a full list."""
+    end_offset: int
+    record_count: int
+
+
 @attrs.frozen
 class StoreCallbacks:
     """Callbacks of the followers, which are called on the followers' threads."""
@@ -58,6 +71,8 @@
     """Monotonic time at which this host's lease ends; None if another host holds it."""
     on_store_status: Callable[[str, bool, str], None]
     """Name of the follower, whether the store answered, and the reason if not."""
+    on_read_resumed: Callable[[StoreRead], None]
+    """First read of a follower, after a failure, or in another era of the store."""
     on_error: Callable[[str, Exception], None]
     """Name of the follower and an unexpected error, after which it goes on."""
 
@@ -88,6 +103,8 @@
             )
         ]
         self._store_available: dict[str, bool] = {}
+        self._eras: dict[str, int | None] = {}
+        """Era of the store at the last read, by follower."""
         self._confirmed_s = dict.fromkeys(self._read_requests, float("-inf"))
         self._zone_host_count = 1
         self._random = random.Random(member)
@@ -149,6 +166,14 @@
             self._callbacks.on_store_status(name, is_available, reason)
         self._store_available[name] = is_available
 
+    def _report_read(self, read: StoreRead) -> None:
+        """Report a read after which the follower could have missed records."""
+        name = read.follower
+        is_same_era = self._eras.get(name) == read.era
+        if not (self._store_available.get(name) and is_same_era):
+            self._callbacks.on_read_resumed(read)
+        self._eras[name] = read.era
+
     def _follow_config(self) -> None:
         self._follow_topic(
             CONFIG_FOLLOWER,
@@ -185,10 +210,12 @@
             try:
                 if offset is None:
                     snapshot = client.read_latest(topic)
+                    self._report_read(_describe_read(name, None, snapshot))
                     handle(snapshot.records, snapshot.end_offset)
                     offset = snapshot.end_offset
                 else:
                     changes = client.read(topic, from_offset=offset, wait_s=long_poll_s)
+                    self._report_read(_describe_read(name, offset, changes))
                     # A stale read ends before this offset and returns no records.
                     if changes.records:
                         handle(changes.records, None)
@@ -299,6 +326,18 @@
                 return
 
 
+def _describe_read(
+    follower: str, from_offset: int | None, store_slice: StoreSlice
+) -> StoreRead:
+    return StoreRead(
+        follower=follower,
+        era=store_slice.era,
+        from_offset=from_offset,
+        end_offset=store_slice.end_offset,
+        record_count=len(store_slice.records),
+    )
+
+
 def _registry_record(record: StoreRecord) -> RegistryRecord:
     assert record.key is not None
     replica = decode_replica(record.key, record.value) if record.value else None
--- a/persimmonwell/platform/_store_client.py
+++ b/persimmonwell/platform/_store_client.py
@@ -13,6 +13,7 @@
 _RECORD_LENGTH = struct.Struct(">I")
 _READ_HEADER = struct.Struct(">QQ")
 CONNECT_TIMEOUT_S = 1.0
+ERA_HEADER = "Store-Era"
 
 
 @attrs.frozen
@@ -31,6 +32,9 @@
     records: tuple[StoreRecord, ...]
     first_offset: int
     end_offset: int
+    era: int | None = None
+    """Number of times that the store came back from an older copy, which gives
+    offsets out again; None if the store does not state it."""
 
 
 @attrs.frozen
@@ -53,6 +57,17 @@
 
     generation: int
     partitions: frozenset[tuple[str, int]]
+    era: int | None = None
+    """Era of the store, see StoreSlice."""
+
+
+@attrs.frozen
+class _Answer:
+    """Status and body of one call, with the era that the store states."""
+
+    status: int
+    data: bytes
+    era: int | None
 
 
 class StoreClient:
@@ -79,7 +94,7 @@
             query = {"topic": topic, "part": "0"}
             if after:
                 query["after"] = after
-            answer = self._call_json("GET", "log-newest", query)
+            answer, era = self._call_json("GET", "log-newest", query)
             try:
                 # The end of the first page, so that changes made while paging are read.
                 end = int(answer["end"]) if end is None else end
@@ -88,7 +103,7 @@
                     record = StoreRecord(int(item["offset"]), str(item["key"]), value)
                     records.append(record)
                 if not answer.get("has_more") or not answer["items"]:
-                    return StoreSlice(tuple(records), 0, end)
+                    return StoreSlice(tuple(records), 0, end, era)
                 after = str(answer["items"][-1]["key"])
             except (
                 *(LookupError, TypeError, ValueError, AttributeError),
@@ -106,13 +121,15 @@
         query = {"topic": topic, "part": str(partition), "from": str(from_offset)}
         if wait_s > 0:
             query["wait_ms"] = str(int(wait_s * 1000))
-        status, data = self._call("GET", "log-read", query, wait_s=wait_s)
-        if status == 410:
-            first = _parse_first_offset(data)
+        answer = self._call("GET", "log-read", query, wait_s=wait_s)
+        if answer.status == 410:
+            first = _parse_first_offset(answer.data)
             raise RecordsExpiredError("log", "records expired", first_offset=first)
-        if status != 200:
-            raise PlatformUnavailableError("log", f"status {status}")
-        return _parse_slice(data, from_offset, keyed=topic.startswith("keyed."))
+        if answer.status != 200:
+            raise PlatformUnavailableError("log", f"status {answer.status}")
+        is_keyed = topic.startswith("keyed.")
+        store_slice = _parse_slice(answer.data, from_offset, keyed=is_keyed)
+        return attrs.evolve(store_slice, era=answer.era)
 
     def append(
         self,
@@ -131,7 +148,7 @@
         if expected_end_offset is not None:
             query["at"] = str(expected_end_offset)
         body = b"".join(_RECORD_LENGTH.pack(len(record)) + record for record in records)
-        answer = self._call_json("POST", "log-append", query, body=body)
+        answer, _ = self._call_json("POST", "log-append", query, body=body)
         return int(answer["offset"])
 
     def join_group(
@@ -148,10 +165,12 @@
             "ttl_ms": ttl_ms,
             "generation": generation,
         }
-        answer = self._call_json("POST", "log-join", {}, body=json.dumps(body).encode())
+        answer, era = self._call_json(
+            "POST", "log-join", {}, body=json.dumps(body).encode()
+        )
         try:
             parts = frozenset((str(row[0]), int(row[1])) for row in answer["parts"])
-            return GroupMembership(int(answer["generation"]), parts)
+            return GroupMembership(int(answer["generation"]), parts, era)
         except (LookupError, TypeError, ValueError) as error:
             raise PlatformUnavailableError("log", str(error)) from error
 
@@ -165,10 +184,12 @@
 
     def _call_json(
         self, method: str, call: str, query: dict[str, str], *, body: bytes = b""
-    ) -> dict[str, Any]:
-        status, data = self._call(method, call, query, body=body)
+    ) -> tuple[dict[str, Any], int | None]:
+        """Return the decoded body and the era that the store states."""
+        response = self._call(method, call, query, body=body)
+        status = response.status
         try:
-            answer = json.loads(data) if data else {}
+            answer = json.loads(response.data) if response.data else {}
         except ValueError as error:
             raise PlatformUnavailableError("log", str(error)) from error
         if status == 412 and isinstance(answer, dict):
@@ -176,7 +197,7 @@
             raise AppendConflictError("log", "conflict", end_offset=end)
         if status != 200 or not isinstance(answer, dict):
             raise PlatformUnavailableError("log", f"status {status}")
-        return answer
+        return answer, response.era
 
     def _call(
         self,
@@ -186,7 +207,7 @@
         *,
         body: bytes = b"",
         wait_s: float = 0.0,
-    ) -> tuple[int, bytes]:
+    ) -> _Answer:
         timeout = urllib3.Timeout(
             connect=CONNECT_TIMEOUT_S, read=self._timeout_s + wait_s
         )
@@ -203,7 +224,10 @@
             )
         except urllib3.exceptions.HTTPError as error:
             raise PlatformUnavailableError("log", type(error).__name__) from error
-        return response.status, response.data
+        era = response.headers.get(ERA_HEADER, "")
+        return _Answer(
+            response.status, response.data, int(era) if era.isdecimal() else None
+        )
 
 
 def _parse_first_offset(data: bytes) -> int:
--- a/standins/http.py
+++ b/standins/http.py
@@ -43,6 +43,8 @@
         self._server.expiration_interval = 0.02
         self._server.error_log = lambda *_, **__: None
         self._routes: dict[tuple[str, str], Route] = {}
+        self.answer_headers: dict[str, str] = {}
+        """Headers of all answers but streams."""
         self._thread = threading.Thread(target=self._server.serve, daemon=True)
 
     @property
@@ -106,6 +108,7 @@
         headers = [
             ("Content-Type", kind),
             ("Content-Length", str(len(data))),
+            *self.answer_headers.items(),
         ]
         start_response(f"{status} Status", headers)
         return [data]
--- a/standins/log.py
+++ b/standins/log.py
@@ -8,6 +8,8 @@
 from collections import Counter, defaultdict
 from typing import Any
 
+import attrs
+
 from standins.http import Answer, Body, StandinServer, drop_connection
 
 LENGTH_PREFIX = struct.Struct(">I")
@@ -18,6 +20,15 @@
 """Topics with this prefix hold key-value records; all others hold JSON records."""
 
 
+@attrs.frozen
+class LogCopy:
+    """Copy of the store from which it can be restored."""
+
+    topics: dict[str, list[Any]]
+    members: dict[str, list[str]]
+    generation: int
+
+
 class Log:
     """HTTP server of the metadata store with injectable faults.
 
@@ -40,6 +51,8 @@
         self._changed = threading.Condition()
         self._generation = 0
         self._members: dict[str, list[str]] = defaultdict(list)
+        self._era = 1
+        self._state_era()
         self.server.route("POST", "/persimmonwell/log-append", self._handle_append)
         self.server.route("GET", "/persimmonwell/log-read", self._handle_read)
         self.server.route("GET", "/persimmonwell/log-newest", self._handle_newest)
@@ -94,6 +107,34 @@
         with self._changed:
             self._first_offsets[topic] = first
 
+    def copy(self) -> LogCopy:
+        """Return a copy of all topics and groups."""
+        with self._changed:
+            return LogCopy(
+                {name: list(records) for name, records in self._topics.items()},
+                {group: list(members) for group, members in self._members.items()},
+                self._generation,
+            )
+
+    def restore(self, copy: LogCopy) -> None:
+        """Come back from a copy: what came later is gone, and its offsets are free."""
+        with self._changed:
+            self._topics = defaultdict(list)
+            self._topics.update(
+                {name: list(records) for name, records in copy.topics.items()}
+            )
+            self._members = defaultdict(list)
+            self._members.update(
+                {group: list(members) for group, members in copy.members.items()}
+            )
+            self._generation = copy.generation
+            self._era += 1
+            self._state_era()
+            self._changed.notify_all()
+
+    def _state_era(self) -> None:
+        self.server.answer_headers["Store-Era"] = str(self._era)
+
     def _set_faults(self, body: Body, query: dict[str, str]) -> Answer:
         self.faults.update(body)
         return 200, self.faults
@@ -129,14 +170,15 @@
         self.reads[name] += 1
         wait_s = int(query.get("wait_ms", "0")) / 1000
         with self._changed:
+            # A reader that asks for more than there is gets its 410 at once.
             self._changed.wait_for(
-                lambda: len(self._topics[name]) > start, timeout=wait_s
+                lambda: len(self._topics[name]) != start, timeout=wait_s
             )
             self._wait_while_held(name)
             if self.faults.get("down"):
                 return self._refuse()
             stream, first = self._topics[name], self._first_offsets[name]
-            if start < first:
+            if start < first or start > len(stream):
                 return 410, {"first": first}
             records = stream[start : start + READ_LIMIT_RECORDS]
             contents = [_encode_record(record) for record in records]
--- a/tests/gateway/test_store_followers.py
+++ b/tests/gateway/test_store_followers.py
@@ -12,6 +12,7 @@
     REPLICA_FOLLOWER,
     StoreCallbacks,
     StoreFollowers,
+    StoreRead,
 )
 from persimmonwell.platform import StoreClient
 from standins.log import Log
@@ -29,6 +30,7 @@
         self.versions: list[int] = []
         self.replicas: list[tuple[RegistryRecord, ...]] = []
         self.lease_ends_s: list[float | None] = []
+        self.resumed_reads: list[StoreRead] = []
         self.store.put_key("keyed.op", "config", config(3))
         self.put_replica("i-1")
         self.store.start()
@@ -41,6 +43,7 @@
                 on_replicas=lambda records, end: self.replicas.append(records),
                 on_duty=self.lease_ends_s.append,
                 on_store_status=lambda name, is_available, reason: None,
+                on_read_resumed=self.resumed_reads.append,
                 on_error=lambda name, error: None,
             ),
         )
@@ -201,3 +204,21 @@
     followed_store.store.faults["down"] = False
     followers.request_read(CONFIG_FOLLOWER)
     wait_until(lambda: followed_store.versions[-1] == 8, timeout_s=0.5)
+
+
+def test_resumed_read_states_the_offsets_and_the_era(
+    followed_store: _FollowedStore,
+) -> None:
+    """Guards against logs that don't show why a follower reads nothing new."""
+    wait_until(lambda: len(followed_store.resumed_reads) >= 2)
+    first_reads = {read.follower: read for read in followed_store.resumed_reads}
+    assert first_reads[CONFIG_FOLLOWER] == StoreRead(
+        follower=CONFIG_FOLLOWER,
+        era=1,
+        from_offset=None,
+        end_offset=1,
+        record_count=1,
+    )
+    followed_store.store.restore(followed_store.store.copy())
+    wait_until(lambda: len(followed_store.resumed_reads) == 4)
+    assert {read.era for read in followed_store.resumed_reads[2:]} == {2}
