--- a/tests/gateway/test_store_followers.py
+++ b/tests/gateway/test_store_followers.py
@@ -22,7 +22,7 @@
 TOPICS = {CONFIG_FOLLOWER: "keyed.op", REPLICA_FOLLOWER: "keyed.servers"}
 
 
-class _FollowedStore:
+class FollowedStore:
     """Stand-in store, the followers of one host and the values they reported."""
 
     def __init__(self) -> None:
@@ -53,23 +53,30 @@
         rest = {"version": "v1", "slots": 8, "state": "ready", "sequence": 1}
         self.store.put_key("keyed.servers", name, {**entry, **rest})
 
+    def start(self) -> None:
+        """Start the followers and wait until they have read the store once."""
+        self.followers.start()
+        wait_until(lambda: bool(self.versions and self.replicas))
+
+    def close(self) -> None:
+        self.followers.close()
+        self.store.close()
+
     def count_reads(self) -> int:
         return sum(self.store.reads[topic] for topic in TOPICS.values())
 
 
 @pytest.fixture
-def followed_store() -> Iterator[_FollowedStore]:
+def followed_store() -> Iterator[FollowedStore]:
     """Return a store whose followers have read it once."""
-    followed_store = _FollowedStore()
-    followed_store.followers.start()
-    wait_until(lambda: bool(followed_store.versions and followed_store.replicas))
+    followed_store = FollowedStore()
+    followed_store.start()
     yield followed_store
-    followed_store.followers.close()
-    followed_store.store.close()
+    followed_store.close()
 
 
 def test_host_that_is_not_a_reader_makes_no_calls_without_changes(
-    followed_store: _FollowedStore,
+    followed_store: FollowedStore,
 ) -> None:
     """Guards against 5,000 calls a minute by 35 hosts that all read the same."""
     followed_store.followers.set_continuous_reading(False)
@@ -85,7 +92,7 @@
 
 
 def test_stopping_host_releases_the_duty_at_once(
-    followed_store: _FollowedStore,
+    followed_store: FollowedStore,
 ) -> None:
     """Guards against 4 s in which no host holds the placement duty.
 
@@ -112,7 +119,7 @@
 
 
 def test_duty_is_released_when_the_store_recovers(
-    followed_store: _FollowedStore,
+    followed_store: FollowedStore,
 ) -> None:
     """Guards against a stopped host's lease that outlasts an outage of the store."""
     wait_until(lambda: any(followed_store.lease_ends_s))
@@ -123,7 +130,7 @@
     wait_until(lambda: not followed_store.store.members("placement"), timeout_s=1.0)
 
 
-def test_requested_read_happens_at_once(followed_store: _FollowedStore) -> None:
+def test_requested_read_happens_at_once(followed_store: FollowedStore) -> None:
     """Guards against a late view of a new configuration or a draining replica."""
     followed_store.followers.set_continuous_reading(False)
     time.sleep(2.5)
@@ -141,7 +148,7 @@
 
 
 def test_host_that_becomes_a_reader_reads_at_once(
-    followed_store: _FollowedStore,
+    followed_store: FollowedStore,
 ) -> None:
     """Guards against seconds without updates after the zone's readers were lost."""
     followed_store.followers.set_continuous_reading(False)
@@ -156,7 +163,7 @@
 
 
 def test_host_whose_reader_confirms_its_state_does_not_read(
-    followed_store: _FollowedStore, monkeypatch: pytest.MonkeyPatch
+    followed_store: FollowedStore, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against reads of every host, which grow with the size of the fleet."""
     monkeypatch.setattr(_store_followers, "FALLBACK_READ_INTERVAL_S", 1.0)
@@ -175,7 +182,7 @@
 
 @pytest.mark.parametrize("host_count", [1, 16])
 def test_calls_of_an_outage_do_not_grow_with_the_hosts_of_a_zone(
-    followed_store: _FollowedStore, host_count: int
+    followed_store: FollowedStore, host_count: int
 ) -> None:
     """Guards against an outage in which every host of a zone calls four times a second.
 
@@ -192,7 +199,7 @@
 
 
 def test_host_that_waits_to_retry_reads_when_a_peer_has_read(
-    followed_store: _FollowedStore,
+    followed_store: FollowedStore,
 ) -> None:
     """Guards against seconds without a new configuration after an outage."""
     followers = followed_store.followers
@@ -207,7 +214,7 @@
 
 
 def test_resumed_read_states_the_offsets_and_the_era(
-    followed_store: _FollowedStore,
+    followed_store: FollowedStore,
 ) -> None:
     """Guards against logs that don't show why a follower reads nothing new."""
     wait_until(lambda: len(followed_store.resumed_reads) >= 2)
