Read all again when the store came back from a copy

Callers saw 404 on new routes, long after the operator's change was acknowledged, from hosts that had reached the store again. Cause: a follower went on from its old offset. A store that came back from an older copy gives offsets out again; where it ended exactly at that offset, the records written since the restore were never read. The class of fault: a position in a log that is used without the log's incarnation. Change: the follower keeps the era in which its offset counts and reads all again in another one; an answer of an earlier era counts as none, and a list whose pages are of two eras too. After a failure the first read does not wait. Conclusion: a follower no longer skips versions.

--- a/persimmonwell/gateway/_store_followers.py
+++ b/persimmonwell/gateway/_store_followers.py
@@ -206,16 +206,24 @@
     ) -> None:
         client = self._client()
         offset: int | None = None
+        era: int | None = None
         while not self._stop.is_set():
             try:
                 if offset is None:
                     snapshot = client.read_latest(topic)
+                    is_restored(era, snapshot.era)
                     self._report_read(_describe_read(name, None, snapshot))
                     handle(snapshot.records, snapshot.end_offset)
-                    offset = snapshot.end_offset
+                    offset, era = snapshot.end_offset, snapshot.era
                 else:
-                    changes = client.read(topic, from_offset=offset, wait_s=long_poll_s)
+                    # After a failure, the answer itself shows that the store is back.
+                    wait_s = long_poll_s if self._store_available.get(name) else 0.0
+                    changes = client.read(topic, from_offset=offset, wait_s=wait_s)
                     self._report_read(_describe_read(name, offset, changes))
+                    if is_restored(era, changes.era):
+                        # The offset names another record now.
+                        offset = None
+                        continue
                     # A stale read ends before this offset and returns no records.
                     if changes.records:
                         handle(changes.records, None)
@@ -326,6 +334,18 @@
                 return
 
 
+def is_restored(known_era: int | None, era: int | None) -> bool:
+    """Return whether the store came back from a copy since the known era.
+
+    Raises PlatformUnavailableError if the answer is of an earlier era.
+    """
+    if known_era is None or era is None:
+        return False
+    if era < known_era:
+        raise PlatformUnavailableError("log", f"era {era} after era {known_era}")
+    return era > known_era
+
+
 def _describe_read(
     follower: str, from_offset: int | None, store_slice: StoreSlice
 ) -> StoreRead:
--- a/persimmonwell/platform/_store_client.py
+++ b/persimmonwell/platform/_store_client.py
@@ -90,11 +90,16 @@
         records: list[StoreRecord] = []
         after = ""
         end: int | None = None
+        first_era: int | None = None
         while True:
             query = {"topic": topic, "part": "0"}
             if after:
                 query["after"] = after
             answer, era = self._call_json("GET", "log-newest", query)
+            if end is None:
+                first_era = era
+            elif era != first_era:
+                raise PlatformUnavailableError("log", "restored between two pages")
             try:
                 # The end of the first page, so that changes made while paging are read.
                 end = int(answer["end"]) if end is None else end
--- a/standins/log.py
+++ b/standins/log.py
@@ -15,6 +15,7 @@
 LENGTH_PREFIX = struct.Struct(">I")
 READ_HEADER = struct.Struct(">QQ")
 READ_LIMIT_RECORDS = 500
+PAGE_LIMIT_RECORDS = 500
 MAX_HOLD_S = 10.0
 KEYED_PREFIX = "keyed."
 """Topics with this prefix hold key-value records; all others hold JSON records."""
@@ -35,7 +36,8 @@
     Each topic has one partition. Faults: down (answers 503), down_after (number of
     appends after which down is set), delay_s (before reads and appends), lose_answers
     (number of appends that take effect but whose answer is dropped), hold (topic whose
-    answers wait for release_answers, after an append has taken effect).
+    answers wait for release_answers, after an append has taken effect),
+    restore_between_pages (the store is restored before the next page of a list).
     """
 
     def __init__(self, *, port: int = 0, address: str = "127.0.0.1") -> None:
@@ -190,10 +192,16 @@
     def _handle_newest(self, body: Body, query: dict[str, str]) -> Answer:
         if self.faults.get("down"):
             return self._refuse()
+        if "after" in query and self.faults.pop("restore_between_pages", False):
+            self.restore(self.copy())
         with self._changed:
             self.reads[query["topic"]] += 1
             stream = self._topics[query["topic"]]
-            newest = {record[0]: n for n, record in enumerate(stream)}
+            newest = {
+                record[0]: n
+                for n, record in enumerate(stream)
+                if record[0] > query.get("after", "")
+            }
             items = [
                 {
                     "key": key,
@@ -203,7 +211,10 @@
                 for key, n in sorted(newest.items())
                 if stream[n][1]
             ]
-            return 200, {"items": items, "has_more": False, "end": len(stream)}
+            page = items[:PAGE_LIMIT_RECORDS]
+            has_more = len(items) > len(page)
+            answer = {"items": page, "has_more": has_more, "end": len(stream)}
+            return 200, answer
 
     def _handle_join(self, body: Body, query: dict[str, str]) -> Answer:
         if self.faults.get("down"):
--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -56,6 +56,19 @@
     store.close()
 
 
+def test_list_with_pages_of_two_eras_is_no_answer(log: Log) -> None:
+    """Guards against a list that mixes entries from before and after a restore."""
+    store = StoreClient(url=log.server.url, timeout_s=2.0)
+    for number in range(600):
+        log.put_key("keyed.servers", f"i-{number:03}", {"slots": 1})
+    assert len(store.read_latest("keyed.servers").records) == 600
+    log.faults["restore_between_pages"] = True
+    with pytest.raises(PlatformUnavailableError):
+        store.read_latest("keyed.servers")
+    assert store.read_latest("keyed.servers").era == 2
+    store.close()
+
+
 def test_changed_and_invalid_host_lists_are_detected(hosts: HostDirectory) -> None:
     """Guards against a stale list after a change, and the use of an invalid one."""
     client = HostListClient(url=hosts.server.url, timeout_s=2.0)
