Order registry records by the era of the store

Cause: the registry and the hosts' relays took the higher offset as the newer record. After a restore offsets are lower: every record of a replica that had one at a higher offset was ignored, also that it drains or has left, until the store had caught up (some 9 s after a copy of 9 s); and the restored list could bring back a replica that had left, or make a draining one ready. Change: offsets are compared within an era only. The first list of a new era does not replace a known entry, unless its record lies beyond everything read before, and does not bring back a removed incarnation; the next heartbeat of a live replica does both. Missing entries get the grace time of an outage. Relayed changes and reports carry the era; hosts that do not read continuously take a second list after 2 s. Evidence: eight tests of tests/core/forwarding/test_registry.py failed before, among them test_entry_at_an_offset_given_out_again_is_applied; a property test with restores; test_registry_records_at_offsets_given_out_again_are_read.

--- a/persimmonwell/core/forwarding/_peers.py
+++ b/persimmonwell/core/forwarding/_peers.py
@@ -21,6 +21,8 @@
     config_version: int = 0
     registry_offset: int = -1
     """Offset of the newest record that changed an entry; heartbeats do not."""
+    registry_era: int = 0
+    """Era of the store in which the offset counts."""
 
 
 @attrs.frozen
--- a/persimmonwell/core/forwarding/_registry.py
+++ b/persimmonwell/core/forwarding/_registry.py
@@ -18,6 +18,9 @@
 MAX_KEPT_CHANGES = 200
 """Changes that a host keeps although it does not relay them."""
 
+MAX_REMOVED = 1024
+"""Removed replicas that are not taken from an older copy of the store again."""
+
 
 @attrs.frozen
 class RegistryRecord:
@@ -37,6 +40,8 @@
     end_offset: int
     """Newest offset that the sender has read."""
     records: tuple[RegistryRecord, ...]
+    era: int = 0
+    """Era of the store in which the offsets count."""
 
 
 @attrs.frozen
@@ -46,9 +51,21 @@
 
 
 class ReplicaRegistry:
-    """Newest entry of each replica, merged from full lists and changes."""
+    """Newest entry of each replica, merged from full lists and changes.
+
+    When the store comes back from an older copy, a new era begins: offsets are given
+    out again, and its list may be older than what this host knows. Live replicas write
+    their entries again, so a known entry waits for a record that is newer for sure.
+    """
 
     def __init__(self) -> None:
+        self._era = 0
+        self._current_from_offset = 0
+        """Records before this offset may come from the copy of the store."""
+        self._removed: dict[str, int] = {}
+        """Start of the removed incarnation by replica id, the oldest removal first."""
+        self._withheld: set[str] = set()
+        """Removed replicas that the copy still lists."""
         self._entries: dict[str, Replica] = {}
         self._offsets: dict[str, int] = {}
         self._lapsed_until_s: dict[str, float] = {}
@@ -60,6 +77,11 @@
         self._changes: deque[_Change] = deque()
         self._changes_after_offset = -1
 
+    @property
+    def era(self) -> int:
+        """Return how often the store came back from a copy, as it states."""
+        return self._era
+
     @property
     def newest_offset(self) -> int:
         """Return the newest offset that was read."""
@@ -94,31 +116,58 @@
         now_s: float,
         *,
         end_offset: int | None = None,
+        era: int = 0,
     ) -> bool:
         """Apply a full list that ends at an offset; remove the entries that it lacks.
 
         A list that ends before the newest offset read is stale and removes nothing.
         Returns whether an entry changed.
         """
-        listed = {record.replica_id for record in records}
         is_first = self._newest_offset < 0
+        is_restored = era > self._era and not is_first
+        if is_restored:
+            self._start_era(end_offset or 0)
+        self._era = max(era, self._era)
+        listed = {record.replica_id for record in records}
         is_stale = end_offset is not None and end_offset <= self._newest_offset
-        changed = self.apply(records, now_s)
+        current = tuple(record for record in records if not self._is_older(record))
+        changed = self.apply(current, now_s)
         if is_stale:
             return changed
         if end_offset is not None:
             self._list_end_offset = end_offset
             self._newest_offset = max(self._newest_offset, end_offset - 1)
         for replica_id in self._entries.keys() - listed:
-            if self._remove(replica_id, now_s):
+            if self._remove(replica_id, now_s, may_return=is_restored):
                 changed = True
                 self._record_removal(replica_id, now_s)
-        if is_first:
-            # The first list is no change that others could miss.
+        if is_first or is_restored:
+            # Other hosts need a list of their own; it is no change they could miss.
             self._changes.clear()
             self._changes_after_offset = self._newest_offset
         return changed
 
+    def _start_era(self, end_offset: int) -> None:
+        """Forget all offsets, since those of the new era name other records."""
+        self._current_from_offset = min(end_offset, self._newest_offset + 1)
+        self._offsets.clear()
+        self._newest_offset = -1
+        self._changed_offset = -1
+        self._list_end_offset = 0
+        self._withheld.clear()
+
+    def _is_older(self, record: RegistryRecord) -> bool:
+        """Return whether a listed record may be older than what this host knows."""
+        if record.offset >= self._current_from_offset or record.replica is None:
+            return False
+        if record.replica_id in self._entries:
+            return True
+        removed_start_ms = self._removed.get(record.replica_id)
+        is_removed = removed_start_ms == record.replica.started_at_ms
+        if is_removed:
+            self._withheld.add(record.replica_id)
+        return is_removed
+
     def changes(self, now_s: float, *, max_age_s: float, limit: int) -> RegistryChanges:
         """Return the changes of the last seconds, the newest ones up to a limit."""
         while self._changes and (
@@ -129,6 +178,7 @@
             self._changes_after_offset,
             self._newest_offset,
             tuple(change.record for change in self._changes),
+            self._era,
         )
 
     def apply_changes(self, changes: RegistryChanges, now_s: float) -> bool | None:
@@ -136,7 +186,7 @@
 
         Returns whether an entry changed, None if changes between were missed.
         """
-        if self._newest_offset < changes.after_offset:
+        if changes.era != self._era or self._newest_offset < changes.after_offset:
             return None
         changed = self.apply(changes.records, now_s)
         self._newest_offset = max(self._newest_offset, changes.end_offset)
@@ -180,8 +230,11 @@
         self._offsets[replica_id] = self._newest_offset
 
     def _apply_record(self, record: RegistryRecord, now_s: float) -> bool:
+        was_withheld = record.replica_id in self._withheld
+        self._withheld.discard(record.replica_id)
         if record.replica is None:
-            return self._remove(record.replica_id, now_s)
+            # A host that started since has the withheld entry and needs the removal.
+            return self._remove(record.replica_id, now_s) or was_withheld
         self._lapsed_until_s.pop(record.replica_id, None)
         before = self._entries.get(record.replica_id)
         self._entries[record.replica_id] = record.replica
@@ -192,16 +245,26 @@
         due = [key for key, at_s in self._lapsed_until_s.items() if at_s <= now_s]
         for key in due:
             del self._lapsed_until_s[key]
-            if self._entries.pop(key, None) is not None:
+            if key in self._entries:
+                self._delete(key)
                 self._record_removal(key, now_s)
         return bool(due)
 
-    def _remove(self, replica_id: str, now_s: float) -> bool:
+    def _remove(
+        self, replica_id: str, now_s: float, *, may_return: bool = False
+    ) -> bool:
         entry = self._entries.get(replica_id)
         if entry is None or replica_id in self._lapsed_until_s:
             return False
-        if self._in_outage and not entry.is_draining:
+        if (self._in_outage or may_return) and not entry.is_draining:
             self._lapsed_until_s[replica_id] = now_s + LAPSE_GRACE_S
             return False
-        del self._entries[replica_id]
+        self._delete(replica_id)
         return True
+
+    def _delete(self, replica_id: str) -> None:
+        started_at_ms = self._entries.pop(replica_id).started_at_ms
+        self._removed.pop(replica_id, None)
+        self._removed[replica_id] = started_at_ms
+        if len(self._removed) > MAX_REMOVED:
+            del self._removed[next(iter(self._removed))]
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -49,6 +49,8 @@
 """Time for which a change is repeated to the zone, some reports to each host."""
 MAX_RELAYED_CHANGES = 30
 """Changes in one datagram, some 3 KB; a host that missed more reads the store."""
+REREGISTRATION_S = 2.0
+"""Time in which live replicas write their entries to a restored store again."""
 MAX_TRACE_CHARACTERS = 4000
 GRACE_MARGIN_S = 0.4
 """Part of the grace time that is left for closing."""
@@ -316,13 +318,20 @@
         self._log.write("config", "rejected", reason=reason, kept=kept)
 
     def _apply_registry_records(
-        self, records: tuple[RegistryRecord, ...], end_offset: int | None
+        self, records: tuple[RegistryRecord, ...], end_offset: int | None, era: int
     ) -> None:
         registry = self._router.registry
         now_s = time.monotonic()
+        if era > registry.era and registry.newest_offset >= 0:
+            assert self._loop is not None
+            # A host that does not read continuously sees the entries that are written
+            # again only in another list.
+            self._loop.call_later(
+                REREGISTRATION_S, self._followers.request_read, REPLICA_FOLLOWER
+            )
         with self._registry_change(now_s):
             if end_offset is not None:
-                registry.replace(records, now_s, end_offset=end_offset)
+                registry.replace(records, now_s, end_offset=end_offset, era=era)
             else:
                 registry.apply(records, now_s)
 
@@ -417,6 +426,7 @@
         return StoreVersions(
             config_version=config.version if config is not None else 0,
             registry_offset=self._router.registry.last_change_offset,
+            registry_era=self._router.registry.era,
         )
 
     def _notify_zone(self) -> None:
@@ -460,7 +470,11 @@
             self._followers.confirm(CONFIG_FOLLOWER)
         registry = self._router.registry
         if report.registry_changes is None:
-            if status.store_versions.registry_offset > registry.newest_offset:
+            versions = status.store_versions
+            if (
+                versions.registry_era != registry.era
+                or versions.registry_offset > registry.newest_offset
+            ):
                 self._followers.request_read(REPLICA_FOLLOWER)
             return
         with self._registry_change(now_s):
--- a/persimmonwell/gateway/_peer_datagrams.py
+++ b/persimmonwell/gateway/_peer_datagrams.py
@@ -166,7 +166,9 @@
         if report.host_id == self._host_id:
             return
         valid_s = MAX_MISSED_REPORTS * report.interval_s
-        store_versions = StoreVersions(report.config_version, report.registry_offset)
+        store_versions = StoreVersions(
+            report.config_version, report.registry_offset, report.registry_era
+        )
         status = PeerStatus(
             host_id=report.host_id,
             availability_zone=report.availability_zone,
@@ -287,6 +289,7 @@
             refused=list(state.refused),
             registry_changes=encode_changes(state.registry_changes),
             suspect_parts=[encode_evidence(part) for part in state.part_evidence],
+            registry_era=state.store_versions.registry_era,
         )
         data = msgspec.msgpack.encode(report)
         for address in addresses:
--- a/persimmonwell/gateway/_peer_messages.py
+++ b/persimmonwell/gateway/_peer_messages.py
@@ -67,6 +67,8 @@
     after_offset: Offset
     end_offset: Offset
     changes: list[Change]
+    era: Count = 0
+    """Absent from earlier builds."""
 
 
 class SuspectPart(msgspec.Struct, array_like=True):
@@ -104,6 +106,8 @@
     """Absent from hosts that do not read the store, and from earlier builds."""
     suspect_parts: list[SuspectPart] = []
     """Absent from earlier builds."""
+    registry_era: Count = 0
+    """Absent from earlier builds."""
 
 
 def encode_evidence(evidence: PartEvidence) -> SuspectPart:
@@ -136,7 +140,7 @@
         Change(record.replica_id, record.offset, _encode_entry(record.replica))
         for record in changes.records
     ]
-    return Changes(changes.after_offset, changes.end_offset, rows)
+    return Changes(changes.after_offset, changes.end_offset, rows, changes.era)
 
 
 def _encode_entry(replica: Replica | None) -> Entry | None:
@@ -164,7 +168,9 @@
         RegistryRecord(row.replica_id, row.offset, _decode_entry(row))
         for row in changes.changes
     )
-    return RegistryChanges(changes.after_offset, changes.end_offset, records)
+    return RegistryChanges(
+        changes.after_offset, changes.end_offset, records, changes.era
+    )
 
 
 def _decode_entry(row: Change) -> Replica | None:
--- a/persimmonwell/gateway/_store_followers.py
+++ b/persimmonwell/gateway/_store_followers.py
@@ -65,8 +65,9 @@
 
     on_config: Callable[[ForwardingConfig], None]
     on_invalid_config: Callable[[str], None]
-    on_replicas: Callable[[tuple[RegistryRecord, ...], int | None], None]
-    """Registry records, with the end offset if they are a full snapshot, else None."""
+    on_replicas: Callable[[tuple[RegistryRecord, ...], int | None, int], None]
+    """Registry records, with the end offset if they are a full list, else None, and
+    the era of the store, 0 if it states none."""
     on_duty: Callable[[float | None], None]
     """Monotonic time at which this host's lease ends; None if another host holds it."""
     on_store_status: Callable[[str, bool, str], None]
@@ -180,7 +181,7 @@
             CONFIG_TOPIC,
             long_poll_s=CONFIG_LONG_POLL_S,
             pause_s=0.0,
-            handle=lambda records, end_offset: self._handle_config(records),
+            handle=lambda records, end_offset, era: self._handle_config(records),
         )
 
     def _follow_replicas(self) -> None:
@@ -189,9 +190,10 @@
             REPLICA_TOPIC,
             long_poll_s=0.0,
             pause_s=REPLICA_READ_INTERVAL_S,
-            handle=lambda records, end_offset: self._callbacks.on_replicas(
+            handle=lambda records, end_offset, era: self._callbacks.on_replicas(
                 tuple(_registry_record(record) for record in records if record.key),
                 end_offset,
+                era or 0,
             ),
         )
 
@@ -202,7 +204,7 @@
         *,
         long_poll_s: float,
         pause_s: float,
-        handle: Callable[[tuple[StoreRecord, ...], int | None], None],
+        handle: Callable[[tuple[StoreRecord, ...], int | None, int | None], None],
     ) -> None:
         client = self._client()
         offset: int | None = None
@@ -213,8 +215,9 @@
                     snapshot = client.read_latest(topic)
                     is_restored(era, snapshot.era)
                     self._report_read(_describe_read(name, None, snapshot))
-                    handle(snapshot.records, snapshot.end_offset)
-                    offset, era = snapshot.end_offset, snapshot.era
+                    offset = snapshot.end_offset
+                    era = snapshot.era if snapshot.era is not None else era
+                    handle(snapshot.records, offset, era)
                 else:
                     # After a failure, the answer itself shows that the store is back.
                     wait_s = long_poll_s if self._store_available.get(name) else 0.0
@@ -226,7 +229,7 @@
                         continue
                     # A stale read ends before this offset and returns no records.
                     if changes.records:
-                        handle(changes.records, None)
+                        handle(changes.records, None, era)
                         offset = changes.records[-1].offset + 1
                 self._report_store_status(name, True)
                 if not self._reads_continuously.is_set():
--- a/tests/core/forwarding/test_registry.py
+++ b/tests/core/forwarding/test_registry.py
@@ -127,6 +127,106 @@
     assert host.apply_changes(changes, 0.0) is None
 
 
+DRAINING_ONE = attrs.evolve(ONE, is_draining=True)
+
+
+def restored_registry(
+    *records: RegistryRecord, end_offset: int, known: Replica = ONE
+) -> ReplicaRegistry:
+    """Return a registry that knew i-1 at offset 40 and then read a restored list."""
+    registry = ReplicaRegistry()
+    registry.replace((record(40, "i-1", known),), 0.0, end_offset=41, era=1)
+    registry.replace(records, 5.0, end_offset=end_offset, era=2)
+    return registry
+
+
+def test_entry_at_an_offset_given_out_again_is_applied() -> None:
+    """Guards against a draining replica in use after the store was restored."""
+    registry = restored_registry(record(4, "i-1", ONE), end_offset=6)
+    assert registry.apply((record(6, "i-1", DRAINING_ONE),), 5.5)
+    assert registry.replicas["i-1"].is_draining
+    assert registry.apply((record(7, "i-1", None),), 6.0)
+
+
+def test_draining_replica_is_not_ready_again_in_a_restored_list() -> None:
+    """Guards against requests to a replica whose draining the store has forgotten."""
+    registry = restored_registry(
+        record(4, "i-1", ONE), end_offset=6, known=DRAINING_ONE
+    )
+    assert registry.replicas["i-1"].is_draining
+    registry.replace((record(4, "i-1", ONE),), 5.2, end_offset=9, era=2)
+    assert registry.replicas["i-1"].is_draining
+
+
+def test_known_entry_is_replaced_by_what_was_written_since() -> None:
+    """Guards against a host that was cut off and keeps its old view for good."""
+    registry = restored_registry(record(45, "i-1", DRAINING_ONE), end_offset=60)
+    assert registry.replicas["i-1"].is_draining
+    registry = restored_registry(record(4, "i-1", ONE), end_offset=6)
+    registry.replace((record(8, "i-1", DRAINING_ONE),), 7.0, end_offset=9, era=2)
+    assert registry.replicas["i-1"].is_draining
+
+
+def test_removed_replica_does_not_return_with_a_restored_list() -> None:
+    """Guards against requests to a replica that left before the restore."""
+    registry = ReplicaRegistry()
+    registry.replace(
+        (record(40, "i-1", ONE), record(41, "i-2", TWO)), 0.0, end_offset=42, era=1
+    )
+    registry.apply((record(42, "i-1", None),), 1.0)
+    copy = (record(3, "i-1", ONE), record(4, "i-2", TWO))
+    registry.replace(copy, 5.0, end_offset=6, era=2)
+    assert set(registry.replicas) == {"i-2"}
+    assert registry.apply((record(7, "i-1", ONE),), 6.0)
+    assert set(registry.replicas) == {"i-1", "i-2"}
+
+
+def test_removed_replica_that_starts_again_is_taken_from_a_restored_list() -> None:
+    """Guards against a new incarnation that is held back as the removed one."""
+    registry = ReplicaRegistry()
+    registry.replace((record(40, "i-1", ONE),), 0.0, end_offset=42, era=1)
+    registry.apply((record(42, "i-1", None),), 1.0)
+    again = attrs.evolve(ONE, started_at_ms=ONE.started_at_ms + 900)
+    registry.replace((record(5, "i-1", again),), 5.0, end_offset=6, era=2)
+    assert registry.replicas == {"i-1": again}
+
+
+def test_removal_of_a_withheld_entry_is_relayed() -> None:
+    """Guards against a dead replica in use at a host that started with the copy."""
+    reader, started = ReplicaRegistry(), ReplicaRegistry()
+    reader.replace((record(40, "i-1", ONE),), 0.0, end_offset=42, era=1)
+    reader.apply((record(42, "i-1", None),), 1.0)
+    for registry in (reader, started):
+        registry.replace((record(5, "i-1", ONE),), 5.0, end_offset=6, era=2)
+    reader.apply((record(9, "i-1", None),), 9.0)
+    assert started.apply_changes(reader.changes(9.0, max_age_s=4.0, limit=9), 9.0)
+    assert not started.replicas
+
+
+def test_entries_that_a_restored_list_lacks_are_kept_for_a_grace_time() -> None:
+    """Guards against dropping replicas that registered after the copy was made."""
+    registry = restored_registry(end_offset=2)
+    assert set(registry.replicas) == {"i-1"}
+    registry.apply((record(3, "i-1", ONE),), 6.0)
+    assert not registry.expire(20.0)
+    registry = restored_registry(end_offset=2)
+    assert registry.expire(7.0)
+    assert not registry.replicas
+
+
+def test_changes_of_another_era_are_not_applied() -> None:
+    """Guards against offsets of two eras that are compared with each other."""
+    reader = restored_registry(record(4, "i-1", ONE), end_offset=6)
+    host = ReplicaRegistry()
+    host.replace((record(40, "i-1", ONE),), 0.0, end_offset=41, era=1)
+    reader.apply((record(6, "i-1", DRAINING_ONE),), 5.5)
+    changes = reader.changes(5.5, max_age_s=4.0, limit=9)
+    assert host.apply_changes(changes, 5.5) is None
+    host.replace((record(6, "i-1", DRAINING_ONE),), 5.6, end_offset=7, era=2)
+    assert host.apply_changes(changes, 5.7) is not None
+    assert host.replicas["i-1"].is_draining
+
+
 steps = st.lists(
     st.one_of(
         st.tuples(st.just("put"), st.integers(0, 4), st.booleans()),
@@ -181,3 +281,76 @@
     expected = {each.replica_id: each.replica for each in full_list()}
     assert reader.replicas == expected
     assert host.replicas == expected
+
+
+restore_steps = st.lists(
+    st.one_of(
+        st.tuples(st.just("put"), st.integers(0, 4), st.booleans()),
+        st.tuples(st.just("drop"), st.integers(0, 4), st.booleans()),
+        st.tuples(st.just("restore"), st.integers(0, 8), st.booleans()),
+        st.tuples(st.just("read"), st.just(0), st.booleans()),
+        st.tuples(st.just("relay"), st.just(0), st.booleans()),
+    ),
+    max_size=40,
+)
+
+
+@given(restore_steps)
+def test_views_agree_with_the_live_replicas_after_restores(
+    steps: list[tuple[str, int, bool]],
+) -> None:
+    """Guards against an entry of the copy that outlasts the next heartbeats."""
+    log: list[RegistryRecord] = []
+    live: dict[str, Replica] = {}
+    reader, host = ReplicaRegistry(), ReplicaRegistry()
+    era, read_offset = 1, 0
+
+    def list_entries(registry: ReplicaRegistry) -> None:
+        newest = {each.replica_id: each for each in log}
+        entries = tuple(each for each in newest.values() if each.replica is not None)
+        registry.replace(entries, 0.0, end_offset=len(log), era=era)
+
+    def read() -> int:
+        if reader.era != era:
+            list_entries(reader)
+        else:
+            reader.apply(tuple(log[read_offset:]), 0.0)
+        return len(log)
+
+    def relay() -> None:
+        changes = reader.changes(0.0, max_age_s=4.0, limit=3)
+        if host.apply_changes(changes, 0.0) is None:
+            list_entries(host)
+
+    def write(name: str, replica: Replica | None) -> None:
+        log.append(record(len(log), name, replica))
+
+    write("other", TWO)
+    list_entries(reader)
+    list_entries(host)
+    read_offset = len(log)
+    for kind, number, flag in steps:
+        name = f"i-{number}"
+        if kind == "put":
+            live[name] = attrs.evolve(desk_replica(name), is_draining=flag)
+            write(name, live[name])
+        elif kind == "drop":
+            live.pop(name, None)
+            write(name, None)
+        elif kind == "restore":
+            del log[max(1, len(log) - number) :]
+            era += 1
+        elif kind == "read":
+            read_offset = read()
+        elif flag:
+            relay()
+    read_offset = read()
+    relay()
+    for name in {each.replica_id for each in log} | live.keys():
+        write(name, live.get(name))
+    read_offset = read()
+    list_entries(host)
+    relay()
+    for registry in (reader, host):
+        registry.expire(60.0)
+        assert registry.replicas == live
--- a/tests/gateway/test_peer_datagrams.py
+++ b/tests/gateway/test_peer_datagrams.py
@@ -165,8 +165,9 @@
     return [
         *("h2", "za", [["i-1", 2, 900]], ["10.1.0.2"], ["i-9"], True, False),
         *({"i-7": 4.0}, 0.25, True, 4, 88, [["d1", "i-3/0"]], ["d2"]),
-        [80, 91, [["i-1", 85, entry], ["i-2", 90, None]]],
+        [80, 91, [["i-1", 85, entry], ["i-2", 90, None]], 2],
         [["p-1", 1, 0, None, [[7, 0.5]]]],
+        2,
     ]
 
 
@@ -180,13 +181,15 @@
 )
 
 
-@given(st.integers(0, 15), junk)
+@given(st.integers(0, 16), junk)
 @example(2, [["i-1", -1, 900]])
 @example(3, ["desk.example"])
 @example(7, {"i-7": 1e9})
 @example(8, float("inf"))
 @example(14, [80, 91, [["i-1\n", 85, None]]])
 @example(14, [80, 91, [["i-1", -5, None]]])
+@example(14, [80, 91, [["i-1", 85, None]], -1])
+@example(16, -1)
 @example(15, [["p-1", 1, 0, -1.0, [[7, 0.5]]]])
 @example(15, [["p-1", 1, 0, None, [[7, float("nan")]]]])
 def test_report_with_any_wrong_field_does_no_lasting_harm(
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -38,3 +38,29 @@
         store.put_key("keyed.op", "config", config(version))
     store.faults["down"] = False
     wait_until(lambda: followed_store.versions[-1] == 8, timeout_s=3.0)
+
+
+def test_registry_records_at_offsets_given_out_again_are_read(
+    followed_store: FollowedStore,
+) -> None:
+    """Guards against a replica that draws requests after it has left."""
+    store = followed_store.store
+    copy = store.copy()
+    for name in ("i-2", "i-3"):
+        followed_store.put_replica(name)
+    wait_until(lambda: _last_id(followed_store) == "i-3")
+    store.faults["down"] = True
+    wait_until(lambda: store.refused_calls > 1)
+    store.restore(copy)
+    for name in ("i-4", "i-5"):
+        followed_store.put_replica(name)
+    store.faults["down"] = False
+    wait_until(lambda: _last_id(followed_store) == "i-5", timeout_s=3.0)
+    assert {each.replica_id for each in followed_store.replicas[-1]} == {
+        *("i-1", "i-4", "i-5")
+    }
+    assert followed_store.eras[-1] == 2
+
+
+def _last_id(followed_store: FollowedStore) -> str:
+    return followed_store.replicas[-1][-1].replica_id
--- a/tests/gateway/test_store_followers.py
+++ b/tests/gateway/test_store_followers.py
@@ -29,6 +29,7 @@
         self.store = Log()
         self.versions: list[int] = []
         self.replicas: list[tuple[RegistryRecord, ...]] = []
+        self.eras: list[int] = []
         self.lease_ends_s: list[float | None] = []
         self.resumed_reads: list[StoreRead] = []
         self.store.put_key("keyed.op", "config", config(3))
@@ -40,7 +41,7 @@
             callbacks=StoreCallbacks(
                 on_config=lambda found: self.versions.append(found.version),
                 on_invalid_config=lambda reason: None,
-                on_replicas=lambda records, end: self.replicas.append(records),
+                on_replicas=self._record_replicas,
                 on_duty=self.lease_ends_s.append,
                 on_store_status=lambda name, is_available, reason: None,
                 on_read_resumed=self.resumed_reads.append,
@@ -48,6 +49,12 @@
             ),
         )
 
+    def _record_replicas(
+        self, records: tuple[RegistryRecord, ...], end_offset: int | None, era: int
+    ) -> None:
+        self.eras.append(era)
+        self.replicas.append(records)
+
     def put_replica(self, name: str) -> None:
         entry = {"service": "desk", "address": "127.0.0.1:9", "zone": "za"}
         rest = {"version": "v1", "slots": 8, "state": "ready", "sequence": 1}
