Relay a change that a full list hides

Cause: a reader records a change by comparing an entry before and after a read. Change: each listed record newer than the known one counts as a change. Evidence: test_change_between_two_reads_that_a_list_hides_is_relayed and the property test failed before. Measured: tests/core/forwarding/test_registry.py passes.

--- a/persimmonwell/core/forwarding/_registry.py
+++ b/persimmonwell/core/forwarding/_registry.py
@@ -131,7 +131,7 @@
         listed = {record.replica_id for record in records}
         is_stale = end_offset is not None and end_offset <= self._newest_offset
         current = tuple(record for record in records if not self._is_older(record))
-        changed = self.apply(current, now_s)
+        changed = self._apply(current, now_s, is_list=True)
         if is_stale:
             return changed
         if end_offset is not None:
@@ -194,6 +194,11 @@
 
     def apply(self, records: tuple[RegistryRecord, ...], now_s: float) -> bool:
         """Apply records in order; return whether an entry changed."""
+        return self._apply(records, now_s, is_list=False)
+
+    def _apply(
+        self, records: tuple[RegistryRecord, ...], now_s: float, *, is_list: bool
+    ) -> bool:
         changed = False
         for record in records:
             if record.offset <= self._offsets.get(record.replica_id, -1):
@@ -208,6 +213,9 @@
             if self._apply_record(record, now_s):
                 changed = True
                 self._record_change(record, now_s)
+            elif is_list:
+                # Another host may have seen a change between, which a list hides.
+                self._record_change(record, now_s)
         return changed
 
     def _record_change(self, record: RegistryRecord, now_s: float) -> None:
--- a/tests/core/forwarding/test_registry.py
+++ b/tests/core/forwarding/test_registry.py
@@ -8,6 +8,7 @@
 from tests.core.forwarding.fleets import desk_replica
 
 ONE, TWO = desk_replica("i-1"), desk_replica("i-2")
+DRAINING_ONE = attrs.evolve(ONE, is_draining=True)
 
 
 def record(offset: int, name: str, replica: Replica | None) -> RegistryRecord:
@@ -114,6 +115,19 @@
     assert not host.apply((record(7, "i-1", ONE),), 2.0)
 
 
+def test_change_between_two_reads_that_a_list_hides_is_relayed() -> None:
+    """Guards against a host that keeps an entry as ready which is draining again.
+
+    The host read the entry while it was ready, the reader only before and after.
+    """
+    reader, host = ReplicaRegistry(), ReplicaRegistry()
+    reader.replace((record(1, "i-1", DRAINING_ONE),), 0.0, end_offset=2)
+    host.replace((record(4, "i-1", ONE),), 1.0, end_offset=5)
+    reader.replace((record(5, "i-1", DRAINING_ONE),), 2.0, end_offset=6)
+    host.apply_changes(reader.changes(2.0, max_age_s=4.0, limit=9), 2.0)
+    assert host.replicas["i-1"].is_draining
+
+
 def test_changes_of_a_host_that_relays_none_are_bounded() -> None:
     """Guards against memory that grows with every change of a long-lived fleet."""
     registry, host = registry_with(record(0, "i-1", ONE)), ReplicaRegistry()
@@ -127,9 +141,6 @@
     assert host.apply_changes(changes, 0.0) is None
 
 
-DRAINING_ONE = attrs.evolve(ONE, is_draining=True)
-
-
 def restored_registry(
     *records: RegistryRecord, end_offset: int, known: Replica = ONE
 ) -> ReplicaRegistry:
