Wait out the lease from before a restore

Cause: the store assigns the placement duty. A copy from before a hand-over names the earlier holder, which would give orders at once, while the lease of the later holder runs on for up to 4 s. Change: a host that gets the duty in a new era uses it after one lease time; the holder that keeps it goes on. Evidence: test_restored_lease_is_used_only_after_the_one_before_has_ended failed before. Measured: tests/gateway/test_restored_store.py passes.

--- a/persimmonwell/gateway/_store_followers.py
+++ b/persimmonwell/gateway/_store_followers.py
@@ -286,6 +286,8 @@
         client = self._client()
         generation = 0
         holds_duty = False
+        era: int | None = None
+        usable_from_s = float("-inf")
         while not self._resigned.is_set():
             if not self._reads_continuously.is_set() and not holds_duty:
                 # The readers and the holder are enough candidates for one duty.
@@ -301,11 +303,18 @@
                     generation=generation,
                 )
                 generation = membership.generation
+                held_duty = holds_duty
                 holds_duty = (DUTY_TOPIC, 0) in membership.partitions
+                if is_restored(era, membership.era) and not held_duty:
+                    # The copy may name a holder from before the last hand-over, and
+                    # the lease of the newer one has not ended yet.
+                    usable_from_s = call_start_s + DUTY_TTL_MS / 1000
+                era = membership.era if membership.era is not None else era
                 # The lease counts from the start of the call, less a margin, so that
                 # it ends here before it ends in the store.
                 until_s = call_start_s + DUTY_TTL_MS / 1000 - 0.5
-                self._callbacks.on_duty(until_s if holds_duty else None)
+                is_usable = holds_duty and call_start_s >= usable_from_s
+                self._callbacks.on_duty(until_s if is_usable else None)
                 self._report_store_status("duty", True)
                 self._resigned.wait(DUTY_RENEWAL_INTERVAL_S)
             except PlatformUnavailableError as error:
--- a/standins/log.py
+++ b/standins/log.py
@@ -78,6 +78,12 @@
         """Return the members of a consumer group in the order in which they joined."""
         return list(self._members[group])
 
+    def remove_member(self, group: str, member: str) -> None:
+        """End a member's lease, as after a time without a call."""
+        with self._changed:
+            self._members[group].remove(member)
+            self._generation += 1
+
     def put(self, topic: str, *records: Any) -> None:
         """Append records to a topic, bypassing HTTP and faults."""
         with self._changed:
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -1,9 +1,11 @@
 """Tests of followers whose store came back from an older copy."""
 
+import time
 from collections.abc import Iterator
 
 import pytest
 
+from persimmonwell.platform import StoreClient
 from standins.platform_config import config
 from tests.fleet import wait_until
 from tests.gateway.test_store_followers import FollowedStore
@@ -64,3 +66,37 @@
 
 def _last_id(followed_store: FollowedStore) -> str:
     return followed_store.replicas[-1][-1].replica_id
+
+
+def test_restored_lease_is_used_only_after_the_one_before_has_ended(
+    followed_store: FollowedStore,
+) -> None:
+    """Guards against two hosts that give orders, since the copy names the older holder.
+
+    The other host got the duty after the copy was made, and its lease lasts 4 s.
+    """
+    store = followed_store.store
+    wait_until(lambda: any(followed_store.lease_ends_s))
+    copy = store.copy()
+    other = StoreClient(url=f"http://{store.server.address}", timeout_s=1.0)
+    store.remove_member("placement", "h1")
+    join = {"member": "h2", "topic": "placement", "ttl_ms": 4000, "generation": 0}
+    assert other.join_group("placement", **join).partitions
+    wait_until(lambda: followed_store.lease_ends_s[-1] is None, timeout_s=3.0)
+    store.restore(copy)
+    restored_s = time.monotonic()
+    wait_until(lambda: followed_store.lease_ends_s[-1] is not None, timeout_s=8.0)
+    assert time.monotonic() - restored_s > 4.0
+    other.close()
+
+
+def test_holder_keeps_its_lease_when_the_store_is_restored(
+    followed_store: FollowedStore,
+) -> None:
+    """Guards against seconds without a placement after each restore."""
+    wait_until(lambda: any(followed_store.lease_ends_s))
+    store = followed_store.store
+    store.restore(store.copy())
+    before = len(followed_store.lease_ends_s)
+    wait_until(lambda: len(followed_store.lease_ends_s) > before + 1, timeout_s=4.0)
+    assert all(followed_store.lease_ends_s[before:])
