Don't take an unnamed answer on a kept connection for a refusal

Reported by operators of other systems: a faulty replica wrote an earlier refusal once more on a kept connection; callers were told that a request had not run although it ran, or it ran at a second replica. Cause: an answer that names another request is skipped, but one without a request id was taken for the current request. A repeated 503 with Not-Executed then counted as not run, and the request was sent again. Change: on a connection that has carried a request before, an answer without a request id is no answer: the attempt is broken, so the request may have run. Conclusion: fixed; sound replicas echo the id, so it costs them nothing.

--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -24,7 +24,11 @@
 )
 from persimmonwell.gateway._caller_connection import CallerConnection, RawRequest
 from persimmonwell.gateway._exchange import Exchange
-from persimmonwell.gateway._http_connection import ConnectionPool, RawHeaders
+from persimmonwell.gateway._http_connection import (
+    AnswerMatch,
+    ConnectionPool,
+    RawHeaders,
+)
 from persimmonwell.gateway._metrics import GatewayMetrics
 from persimmonwell.gateway._replica_calls import call_replica
 from persimmonwell.observe import DecisionLog
@@ -62,7 +66,7 @@
     ) -> None:
         self.router = router
         self.pool = ConnectionPool(
-            answers_other_request=_answers_other_request,
+            match_answer=_match_answer,
             clock=time.monotonic,
             default_idle_timeout_s=DEFAULT_IDLE_TIMEOUT_S,
         )
@@ -436,9 +440,9 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def _answers_other_request(status: int, headers: RawHeaders, request_id: str) -> bool:
-    """Return whether an answer names a request other than the one sent."""
-    head = decode_answer_head(status, headers)
-    return bool(
-        request_id and head.request_id is not None and head.request_id != request_id
-    )
+def _match_answer(status: int, headers: RawHeaders, request_id: str) -> AnswerMatch:
+    """Return whether an answer names the request that was sent."""
+    answer_id = decode_answer_head(status, headers).request_id
+    if not request_id or answer_id == request_id:
+        return AnswerMatch.SAME_REQUEST
+    return AnswerMatch.UNNAMED if answer_id is None else AnswerMatch.OTHER_REQUEST
--- a/persimmonwell/gateway/_http_connection.py
+++ b/persimmonwell/gateway/_http_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from collections.abc import Callable, Collection, Sequence
+from enum import Enum
 from typing import Protocol
 
 import httptools
@@ -27,6 +28,18 @@
 RawHeaders = Sequence[tuple[bytes, bytes]]
 
 
+class AnswerMatch(Enum):
+    """What the request id in the head of an answer says."""
+
+    SAME_REQUEST = "same_request"
+    OTHER_REQUEST = "other_request"
+    UNNAMED = "unnamed"
+
+
+MatchAnswer = Callable[[int, RawHeaders, str], AnswerMatch]
+"""Compares the status and the headers of an answer with the id of a request."""
+
+
 class AnswerHandler(Protocol):
     """Receiver of the parts of one answer."""
 
@@ -66,11 +79,11 @@
     def __init__(
         self,
         *,
-        answers_other_request: Callable[[int, RawHeaders, str], bool],
+        match_answer: MatchAnswer,
         on_idle: Callable[["UpstreamConnection"], None],
         on_lost: Callable[["UpstreamConnection"], None],
     ) -> None:
-        self._answers_other_request = answers_other_request
+        self._match_answer = match_answer
         self._on_idle = on_idle
         self._on_lost = on_lost
         self._transport: asyncio.Transport | None = None
@@ -145,7 +158,9 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserCallbackError) as error:
-            self._fail(f"no HTTP: {type(error).__name__}")
+            cause = error.__context__ or error
+            reason = cause if isinstance(cause, ValueError) else type(error).__name__
+            self._fail(f"no valid answer: {reason}")
         except httptools.HttpParserUpgrade:
             self._fail("protocol upgrade")
         else:
@@ -201,9 +216,11 @@
         self._in_message = True
         names = {name.lower() for name, _ in self._headers}
         self._is_framed = bool(names & {b"content-length", b"transfer-encoding"})
-        self._is_skipping = self._answers_other_request(
-            status, self._headers, self._request_id
-        )
+        match = self._match_answer(status, self._headers, self._request_id)
+        if match is AnswerMatch.UNNAMED and self.use_count > 1:
+            # It may repeat the answer to an earlier request, such as a refusal.
+            raise ValueError("an answer without a request id")
+        self._is_skipping = match is AnswerMatch.OTHER_REQUEST
         if self._is_skipping:
             self._skipped_count += 1
             if not self._is_framed or self._skipped_count > MAX_SKIPPED_ANSWERS:
@@ -256,11 +273,11 @@
     def __init__(
         self,
         *,
-        answers_other_request: Callable[[int, RawHeaders, str], bool],
+        match_answer: MatchAnswer,
         clock: Callable[[], float],
         default_idle_timeout_s: float,
     ) -> None:
-        self._answers_other_request = answers_other_request
+        self._match_answer = match_answer
         self._clock = clock
         self._default_idle_timeout_s = default_idle_timeout_s
         self._idle: dict[str, list[UpstreamConnection]] = {}
@@ -313,7 +330,7 @@
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             _, connection = await loop.create_connection(
                 lambda: UpstreamConnection(
-                    answers_other_request=self._answers_other_request,
+                    match_answer=self._match_answer,
                     on_idle=self._put_idle,
                     on_lost=self._remove,
                 ),
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -64,7 +64,10 @@
     without a response), flood (a key of FLOODS, sent until the caller closes),
     report_flood (the same in response to one report request), deadly_part (id of a
     prompt part; the replica crashes when it begins to answer a request with it), limit
-    (requests a second that its answers state, as text).
+    (requests a second that its answers state, as text), repeat_refusal (each refusal is
+    written once more when the next request arrives on its connection; "unnamed" leaves
+    its request id out), cut_head (closes within the head, after so many of its lines),
+    resume_answer (bytes that answer the resumption of a stream, before a close).
     """
 
     def __init__(self, replica_id: str, *, service: str, zone: str) -> None:
@@ -91,6 +94,8 @@
         self._socket = socket.create_server(("127.0.0.1", 0), backlog=128)
         self._thread = threading.Thread(target=self._accept, daemon=True)
         self._open_connections: set[socket.socket] = set()
+        self._refusals: dict[socket.socket, bytes] = {}
+        """Refusals that are written once more, by connection."""
 
     @property
     def address(self) -> str:
@@ -150,6 +155,7 @@
             self.broken_connections += 1
         finally:
             self._open_connections.discard(connection)
+            self._refusals.pop(connection, None)
             connection.close()
 
     def _handle_request(
@@ -181,6 +187,8 @@
         return {**report, "kv_used": 0, "kv_total": 10**9, "stalled": rows}
 
     def _run_request(self, connection: socket.socket, request: ReceivedRequest) -> bool:
+        if (refusal := self._refusals.pop(connection, None)) is not None:
+            connection.sendall(refusal)
         request_id = request.headers.get("request-id", "")
         response_headers = {
             "Request-Id": request_id,
@@ -198,6 +206,10 @@
             answer = _build_response(503, refusal, b"")
             connection.sendall(answer)
             self._schedule_copy(connection, answer)
+            if repeat := self.faults.get("repeat_refusal"):
+                if repeat == "unnamed":
+                    answer = _build_response(503, {"Not-Executed": "1"}, b"")
+                self._refusals[connection] = answer
             return True
         self.received.append(request)
         self.received_at_s.append(time.monotonic())
@@ -208,6 +220,10 @@
         if self.faults.get("reset"):
             _reset_connection(connection)
             return False
+        if (line_count := self.faults.get("cut_head")) is not None:
+            head = _build_response(200, response_headers, b"").split(b"\r\n")
+            connection.sendall(b"\r\n".join(head[:line_count]))
+            return False
         if flood := self.faults.get("flood"):
             return self._flood(connection, flood, request_id)
         if "hop-count" in request.headers:
@@ -262,6 +278,9 @@
         request: ReceivedRequest,
         response_headers: dict[str, str],
     ) -> bool:
+        if "last-event-id" in request.headers and "resume_answer" in self.faults:
+            connection.sendall(self.faults["resume_answer"])
+            return False
         response_headers = {**response_headers, "Content-Type": "text/event-stream"}
         chunked = {**response_headers, "Transfer-Encoding": "chunked"}
         connection.sendall(_build_head(200, chunked) + b"\r\n")
--- a/tests/gateway/test_placement_duty.py
+++ b/tests/gateway/test_placement_duty.py
@@ -15,7 +15,7 @@
     plan_placement,
 )
 from persimmonwell.gateway import _placement_duty
-from persimmonwell.gateway._http_connection import ConnectionPool
+from persimmonwell.gateway._http_connection import AnswerMatch, ConnectionPool
 from persimmonwell.gateway._placement_duty import PlacementDuty
 from persimmonwell.gateway._replica_calls import CallAnswer
 from persimmonwell.observe import DecisionLog
@@ -38,7 +38,7 @@
     return PlacementDuty(
         router=router,
         pool=ConnectionPool(
-            answers_other_request=lambda *_: False,
+            match_answer=lambda *_: AnswerMatch.SAME_REQUEST,
             clock=lambda: 0.0,
             default_idle_timeout_s=1.0,
         ),
