Continue a stream only with an event that bears the next id

Reported by operators of other systems: a stream broke off, the next replica answered with an error, and callers found its text in the middle of the stream. Cause: answers with another status, without a seal, cut or not HTTP were all discarded, but a success whose body has no event id counted as the rest of the stream: an error sent as an event, or plain text with an empty line, which was taken for a comment. Change: where an id is known, the first event of an attempt has to bear the next one; anything else but comments breaks the attempt off. Evidence: test_error_of_the_next_replica_is_no_part_of_a_stream, 3 of 16 cases failed before: both errors as an event, and the success with an empty line. Conclusion: fixed.

--- a/persimmonwell/gateway/_event_stream.py
+++ b/persimmonwell/gateway/_event_stream.py
@@ -24,6 +24,8 @@
     def __init__(self, *, last_id: str | None = None) -> None:
         self._partial_event = b""
         self._comments = b""
+        self._must_continue = False
+        """Whether the next event has to bear the id after the last one."""
         self.last_id = last_id.encode("latin-1", "replace") if last_id else None
         """Id of the last complete event, at first that of the caller's last one."""
 
@@ -37,9 +39,10 @@
         """Return how many bytes wait for the end of an event."""
         return len(self._partial_event) + len(self._comments)
 
-    def discard_partial_event(self) -> None:
+    def begin_attempt(self) -> None:
         """Discard an incomplete event, as the next attempt sends it again."""
         self._partial_event = self._comments = b""
+        self._must_continue = self.last_id is not None
 
     def take_comments(self) -> bytes:
         """Return the comments after the last event and forget them."""
@@ -61,6 +64,9 @@
         for event in complete[:-2].split(b"\n\n"):
             position += len(event) + 2
             event_id = _parse_event_id(event)
+            if event_id is None and self._must_continue and not _is_comment(event):
+                # An error's text, for example, is no continuation of the stream.
+                in_order = False
             if event_id is None and not _has_data(event):
                 continue
             count += 1
@@ -68,6 +74,7 @@
             if event_id is None:
                 continue
             in_order = in_order and _is_next_id(self.last_id, event_id)
+            self._must_continue = False
             self.last_id = event_id
         if count:
             events = self._comments + complete[:end_of_events]
@@ -82,6 +89,10 @@
     return event.startswith(b"data") or b"\ndata" in event
 
 
+def _is_comment(event: bytes) -> bool:
+    return all(not line or line.startswith(b":") for line in event.split(b"\n"))
+
+
 def _parse_event_id(event: bytes) -> bytes | None:
     start = 0 if event.startswith(b"id:") else event.find(b"\nid:") + 1
     if start == 0 and not event.startswith(b"id:"):
--- a/persimmonwell/gateway/_exchange.py
+++ b/persimmonwell/gateway/_exchange.py
@@ -203,7 +203,7 @@
         """Start an attempt on an idle connection, or else on a new one."""
         self.attempt = send.attempt
         self._answer.begin_attempt(send.attempt)
-        self._event_parser.discard_partial_event()
+        self._event_parser.begin_attempt()
         current = self._current_attempt = self._last_attempt = _Attempt(self, send)
         max_idle_s = (
             MAX_IDLE_S if send.may_reuse_idle_connection else MAX_IDLE_UNRETRYABLE_S
--- a/tests/gateway/test_event_stream.py
+++ b/tests/gateway/test_event_stream.py
@@ -41,5 +41,5 @@
     assert parser.held_bytes == 3 * len(COMMENT)
     assert parser.feed(event(1)).data == COMMENT * 3 + event(1)
     parser.feed(COMMENT)
-    parser.discard_partial_event()
+    parser.begin_attempt()
     assert parser.take_comments() == b""
--- a/tests/gateway/test_faulty_replicas.py
+++ b/tests/gateway/test_faulty_replicas.py
@@ -5,8 +5,11 @@
 import pytest
 
 from standins.platform_config import config
+from standins.replica import STREAM_EVENTS
 from tests.gateway.harness import GatewayTestbed
 
+EVENTS_BEFORE_RESET = 2
+
 
 @pytest.fixture
 def testbed() -> Iterator[GatewayTestbed]:
@@ -44,3 +47,55 @@
         ]
         assert len(runs) <= 1
         assert not runs or status in (200, 502, 504), (status, len(runs))
+
+
+def answer(
+    status: int, body: bytes, *, headers: bytes = b"", framed: bool = True
+) -> bytes:
+    length = b"Content-Length: %d\r\n" % len(body) if framed else b""
+    return b"HTTP/1.1 %d Status\r\n%b%b\r\n%b" % (status, headers, length, body)
+
+
+SEAL = b"Response-Seal: s\r\nRequest-Id: req-1\r\n"
+ERROR_EVENT = b'data: {"error": "out of memory"}\n\n'
+RESUME_ANSWERS = {
+    "sealed error": answer(500, b"out of memory", headers=SEAL),
+    "error without a seal": answer(500, b"out of memory"),
+    "error without a length": answer(500, b"out of memory", headers=SEAL, framed=False),
+    "time-out": answer(504, b"out of memory", headers=SEAL),
+    "refusal": answer(503, b"out of memory", headers=b"Not-Executed: 1\r\n"),
+    "wrong replica": answer(421, b"out of memory"),
+    "request error": answer(400, b"out of memory", headers=SEAL),
+    "success without a seal": answer(200, b"out of memory\n\n"),
+    "success that is no stream": answer(200, b"out of memory", headers=SEAL),
+    "success with an empty line": answer(200, b"out of memory\n\n", headers=SEAL),
+    "created": answer(201, b"out of memory", headers=SEAL),
+    "error as an event": answer(200, ERROR_EVENT, headers=SEAL),
+    "error as an event without a length": answer(
+        200, ERROR_EVENT, headers=SEAL, framed=False
+    ),
+    "half a head": answer(500, b"out of memory", headers=SEAL)[:30],
+    "no HTTP": b"out of memory\r\n\r\n",
+    "nothing": b"",
+}
+
+
+@pytest.mark.parametrize("resume_answer", RESUME_ANSWERS.values(), ids=RESUME_ANSWERS)
+def test_error_of_the_next_replica_is_no_part_of_a_stream(
+    testbed: GatewayTestbed, resume_answer: bytes
+) -> None:
+    """Guards against an error's text within a stream, and a stream that looks whole."""
+    for replica in testbed.replicas.values():
+        replica.faults.update(
+            reset_at=EVENTS_BEFORE_RESET + 1, resume_answer=resume_answer
+        )
+    data = testbed.send_raw(
+        b"POST /talk/1 HTTP/1.1\r\nHost: desk.example\r\nApi-Key: key-1\r\n"
+        b"Request-Id: req-1\r\nDeadline-Remaining: 3000\r\nContent-Length: 0\r\n"
+        b"Connection: close\r\n\r\n"
+    )
+    head, _, body = data.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200")
+    assert b"out of memory" not in body and b"HTTP/1.1" not in body
+    assert body.count(b"id: ") == EVENTS_BEFORE_RESET < STREAM_EVENTS
+    assert not body.endswith(b"0\r\n\r\n")
