Reject a service answer that ends within its head

Reported by operators of other systems: a replica stopped in the middle of its answer's head and closed, and callers got a 200 with an empty body. Cause: http.client, under urllib3, takes the end of the connection for the end of the head. Without a length the answer is then complete and empty, and the daemon forwarded it. The gateway parses heads with httptools and was not affected. Change: the daemon's service and engine clients use a response that fails when the last line of the head was not the empty one; the outcome is an answer lost, so a call that must not be repeated is not. Evidence: nine cases of test_truncated_service_answer_is_a_failure failed before. test_answer_cut_within_its_head_is_no_answer (gateway, 15 cases) passed before and guards against it there. Conclusion: fixed.

--- a/persimmonwell/upstream/_engine_client.py
+++ b/persimmonwell/upstream/_engine_client.py
@@ -10,6 +10,7 @@
 from persimmonwell.core._types import Chain, Rank
 from persimmonwell.core.retry import EndFrame, TokenFrame
 from persimmonwell.core.router import FailureKind
+from persimmonwell.upstream._whole_head import create_pool_manager
 
 CONTROL_TIMEOUT_S = 1.0
 MAX_FRAME_BYTES = 256 * 1024
@@ -128,7 +129,7 @@
         self._connect_timeout_s = connect_timeout_s
         self._first_frame_timeout_s = first_frame_timeout_s
         self._stall_timeout_s = stall_timeout_s
-        self._pool = urllib3.PoolManager(num_pools=2048, maxsize=64, retries=False)
+        self._pool = create_pool_manager(num_pools=2048, maxsize=64)
         self._control_timeout = urllib3.Timeout(total=CONTROL_TIMEOUT_S)
 
     def close(self) -> None:
--- a/persimmonwell/upstream/_service_client.py
+++ b/persimmonwell/upstream/_service_client.py
@@ -4,6 +4,7 @@
 import urllib3
 
 from persimmonwell.core.router import FailureKind
+from persimmonwell.upstream._whole_head import create_pool_manager
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 READ_CHUNK_BYTES = 256 * 1024
@@ -34,7 +35,7 @@
 
     def __init__(self, *, connect_timeout_s: float) -> None:
         self._connect_timeout_s = connect_timeout_s
-        self._pool = urllib3.PoolManager(num_pools=256, maxsize=64, retries=False)
+        self._pool = create_pool_manager(num_pools=256, maxsize=64)
 
     def close(self) -> None:
         """Close all connections."""
--- a/tests/gateway/test_faulty_replicas.py
+++ b/tests/gateway/test_faulty_replicas.py
@@ -99,3 +99,15 @@
     assert b"out of memory" not in body and b"HTTP/1.1" not in body
     assert body.count(b"id: ") == EVENTS_BEFORE_RESET < STREAM_EVENTS
     assert not body.endswith(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize("line_count", range(5))
+@pytest.mark.parametrize("path", ["/book/1", "/look/1", "/talk/1"])
+def test_answer_cut_within_its_head_is_no_answer(
+    testbed: GatewayTestbed, path: str, line_count: int
+) -> None:
+    """Guards against a 200 with an empty body that looks whole."""
+    for replica in testbed.replicas.values():
+        replica.faults["cut_head"] = line_count
+    status, headers, body = testbed.send(path)
+    assert status in (502, 504), (status, headers, body)
--- a/tests/upstream/test_engine_client.py
+++ b/tests/upstream/test_engine_client.py
@@ -144,9 +144,20 @@
         _read(HEAD + b"\r\n" + garbage)
 
 
+SERVICE_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nETag: 1\r\n"
+CUT_HEADS = [
+    SERVICE_HEAD[:length] for length in (8, 12, 17, 28, 43, len(SERVICE_HEAD) - 2)
+]
+
+
 @pytest.mark.parametrize(
     ("answer", "hold_open_s", "failure"),
     [
+        *((head, 0.0, FailureKind.LOST) for head in (*CUT_HEADS, SERVICE_HEAD)),
+        (SERVICE_HEAD + b"Content-Len", 0.0, FailureKind.LOST),
+        (SERVICE_HEAD + b"Content-Length: ", 0.0, FailureKind.LOST),
+        (SERVICE_HEAD + b"Content-Length: 0\r\n", 0.0, FailureKind.LOST),
+        (SERVICE_HEAD, 2.0, FailureKind.TIMEOUT),
         (b"", 0.0, FailureKind.LOST),
         (b"", 2.0, FailureKind.TIMEOUT),
         (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", 0.0, FailureKind.LOST),
@@ -170,3 +181,20 @@
             )
     assert caught.value.failure is failure
     client.close()
+
+
+@pytest.mark.parametrize("length", [b"", b"Content-Length: 2\r\n"])
+def test_whole_service_answer_is_returned(length: bytes) -> None:
+    """Guards against sound answers that count as cut, with and without a length."""
+    client = ServiceClient(connect_timeout_s=0.3)
+    with scripted_upstream(SERVICE_HEAD + length + b"\r\nok") as address:
+        answer = client.call(
+            address=address,
+            method="POST",
+            path="/x",
+            headers={},
+            body=b"{}",
+            timeout_s=0.3,
+        )
+    assert (answer.status, answer.body) == (200, b"ok")
+    client.close()
