Take an append without an offset as not acknowledged

Cause: the answer to an append that was cut within its head has no body; the client raised KeyError, which the daemon's callers don't expect. Change: an answer without a valid offset is a PlatformUnavailableError: the append may have taken effect. Evidence: test_append_without_an_offset_is_not_acknowledged failed before (3 of 3 cases). Conclusion: fixed.

--- a/persimmonwell/platform/_store_client.py
+++ b/persimmonwell/platform/_store_client.py
@@ -154,7 +154,10 @@
             query["at"] = str(expected_end_offset)
         body = b"".join(_RECORD_LENGTH.pack(len(record)) + record for record in records)
         answer, _ = self._call_json("POST", "log-append", query, body=body)
-        return int(answer["offset"])
+        try:
+            return int(answer["offset"])
+        except (LookupError, TypeError, ValueError) as error:
+            raise PlatformUnavailableError("log", str(error)) from error
 
     def join_group(
         self, group: str, *, member: str, topic: str, ttl_ms: int, generation: int
--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -69,6 +69,16 @@
     store.close()
 
 
+@pytest.mark.parametrize("body", [b"", b"{}", b'{"offset": null}'])
+def test_append_without_an_offset_is_not_acknowledged(log: Log, body: bytes) -> None:
+    """Guards against an untyped error when the answer was cut within its head."""
+    log.server.route("POST", "/persimmonwell/log-append", lambda *_: (200, body))
+    store = StoreClient(url=log.server.url, timeout_s=2.0)
+    with pytest.raises(PlatformUnavailableError):
+        store.append("config", (b"{}",))
+    store.close()
+
+
 def test_changed_and_invalid_host_lists_are_detected(hosts: HostDirectory) -> None:
     """Guards against a stale list after a change, and the use of an invalid one."""
     client = HostListClient(url=hosts.server.url, timeout_s=2.0)
