Restore the store in the soak

Cause: neither the soak nor its store knew a restore from an older copy. Change: the soak restores the store from a copy of the last seconds; the operator and the replicas write theirs again, at times with as many versions as were lost. At the end each host has to serve the newest version before another one is written, which would hide a follower that had stopped.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -1,9 +1,9 @@
 """Soak test: gateway processes under load with randomly injected faults.
 
 Faults are killed, paused and reloaded hosts, faulty replicas and store connections,
-configuration changes and draining replicas. Checked are at-most-once execution of
-unsafe requests, complete answers, recovery, and the propagation of configuration
-versions and draining replicas.
+configuration changes, draining replicas, and a store that comes back from an older
+copy. Checked are at-most-once execution of unsafe requests, complete answers, recovery,
+and the propagation of configuration versions and draining replicas.
 
 Run: python -m standins.soak --seed 1 --seeds 50 --seconds 6
 """
@@ -24,7 +24,7 @@
 
 import attrs
 
-from standins.log import Log
+from standins.log import Log, LogCopy
 from standins.platform_config import API_KEY, HOST, config, free_ports, node_file, route
 from standins.proxy import FaultyProxy
 from standins.replica import STREAM_EVENTS, PlatformReplica
@@ -41,6 +41,8 @@
     *({"shed": True}, {"extra": "now"}, {"extra": "late"}, {"unframed": True}),
     *({"reset_at": 3}, {"delay_s": 0.3}),
 )
+MAX_COPIES = 12
+"""Copies of the store, one each 0.1 to 0.6 s; a restore loses a few seconds."""
 STORE_MODES = ("delay", "silent", "one_way", "reset")
 
 
@@ -110,6 +112,9 @@
         self._served_versions: dict[tuple[str, int], int] = {}
         """Newest version whose route was served, by host IP and incarnation."""
         self._version_reversions: list[str] = []
+        self._version = 1
+        """Newest configuration version that the operator wrote."""
+        self._copies: list[LogCopy] = []
         self._stop = threading.Event()
 
     def run(self) -> list[str]:
@@ -186,8 +191,10 @@
             self._append_config_version,
             self._reload_host,
             self._drain_and_restore_replica,
+            self._restore_store,
         )
         while time.monotonic() < end_s:
+            self._copies = [*self._copies, self.store.copy()][-MAX_COPIES:]
             self._random.choice(actions)()
             time.sleep(self._random.uniform(0.1, 0.5))
         for replica in self.replicas:
@@ -228,15 +235,37 @@
 
     def _append_config_version(self) -> int:
         """Write a configuration with one more route; return its version."""
-        version = len(self.store.records("keyed.op")) + 1
-        added = [
+        self._version += 1
+        self._write_config()
+        return self._version
+
+    def _write_config(self) -> None:
+        document = config(self._version)
+        document["routes"] += [
             route(f"v{added_version}", "safe", "desk")
-            for added_version in range(2, version + 1)
+            for added_version in range(2, self._version + 1)
         ]
-        document = config(version)
-        document["routes"] += added
         self.store.put_key("keyed.op", "config", document)
-        return version
+
+    def _restore_store(self) -> None:
+        """Restore the store; the operator and the replicas write theirs again.
+
+        As many versions as were lost may follow, so that the store ends where it did.
+        """
+        end_offset = len(self.store.records("keyed.op"))
+        self.store.faults["down"] = True
+        time.sleep(self._random.uniform(0.0, 0.3))
+        self.store.restore(self._random.choice(self._copies))
+        self.store.faults["down"] = False
+        self._write_config()
+        while (
+            len(self.store.records("keyed.op")) < end_offset
+            and self._random.random() < 0.8
+        ):
+            self._append_config_version()
+        for replica in self.replicas:
+            entry = replica.entry(sequence=2)
+            self.store.put_key("keyed.servers", replica.replica_id, entry)
 
     def _drain_and_restore_replica(self) -> None:
         """Mark one of the two service replicas as draining, then as ready again."""
@@ -264,7 +293,7 @@
     def _check_version(self, host: _HostProcess, request_id: str) -> None:
         """Record a violation if a host no longer serves a version it has served."""
         incarnation = (host.ip, self._incarnations[host.ip])
-        version = len(self.store.records("keyed.op"))
+        version = self._version
         if version < 2:
             return
         served_version = self._served_versions.get(incarnation, 0)
@@ -308,24 +337,32 @@
 
     def _propagation_violations(self) -> list[str]:
         """Check that all hosts see a new version and a draining replica in time."""
-        version = self._append_config_version()
+        time.sleep(PROPAGATION_LIMIT_S)
+        violations = self._version_violations()
+        self._append_config_version()
         draining_replica, _ = self.replicas[:2]
         entry = draining_replica.entry(state="draining")
         self.store.put_key("keyed.servers", draining_replica.replica_id, entry)
         time.sleep(PROPAGATION_LIMIT_S)
         received_before = len(draining_replica.received)
-        violations = [
-            f"{host.ip} does not serve version {version} in time"
-            for host in self.hosts
-            for number in range(4)
-            if self._send(host, f"v{version}", f"{host.ip}-{number}").status != 200
-        ]
+        violations += self._version_violations()
         if len(draining_replica.received) > received_before:
             violations.append(
                 f"{draining_replica.replica_id} received requests while draining"
             )
         return violations
 
+    def _version_violations(self) -> list[str]:
+        if self._version < 2:
+            return []
+        return [
+            f"{host.ip} does not serve version {self._version} in time"
+            for host in self.hosts
+            for number in range(4)
+            if self._send(host, f"v{self._version}", f"{host.ip}-{number}").status
+            != 200
+        ]
+
     def _request_violations(self) -> list[str]:
         runs = self._execution_counts()
         violations = list(self._version_reversions)
