--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,6 @@
 
 from standins.soak import Soak
 
-
 SECONDS = {1: 4.0, 4: 4.0, 1003: 6.0}
 """Duration of the faults by seed; it decides which of them are drawn."""
 
