--- a/tests/upstream/test_engine_client.py
+++ b/tests/upstream/test_engine_client.py
@@ -16,6 +16,7 @@
     Attempt,
     AttemptFailedError,
     EngineClient,
+    ServiceAnswer,
     ServiceCallError,
     ServiceClient,
 )
@@ -144,6 +145,17 @@
         _read(HEAD + b"\r\n" + garbage)
 
 
+def call_service(client: ServiceClient, address: str) -> ServiceAnswer:
+    return client.call(
+        address=address,
+        method="POST",
+        path="/x",
+        headers={},
+        body=b"{}",
+        timeout_s=0.3,
+    )
+
+
 SERVICE_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nETag: 1\r\n"
 CUT_HEADS = [
     SERVICE_HEAD[:length] for length in (8, 12, 17, 28, 43, len(SERVICE_HEAD) - 2)
@@ -171,14 +183,7 @@
     client = ServiceClient(connect_timeout_s=0.3)
     with scripted_upstream(answer, hold_open_s=hold_open_s) as address:
         with pytest.raises(ServiceCallError) as caught:
-            client.call(
-                address=address,
-                method="POST",
-                path="/x",
-                headers={},
-                body=b"{}",
-                timeout_s=0.3,
-            )
+            call_service(client, address)
     assert caught.value.failure is failure
     client.close()
 
@@ -188,13 +193,6 @@
     """Guards against sound answers that count as cut, with and without a length."""
     client = ServiceClient(connect_timeout_s=0.3)
     with scripted_upstream(SERVICE_HEAD + length + b"\r\nok") as address:
-        answer = client.call(
-            address=address,
-            method="POST",
-            path="/x",
-            headers={},
-            body=b"{}",
-            timeout_s=0.3,
-        )
+        answer = call_service(client, address)
     assert (answer.status, answer.body) == (200, b"ok")
     client.close()
