Release the port of the datagrams when a host closes

Cause: GatewayHost.close left the datagram endpoint open, and a host that could not open one port left its listeners behind. Callers are not affected, since the process of a host ends after its close. Change: close releases the datagram endpoint and the timer of the state exchange; a host whose start fails closes what it has opened and logs start_failed. Conclusion: ports are free as soon as a host has closed.

--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -91,6 +91,7 @@
         self._store_available: dict[str, bool] = {}
         """Whether the store answered the last call, by follower."""
         self._loop: asyncio.AbstractEventLoop | None = None
+        self._state_timer: asyncio.TimerHandle | None = None
         self._followers = StoreFollowers(
             url=f"http://{settings.store}",
             member=f"{settings.host_id}/{settings.ip}/{time.time_ns()}",
@@ -119,6 +120,28 @@
         self._loop = asyncio.get_running_loop()
         self._loop.set_exception_handler(self._log_unexpected_error)
         self._log.start()
+        try:
+            await self._open_ports()
+        except OSError as error:
+            self._log.write("host", "start_failed", reason=str(error))
+            self.close()
+            raise
+        self._add_gauges()
+        self._followers.start()
+        self._gateway.start()
+        self._duty.start()
+        self._send_state()
+        self._log.write(
+            "host",
+            "started",
+            zone=self._settings.availability_zone,
+            callers=str(self._settings.callers),
+            store=str(self._settings.store),
+            memory_mb=self._settings.memory_mb,
+        )
+
+    async def _open_ports(self) -> None:
+        loop = asyncio.get_running_loop()
         settings = self._settings
         await self._listen(
             settings.readiness, lambda: StatusServerConnection(self._answer_readiness)
@@ -136,28 +159,15 @@
         )
         self._callers_socket.setblocking(False)
         self._servers.append(
-            await self._loop.create_server(
+            await loop.create_server(
                 self._gateway.create_caller_connection,
                 sock=self._callers_socket,
                 backlog=BACKLOG,
             )
         )
-        await self._loop.create_datagram_endpoint(
+        await loop.create_datagram_endpoint(
             lambda: self._peers, local_addr=(settings.ip, settings.peer_port)
         )
-        self._add_gauges()
-        self._followers.start()
-        self._gateway.start()
-        self._duty.start()
-        self._send_state()
-        self._log.write(
-            "host",
-            "started",
-            zone=settings.availability_zone,
-            callers=str(settings.callers),
-            store=str(settings.store),
-            memory_mb=settings.memory_mb,
-        )
 
     async def _listen(
         self, endpoint: Endpoint, factory: Callable[[], asyncio.Protocol]
@@ -231,6 +241,9 @@
         self._gateway.close()
         for server in self._servers:
             server.close()
+        if self._state_timer is not None:
+            self._state_timer.cancel()
+        self._peers.close()
         self._log.close()
 
     def reload(self, settings: ForwarderSettings) -> None:
@@ -499,7 +512,7 @@
     def _send_state(self) -> None:
         assert self._loop is not None
         # Scheduled first, so that an unexpected error does not end the exchange.
-        self._loop.call_later(SEND_INTERVAL_S, self._send_state)
+        self._state_timer = self._loop.call_later(SEND_INTERVAL_S, self._send_state)
         zone = self._settings.availability_zone
         live_peers = self._peers.live_peers
         hosts_by_zone = Counter(peer.availability_zone for peer in live_peers)
--- a/persimmonwell/gateway/_peer_datagrams.py
+++ b/persimmonwell/gateway/_peer_datagrams.py
@@ -157,6 +157,11 @@
         # isinstance check fails.
         self._transport = cast(asyncio.DatagramTransport, transport)
 
+    def close(self) -> None:
+        """Release the local port; nothing is sent or received any more."""
+        if self._transport is not None:
+            self._transport.close()
+
     def datagram_received(self, data: bytes, addr: SocketAddress) -> None:
         """Apply a peer's report; malformed datagrams are ignored."""
         try:
--- a/tests/gateway/test_host.py
+++ b/tests/gateway/test_host.py
@@ -12,8 +12,9 @@
 import attrs
 import pytest
 
-from persimmonwell.gateway import _host, _store_followers
-from standins.platform_config import API_KEY, HOST, config, route
+from persimmonwell.gateway import GatewayHost, _host, _store_followers
+from persimmonwell.platform import parse_node_file
+from standins.platform_config import API_KEY, HOST, config, free_ports, route
 from tests.fleet import wait_until
 from tests.gateway.harness import GatewayTestbed
 
@@ -38,6 +39,17 @@
     return asyncio.run_coroutine_threadsafe(host.drain(), testbed._loop)
 
 
+def is_port_free(kind: socket.SocketKind, address: tuple[str, int]) -> bool:
+    with socket.socket(socket.AF_INET, kind) as listener:
+        if kind is socket.SOCK_STREAM:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            listener.bind(address)
+        except OSError:
+            return False
+        return True
+
+
 def raise_once(function: Any) -> Any:
     """Return a function that raises an unexpected error at its first call."""
     calls = []
@@ -202,3 +214,29 @@
     with pytest.raises((http.client.HTTPException, OSError)):
         testbed.send("/look/x")
     assert testbed.send("/look/x")[0] == 200
+
+
+def test_closed_host_releases_the_port_of_its_datagrams(
+    testbed: GatewayTestbed,
+) -> None:
+    """Guards against a host that cannot be started again on its ports."""
+    host, testbed.host = testbed.host, None
+    assert host is not None
+    address = ("127.0.0.1", testbed.ports["peers"])
+    testbed._loop.call_soon_threadsafe(host.close)
+    wait_until(lambda: is_port_free(socket.SOCK_DGRAM, address), timeout_s=2.0)
+
+
+def test_host_that_cannot_start_releases_its_ports(
+    testbed: GatewayTestbed, capfd: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against listeners without a host behind them, and a silent failure."""
+    testbed.ports = free_ports()
+    settings = parse_node_file(testbed.settings())
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
+        other.bind((settings.ip, settings.peer_port))
+        with pytest.raises(OSError, match="in use"):
+            testbed.run(GatewayHost(settings, seed=1).start())
+    address = (settings.callers.host, settings.callers.port)
+    wait_until(lambda: is_port_free(socket.SOCK_STREAM, address), timeout_s=2.0)
+    assert '"event":"start_failed"' in capfd.readouterr().out
