End a test run although a set-up has failed

Cause: when the start of a testbed raised, its fixture never closed the stand-in store, and the worker threads of its HTTP server kept the interpreter from ending. The free port of a stand-in was checked for TCP alone. Change: a testbed or fleet that fails to start closes what it started; a free port is free for datagrams too; a run that leaves threads behind names them and fails. Conclusion: a failed set-up is reported as such; the run ends in any case.

--- a/standins/platform_config.py
+++ b/standins/platform_config.py
@@ -10,7 +10,7 @@
 
 
 def free_port() -> int:
-    """Return an even port that is free together with the next one.
+    """Return an even port that is free together with the next one, for TCP and UDP.
 
     It lies below the ephemeral port range, so that no outgoing connection can take it
     before it is bound.
@@ -20,6 +20,8 @@
         try:
             for number in (port, port + 1):
                 socket.create_server(("127.0.0.1", number)).close()
+                with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
+                    datagrams.bind(("127.0.0.1", number))
         except OSError:
             continue
         return port
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,9 @@
 """Hypothesis profiles, known failing tests and the fixture of a running fleet."""
 
 import os
+import sys
+import threading
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -15,6 +18,9 @@
 
 KNOWN_RED = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
 
+THREADS_END_S = 10.0
+"""Time for threads that tests have stopped to end, after the last test."""
+
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Run the tests listed in KNOWN-RED.txt and report them without failing."""
@@ -32,3 +38,24 @@
     small_fleet.start()
     yield small_fleet
     small_fleet.close()
+
+
+def pytest_unconfigure() -> None:
+    """Fail a run whose process would not end because of threads that tests left."""
+    end_s = time.monotonic() + THREADS_END_S
+    for thread in remaining_threads():
+        thread.join(max(0.0, end_s - time.monotonic()))
+    names = sorted(thread.name for thread in remaining_threads())
+    if names:
+        sys.stdout.flush()
+        print(f"threads left by tests: {', '.join(names)}", file=sys.stderr, flush=True)
+        os._exit(1)
+
+
+def remaining_threads() -> list[threading.Thread]:
+    """Return the threads for which the interpreter waits at its end."""
+    return [
+        thread
+        for thread in threading.enumerate()
+        if not thread.daemon and thread is not threading.main_thread()
+    ]
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -50,12 +50,19 @@
         self._token_s = token_s
 
     def start(self) -> None:
-        """Start everything and wait until every host has the configuration."""
-        self.start_standins()
-        for zone in self._zones:
-            self.add_daemon(zone)
-        self.publish_base()
-        wait_until(lambda: all(self.config_version(h) >= 1 for h in self.daemons))
+        """Start everything and wait until every host has the configuration.
+
+        If that fails, stop what was started.
+        """
+        try:
+            self.start_standins()
+            for zone in self._zones:
+                self.add_daemon(zone)
+            self.publish_base()
+            wait_until(lambda: all(self.config_version(h) >= 1 for h in self.daemons))
+        except BaseException:
+            self.close()
+            raise
 
     def start_standins(self) -> None:
         """Start the platform stand-ins, the engines and the services."""
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -46,15 +46,20 @@
         self.store.put_key("keyed.servers", name, entry)
 
     def start(self, *, is_ready: bool = True) -> None:
-        """Start the store and the host."""
+        """Start the store and the host; stop all of it if that fails."""
         self.store.start()
         self._thread.start()
-        self.start_host(is_ready=is_ready)
+        try:
+            self.start_host(is_ready=is_ready)
+        except BaseException:
+            self.close()
+            raise
 
     def start_host(self, *, is_ready: bool = True) -> None:
         """Start the host and wait until it is ready, unless is_ready is False."""
-        self.host = GatewayHost(parse_node_file(self.settings()), seed=3)
-        self.run(self.host.start())
+        host = GatewayHost(parse_node_file(self.settings()), seed=3)
+        self.run(host.start())
+        self.host = host
         if is_ready:
             wait_until(lambda: self.readiness_status() == 200)
 
