Keep the era of the store with one function for all followers

Cause: is_restored was a predicate that also raised, and one caller used it for that alone; each caller kept the era by itself. Two test files had the same fixture. Change: current_era returns the era to go on with; the testbed of the followers and its fixture have files of their own.

--- a/persimmonwell/gateway/_store_followers.py
+++ b/persimmonwell/gateway/_store_followers.py
@@ -213,17 +213,17 @@
             try:
                 if offset is None:
                     snapshot = client.read_latest(topic)
-                    is_restored(era, snapshot.era)
+                    era = current_era(era, snapshot.era)
                     self._report_read(_describe_read(name, None, snapshot))
                     offset = snapshot.end_offset
-                    era = snapshot.era if snapshot.era is not None else era
                     handle(snapshot.records, offset, era)
                 else:
                     # After a failure, the answer itself shows that the store is back.
                     wait_s = long_poll_s if self._store_available.get(name) else 0.0
                     changes = client.read(topic, from_offset=offset, wait_s=wait_s)
+                    offset_era, era = era, current_era(era, changes.era)
                     self._report_read(_describe_read(name, offset, changes))
-                    if is_restored(era, changes.era):
+                    if era != offset_era:
                         # The offset names another record now.
                         offset = None
                         continue
@@ -305,11 +305,11 @@
                 generation = membership.generation
                 held_duty = holds_duty
                 holds_duty = (DUTY_TOPIC, 0) in membership.partitions
-                if is_restored(era, membership.era) and not held_duty:
+                known_era, era = era, current_era(era, membership.era)
+                if known_era is not None and era != known_era and not held_duty:
                     # The copy may name a holder from before the last hand-over, and
                     # the lease of the newer one has not ended yet.
                     usable_from_s = call_start_s + DUTY_TTL_MS / 1000
-                era = membership.era if membership.era is not None else era
                 # The lease counts from the start of the call, less a margin, so that
                 # it ends here before it ends in the store.
                 until_s = call_start_s + DUTY_TTL_MS / 1000 - 0.5
@@ -346,16 +346,17 @@
                 return
 
 
-def is_restored(known_era: int | None, era: int | None) -> bool:
-    """Return whether the store came back from a copy since the known era.
+def current_era(known_era: int | None, era: int | None) -> int | None:
+    """Return the era of the store after an answer, whose era is None if not stated.
 
-    Raises PlatformUnavailableError if the answer is of an earlier era.
+    It rises when the store comes back from a copy. Raises PlatformUnavailableError if
+    the answer is of an earlier era.
     """
     if known_era is None or era is None:
-        return False
+        return era if known_era is None else known_era
     if era < known_era:
         raise PlatformUnavailableError("log", f"era {era} after era {known_era}")
-    return era > known_era
+    return era
 
 
 def _describe_read(
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -2,26 +2,15 @@
 
 import socket
 import time
-from collections.abc import Iterator
 
 import msgspec
-import pytest
 
 from persimmonwell.gateway._peer_messages import Report
 from persimmonwell.platform import StoreClient
 from standins.platform_config import config, route
 from tests.fleet import wait_until
+from tests.gateway.followed_store import FollowedStore
 from tests.gateway.harness import GatewayTestbed
-from tests.gateway.test_store_followers import FollowedStore
-
-
-@pytest.fixture
-def followed_store() -> Iterator[FollowedStore]:
-    """Return a store whose followers have read it once."""
-    store = FollowedStore()
-    store.start()
-    yield store
-    store.close()
 
 
 def test_configuration_at_an_offset_given_out_again_is_read(
--- a/tests/gateway/test_store_followers.py
+++ b/tests/gateway/test_store_followers.py
@@ -1,85 +1,19 @@
 """Tests of how often a host reads the store, and of the placement duty's lease."""
 
 import time
-from collections.abc import Iterator
 
 import pytest
 
-from persimmonwell.core.forwarding import RegistryRecord
 from persimmonwell.gateway import _store_followers
 from persimmonwell.gateway._store_followers import (
     CONFIG_FOLLOWER,
     REPLICA_FOLLOWER,
-    StoreCallbacks,
-    StoreFollowers,
     StoreRead,
 )
 from persimmonwell.platform import StoreClient
-from standins.log import Log
 from standins.platform_config import config
 from tests.fleet import wait_until
-
-TOPICS = {CONFIG_FOLLOWER: "keyed.op", REPLICA_FOLLOWER: "keyed.servers"}
-
-
-class FollowedStore:
-    """Stand-in store, the followers of one host and the values they reported."""
-
-    def __init__(self) -> None:
-        self.store = Log()
-        self.versions: list[int] = []
-        self.replicas: list[tuple[RegistryRecord, ...]] = []
-        self.eras: list[int] = []
-        self.lease_ends_s: list[float | None] = []
-        self.resumed_reads: list[StoreRead] = []
-        self.store.put_key("keyed.op", "config", config(3))
-        self.put_replica("i-1")
-        self.store.start()
-        self.followers = StoreFollowers(
-            url=f"http://{self.store.server.address}",
-            member="h1",
-            callbacks=StoreCallbacks(
-                on_config=lambda found: self.versions.append(found.version),
-                on_invalid_config=lambda reason: None,
-                on_replicas=self._record_replicas,
-                on_duty=self.lease_ends_s.append,
-                on_store_status=lambda name, is_available, reason: None,
-                on_read_resumed=self.resumed_reads.append,
-                on_error=lambda name, error: None,
-            ),
-        )
-
-    def _record_replicas(
-        self, records: tuple[RegistryRecord, ...], end_offset: int | None, era: int
-    ) -> None:
-        self.eras.append(era)
-        self.replicas.append(records)
-
-    def put_replica(self, name: str) -> None:
-        entry = {"service": "desk", "address": "127.0.0.1:9", "zone": "za"}
-        rest = {"version": "v1", "slots": 8, "state": "ready", "sequence": 1}
-        self.store.put_key("keyed.servers", name, {**entry, **rest})
-
-    def start(self) -> None:
-        """Start the followers and wait until they have read the store once."""
-        self.followers.start()
-        wait_until(lambda: bool(self.versions and self.replicas))
-
-    def close(self) -> None:
-        self.followers.close()
-        self.store.close()
-
-    def count_reads(self) -> int:
-        return sum(self.store.reads[topic] for topic in TOPICS.values())
-
-
-@pytest.fixture
-def followed_store() -> Iterator[FollowedStore]:
-    """Return a store whose followers have read it once."""
-    followed_store = FollowedStore()
-    followed_store.start()
-    yield followed_store
-    followed_store.close()
+from tests.gateway.followed_store import FollowedStore
 
 
 def test_host_that_is_not_a_reader_makes_no_calls_without_changes(
