Hand the configuration and the registry over to a host that cannot read them

Change: a host that stays behind a peer for 0.5 s, in the configuration, in the era of the store, or without any registry, takes both from it over HTTP on the internal port that serves the metrics. The choice of the peer is in core/forwarding/_handover.py. The higher version and the newer offsets hold as before, whatever comes from a peer. Conclusion: a host no longer needs the store to start beside others, and an accepted configuration is not taken back by the start of a host.

--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -27,6 +27,7 @@
     Reroute,
     Send,
 )
+from persimmonwell.core.forwarding._handover import HandoverPolicy
 from persimmonwell.core.forwarding._loads import LoadTable, ReplicaLoad
 from persimmonwell.core.forwarding._model import (
     AcceleratorKind,
@@ -84,6 +85,7 @@
     "ForwardingConfig",
     "ForwardingRouter",
     "GenerationSize",
+    "HandoverPolicy",
     "HeldLayers",
     "LoadTable",
     "PeerStatus",
--- /dev/null
+++ b/persimmonwell/core/forwarding/_handover.py
@@ -0,0 +1,74 @@
+"""Choice of the peer that hands over what it has read from the store.
+
+Load pattern: hosts start while the store is away, or while it still lacks what an
+operator has to write again after a restore. Without the newest configuration they
+would refuse requests, or route them by an older version.
+"""
+
+import random
+from collections.abc import Iterable
+
+from persimmonwell.core.forwarding._peers import PeerStatus, StoreVersions
+
+HANDOVER_DELAY_S = 0.5
+"""Time in which a host that reaches the store has read what its peers know."""
+HANDOVER_INTERVAL_S = 1.0
+"""Interval between two requests of a host to its peers."""
+
+
+class HandoverPolicy:
+    """Decides when a host asks a peer for its data, and which one."""
+
+    def __init__(self, *, availability_zone: str, seed: int) -> None:
+        self._availability_zone = availability_zone
+        self._random = random.Random(seed)
+        self._behind_since_s: float | None = None
+        self._last_request_s = float("-inf")
+
+    def source(
+        self,
+        peers: Iterable[PeerStatus],
+        known: StoreVersions,
+        now_s: float,
+        *,
+        has_registry: bool,
+    ) -> PeerStatus | None:
+        """Return the peer to ask now, None while the host is not behind for long.
+
+        The newest configuration decides, then the availability zone; hosts that start
+        together spread over the peers left.
+        """
+        ahead = [
+            peer
+            for peer in peers
+            if _is_ahead(peer.store_versions, known, has_registry=has_registry)
+        ]
+        if not ahead:
+            self._behind_since_s = None
+            return None
+        if self._behind_since_s is None:
+            self._behind_since_s = now_s
+        if (
+            now_s - self._behind_since_s < HANDOVER_DELAY_S
+            or now_s - self._last_request_s < HANDOVER_INTERVAL_S
+        ):
+            return None
+        self._last_request_s = now_s
+        return max(ahead, key=self._preference)
+
+    def _preference(self, peer: PeerStatus) -> tuple[int, bool, float]:
+        return (
+            peer.store_versions.config_version,
+            peer.availability_zone == self._availability_zone,
+            self._random.random(),
+        )
+
+
+def _is_ahead(
+    versions: StoreVersions, known: StoreVersions, *, has_registry: bool
+) -> bool:
+    return (
+        versions.config_version > known.config_version
+        or versions.registry_era > known.registry_era
+        or (not has_registry and versions.registry_offset >= 0)
+    )
--- a/persimmonwell/core/forwarding/_peers.py
+++ b/persimmonwell/core/forwarding/_peers.py
@@ -3,7 +3,7 @@
 Dozens of hosts of a zone would read the same data from the store. The platform charges
 for each call, and if every host read all heartbeats of all replicas, control traffic
 would exceed its budget. A few readers per zone poll the store and notify the others of
-changes; the changed data itself is always read from the store.
+changes; a host that the store does not answer takes the data from a peer instead.
 """
 
 from collections.abc import Iterable
--- a/persimmonwell/core/forwarding/_registry.py
+++ b/persimmonwell/core/forwarding/_registry.py
@@ -181,6 +181,16 @@
             self._era,
         )
 
+    def snapshot(self) -> RegistryChanges | None:
+        """Return all entries, for a host that has none; None if no list was read."""
+        if self._newest_offset < 0:
+            return None
+        records = tuple(
+            RegistryRecord(replica_id, self._offsets.get(replica_id, 0), replica)
+            for replica_id, replica in self._entries.items()
+        )
+        return RegistryChanges(-1, self._newest_offset, records, self._era)
+
     def apply_changes(self, changes: RegistryChanges, now_s: float) -> bool | None:
         """Apply changes that another host has read.
 
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -15,6 +15,8 @@
     CALLER_RETRY_WINDOW_S,
     ForwardingConfig,
     ForwardingRouter,
+    HandoverPolicy,
+    PeerStatus,
     RegistryChanges,
     RegistryRecord,
     StoreVersions,
@@ -29,6 +31,13 @@
     PeerReport,
 )
 from persimmonwell.gateway._placement_duty import PlacementDuty
+from persimmonwell.gateway._state_handover import (
+    STATE_PATH,
+    HandedState,
+    HandoverCallbacks,
+    StateFetcher,
+    encode_state,
+)
 from persimmonwell.gateway._status_server import StatusServerConnection
 from persimmonwell.gateway._store_followers import (
     CONFIG_FOLLOWER,
@@ -90,6 +99,18 @@
         self._callers_socket: socket.socket | None = None
         self._store_available: dict[str, bool] = {}
         """Whether the store answered the last call, by follower."""
+        self._config_document = b""
+        """Document of the configuration in force, as it stands in the store."""
+        self._handover = HandoverPolicy(
+            availability_zone=settings.availability_zone, seed=seed
+        )
+        self._state_fetcher = StateFetcher(
+            port=settings.metrics_port,
+            callbacks=HandoverCallbacks(
+                on_state=self._call_on_loop(self._apply_handed_state),
+                on_failure=self._call_on_loop(self._log_failed_handover),
+            ),
+        )
         self._loop: asyncio.AbstractEventLoop | None = None
         self._state_timer: asyncio.TimerHandle | None = None
         self._followers = StoreFollowers(
@@ -148,7 +169,7 @@
         )
         metrics = Endpoint(settings.ip, settings.metrics_port)
         await self._listen(
-            metrics, lambda: StatusServerConnection(self._answer_metrics)
+            metrics, lambda: StatusServerConnection(self._answer_peers_and_metrics)
         )
         if settings.control is not None:
             await self._listen(
@@ -308,8 +329,9 @@
 
         return call
 
-    def _apply_config(self, config: ForwardingConfig) -> None:
+    def _apply_config(self, config: ForwardingConfig, document: bytes) -> None:
         if self._router.configure(config):
+            self._config_document = document
             self._log.write(
                 "config",
                 "in_force",
@@ -501,6 +523,41 @@
         else:
             self._followers.request_read(REPLICA_FOLLOWER)
 
+    def _request_handover(self, live_peers: tuple[PeerStatus, ...]) -> None:
+        """Ask a peer for what this host could not read from the store."""
+        source = self._handover.source(
+            live_peers,
+            self._store_versions,
+            time.monotonic(),
+            has_registry=self._router.registry.newest_offset >= 0,
+        )
+        address = self._peers.address_of(source.host_id) if source else None
+        if address is not None:
+            self._state_fetcher.fetch(address)
+
+    def _apply_handed_state(self, peer: str, state: HandedState) -> None:
+        registry = self._router.registry
+        config, changes = state.config, state.registry
+        self._log.write(
+            "peers",
+            "state_handed_over",
+            peer=peer,
+            config=config.version if config is not None else None,
+            replicas=len(changes.records) if changes is not None else None,
+            era=changes.era if changes is not None else None,
+        )
+        if config is not None:
+            self._apply_config(config, state.config_document)
+        # The store may have answered in the meantime.
+        if changes is not None and (
+            registry.newest_offset < 0 or changes.era > registry.era
+        ):
+            end_offset = changes.end_offset + 1
+            self._apply_registry_records(changes.records, end_offset, changes.era)
+
+    def _log_failed_handover(self, peer: str, reason: str) -> None:
+        self._log.write("peers", "handover_failed", peer=peer, reason=reason)
+
     def _may_plan_without_store(self) -> bool:
         """Return whether this host plans its zone while the store is unavailable."""
         return not self._reads_store and should_plan_without_store(
@@ -524,6 +581,7 @@
         self._router.peer_config_version = max(
             (peer.store_versions.config_version for peer in live_peers), default=0
         )
+        self._request_handover(live_peers)
         self._router.rate_limits.set_hosts(hosts_by_zone)
         # Hosts hidden by a network partition still use their share of the fleet's
         # retry budget, so the count never decreases.
@@ -539,7 +597,10 @@
     def _answer_readiness(self, target: str) -> tuple[int, bytes]:
         return (200, b"ready\n") if self._is_ready() else (503, b"not ready\n")
 
-    def _answer_metrics(self, target: str) -> tuple[int, bytes]:
+    def _answer_peers_and_metrics(self, target: str) -> tuple[int, bytes]:
+        if target == STATE_PATH:
+            snapshot = self._router.registry.snapshot()
+            return 200, encode_state(self._config_document, snapshot)
         return 200, self._gateway.metrics.render()
 
     def _add_gauges(self) -> None:
--- a/persimmonwell/gateway/_peer_datagrams.py
+++ b/persimmonwell/gateway/_peer_datagrams.py
@@ -147,6 +147,13 @@
             if now_s - peer.last_report_s <= peer.valid_s
         )
 
+    def address_of(self, host_id: str) -> str | None:
+        """Return the IP address of a peer, None for an unknown one."""
+        for address, peer in self._peers.items():
+            if peer.status.host_id == host_id:
+                return address
+        return None
+
     def set_seeds(self, seeds: frozenset[str]) -> None:
         """Replace the seed addresses."""
         self._seeds = seeds - {self._local_address[0]}
--- a/persimmonwell/gateway/_store_followers.py
+++ b/persimmonwell/gateway/_store_followers.py
@@ -63,7 +63,8 @@
 class StoreCallbacks:
     """Callbacks of the followers, which are called on the followers' threads."""
 
-    on_config: Callable[[ForwardingConfig], None]
+    on_config: Callable[[ForwardingConfig, bytes], None]
+    """Configuration and the document that it was decoded from."""
     on_invalid_config: Callable[[str], None]
     on_replicas: Callable[[tuple[RegistryRecord, ...], int | None, int], None]
     """Registry records, with the end offset if they are a full list, else None, and
@@ -277,7 +278,7 @@
             if record.key != CONFIG_KEY or not record.value:
                 continue
             try:
-                self._callbacks.on_config(decode_config(record.value))
+                self._callbacks.on_config(decode_config(record.value), record.value)
                 return
             except DocumentError as error:
                 self._callbacks.on_invalid_config(error.message())
--- a/tests/core/forwarding/test_registry.py
+++ b/tests/core/forwarding/test_registry.py
@@ -225,6 +225,25 @@
     assert not registry.replicas
 
 
+def test_registry_handed_over_continues_with_the_changes_of_the_zone() -> None:
+    """Guards against a host that starts from a peer's list and misses what follows."""
+    peer = registry_with(record(1, "i-1", ONE), record(2, "i-2", TWO))
+    peer.replace((record(1, "i-1", ONE),), 1.0, end_offset=1, era=2)
+    snapshot = peer.snapshot()
+    assert snapshot is not None
+    assert ReplicaRegistry().snapshot() is None
+    started = ReplicaRegistry()
+    started.replace(
+        snapshot.records, 1.5, end_offset=snapshot.end_offset + 1, era=snapshot.era
+    )
+    assert started.replicas == peer.replicas
+    removal = record(4, "i-1", None)
+    peer.apply((record(3, "i-1", ONE), removal), 2.0)
+    relayed = peer.changes(2.0, max_age_s=4.0, limit=30)
+    assert started.apply_changes(relayed, 2.5)
+    assert "i-1" not in started.replicas
+
+
 def test_changes_of_another_era_are_not_applied() -> None:
     """Guards against offsets of two eras that are compared with each other."""
     reader = restored_registry(record(4, "i-1", ONE), end_offset=6)
--- a/tests/gateway/followed_store.py
+++ b/tests/gateway/followed_store.py
@@ -32,7 +32,7 @@
             url=f"http://{self.store.server.address}",
             member="h1",
             callbacks=StoreCallbacks(
-                on_config=lambda found: self.versions.append(found.version),
+                on_config=lambda found, document: self.versions.append(found.version),
                 on_invalid_config=lambda reason: None,
                 on_replicas=self._record_replicas,
                 on_duty=self.lease_ends_s.append,
