State claims again when the log came back from an older copy

Cause: the daemon's follower of claims went on from its offset after a restore, so it never read the claims written since, and what it had appended to the lost part was gone: a key could be won a second time by a host that had not seen the first claim, a second booking. Each host appends the claims that it won, and their results, once more; such a claim precedes the others of its key, and no key is won for 2 s and two append windows. Leases refer to offsets in their records, so a daemon reads none of another era and takes none until it is restarted. Measured: tests/daemon/test_stream_follower.py failed each time before and passes; of the six tests of tests/core/claims/test_restored_log.py three fail without the restated claims and two without the time to settle. The random interleavings of tests/core/claims/test_claims.py pass as before. Conclusion: claims are mended as far as their hosts reach the log.

--- a/persimmonwell/core/claims/__init__.py
+++ b/persimmonwell/core/claims/__init__.py
@@ -21,6 +21,7 @@
     ClaimsTick,
 )
 from persimmonwell.core.claims._fold import ActiveClaim, ClaimFold, FoldChange
+from persimmonwell.core.claims._offsets import ContinuedOffsets, ContinuedRead
 from persimmonwell.core.claims._records import (
     MAX_RESULT_BODY_BYTES,
     CallResult,
@@ -53,6 +54,8 @@
     "ClaimsRead",
     "ClaimsState",
     "ClaimsTick",
+    "ContinuedOffsets",
+    "ContinuedRead",
     "FoldChange",
     "ActiveClaim",
     "WithdrawalRecord",
--- a/persimmonwell/core/claims/_events.py
+++ b/persimmonwell/core/claims/_events.py
@@ -36,6 +36,8 @@
     records: tuple[LogRecord, ...]
     read_s: float
     """Time on the host's clock before the read was sent."""
+    era: int | None = None
+    """Number of times that the log came back from an older copy, None if unknown."""
 
 
 @attrs.frozen
--- a/persimmonwell/core/claims/_fold.py
+++ b/persimmonwell/core/claims/_fold.py
@@ -47,6 +47,7 @@
     incarnation: str
     offset: int
     last_offset: int
+    is_restated: bool = False
     result: JsonObject | None = None
 
 
@@ -63,9 +64,10 @@
 class ClaimFold:
     """Claims in the retained part of the stream, by key.
 
-    The claim with the lowest offset that is not withdrawn wins its key. A host
-    whose view of retention is older knows every claim that a host with a newer view
-    knows, so a claim that wins on the former also wins on the latter.
+    The claim with the lowest offset that is not withdrawn wins its key. One that won
+    before the log came back from a copy, and is stated again, precedes all others.
+    A host whose view of retention is older knows every claim that a host with a newer
+    view knows, so a claim that wins on the former also wins on the latter.
     """
 
     def __init__(self) -> None:
@@ -106,6 +108,17 @@
         stored = self._claims.get(claim_id)
         return None if stored is None else _to_active_claim(claim_id, stored)
 
+    def winners_of(self, incarnation: str) -> tuple[ActiveClaim, ...]:
+        """Return the claims of one incarnation that win their keys."""
+        first_ids = (
+            ids if isinstance(ids, str) else ids[0] for ids in self._by_key.values()
+        )
+        return tuple(
+            _to_active_claim(claim_id, self._claims[claim_id])
+            for claim_id in first_ids
+            if self._claims[claim_id].incarnation == incarnation
+        )
+
     def _claim_ids_of(self, key: _Key) -> tuple[str, ...]:
         claim_ids = self._by_key.get(key, ())
         return (claim_ids,) if isinstance(claim_ids, str) else claim_ids
@@ -171,8 +184,13 @@
             existing.last_offset = stored.offset
             return
         self._claims[claim_id] = stored
-        earlier = self._claim_ids_of(stored.key)
-        self._by_key[stored.key] = (*earlier, claim_id) if earlier else claim_id
+        others = self._claim_ids_of(stored.key)
+        if not others:
+            self._by_key[stored.key] = claim_id
+        elif stored.is_restated:
+            self._by_key[stored.key] = (claim_id, *others)
+        else:
+            self._by_key[stored.key] = (*others, claim_id)
 
     def _remove(self, claim_id: str, keys: set[_Key]) -> None:
         stored = self._claims.pop(claim_id, None)
@@ -215,6 +233,7 @@
         incarnation=intern(incarnation),
         offset=offset,
         last_offset=offset,
+        is_restated=data.get("restated") is True,
     )
 
 
--- a/persimmonwell/core/claims/_records.py
+++ b/persimmonwell/core/claims/_records.py
@@ -41,6 +41,8 @@
     digest: str
     host: str
     incarnation: str
+    is_restated: bool = False
+    """Whether the claim won before the log came back from an older copy."""
 
 
 @attrs.frozen
@@ -49,6 +51,7 @@
 
     claim_id: str
     result: CallResult
+    is_restated: bool = False
 
 
 @attrs.frozen
@@ -74,8 +77,8 @@
 def encode_record(record: Record) -> JsonObject:
     """Return the JSON form of a record."""
     match record:
-        case ClaimRecord(claim_id, key, digest, host, incarnation):
-            return {
+        case ClaimRecord(claim_id, key, digest, host, incarnation, is_restated):
+            document: JsonObject = {
                 "type": "claim",
                 "claim_id": claim_id,
                 "workspace": key.workspace,
@@ -85,6 +88,7 @@
                 "host": host,
                 "incarnation": incarnation,
             }
+            return document | {"restated": True} if is_restated else document
         case ResultRecord(claim_id, result):
             return {"type": "result", "claim_id": claim_id, **_encode_result(result)}
         case WithdrawalRecord(claim_id):
--- a/persimmonwell/core/claims/_state.py
+++ b/persimmonwell/core/claims/_state.py
@@ -49,6 +49,9 @@
 
     Must be below the retention of the log.
     """
+    settle_s: float = 2.0
+    """Time without a new winner after the log came back from an older copy, in which
+    hosts state again what the copy lacks."""
 
 
 @attrs.define
@@ -93,6 +96,9 @@
         self._mismatched_keys: set[ClaimKey] = set()
         self._last_read_s = float("-inf")
         self._claim_count = 0
+        self._era: int | None = None
+        self._settled_s = float("-inf")
+        self._unsettled_keys: set[ClaimKey] = set()
 
     @property
     def fold(self) -> ClaimFold:
@@ -110,6 +116,8 @@
         times = [self._timers[0][0]] if self._timers else []
         if self._queue.next_batch_s is not None:
             times.append(self._queue.next_batch_s)
+        if self._unsettled_keys:
+            times.append(self._settled_s)
         return min(times) if times else None
 
     def handle(self, event: ev.ClaimsEvent, now_s: float) -> tuple[ClaimDecision, ...]:
@@ -120,7 +128,7 @@
             case ev.CallFinished(claim_id, result):
                 self._call_finished(claim_id, result)
             case ev.ClaimsRead():
-                self._apply_read(event)
+                self._apply_read(event, now_s)
             case ev.ClaimsAppended(batch_id):
                 for record in self._queue.confirm_batch(batch_id):
                     if isinstance(record, ResultRecord):
@@ -129,6 +137,9 @@
                 self._queue.requeue_batch(batch_id, now_s)
             case ev.ClaimsTick():
                 pass
+        if now_s >= self._settled_s:
+            self._keys_to_advance.extend(self._unsettled_keys)
+            self._unsettled_keys.clear()
         decisions = [*self._advance_waiters(now_s), *self._expire_waiters(now_s)]
         decisions.extend(self._advance_waiters(now_s))
         decisions.extend(self._append_batch(now_s))
@@ -166,7 +177,12 @@
             self._withdrawing.add(claim_id)
             self._queue.put(WithdrawalRecord(claim_id))
 
-    def _apply_read(self, event: ev.ClaimsRead) -> None:
+    def _apply_read(self, event: ev.ClaimsRead, now_s: float) -> None:
+        if event.era is not None and event.era != self._era:
+            if self._era is not None:
+                self._settled_s = now_s + self._limits.settle_s
+                self._restate_claims()
+            self._era = event.era
         self._last_read_s = max(self._last_read_s, event.read_s)
         self._keys_to_advance.extend(self._mismatched_keys)
         self._mismatched_keys.clear()
@@ -182,6 +198,24 @@
             if claim_id.startswith(f"{self._incarnation}-"):
                 self._queue.put(WithdrawalRecord(claim_id))
 
+    def _restate_claims(self) -> None:
+        """Append what this host won again, since the copy of the log may lack it."""
+        for claim in self._fold.winners_of(self._incarnation):
+            self._queue.put(
+                ClaimRecord(
+                    claim_id=claim.claim_id,
+                    key=claim.key,
+                    digest=claim.digest,
+                    host=claim.host,
+                    incarnation=claim.incarnation,
+                    is_restated=True,
+                )
+            )
+            if claim.result is not None:
+                self._queue.put(
+                    ResultRecord(claim.claim_id, claim.result, is_restated=True)
+                )
+
     def _advance_waiters(self, now_s: float) -> list[ClaimDecision]:
         decisions: list[ClaimDecision] = []
         while self._keys_to_advance:
@@ -214,6 +248,9 @@
             self._remove_waiter(waiter)
             return ClaimAnswered(request.request_id, request.key.key, result)
         if winner.claim_id == waiter.claim_id:
+            if now_s < self._settled_s:
+                self._unsettled_keys.add(request.key)
+                return None
             return self._grant(waiter, winner.claim_id, now_s)
         return None
 
@@ -233,7 +270,8 @@
             claim.digest == request.digest and claim.claim_id != waiter.claim_id
             for claim in self._fold.claims_of(request.key)
         )
-        may_have_run = same_body or not read_is_current
+        is_settled = now_s >= self._settled_s
+        may_have_run = same_body or not read_is_current or not is_settled
         outcome = Outcome.MAY_HAVE_RUN if may_have_run else Outcome.NOT_RUN
         return self._refuse(waiter, KeyReusedError(request.key.key), outcome)
 
@@ -324,14 +362,16 @@
         if batch is None:
             return ()
         for claim_id in self._queue.in_flight_claim_ids():
-            own_claim = self._own_claims[claim_id]
-            if own_claim.append_started_s is None:
+            own_claim = self._own_claims.get(claim_id)
+            if own_claim is not None and own_claim.append_started_s is None:
                 own_claim.append_started_s = now_s
         return (batch,)
 
     def _is_needed(self, record: Record) -> bool:
         """Return whether a queued record still has to be appended."""
         match record:
+            case ClaimRecord(is_restated=True) | ResultRecord(is_restated=True):
+                return self._fold.claim(record.claim_id) is not None
             case ClaimRecord(claim_id):
                 return (
                     claim_id in self._own_claims and self._fold.claim(claim_id) is None
--- a/persimmonwell/daemon/_claim_coordinator.py
+++ b/persimmonwell/daemon/_claim_coordinator.py
@@ -53,6 +53,9 @@
 """Extra wait after a call's deadline, in which the state refuses the claim itself."""
 INSPECT_TIMEOUT_S = 2.0
 """Timeout of a read of the claims state."""
+MIN_SETTLE_S = 2.0
+"""Time in which hosts notice that the log came back from a copy, and read what the
+others write again; their append windows come on top."""
 FLUSH_POLL_INTERVAL_S = 0.01
 FLUSH_TIMEOUT_S = 5.0
 """Longest wait at shutdown until results and withdrawals are appended."""
@@ -85,6 +88,7 @@
         window_s=max(settings.claim_window_s, min_window_s),
         record_timeout_s=settings.claim_timeout_s,
         send_limit_s=settings.claim_send_limit_s,
+        settle_s=2 * min_window_s + MIN_SETTLE_S,
     )
 
 
@@ -269,7 +273,12 @@
             CLAIMS_STREAM,
             stopping=self._stopping,
             deliver=lambda stream_slice, read_s: self._inbox.put(
-                ClaimsRead(stream_slice.first_offset, stream_slice.records, read_s)
+                ClaimsRead(
+                    stream_slice.first_offset,
+                    stream_slice.records,
+                    read_s,
+                    stream_slice.era,
+                )
             ),
         )
 
--- a/persimmonwell/daemon/_placement_controller.py
+++ b/persimmonwell/daemon/_placement_controller.py
@@ -192,6 +192,7 @@
             self._log,
             LEASES_STREAM,
             stopping=self._stopping,
+            ends_with_era=True,
             deliver=lambda stream_slice, read_s: self._inbox.put(
                 LeasesRead(
                     stream_slice.first_offset,
--- a/persimmonwell/platform/_json_log.py
+++ b/persimmonwell/platform/_json_log.py
@@ -15,6 +15,8 @@
     first_offset: int
     next_offset: int
     records: tuple[LogRecord, ...]
+    era: int | None = None
+    """Era of the store in which the offsets count, see StoreSlice."""
 
 
 @attrs.frozen
@@ -49,7 +51,9 @@
             LogRecord(offset=record.offset, data=_decode_record(record.value or b""))
             for record in store_slice.records
         )
-        return StreamSlice(store_slice.first_offset, store_slice.end_offset, records)
+        return StreamSlice(
+            store_slice.first_offset, store_slice.end_offset, records, store_slice.era
+        )
 
 
 def _decode_record(content: bytes) -> JsonObject:
