Start hosts without the store in the soak, and keep callers' connections

Cause: the soak had no fault that needs the hand-over of state, its callers opened a connection for each request, and it knew four hosts only. Change: some faults are followed by a kill and a start of a host while the store is down; it has to be ready within 8 s if a peer is.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -1,11 +1,12 @@
 """Soak test: gateway processes under load with randomly injected faults.
 
 Faults are killed, paused and reloaded hosts, faulty replicas and store connections,
-configuration changes, draining replicas, and a store that comes back from an older
-copy. Checked are at-most-once execution of unsafe requests, complete answers, recovery,
-and the propagation of configuration versions and draining replicas.
+configuration changes, draining replicas, a store that comes back from an older copy,
+and hosts that start while the store is down. Callers keep their connections open until
+a request fails. Checked are at-most-once execution of unsafe requests, complete
+answers, recovery, and the propagation of configuration versions and draining replicas.
 
-Run: python -m standins.soak --seed 1 --seeds 50 --seconds 6
+Run: python -m standins.soak --seed 1 --seeds 50 --seconds 6 --hosts 4
 """
 
 import argparse
@@ -36,6 +37,11 @@
 """Time after which a host must know a new version or a draining replica while the
 store answers: the required 2 s plus a margin for a loaded test machine."""
 READY_TIMEOUT_S = 15.0
+START_WITHOUT_STORE_S = 8.0
+"""Time in which a host that starts without the store has its peers' state: the start
+of a process on a loaded machine, and some reports of the peers."""
+START_WITHOUT_STORE_SHARE = 0.1
+"""Share of the faults that are followed by a start without the store."""
 REPLICA_FAULTS: tuple[dict[str, Any], ...] = (
     *({"reset": True}, {"garbage": True}, {"cut_body": True}, {"error": True}),
     *({"shed": True}, {"extra": "now"}, {"extra": "late"}, {"unframed": True}),
@@ -57,6 +63,10 @@
     body: bytes
 
 
+_Connections = dict[str, http.client.HTTPConnection]
+"""Open connections of one caller by host IP."""
+
+
 class _HostProcess:
     """Process of one host with its settings file and its proxy to the store."""
 
@@ -91,8 +101,19 @@
 class Soak:
     """One soak run, whose faults and requests are drawn from the seed."""
 
-    def __init__(self, *, seed: int, seconds: float, folder: Path) -> None:
+    def __init__(
+        self,
+        *,
+        seed: int,
+        seconds: float,
+        folder: Path,
+        host_count: int = HOSTS,
+        starts_without_store: bool = True,
+    ) -> None:
         self._random = random.Random(seed)
+        # Drawn apart, so that the other faults of a seed stay as they are.
+        self._start_random = random.Random(f"{seed} starts")
+        self._starts_without_store = starts_without_store
         self._seed = seed
         self._seconds = seconds
         self.store = Log()
@@ -105,13 +126,14 @@
         ]
         ports = free_ports()
         self.hosts = [
-            _HostProcess(folder, number, ports) for number in range(1, HOSTS + 1)
+            _HostProcess(folder, number, ports) for number in range(1, host_count + 1)
         ]
         self._incarnations: Counter[str] = Counter()
         """Number of starts by host IP; versions are compared within one incarnation."""
         self._served_versions: dict[tuple[str, int], int] = {}
         """Newest version whose route was served, by host IP and incarnation."""
-        self._version_reversions: list[str] = []
+        self._violations: list[str] = []
+        """Violations that were seen while faults were injected."""
         self._version = 1
         """Newest configuration version that the operator wrote."""
         self._copies: list[LogCopy] = []
@@ -196,6 +218,8 @@
         while time.monotonic() < end_s:
             self._copies = [*self._copies, self.store.copy()][-MAX_COPIES:]
             self._random.choice(actions)()
+            if self._start_random.random() < START_WITHOUT_STORE_SHARE:
+                self._start_without_store()
             time.sleep(self._random.uniform(0.1, 0.5))
         for replica in self.replicas:
             replica.faults.clear()
@@ -209,6 +233,35 @@
         host.stop(signal.SIGKILL)
         self._start(host)
 
+    def _start_without_store(self) -> None:
+        """Kill a host while the store is down; its peers hand over their state."""
+        if not self._starts_without_store:
+            return
+        host = self._start_random.choice(self.hosts)
+        self.store.faults["down"] = True
+        host.stop(signal.SIGKILL)
+        others = [other for other in self.hosts if other is not host]
+        has_ready_peer = any(self._is_ready(other) for other in others)
+        self._start(host)
+        end_s = time.monotonic() + START_WITHOUT_STORE_S
+        while has_ready_peer and not self._is_ready(host):
+            if time.monotonic() > end_s:
+                self._violations.append(f"{host.ip} is not ready without the store")
+                break
+            time.sleep(0.1)
+        self.store.faults["down"] = False
+
+    def _is_ready(self, host: _HostProcess) -> bool:
+        port = host.ports["ready"]
+        connection = http.client.HTTPConnection(host.ip, port, timeout=1.0)
+        try:
+            connection.request("GET", "/persimmonwell/ready")
+            return connection.getresponse().status == 200
+        except (OSError, http.client.HTTPException):
+            return False
+        finally:
+            connection.close()
+
     def _terminate_host(self) -> None:
         host = self._random.choice(self.hosts)
         host.stop(signal.SIGTERM)
@@ -280,15 +333,19 @@
 
     def _run_caller(self, number: int) -> None:
         rng = random.Random(self._seed * 100 + number)
+        connections: _Connections = {}
         count = 0
         while not self._stop.is_set():
             count += 1
             name = rng.choice(("book", "look", "talk"))
             host = rng.choice(self.hosts)
-            self.answers.append(self._send(host, name, f"{number}-{count}"))
+            request_id = f"{number}-{count}"
+            self.answers.append(self._send(host, name, request_id, connections))
             if number == 0:
                 self._check_version(host, f"version-{count}")
             time.sleep(0.01)
+        for connection in connections.values():
+            connection.close()
 
     def _check_version(self, host: _HostProcess, request_id: str) -> None:
         """Record a violation if a host no longer serves a version it has served."""
@@ -302,13 +359,23 @@
         elif served_version >= 2:
             answer = self._send(host, f"v{served_version}", f"{request_id}-again")
             if answer.status == 404 and incarnation[1] == self._incarnations[host.ip]:
-                self._version_reversions.append(
+                self._violations.append(
                     f"{host.ip} no longer serves version {served_version}"
                 )
 
-    def _send(self, host: _HostProcess, name: str, request_id: str) -> Answer:
-        port = host.ports["front"]
-        connection = http.client.HTTPConnection(host.ip, port, timeout=4.0)
+    def _send(
+        self,
+        host: _HostProcess,
+        name: str,
+        request_id: str,
+        kept_connections: _Connections | None = None,
+    ) -> Answer:
+        """Send one request, on the kept connection to the host if there is one."""
+        connections = {} if kept_connections is None else kept_connections
+        connection = connections.pop(host.ip, None)
+        if connection is None:
+            port = host.ports["front"]
+            connection = http.client.HTTPConnection(host.ip, port, timeout=4.0)
         headers = {"Host": HOST, "Api-Key": API_KEY, "Request-Id": request_id}
         headers["Deadline-Remaining"] = "3000"
         try:
@@ -318,13 +385,17 @@
             response_headers = {
                 name.lower(): value for name, value in answer.getheaders()
             }
-            return Answer(
+            received = Answer(
                 request_id, name, answer.status, response_headers, answer.read()
             )
         except (OSError, http.client.HTTPException):
+            connection.close()
             return Answer(request_id, name, 0, {}, b"")
-        finally:
+        if kept_connections is None:
             connection.close()
+        else:
+            connections[host.ip] = connection
+        return received
 
     # Checks
 
@@ -365,7 +436,7 @@
 
     def _request_violations(self) -> list[str]:
         runs = self._execution_counts()
-        violations = list(self._version_reversions)
+        violations = list(self._violations)
         for answer in self.answers:
             name, executions = answer.request_id, runs[answer.request_id]
             if answer.route == "book" and executions > 1:
@@ -415,6 +486,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=6.0)
+    parser.add_argument("--hosts", type=int, default=HOSTS)
     parser.add_argument("--logs", type=Path, help="folder for the hosts' logs")
     options = parser.parse_args()
     failed = 0
@@ -424,7 +496,12 @@
             if options.logs is not None:
                 folder = options.logs / f"seed-{seed}"
                 folder.mkdir(parents=True, exist_ok=True)
-            soak = Soak(seed=seed, seconds=options.seconds, folder=folder)
+            soak = Soak(
+                seed=seed,
+                seconds=options.seconds,
+                folder=folder,
+                host_count=options.hosts,
+            )
             violations = soak.run()
         counts = Counter(answer.status for answer in soak.answers)
         print(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,8 +6,9 @@
 
 from standins.soak import Soak
 
-SECONDS = {1: 4.0, 4: 4.0, 1003: 6.0}
+SECONDS = {1: 4.0, 4: 4.0, 1003: 6.0, 2001: 6.0}
 """Duration of the faults by seed; it decides which of them are drawn."""
+SEEDS_WITH_STARTS_WITHOUT_STORE = (2001,)
 
 
 @pytest.mark.parametrize("seed", SECONDS)
@@ -15,7 +16,13 @@
     """Guards against guarantees that fail only when faults overlap."""
     # Seed 4 sends SIGHUP to a host that is still importing its modules; without a
     # handler the signal ends it. Seed 1003 restores the store, and hosts that cannot
-    # read it meanwhile have to serve the versions written since.
-    soak = Soak(seed=seed, seconds=SECONDS[seed], folder=tmp_path)
+    # read it meanwhile have to serve the versions written since. Seed 2001 starts hosts
+    # while the store is down; they have to be ready with their peers' state.
+    soak = Soak(
+        seed=seed,
+        seconds=SECONDS[seed],
+        folder=tmp_path,
+        starts_without_store=seed in SEEDS_WITH_STARTS_WITHOUT_STORE,
+    )
     assert soak.run() == []
     assert sum(answer.status == 200 for answer in soak.answers) > 50
