Take no registry of a new era from a peer while the store answers

Cause: after a restore, a reader that polls 0.5 s later than another one took the list of the new era from it. Its own list then counted as the second of the era, so that replicas that the copy lacks, and that register again within 2 s, were dropped at once instead of after the time for this. Change: a host that reads the store takes the configuration from a peer, but waits for its own list of a new era. Measured: test_host_that_reads_the_store_takes_no_registry_of_a_new_era fails before (the peer is chosen) and passes. Conclusion: the hand-over of the registry is for hosts that the store does not answer.

--- a/persimmonwell/core/forwarding/_handover.py
+++ b/persimmonwell/core/forwarding/_handover.py
@@ -32,17 +32,24 @@
         now_s: float,
         *,
         has_registry: bool,
+        reads_store: bool,
     ) -> PeerStatus | None:
         """Return the peer to ask now, None while the host is not behind for long.
 
         The newest configuration decides, then the availability zone; hosts that start
-        together spread over the peers left.
+        together spread over the peers left. A host that reads the store waits for the
+        list of a new era, which it can tell from later ones.
         """
-        ahead = [
-            peer
-            for peer in peers
-            if _is_ahead(peer.store_versions, known, has_registry=has_registry)
-        ]
+
+        def is_ahead(versions: StoreVersions) -> bool:
+            is_newer_era = versions.registry_era > known.registry_era
+            return (
+                versions.config_version > known.config_version
+                or (is_newer_era and not reads_store)
+                or (not has_registry and versions.registry_offset >= 0)
+            )
+
+        ahead = [peer for peer in peers if is_ahead(peer.store_versions)]
         if not ahead:
             self._behind_since_s = None
             return None
@@ -62,13 +69,3 @@
             peer.availability_zone == self._availability_zone,
             self._random.random(),
         )
-
-
-def _is_ahead(
-    versions: StoreVersions, known: StoreVersions, *, has_registry: bool
-) -> bool:
-    return (
-        versions.config_version > known.config_version
-        or versions.registry_era > known.registry_era
-        or (not has_registry and versions.registry_offset >= 0)
-    )
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -530,6 +530,7 @@
             self._store_versions,
             time.monotonic(),
             has_registry=self._router.registry.newest_offset >= 0,
+            reads_store=self._reads_store,
         )
         address = self._peers.address_of(source.host_id) if source else None
         if address is not None:
@@ -550,7 +551,8 @@
             self._apply_config(config, state.config_document)
         # The store may have answered in the meantime.
         if changes is not None and (
-            registry.newest_offset < 0 or changes.era > registry.era
+            registry.newest_offset < 0
+            or (changes.era > registry.era and not self._reads_store)
         ):
             end_offset = changes.end_offset + 1
             self._apply_registry_records(changes.records, end_offset, changes.era)
--- a/tests/core/forwarding/test_handover.py
+++ b/tests/core/forwarding/test_handover.py
@@ -20,13 +20,24 @@
     )
 
 
-def chosen_after_delay(
-    *peers: PeerStatus, known: StoreVersions = KNOWN, has_registry: bool = True
-) -> str | None:
+def source(
+    policy: HandoverPolicy,
+    peers: tuple[PeerStatus, ...],
+    now_s: float,
+    *,
+    has_registry: bool = True,
+    reads_store: bool = False,
+) -> PeerStatus | None:
+    return policy.source(
+        peers, KNOWN, now_s, has_registry=has_registry, reads_store=reads_store
+    )
+
+
+def chosen_after_delay(*peers: PeerStatus, **values: bool) -> str | None:
     policy = HandoverPolicy(availability_zone="za", seed=1)
-    assert policy.source(peers, known, 0.0, has_registry=has_registry) is None
-    source = policy.source(peers, known, 1.0, has_registry=has_registry)
-    return source.host_id if source is not None else None
+    assert source(policy, peers, 0.0, **values) is None
+    chosen = source(policy, peers, 1.0, **values)
+    return chosen.host_id if chosen is not None else None
 
 
 @pytest.mark.parametrize(
@@ -53,6 +64,17 @@
     assert chosen_after_delay(*peers, has_registry=False) == "h2"
 
 
+def test_host_that_reads_the_store_takes_no_registry_of_a_new_era() -> None:
+    """Guards against live replicas dropped at once, as a second list lacks them.
+
+    The first list of an era may lack replicas that register again soon. After a list
+    from a peer, the host's own one would count as the second.
+    """
+    newer_era, newer_version = peer("h1", 5, era=2), peer("h2", 6, era=2)
+    assert chosen_after_delay(newer_era, reads_store=True) is None
+    assert chosen_after_delay(newer_era, newer_version, reads_store=True) == "h2"
+
+
 def test_host_asks_once_an_interval_and_only_while_it_is_behind() -> None:
     """Guards against hosts that ask at each report, or after a short delay."""
     policy = HandoverPolicy(availability_zone="za", seed=1)
@@ -63,7 +85,7 @@
             *((0.0, ahead), (0.25, ahead), (0.4, same), (0.5, ahead), (0.75, ahead)),
             *((1.0, ahead), (1.25, ahead), (1.75, ahead), (2.0, ahead), (2.5, ahead)),
         )
-        if policy.source(peers, KNOWN, now_s, has_registry=True) is not None
+        if source(policy, peers, now_s) is not None
     ]
     assert asked_s == [1.0, 2.0]
 
@@ -74,8 +96,8 @@
     chosen = set()
     for seed in range(20):
         policy = HandoverPolicy(availability_zone="za", seed=seed)
-        policy.source(peers, KNOWN, 0.0, has_registry=True)
-        source = policy.source(peers, KNOWN, 1.0, has_registry=True)
-        assert source is not None
-        chosen.add(source.host_id)
+        source(policy, peers, 0.0)
+        peer_to_ask = source(policy, peers, 1.0)
+        assert peer_to_ask is not None
+        chosen.add(peer_to_ask.host_id)
     assert len(chosen) > 5
