--- a/tests/gateway/test_caller_connection.py
+++ b/tests/gateway/test_caller_connection.py
@@ -2,28 +2,16 @@
 
 import socket
 import time
-from collections.abc import Iterator
 
 import pytest
 
-from standins.platform_config import API_KEY, HOST, config
+from standins.platform_config import API_KEY, HOST
 from tests.fleet import wait_until
 from tests.gateway.harness import GatewayTestbed
 
 HEAD = f"Host: {HOST}\r\nApi-Key: {API_KEY}\r\n".encode()
 
 
-@pytest.fixture
-def testbed() -> Iterator[GatewayTestbed]:
-    """Return a running host with one desk replica."""
-    testbed = GatewayTestbed()
-    testbed.store.put_key("keyed.op", "config", config(3))
-    testbed.add_replica("desk-1", "desk")
-    testbed.start()
-    yield testbed
-    testbed.close()
-
-
 def request(number: int, headers: bytes = b"") -> bytes:
     line = b"GET /look/%d HTTP/1.1\r\n" % number
     return line + HEAD + b"Request-Id: p%d\r\n" % number + headers + b"\r\n"
--- a/tests/gateway/test_state_handover.py
+++ b/tests/gateway/test_state_handover.py
@@ -23,17 +23,6 @@
 SECOND_IP = "127.0.0.2"
 
 
-@pytest.fixture
-def testbed() -> Iterator[GatewayTestbed]:
-    """Return a running host with one desk replica."""
-    testbed = GatewayTestbed()
-    testbed.store.put_key("keyed.op", "config", config(3))
-    testbed.add_replica("desk-1", "desk")
-    testbed.start()
-    yield testbed
-    testbed.close()
-
-
 @pytest.fixture
 def store_proxy(testbed: GatewayTestbed) -> Iterator[FaultyProxy]:
     """Return the proxy through which the second host reaches the store."""
