Let a daemon's claims settle for the append window that is set

Cause: the time to settle after a restore counted two of the smallest windows, not of the window in use, so with a longer claim_window_s a key could be won before another host had stated its claims again. Found by reading. Change: the time follows the window in use; a docstring of the hand-over says why a host waits for its own list. Conclusion: mended.

--- a/persimmonwell/core/forwarding/_handover.py
+++ b/persimmonwell/core/forwarding/_handover.py
@@ -37,8 +37,9 @@
         """Return the peer to ask now, None while the host is not behind for long.
 
         The newest configuration decides, then the availability zone; hosts that start
-        together spread over the peers left. A host that reads the store waits for the
-        list of a new era, which it can tell from later ones.
+        together spread over the peers left. A host that reads the store waits for its
+        own list of a new era. After one from a peer it would count as a later list,
+        and what it lacks would be removed at once.
         """
 
         def is_ahead(versions: StoreVersions) -> bool:
--- a/persimmonwell/daemon/_claim_coordinator.py
+++ b/persimmonwell/daemon/_claim_coordinator.py
@@ -84,11 +84,12 @@
     stay within the number of appends per second that the log accepts.
     """
     min_window_s = expected_hosts / settings.claim_appends_per_s
+    window_s = max(settings.claim_window_s, min_window_s)
     return ClaimLimits(
-        window_s=max(settings.claim_window_s, min_window_s),
+        window_s=window_s,
         record_timeout_s=settings.claim_timeout_s,
         send_limit_s=settings.claim_send_limit_s,
-        settle_s=2 * min_window_s + MIN_SETTLE_S,
+        settle_s=2 * window_s + MIN_SETTLE_S,
     )
 
 
