Relay in the soak's proxy above 1,023 descriptors

Cause: the proxy between a host and the store waited with select(), which takes no descriptor above 1,023. Change: the proxy waits with the selector of the system.

--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -1,11 +1,13 @@
 """TCP proxy on loopback with injectable network faults."""
 
-import select
+import selectors
 import socket
 import threading
 import time
 
 RECV_BYTES = 65536
+POLL_INTERVAL_S = 0.1
+"""Longest time until a change of the mode resets an idle connection."""
 
 
 class FaultyProxy:
@@ -45,14 +47,21 @@
 
     def _relay(self, caller: socket.socket) -> None:
         try:
-            with caller, socket.create_connection(self._target, timeout=2) as server:
-                pairs = {caller: server, server: caller}
+            with (
+                caller,
+                socket.create_connection(self._target, timeout=2) as server,
+                # select() takes no descriptors above 1,023.
+                selectors.DefaultSelector() as selector,
+            ):
+                selector.register(caller, selectors.EVENT_READ, server)
+                selector.register(server, selectors.EVENT_READ, caller)
                 while True:
-                    ready, _, _ = select.select(list(pairs), [], [], 0.1)
+                    ready = [key for key, _ in selector.select(POLL_INTERVAL_S)]
                     if self.mode == "reset":
                         return
-                    for end in ready:
-                        if not self._relay_chunk(end, pairs[end], end is server):
+                    for key in ready:
+                        source = caller if key.fileobj is caller else server
+                        if not self._relay_chunk(source, key.data, source is server):
                             return
         except OSError:
             return
