--- a/standins/soak.py
+++ b/standins/soak.py
@@ -47,6 +47,8 @@
     *({"shed": True}, {"extra": "now"}, {"extra": "late"}, {"unframed": True}),
     *({"reset_at": 3}, {"delay_s": 0.3}),
 )
+MAX_IDLE_S = 1.6
+"""Idle time of a connection that callers use again: four fifths of the limit."""
 MAX_COPIES = 12
 """Copies of the store, one each 0.1 to 0.6 s; a restore loses a few seconds."""
 STORE_MODES = ("delay", "silent", "one_way", "reset")
@@ -63,8 +65,8 @@
     body: bytes
 
 
-_Connections = dict[str, http.client.HTTPConnection]
-"""Open connections of one caller by host IP."""
+_Connections = dict[str, tuple[http.client.HTTPConnection, float]]
+"""Open connections of one caller by host IP, each with the time of its last use."""
 
 
 class _HostProcess:
@@ -344,7 +346,7 @@
             if number == 0:
                 self._check_version(host, f"version-{count}")
             time.sleep(0.01)
-        for connection in connections.values():
+        for connection, _ in connections.values():
             connection.close()
 
     def _check_version(self, host: _HostProcess, request_id: str) -> None:
@@ -372,7 +374,10 @@
     ) -> Answer:
         """Send one request, on the kept connection to the host if there is one."""
         connections = {} if kept_connections is None else kept_connections
-        connection = connections.pop(host.ip, None)
+        connection, used_s = connections.pop(host.ip, (None, 0.0))
+        if connection is not None and time.monotonic() - used_s > MAX_IDLE_S:
+            connection.close()
+            connection = None
         if connection is None:
             port = host.ports["front"]
             connection = http.client.HTTPConnection(host.ip, port, timeout=4.0)
@@ -394,7 +399,7 @@
         if kept_connections is None:
             connection.close()
         else:
-            connections[host.ip] = connection
+            connections[host.ip] = (connection, time.monotonic())
         return received
 
     # Checks
