Share the retries of a zone among its readers, not among all its hosts

The store's history was dropped at 1.0 s, which cut the long polls of the two readers of the zone at 2.3 s; the replica follower went on, so no other host became a reader. Both readers waited 3.2 s, since the interval of a zone's retries was multiplied by its 20 hosts, of which only two polled. Change: the interval is multiplied by the number of readers. In an outage of the store all hosts of a zone become readers, so that the calls do not grow with hosts.

--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -49,6 +49,7 @@
 from persimmonwell.core.forwarding._peers import (
     PeerStatus,
     StoreVersions,
+    count_readers,
     should_be_reader,
     should_plan_without_store,
 )
@@ -111,6 +112,7 @@
     "Tenant",
     "UpstreamAnswer",
     "WeightedService",
+    "count_readers",
     "find_path",
     "plan_placement",
     "should_be_reader",
--- a/persimmonwell/core/forwarding/_peers.py
+++ b/persimmonwell/core/forwarding/_peers.py
@@ -56,6 +56,16 @@
     return readers < READERS_PER_ZONE
 
 
+def count_readers(availability_zone: str, peers: Iterable[PeerStatus]) -> int:
+    """Return how many hosts of a zone poll the store, this one included.
+
+    In an outage of the store all hosts of the zone become readers.
+    """
+    return 1 + sum(
+        peer.availability_zone == availability_zone and peer.is_reader for peer in peers
+    )
+
+
 def should_plan_without_store(
     host_id: str, availability_zone: str, peers: Iterable[PeerStatus]
 ) -> bool:
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -20,6 +20,7 @@
     RegistryChanges,
     RegistryRecord,
     StoreVersions,
+    count_readers,
     should_be_reader,
     should_plan_without_store,
 )
@@ -579,7 +580,7 @@
         self._followers.set_continuous_reading(
             should_be_reader(self._settings.host_id, zone, live_peers)
         )
-        self._followers.set_zone_host_count(hosts_by_zone[zone])
+        self._followers.set_reader_count(count_readers(zone, live_peers))
         self._router.peer_config_version = max(
             (peer.store_versions.config_version for peer in live_peers), default=0
         )
--- a/persimmonwell/gateway/_store_followers.py
+++ b/persimmonwell/gateway/_store_followers.py
@@ -29,8 +29,8 @@
 may get requests for 2 s."""
 CALL_TIMEOUT_S = 0.8
 RETRY_DELAY_S = 0.25
-"""Interval at which one availability zone tries again to reach the store; the hosts of
-the zone share it, so that the calls of an outage grow with zones instead of hosts."""
+"""Interval at which one availability zone tries again to reach the store; its readers
+share it, so that the calls of an outage grow with zones instead of hosts."""
 MAX_RETRY_DELAY_S = 4.0
 RETRY_JITTER = 0.25
 FALLBACK_READ_INTERVAL_S = 8.0
@@ -108,7 +108,7 @@
         self._eras: dict[str, int | None] = {}
         """Era of the store at the last read, by follower."""
         self._confirmed_s = dict.fromkeys(self._read_requests, float("-inf"))
-        self._zone_host_count = 1
+        self._reader_count = 1
         self._random = random.Random(member)
 
     def start(self) -> None:
@@ -141,9 +141,9 @@
         elif not enabled:
             self._reads_continuously.clear()
 
-    def set_zone_host_count(self, count: int) -> None:
+    def set_reader_count(self, count: int) -> None:
         """Set the number of hosts that share the retries of this zone."""
-        self._zone_host_count = max(1, count)
+        self._reader_count = max(1, count)
 
     def request_read(self, follower: str) -> None:
         """Read now, since a peer has read something newer.
@@ -254,7 +254,7 @@
         client.close()
 
     def _retry_delay_s(self) -> float:
-        delay_s = min(MAX_RETRY_DELAY_S, RETRY_DELAY_S * self._zone_host_count)
+        delay_s = min(MAX_RETRY_DELAY_S, RETRY_DELAY_S * self._reader_count)
         return delay_s * self._random.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER)
 
     def _wait_to_retry(self, name: str) -> None:
--- a/tests/core/forwarding/test_peers.py
+++ b/tests/core/forwarding/test_peers.py
@@ -5,6 +5,7 @@
 from persimmonwell.core.forwarding import (
     PeerStatus,
     StoreVersions,
+    count_readers,
     should_be_reader,
     should_plan_without_store,
 )
@@ -35,6 +36,21 @@
     assert should_be_reader("h5", "za", peers) is reads
 
 
+@pytest.mark.parametrize(
+    ("peers", "count"),
+    [
+        ((), 1),
+        ((peer("h1"), peer("h2", is_reader=False), peer("h3", "zb")), 2),
+        ((peer("h1", reads_store=False), peer("h2", reads_store=False)), 3),
+    ],
+)
+def test_readers_of_the_zone_are_counted(
+    peers: tuple[PeerStatus, ...], count: int
+) -> None:
+    """Guards against a reader that waits for hosts that do not poll the store."""
+    assert count_readers("za", peers) == count
+
+
 def test_reader_choice_converges_to_two_working_readers() -> None:
     """Guards against hosts that each rely on the others to read."""
     names = [f"h{number:02}" for number in range(12)]
--- a/tests/gateway/test_host.py
+++ b/tests/gateway/test_host.py
@@ -6,13 +6,16 @@
 import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
-from contextlib import suppress
+from contextlib import ExitStack, suppress
 from typing import Any
 
 import attrs
+import msgspec
 import pytest
 
 from persimmonwell.gateway import GatewayHost, _host, _store_followers
+from persimmonwell.gateway._peer_messages import Report
+from persimmonwell.gateway._store_followers import CONFIG_FOLLOWER
 from persimmonwell.platform import parse_node_file
 from standins.platform_config import API_KEY, HOST, config, free_ports, route
 from tests.fleet import wait_until
@@ -240,3 +243,49 @@
     address = (settings.callers.host, settings.callers.port)
     wait_until(lambda: is_port_free(socket.SOCK_STREAM, address), timeout_s=2.0)
     assert '"event":"start_failed"' in capfd.readouterr().out
+
+
+def test_reader_whose_poll_failed_reads_again_soon_in_a_large_zone(
+    testbed: GatewayTestbed,
+) -> None:
+    """Guards against a zone that has a new configuration 5 s late.
+
+    The reader waited as if all hosts of the zone tried to reach the store, but only
+    two of 20 did; seen on daugava-remit-grown, scale-1 with seed 99188948504.
+    """
+    with ExitStack() as stack:
+        for number in range(2, 21):
+            peer = stack.enter_context(socket.socket(type=socket.SOCK_DGRAM))
+            peer.bind((f"127.0.0.{number}", 0))
+            report = report_of(f"host-1{number:02}", is_reader=number == 2)
+            address = ("127.0.0.1", testbed.ports["peers"])
+            peer.sendto(msgspec.msgpack.encode(report), address)
+        time.sleep(0.5)
+        testbed.store.faults["down"] = True
+        followers = testbed.host._followers if testbed.host else None
+        assert followers is not None
+        wait_until(lambda: not followers._store_available[CONFIG_FOLLOWER])
+        document = config(4)
+        document["routes"].append(route("added", "safe", "desk"))
+        testbed.store.put_key("keyed.op", "config", document)
+        testbed.store.faults["down"] = False
+        wait_until(lambda: testbed.send("/added/1")[0] == 200, timeout_s=2.0)
+
+
+def report_of(host_id: str, *, is_reader: bool) -> Report:
+    return Report(
+        host_id=host_id,
+        availability_zone="za",
+        loads=[],
+        peers=[],
+        lost=[],
+        reads_store=True,
+        holds_duty=False,
+        slow={},
+        interval_s=20.0,
+        is_reader=is_reader,
+        config_version=3,
+        registry_offset=0,
+        blames=[],
+        refused=[],
+    )
--- a/tests/gateway/test_store_followers.py
+++ b/tests/gateway/test_store_followers.py
@@ -129,7 +129,7 @@
 
     78 hosts made 900 calls a second then.
     """
-    followed_store.followers.set_zone_host_count(host_count)
+    followed_store.followers.set_reader_count(host_count)
     followed_store.store.faults["down"] = True
     wait_until(lambda: followed_store.store.refused_calls >= 3)
     before = followed_store.store.refused_calls
@@ -144,7 +144,7 @@
 ) -> None:
     """Guards against seconds without a new configuration after an outage."""
     followers = followed_store.followers
-    followers.set_zone_host_count(16)
+    followers.set_reader_count(16)
     followed_store.store.faults["down"] = True
     wait_until(lambda: not followers._store_available[CONFIG_FOLLOWER])
     time.sleep(0.5)
