Share the datagram of a peer between two tests

Cause: two tests built the same report of a peer field by field. Change: encoded_report in the testbed of the gateway builds it; the assertions, the bounds and the fields that the tests set are as before. Measured: tests/gateway/test_host.py, test_restored_store.py and tests/test_docs.py pass (69); format, lint and types pass. Conclusion: one copy.

--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -7,7 +7,10 @@
 from collections.abc import Coroutine
 from typing import Any
 
+import msgspec
+
 from persimmonwell.gateway import GatewayHost
+from persimmonwell.gateway._peer_messages import Report
 from persimmonwell.platform import parse_node_file
 from standins.log import Log
 from standins.platform_config import API_KEY, HOST, LAYERS, free_ports, node_file
@@ -161,3 +164,26 @@
     def replica_request_count(self) -> int:
         """Return how many requests the replicas received."""
         return sum(len(replica.received) for replica in self.replicas.values())
+
+
+def encoded_report(
+    host_id: str, *, config_version: int, is_reader: bool, interval_s: float
+) -> bytes:
+    """Return the datagram of a peer in the host's zone that reads the store."""
+    report = Report(
+        host_id=host_id,
+        availability_zone="za",
+        loads=[],
+        peers=[],
+        lost=[],
+        reads_store=True,
+        holds_duty=False,
+        slow={},
+        interval_s=interval_s,
+        is_reader=is_reader,
+        config_version=config_version,
+        registry_offset=0,
+        blames=[],
+        refused=[],
+    )
+    return msgspec.msgpack.encode(report)
--- a/tests/gateway/test_host.py
+++ b/tests/gateway/test_host.py
@@ -10,16 +10,14 @@
 from typing import Any
 
 import attrs
-import msgspec
 import pytest
 
 from persimmonwell.gateway import GatewayHost, _host, _store_followers
-from persimmonwell.gateway._peer_messages import Report
 from persimmonwell.gateway._store_followers import CONFIG_FOLLOWER
 from persimmonwell.platform import parse_node_file
 from standins.platform_config import API_KEY, HOST, config, free_ports, route
 from tests.fleet import wait_until
-from tests.gateway.harness import GatewayTestbed
+from tests.gateway.harness import GatewayTestbed, encoded_report
 
 HEAD = f"Host: {HOST}\r\nApi-Key: {API_KEY}\r\n".encode()
 
@@ -257,9 +255,13 @@
         for number in range(2, 21):
             peer = stack.enter_context(socket.socket(type=socket.SOCK_DGRAM))
             peer.bind((f"127.0.0.{number}", 0))
-            report = report_of(f"host-1{number:02}", is_reader=number == 2)
-            address = ("127.0.0.1", testbed.ports["peers"])
-            peer.sendto(msgspec.msgpack.encode(report), address)
+            data = encoded_report(
+                f"host-1{number:02}",
+                config_version=3,
+                is_reader=number == 2,
+                interval_s=20.0,
+            )
+            peer.sendto(data, ("127.0.0.1", testbed.ports["peers"]))
         time.sleep(0.5)
         testbed.store.faults["down"] = True
         followers = testbed.host._followers if testbed.host else None
@@ -270,22 +272,3 @@
         testbed.store.put_key("keyed.op", "config", document)
         testbed.store.faults["down"] = False
         wait_until(lambda: testbed.send("/added/1")[0] == 200, timeout_s=2.0)
-
-
-def report_of(host_id: str, *, is_reader: bool) -> Report:
-    return Report(
-        host_id=host_id,
-        availability_zone="za",
-        loads=[],
-        peers=[],
-        lost=[],
-        reads_store=True,
-        holds_duty=False,
-        slow={},
-        interval_s=20.0,
-        is_reader=is_reader,
-        config_version=3,
-        registry_offset=0,
-        blames=[],
-        refused=[],
-    )
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -3,14 +3,11 @@
 import socket
 import time
 
-import msgspec
-
-from persimmonwell.gateway._peer_messages import Report
 from persimmonwell.platform import StoreClient
 from standins.platform_config import config, route
 from tests.fleet import wait_until
 from tests.gateway.followed_store import FollowedStore
-from tests.gateway.harness import GatewayTestbed
+from tests.gateway.harness import GatewayTestbed, encoded_report
 
 
 def test_configuration_at_an_offset_given_out_again_is_read(
@@ -103,25 +100,9 @@
     testbed.start()
     try:
         assert testbed.send("/added/1")[0] == 404
-        report = Report(
-            host_id="h2",
-            availability_zone="za",
-            loads=[],
-            peers=[],
-            lost=[],
-            reads_store=True,
-            holds_duty=False,
-            slow={},
-            interval_s=4.0,
-            is_reader=True,
-            config_version=4,
-            registry_offset=0,
-            blames=[],
-            refused=[],
-        )
+        data = encoded_report("h2", config_version=4, is_reader=True, interval_s=4.0)
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
             peer.bind(("127.0.0.9", 0))
-            data = msgspec.msgpack.encode(report)
             peer.sendto(data, ("127.0.0.1", testbed.ports["peers"]))
             wait_until(lambda: testbed.send("/added/1")[0] == 503, timeout_s=2.0)
         assert testbed.send("/look/1")[0] == 200
