--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A crash among mixed cards makes the planner of the duty's holder run for ever."""
+"""A spoiled byte in one event's id makes the host resume the stream past its pieces."""
 
 import itertools
 import sys
@@ -10,9 +10,9 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "common"))
 from engines import Engine  # noqa: E402
-from lab import Lab, Replica, route  # noqa: E402
+from lab import Lab, route  # noqa: E402
 
-LAYERS, LOAD_S = 6, 14.0
+LAYERS, LOAD_S, EVENTS = 8, 2.0, 30
 ENGINE = {
     "slots": 96,
     "kv_token_bytes": 1180000,
@@ -23,16 +23,9 @@
     "usual": {"prompt": 772, "answer": 174},
     "models": [{"name": "m", "pace": 1.0, "load_s": LOAD_S}],
     "layers": LAYERS,
-    "layer_mb": 12000.0,
-    "kinds": [
-        {"name": "h100", "mb": 72000.0, "pace": 1.4, "read_x": 1.0},
-        {"name": "a100s", "mb": 36000.0, "pace": 3.1, "read_x": 3.2},
-        {"name": "l4", "mb": 21600.0, "pace": 16.0, "read_x": 8.2},
-        {"name": "t4", "mb": 14400.0, "pace": 15.0, "read_x": 15.0},
-    ],
+    "layer_mb": 1750.0,
+    "kinds": [{"name": "h100", "mb": 72000.0, "pace": 1.4, "read_x": 1.0}],
 }
-"""The cards and the engine of the sites, with a model of 6 layers of 12 GB."""
-BOOK_TIMEOUT_S = 1.2
 ROUTES = [
     route(
         "talk",
@@ -43,138 +36,119 @@
         stream_resume=True,
         sticky=True,
         gap_aim_ms=200,
-        max_attempts=2,
-    ),
-    route("book", "unsafe", "desk"),
+    )
 ]
 SERVICES = [
     {"name": "model", "health_path": "/health", "max_connections": 1058}
-    | {"engine": ENGINE},
-    {"name": "desk", "health_path": "/health", "max_connections": 96},
+    | {"engine": ENGINE}
 ]
+SPOIL_EVERY = 50
+"""One of so many answers of a faulty replica is spoiled, as with x = 0.02."""
+SPOILED_EVENT = 12
 
 
-def talk(lab, host, counts):
-    """Read one stream as the pages' clients do: they leave after a gap of 2 s."""
+class SpoilingEngine(Engine):
+    """Model replica that spoils one byte in some of its answers."""
+
+    is_faulty = False
+    streams = 0
+
+    def run(self, connection, method, path, headers, body, echo):
+        """Stream as usual, through a connection that may spoil a byte."""
+        self.streams += 1
+        if self.is_faulty and self.streams % SPOIL_EVERY == SPOIL_EVERY // 2:
+            self._lab.record.write(f"{self.name} spoils id={echo['Request-Id']}")
+            connection = _SpoilingConnection(connection)
+        super().run(connection, method, path, headers, body, echo)
+
+
+class _SpoilingConnection:
+    def __init__(self, connection):
+        self._connection = connection
+
+    def sendall(self, data):
+        """Send data; the first digit of one id, 12, becomes 22."""
+        right, wrong = b"\nid: %d\n" % SPOILED_EVENT, b"\nid: 22\n"
+        self._connection.sendall(data.replace(right, wrong))
+
+
+def talk(lab, host, results):
+    """Read one stream to its end, or to its break."""
     request_id = lab.new_id()
     headers = {
         "Host": "desk.example",
         "Request-Id": request_id,
         "Deadline-Remaining": "20000",
         "Model": "m",
-        "Token-Count": "760,174",
+        "Token-Count": "760,60",
         "Prompt-Prefix": f"5c1e07a2:40,{request_id[:8]}:720",
     }
     connection = HTTPConnection(*lab.addresses[host], timeout=2.0)
-    status, events = 0, 0
+    status, data, is_whole = 0, b"", False
     try:
         connection.request("POST", "/talk/1", b"x" * 700, headers)
         response = connection.getresponse()
         status = response.status
-        while data := response.read1(65536):
-            events += data.count(b"\n\n")
+        while part := response.read1(65536):
+            data += part
+        is_whole = True
     except (OSError, HTTPException) as error:
-        lab.record.write(f"stream {request_id} at {host}: {type(error).__name__}")
+        lab.record.write(f"stream id={request_id} at {host}: {type(error).__name__}")
     connection.close()
-    counts.append((lab.record.now_s(), host, status, events))
+    ids = [int(line[4:]) for line in data.split(b"\n") if line.startswith(b"id: ")]
+    lab.record.write(
+        f"answered {status} id={request_id} at {host}, events {len(ids)},"
+        f" {'complete' if is_whole else 'broken off'}"
+    )
+    results.append((request_id, host, status, ids, is_whole))
 
 
 def main():
     """Run the case and return the exit status."""
     with Lab(HERE) as lab:
         lab.put_config(3, ROUTES, SERVICES)
-        Replica(lab, "d-za", "desk", "za")
-        Replica(lab, "d-zb", "desk", "zb")
-
-        def add(number, kind):
-            name = f"i-{number:02d}"
-            lab.record.write(f"{name} ({kind}) starts")
-            more = {"kind": kind, "layers": LAYERS, "load_s": LOAD_S}
-            return Engine(lab, name, "model", "za", **more)
-
-        cards = ("l4", "t4", "a100s", "h100", "h100")
-        engines = [add(n, kind) for n, kind in enumerate(cards)]
+        more = {"kind": "h100", "layers": LAYERS, "load_s": LOAD_S, "events": EVENTS}
+        zones = ("za", "za", "zb", "zb", "zc", "zc")
+        engines = [
+            SpoilingEngine(lab, f"i-{n}", "model", zone, **more)
+            for n, zone in enumerate(zones)
+        ]
         lab.start_hosts()
         lab.wait_ready()
-
-        def is_placed():
-            held = {e.name: e.layers for e in engines if e.is_alive}
-            covered = {n for span in held.values() if span for n in range(*span)}
-            return len(covered) == LAYERS and not any(
-                e.is_busy for e in engines if e.is_alive
-            )
-
-        def wait_placed(what, limit_s=30.0):
-            end_s = time.monotonic() + limit_s
-            while not is_placed():
-                if time.monotonic() > end_s:
-                    lab.record.write(f"not placed: {what}")
-                    sys.exit(2)
-                time.sleep(0.1)
-            held = {e.name: (e.kind, e.layers) for e in engines if e.is_alive}
-            lab.record.write(f"placed after {what}: {held}")
-
-        wait_placed("the start")
+        end_s = time.monotonic() + 20.0
+        while not all(engine.layers == (0, LAYERS) for engine in engines):
+            if time.monotonic() > end_s:
+                lab.record.write("the layers are not placed")
+                return 2
+            time.sleep(0.1)
+        # Two of six replicas.
+        engines[0].is_faulty = engines[3].is_faulty = lab.trouble
+        results = []
         stop = threading.Event()
-        streams, bookings = [], []
         rounds = itertools.cycle(lab.hosts)
 
         def keep_talking():
             while not stop.is_set():
-                talk(lab, next(rounds), streams)
-                stop.wait(0.2)
-
-        def keep_booking(host):
-            client = lab.client(host)
-            while not stop.is_set():
-                at_s = lab.record.now_s()
-                sent_id, status, _ = client.request("POST", "/book/1", body=b"lane")
-                bookings.append((at_s, lab.record.now_s(), host, status))
-                stop.wait(0.3)
+                talk(lab, next(rounds), results)
 
         threads = [
-            threading.Thread(target=keep_talking, daemon=True) for _ in range(16)
-        ]
-        threads += [
-            threading.Thread(target=keep_booking, args=(name,), daemon=True)
-            for name in lab.hosts
+            threading.Thread(target=keep_talking, daemon=True) for _ in range(32)
         ]
         for thread in threads:
             thread.start()
-        time.sleep(4.0)
-        if lab.trouble:
-            engines[3].crash()
-            time.sleep(6.0)
-            wait_placed("the loss of i-03")
-            time.sleep(2.0)
-            engines.append(add(5, "h100"))
-            time.sleep(2.0)
-            wait_placed("the start of i-05")
-            time.sleep(4.0)
-            engines[2].crash()
-        crash_s = lab.record.now_s()
-        time.sleep(15.0)
+        time.sleep(40.0)
         stop.set()
         for thread in threads:
             thread.join()
-        late = [row for row in bookings if row[0] > crash_s and row[1] - row[0] > 1.2]
-        unanswered = [row for row in late if row[1] - row[0] > BOOK_TIMEOUT_S + 0.5]
-        for name in lab.hosts:
-            mine = [row for row in bookings if row[2] == name and row[0] > crash_s]
-            answered = sum(1 for row in mine if row[3])
-            lab.record.write(
-                f"{name}: ready={lab.is_ready(name)}, bookings after the last crash:"
-                f" {len(mine)}, answered: {answered}"
-            )
-        served = sum(1 for at_s, _, status, _ in streams if status == 200)
-        lab.record.write(f"streams with a 200: {served} of {len(streams)}")
-        broken = []
-        if len(unanswered) * 2 > len(late):
-            broken = [
-                f"CONFIG a booking sent at {sent_s:.2f} through {host} had no answer"
-                f" {end_s - sent_s:.2f} s later; timeout_ms is 1200"
-                for sent_s, end_s, host, _ in unanswered
-            ]
+        whole = [row for row in results if row[2] == 200 and row[4]]
+        lab.record.write(f"complete streams: {len(whole)} of {len(results)}")
+        if not whole:
+            return 2
+        broken = [
+            f"ORDER {request_id} through {host} ended as complete with the events {ids}"
+            for request_id, host, _, ids, _ in whole
+            if ids != list(range(1, EVENTS + 1))
+        ]
         return lab.finish(broken)
 
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,5 @@
-"""A slow download leaves a connection behind on which no answer is read any more."""
+"""An entry of another writer stops every host from reading the registry."""
 
-import signal
-import socket
 import sys
 import threading
 import time
@@ -9,38 +7,21 @@
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "common"))
-from lab import Lab, Replica, route  # noqa: E402
+from lab import DRAIN_S, Lab, Replica, route  # noqa: E402
 
-ROUTES = [
-    route("export", "safe", "desk", timeout_ms=20000, target_latency_ms=4000),
-]
+ROUTES = [route("book", "unsafe", "desk"), route("look", "safe", "desk")]
 SERVICES = [{"name": "desk", "health_path": "/health", "max_connections": 96}]
-EXPORT_BYTES = 12_000_000
-READ_BYTES, READ_PAUSE_S = 65536, 0.012
-"""A client that reads some 5 MB a second."""
-
-
-def download(lab, name, result):
-    """Fetch a long answer and read it steadily, more slowly than it is written."""
-    request_id = lab.new_id()
-    connection = socket.socket()
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32768)
-    connection.settimeout(20.0)
-    connection.connect(lab.addresses[name])
-    head = (
-        f"GET /export/all?size={EXPORT_BYTES} HTTP/1.1\r\nHost: desk.example\r\n"
-        f"Request-Id: {request_id}\r\nDeadline-Remaining: 20000\r\n"
-        "Connection: close\r\n\r\n"
-    )
-    lab.record.write(f"sent {name} GET /export/all id={request_id} (slow reader)")
-    connection.sendall(head.encode())
-    received = 0
-    while data := connection.recv(READ_BYTES):
-        received += len(data)
-        time.sleep(READ_PAUSE_S)
-    connection.close()
-    lab.record.write(f"answered id={request_id}, {received} bytes with the framing")
-    result.append(received)
+FOREIGN = {
+    "service": "desk",
+    "address": "127.0.0.1:8\u00b20",
+    "zone": "za",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "sequence": 1,
+}
+"""The port is not a number."""
 
 
 def main():
@@ -48,57 +29,59 @@
     with Lab(HERE) as lab:
         lab.put_config(3, ROUTES, SERVICES)
         replicas = [Replica(lab, f"i-{z}", "desk", z) for z in ("za", "zb", "zc")]
+        leaving = replicas[1]
         lab.start_hosts()
         lab.wait_ready()
-        stopped = "a-1"
-        received = []
-        threads = [
-            threading.Thread(
-                target=download, args=(lab, stopped, received), daemon=True
-            )
-            for _ in range(8)
-        ]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
-        if min(received) < EXPORT_BYTES:
-            lab.record.write("a long answer was cut")
-            return 2
+        time.sleep(4.0)
         sent = {}
+        stop = threading.Event()
 
-        def ask():
-            client = lab.client(stopped)
-            at_s = lab.record.now_s()
-            sent_id, status, _ = client.request(
-                "GET", "/export/1?size=800", deadline_ms=18000
-            )
-            sent[sent_id] = (at_s, lab.record.now_s(), status)
+        def press(name):
+            client = lab.client(name)
+            while not stop.wait(0.05):
+                for method, path in (("POST", "/book/1"), ("GET", "/look/1")):
+                    body = b"lane 4" if method == "POST" else b""
+                    at_s = lab.record.now_s()
+                    sent_id, status, _ = client.request(method, path, body=body)
+                    sent[sent_id] = (at_s, name, method, status)
             client.close()
 
-        threads = [threading.Thread(target=ask, daemon=True) for _ in range(10)]
+        threads = [
+            threading.Thread(target=press, args=(name,), daemon=True)
+            for name in lab.hosts
+        ]
         for thread in threads:
             thread.start()
-        time.sleep(1.0)
-        term_s = lab.record.now_s()
+        time.sleep(2.0)
         if lab.trouble:
-            lab.record.write(f"SIGTERM to {stopped}")
-            lab.processes[stopped].send_signal(signal.SIGTERM)
+            lab.store.put("keyed.servers", "x-other-1", FOREIGN)
+            lab.record.write(f"another writer: x-other-1 {FOREIGN}")
+        time.sleep(3.0)
+        acknowledged_s = leaving.drain() - lab.record.start_s
+        lab.record.write(f"the store acknowledged that {leaving.name} is draining")
+        # It serves on for drain_ms and some seconds, then it ends.
+        time.sleep(DRAIN_S + 4.0)
+        leaving.leave()
+        lab.record.write(f"{leaving.name} has left")
+        time.sleep(2.0)
+        stop.set()
         for thread in threads:
             thread.join()
-        broken = []
-        for sent_id, (at_s, end_s, status) in sent.items():
-            answered = [r.answered[sent_id] for r in replicas if sent_id in r.answered]
-            if answered:
-                lab.record.write(
-                    f"id={sent_id} sent {at_s:.2f}, answered by its replica"
-                    f" {answered[0]:.2f}, ended {end_s:.2f} with {status}"
-                )
-            if status == 0 and answered and answered[0] < term_s + 8.0 * 5 / 6:
-                broken.append(
-                    f"LOST {sent_id}: its replica had answered at {answered[0]:.2f},"
-                    f" the connection ended without an answer at {end_s:.2f}"
-                )
+        if not any(status == 200 for _, _, _, status in sent.values()):
+            lab.record.write("the deployment does not serve")
+            return 2
+        broken = [
+            f"DRAIN {request_id} through {sent[request_id][1]} reached {leaving.name}"
+            f" {at_s - acknowledged_s:.2f} s after the acknowledgement"
+            for at_s, request_id, _, _ in leaving.runs
+            if at_s > acknowledged_s + DRAIN_S
+        ]
+        lost = [
+            (request_id, status)
+            for request_id, (_, _, method, status) in sent.items()
+            if method == "POST" and status not in (200, 503)
+        ]
+        lab.record.write(f"POST requests without an answer of a replica: {len(lost)}")
         return lab.finish(broken)
 
 
