--- a/review/3/case.py
+++ b/review/3/case.py
@@ -45,6 +45,8 @@
 SPOIL_EVERY = 50
 """One of so many answers of a faulty replica is spoiled, as with x = 0.02."""
 SPOILED_EVENT = 12
+FAULT_S, PAUSE_S, ROUNDS = 5.0, 4.0, 6
+"""Length of the disruption, the time to the next one, and how often it comes."""
 
 
 class SpoilingEngine(Engine):
@@ -55,7 +57,7 @@
 
     def run(self, connection, method, path, headers, body, echo):
         """Stream as usual, through a connection that may spoil a byte."""
-        self.streams += 1
+        self.streams += self.is_faulty
         if self.is_faulty and self.streams % SPOIL_EVERY == SPOIL_EVERY // 2:
             self._lab.record.write(f"{self.name} spoils id={echo['Request-Id']}")
             connection = _SpoilingConnection(connection)
@@ -121,8 +123,6 @@
                 lab.record.write("the layers are not placed")
                 return 2
             time.sleep(0.1)
-        # Two of six replicas.
-        engines[0].is_faulty = engines[3].is_faulty = lab.trouble
         results = []
         stop = threading.Event()
         rounds = itertools.cycle(lab.hosts)
@@ -136,7 +136,12 @@
         ]
         for thread in threads:
             thread.start()
-        time.sleep(40.0)
+        for _ in range(ROUNDS):
+            time.sleep(PAUSE_S)
+            # Two of six replicas.
+            engines[0].is_faulty = engines[3].is_faulty = lab.trouble
+            time.sleep(FAULT_S)
+            engines[0].is_faulty = engines[3].is_faulty = False
         stop.set()
         for thread in threads:
             thread.join()
--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -354,6 +354,8 @@
     """Deployment with its processes; use as a context manager."""
 
     def __init__(self, folder, hosts=HOSTS):
+        # An ended script still ends its processes.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))
         self.folder = Path(folder)
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.record = Record(self.folder / "record.txt")
