--- a/review/build.sh
+++ b/review/build.sh
@@ -8,5 +8,6 @@
 import pathlib
 
 for path in sorted(pathlib.Path(".").rglob("*.py")):
-    py_compile.compile(str(path), cfile=f"../target/review/{path.stem}.pyc", doraise=True)
+    built = f"../target/review/{path.parent.name}-{path.stem}.pyc"
+    py_compile.compile(str(path), cfile=built, doraise=True)
 PY
