--- a/standins/replica.py
+++ b/standins/replica.py
@@ -10,6 +10,7 @@
 import struct
 import threading
 import time
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -63,7 +64,8 @@
     cut_body (resets within the body), alive (False: reports time out), reset (resets
     without a response), flood (a key of FLOODS, sent until the caller closes),
     report_flood (the same in response to one report request), deadly_part (id of a
-    prompt part; the replica crashes when it begins to answer a request with it), limit
+    prompt part; the replica crashes when it begins to answer a request with it, and
+    starts again after restart_s, if that is given), limit
     (requests a second that its answers state, as text), repeat_refusal (each refusal is
     written once more when the next request arrives on its connection; "unnamed" leaves
     its request id out), cut_head (closes within the head, after so many of its lines),
@@ -92,7 +94,13 @@
         self.serves_reports = True
         """Whether the replica answers report requests; plain services do not."""
         self._socket = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self._address: tuple[str, int] = self._socket.getsockname()[:2]
         self._thread = threading.Thread(target=self._accept, daemon=True)
+        self._crash_lock = threading.Lock()
+        self._is_closed = False
+        self.started_at_ms = int(time.time() * 1000)
+        self.crashed_at_s: list[float] = []
+        self.on_restart: Callable[[], None] = lambda: None
         self._open_connections: set[socket.socket] = set()
         self._refusals: dict[socket.socket, bytes] = {}
         """Refusals that are written once more, by connection."""
@@ -100,7 +108,7 @@
     @property
     def address(self) -> str:
         """Bound address as numeric IP and port."""
-        host, port = self._socket.getsockname()[:2]
+        host, port = self._address
         return f"{host}:{port}"
 
     def entry(self, **values: Any) -> dict[str, Any]:
@@ -125,21 +133,59 @@
 
     def close(self) -> None:
         """Stop accepting and reset all open connections."""
+        with self._crash_lock:
+            self._is_closed = True
+            self._stop_serving()
+
+    def _stop_serving(self) -> None:
         with contextlib.suppress(OSError):
             # Without it a thread in accept() takes one more connection.
             self._socket.shutdown(socket.SHUT_RDWR)
         self._socket.close()
-        for connection in list(self._open_connections):
+        connections = list(self._open_connections)
+        self._open_connections.clear()
+        for connection in connections:
+            with contextlib.suppress(OSError):
+                # A thread that reads it would keep it open.
+                connection.shutdown(socket.SHUT_RDWR)
             _reset_connection(connection)
 
+    def _crash(self) -> None:
+        """Drop all connections, and start again later if restart_s is set."""
+        with self._crash_lock:
+            if self._is_closed or self._socket.fileno() < 0:
+                return
+            self.crashed_at_s.append(time.monotonic())
+            self._stop_serving()
+            restart_s = self.faults.get("restart_s")
+            if restart_s is not None:
+                timer = threading.Timer(restart_s, self._restart)
+                timer.daemon = True
+                timer.start()
+
+    def _restart(self) -> None:
+        with self._crash_lock:
+            if self._is_closed:
+                return
+            self._socket = socket.create_server(self._address, backlog=128)
+            self.started_at_ms = int(time.time() * 1000)
+        threading.Thread(target=self._accept, daemon=True).start()
+        self.on_restart()
+
     def _accept(self) -> None:
+        listener = self._socket
         while True:
             try:
-                connection, _ = self._socket.accept()
+                connection, _ = listener.accept()
             except OSError:
                 return
-            self.connections += 1
-            self._open_connections.add(connection)
+            with self._crash_lock:
+                if listener.fileno() < 0:
+                    # It was accepted while the replica crashed.
+                    _reset_connection(connection)
+                    return
+                self.connections += 1
+                self._open_connections.add(connection)
             threading.Thread(
                 target=self._serve, args=(connection,), daemon=True
             ).start()
@@ -149,6 +195,9 @@
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             file = connection.makefile("rb")
             while (request := _read_request(file)) is not None:
+                # Between the resets of a crash no other connection is answered.
+                if connection not in self._open_connections:
+                    break
                 if not self._handle_request(connection, request):
                     break
         except (OSError, ValueError):
@@ -226,6 +275,9 @@
             return False
         if flood := self.faults.get("flood"):
             return self._flood(connection, flood, request_id)
+        if "hop-count" not in request.headers and self._has_deadly_part(request):
+            self._crash()
+            return False
         if "hop-count" in request.headers:
             return self._stream(connection, request, response_headers)
         body = f"{self.replica_id} {request.method} {request.target}".encode()
@@ -286,7 +338,7 @@
         connection.sendall(_build_head(200, chunked) + b"\r\n")
         if self._has_deadly_part(request):
             time.sleep(0.02)
-            self.close()
+            self._crash()
             return False
         first = int(request.headers.get("last-event-id", "0")) + 1
         request_id = request.headers["request-id"]
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -11,10 +11,8 @@
 
 import argparse
 import http.client
-import os
 import random
 import signal
-import subprocess
 import sys
 import tempfile
 import threading
@@ -25,9 +23,9 @@
 
 import attrs
 
+from standins.gateway_process import GatewayProcess
 from standins.log import Log, LogCopy
-from standins.platform_config import API_KEY, HOST, config, free_ports, node_file, route
-from standins.proxy import FaultyProxy
+from standins.platform_config import API_KEY, HOST, config, free_ports, route
 from standins.replica import STREAM_EVENTS, PlatformReplica
 
 HOSTS = 4
@@ -69,37 +67,6 @@
 """Open connections of one caller by host IP, each with the time of its last use."""
 
 
-class _HostProcess:
-    """Process of one host with its settings file and its proxy to the store."""
-
-    def __init__(self, folder: Path, number: int, ports: dict[str, int]) -> None:
-        self.ip = f"127.0.0.{number}"
-        self.ports = ports
-        self.path = folder / f"host-{number}.conf"
-        self.log = folder / f"host-{number}.log"
-        self.proxy: FaultyProxy | None = None
-        self.process: subprocess.Popen[bytes] | None = None
-
-    def start(self) -> None:
-        with self.log.open("ab") as output:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "persimmonwell.gateway_process"],
-                env={**os.environ, "PERSIMMONWELL_NODE_FILE": str(self.path)},
-                stdout=output,
-                stderr=output,
-            )
-
-    def signal(self, number: int) -> None:
-        if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(number)
-
-    def stop(self, number: int) -> None:
-        self.signal(signal.SIGCONT)
-        self.signal(number)
-        if self.process is not None:
-            self.process.wait(timeout=10.0)
-
-
 class Soak:
     """One soak run, whose faults and requests are drawn from the seed."""
 
@@ -128,7 +95,7 @@
         ]
         ports = free_ports()
         self.hosts = [
-            _HostProcess(folder, number, ports) for number in range(1, host_count + 1)
+            GatewayProcess(folder, number, ports) for number in range(1, host_count + 1)
         ]
         self._incarnations: Counter[str] = Counter()
         """Number of starts by host IP; versions are compared within one incarnation."""
@@ -153,7 +120,7 @@
             self.store.put_key("keyed.servers", replica.replica_id, replica.entry())
         try:
             for host in self.hosts:
-                self._configure(host)
+                host.configure(self.store.server.address)
                 self._start(host)
             if not self._wait_ready():
                 return ["hosts were not ready after the start"]
@@ -175,29 +142,14 @@
         finally:
             self._close()
 
-    def _start(self, host: _HostProcess) -> None:
+    def _start(self, host: GatewayProcess) -> None:
         self._incarnations[host.ip] += 1
         host.start()
 
-    def _configure(self, host: _HostProcess) -> None:
-        host.proxy = FaultyProxy(self.store.server.address)
-        host.proxy.start()
-        text = node_file(
-            ip=host.ip,
-            ports=host.ports,
-            store=host.proxy.address,
-            node=f"host-{host.ip}",
-            seeds=f"127.0.0.1:{host.ports['ready']}",
-            **{"bounds.grace_s": "3"},
-        )
-        host.path.write_text(text, encoding="utf-8")
-
     def _close(self) -> None:
         self._stop.set()
         for host in self.hosts:
-            host.stop(signal.SIGKILL)
-            if host.proxy is not None:
-                host.proxy.close()
+            host.close()
         for replica in self.replicas:
             replica.close()
         self.store.close()
@@ -243,27 +195,16 @@
         self.store.faults["down"] = True
         host.stop(signal.SIGKILL)
         others = [other for other in self.hosts if other is not host]
-        has_ready_peer = any(self._is_ready(other) for other in others)
+        has_ready_peer = any(other.is_ready() for other in others)
         self._start(host)
         end_s = time.monotonic() + START_WITHOUT_STORE_S
-        while has_ready_peer and not self._is_ready(host):
+        while has_ready_peer and not host.is_ready():
             if time.monotonic() > end_s:
                 self._violations.append(f"{host.ip} is not ready without the store")
                 break
             time.sleep(0.1)
         self.store.faults["down"] = False
 
-    def _is_ready(self, host: _HostProcess) -> bool:
-        port = host.ports["ready"]
-        connection = http.client.HTTPConnection(host.ip, port, timeout=1.0)
-        try:
-            connection.request("GET", "/persimmonwell/ready")
-            return connection.getresponse().status == 200
-        except (OSError, http.client.HTTPException):
-            return False
-        finally:
-            connection.close()
-
     def _terminate_host(self) -> None:
         host = self._random.choice(self.hosts)
         host.stop(signal.SIGTERM)
@@ -349,7 +290,7 @@
         for connection, _ in connections.values():
             connection.close()
 
-    def _check_version(self, host: _HostProcess, request_id: str) -> None:
+    def _check_version(self, host: GatewayProcess, request_id: str) -> None:
         """Record a violation if a host no longer serves a version it has served."""
         incarnation = (host.ip, self._incarnations[host.ip])
         version = self._version
@@ -367,7 +308,7 @@
 
     def _send(
         self,
-        host: _HostProcess,
+        host: GatewayProcess,
         name: str,
         request_id: str,
         kept_connections: _Connections | None = None,
