Log which crashes count against a prompt part

Change: crash_counted with crashes, separate crashes and the number needed by part, and crash_dismissed for a replica that is alive.

--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -16,6 +16,7 @@
 from persimmonwell.core.forwarding._events import (
     AttemptFailure,
     CancelAttempt,
+    CrashResolved,
     CrashSuspected,
     Decision,
     Ending,
@@ -75,6 +76,7 @@
     "CallerLimits",
     "CallerRequest",
     "CancelAttempt",
+    "CrashResolved",
     "CrashSuspected",
     "Completion",
     "Decision",
--- a/persimmonwell/core/forwarding/_crashes.py
+++ b/persimmonwell/core/forwarding/_crashes.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Iterable
+from itertools import chain
 
 import attrs
 
@@ -14,6 +15,7 @@
 from persimmonwell.core.forwarding._model import CallerRequest, Replica
 from persimmonwell.core.retry import (
     Blame,
+    PartCount,
     PartEvidence,
     PromptPartQuarantine,
     Quarantine,
@@ -32,6 +34,18 @@
     at_s: float
 
 
+@attrs.frozen
+class CrashVerdict:
+    """What follows from the end of a suspicion that a replica crashed."""
+
+    quarantined: tuple[str, ...] = ()
+    """Newly quarantined digests and prompt parts."""
+    part_counts: tuple[PartCount, ...] = ()
+    """Crashes that count against the parts of the requests that were starting."""
+    is_dismissed: bool = False
+    """Whether the replica was suspected and is alive."""
+
+
 class CrashTracker:
     """Attribution of replica crashes to requests and parts, shared with the peers."""
 
@@ -108,20 +122,22 @@
 
     def record_probe(
         self, replica_id: str, *, is_lost: bool, now_s: float
-    ) -> tuple[str, ...]:
-        """Confirm or dismiss a suspected crash; return newly quarantined digests."""
+    ) -> CrashVerdict:
+        """Confirm or dismiss a suspected crash."""
         crash = self._unconfirmed.pop(replica_id, None)
         if crash is None:
-            return ()
+            return CrashVerdict()
         change = self._quarantine.resolve_loss(
             crash.incarnation, lost=is_lost, now_s=now_s
         )
         quarantined = self._apply_change(change, now_s)
-        if is_lost:
-            quarantined += self._parts.record_crash(
-                crash.incarnation, crash.starting_parts, crash.at_s
-            )
-        return quarantined
+        if not is_lost:
+            return CrashVerdict(quarantined, is_dismissed=True)
+        quarantined += self._parts.record_crash(
+            crash.incarnation, crash.starting_parts, crash.at_s
+        )
+        part_ids = dict.fromkeys(chain.from_iterable(crash.starting_parts))
+        return CrashVerdict(quarantined, self._parts.counts(part_ids))
 
     def part_evidence(self, now_s: float) -> tuple[PartEvidence, ...]:
         """Return the evidence about prompt parts to share with the peers."""
--- a/persimmonwell/core/forwarding/_events.py
+++ b/persimmonwell/core/forwarding/_events.py
@@ -7,6 +7,7 @@
 
 from persimmonwell.core.forwarding._model import CallerRequest, Route
 from persimmonwell.core.forwarding._paths import PipelinePath
+from persimmonwell.core.retry import PartCount
 
 
 class Ending(Enum):
@@ -105,6 +106,15 @@
     """All requests of this host that passed through the replica."""
 
 
+@attrs.frozen
+class CrashResolved:
+    """Report to operators whether a suspected crash counts, and against which parts."""
+
+    replica_id: str
+    part_counts: tuple[PartCount, ...]
+    is_dismissed: bool
+
+
 @attrs.frozen
 class RateLimitChanged:
     """Report to operators a limit that a replica stated, or takes back with None."""
@@ -122,7 +132,7 @@
 
 
 RequestDecision: TypeAlias = Send | Finish | CancelAttempt | Reroute
-Report: TypeAlias = CrashSuspected | Quarantined | RateLimitChanged
+Report: TypeAlias = CrashSuspected | CrashResolved | Quarantined | RateLimitChanged
 Decision: TypeAlias = RequestDecision | FetchStallReport | ProbeReplica | Report
 
 
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -10,10 +10,11 @@
 from persimmonwell.core.forwarding._active import ActiveRequest
 from persimmonwell.core.forwarding._budget import RetryBudget
 from persimmonwell.core.forwarding._caller_retries import CallerRetryTracker
-from persimmonwell.core.forwarding._crashes import CrashTracker
+from persimmonwell.core.forwarding._crashes import CrashTracker, CrashVerdict
 from persimmonwell.core.forwarding._events import (
     AttemptFailure,
     CancelAttempt,
+    CrashResolved,
     CrashSuspected,
     Decision,
     Ending,
@@ -471,15 +472,14 @@
         was_suspected = self.health.record_probe(
             replica_id, is_alive=is_alive, now_s=now_s
         )
-        quarantined = self.crashes.record_probe(
+        verdict = self.crashes.record_probe(
             replica_id, is_lost=not is_alive, now_s=now_s
         )
+        resolved = _verdict_decisions(replica_id, verdict)
         if not is_alive:
-            return _quarantine_decisions(quarantined) + self._reroute_off_suspects(
-                now_s
-            )
+            return resolved + self._reroute_off_suspects(now_s)
         if report is None:
-            return ()
+            return resolved
         self.loads.record_report(replica_id, report.kv_used, now_s)
         self.health.record_slowness(replica_id, report.slowness, now_s)
         if was_suspected and report.kv_used < FULL_KV_SHARE * report.kv_total:
@@ -490,23 +490,24 @@
                 self.health.record_refusal_with_capacity(
                     replica_id, replica.incarnation, now_s
                 )
-        return ()
+        return resolved
 
     def registry_changed(
         self, changed: Mapping[str, Replica | None], now_s: float
     ) -> tuple[Decision, ...]:
         """Handle new and changed registry entries; None marks a removed one."""
-        quarantined: tuple[str, ...] = ()
+        decisions: tuple[Decision, ...] = ()
         for replica_id, replica in changed.items():
             self.health.clear_refusals(replica_id)
             if replica is None:
-                quarantined += self.crashes.record_probe(
+                verdict = self.crashes.record_probe(
                     replica_id, is_lost=True, now_s=now_s
                 )
+                decisions += _verdict_decisions(replica_id, verdict)
         registered = set(self.registry.replicas)
         self.health.prune(registered)
         self._stalls.prune(registered)
-        return _quarantine_decisions(quarantined)
+        return decisions
 
     def _reroute_off_suspects(self, now_s: float) -> tuple[Decision, ...]:
         decisions: list[Decision] = []
@@ -728,6 +729,14 @@
     return tuple(Quarantined(digest) for digest in digests)
 
 
+def _verdict_decisions(replica_id: str, verdict: CrashVerdict) -> tuple[Decision, ...]:
+    decisions: tuple[Decision, ...] = _quarantine_decisions(verdict.quarantined)
+    if verdict.part_counts or verdict.is_dismissed:
+        resolved = CrashResolved(replica_id, verdict.part_counts, verdict.is_dismissed)
+        decisions = (resolved, *decisions)
+    return decisions
+
+
 def _open_request(
     key: int, request: CallerRequest, resolved: ResolvedRoute, now_s: float
 ) -> ActiveRequest:
--- a/persimmonwell/core/retry/__init__.py
+++ b/persimmonwell/core/retry/__init__.py
@@ -11,7 +11,11 @@
 )
 from persimmonwell.core.retry._backoff import backoff_s
 from persimmonwell.core.retry._budget import RetryBudget
-from persimmonwell.core.retry._prompt_parts import PartEvidence, PromptPartQuarantine
+from persimmonwell.core.retry._prompt_parts import (
+    PartCount,
+    PartEvidence,
+    PromptPartQuarantine,
+)
 from persimmonwell.core.retry._quarantine import Blame, Quarantine, QuarantineChange
 
 __all__ = [
@@ -21,6 +25,7 @@
     "DropReason",
     "Dropped",
     "EndFrame",
+    "PartCount",
     "PartEvidence",
     "PromptPartQuarantine",
     "Quarantine",
--- a/persimmonwell/core/retry/_prompt_parts.py
+++ b/persimmonwell/core/retry/_prompt_parts.py
@@ -52,6 +52,18 @@
     """Time since each crash, by the crash's id."""
 
 
+@attrs.frozen
+class PartCount:
+    """Crashes that count against a part, and those that quarantine it."""
+
+    part_id: str
+    crashes: int
+    separate_crashes: int
+    """Crashes that did not follow another one within MIN_CRASH_INTERVAL_S."""
+    needed: float
+    """Separate crashes from which the part is quarantined."""
+
+
 @attrs.define
 class _Answers:
     count: int = 0
@@ -191,6 +203,20 @@
             return ()
         return self._judge()
 
+    def counts(self, part_ids: Iterable[str]) -> tuple[PartCount, ...]:
+        """Return the crashes counted against those parts that are suspected."""
+        suspects = {part_id: self._suspects.get(part_id) for part_id in part_ids}
+        return tuple(
+            PartCount(
+                part_id,
+                crashes=len(suspect.crashes),
+                separate_crashes=suspect.count_crashes(),
+                needed=suspect.crashes_needed,
+            )
+            for part_id, suspect in suspects.items()
+            if suspect is not None
+        )
+
     def evidence(self, now_s: float) -> tuple[PartEvidence, ...]:
         """Return the evidence to send to the peers, on quarantined parts first."""
         rows = [
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -9,6 +9,7 @@
     AttemptFailure,
     CallerLimits,
     CancelAttempt,
+    CrashResolved,
     CrashSuspected,
     Decision,
     Ending,
@@ -47,6 +48,8 @@
 """Resolution of time-outs and stall detection: a twelfth of the stall gap."""
 MAX_LOGGED_REQUESTS = 20
 """Requests in the log line of one suspected crash."""
+MAX_LOGGED_PARTS = 20
+"""Prompt parts in the log line of one counted crash."""
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 """Idle time-out of replicas that do not advertise one in a keep-alive header."""
 REPLICA_GONE_STATUSES = (0, 421)
@@ -269,6 +272,9 @@
             if isinstance(decision, CrashSuspected):
                 self._log_suspected_crash(decision)
                 continue
+            if isinstance(decision, CrashResolved):
+                self._log_resolved_crash(decision)
+                continue
             if isinstance(decision, RateLimitChanged):
                 self.metrics.count_event("limits_changed")
                 self._log.write(
@@ -308,6 +314,25 @@
             ],
         )
 
+    def _log_resolved_crash(self, resolved: CrashResolved) -> None:
+        if resolved.is_dismissed:
+            self._log.write("upstream", "crash_dismissed", replica=resolved.replica_id)
+            return
+        self._log.write(
+            "upstream",
+            "crash_counted",
+            replica=resolved.replica_id,
+            parts=[
+                {
+                    "part": count.part_id,
+                    "crashes": count.crashes,
+                    "separate": count.separate_crashes,
+                    "needed": round(count.needed, 1),
+                }
+                for count in resolved.part_counts[:MAX_LOGGED_PARTS]
+            ],
+        )
+
     def _log_send(self, exchange: Exchange, send: Send) -> None:
         self.metrics.count_event("sends")
         size = exchange.request.size
--- a/tests/core/forwarding/test_crashes.py
+++ b/tests/core/forwarding/test_crashes.py
@@ -2,6 +2,7 @@
 
 from persimmonwell.core.forwarding import (
     AttemptFailure,
+    CrashResolved,
     CrashSuspected,
     Decision,
     Ending,
@@ -152,6 +153,18 @@
     )
 
 
+def test_a_counted_crash_names_the_evidence_against_each_part() -> None:
+    """Guards against crashes that the logs show but that count for nothing."""
+    router = staged_router()
+    crash_part(router, 1, 1.0)
+    found = crash_part(router, 2, 1.1)
+    (resolved,) = [each for each in found if isinstance(each, CrashResolved)]
+    counts = {count.part_id: count for count in resolved.part_counts}
+    assert counts.keys() == {"root", "dead"}
+    assert counts["dead"].crashes == 2 and counts["dead"].separate_crashes == 1
+    assert counts["dead"].needed == 2 and not resolved.is_dismissed
+
+
 def test_unlike_requests_that_share_a_crashing_part_are_refused() -> None:
     """Guards against a crash by each request of a kind, since no two are alike."""
     router = staged_router()
