Count a second crash of a replica whose entry is still the old one

Cause: a crash was named by the replica's id and start time. A replica that is back serves before hosts have read its new registry entry, so that its second crash had the name of the first and did not count. Callers saw replicas crash wave after wave. Change: reports on one incarnation mean the same crash only if they are less than 3 s apart; of two reports the earlier one is kept. The datagrams carry ids and ages as before. Conclusion: the second wave now quarantines the part. That it comes at all is the other fault.

--- a/persimmonwell/core/retry/_prompt_parts.py
+++ b/persimmonwell/core/retry/_prompt_parts.py
@@ -8,7 +8,7 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable
 from hashlib import blake2b
 
 import attrs
@@ -20,6 +20,9 @@
 MIN_CRASH_INTERVAL_S = 0.2
 """Crashes that follow sooner count once, since a common cause such as the loss of a
 rack takes many upstreams at the same moment."""
+SAME_CRASH_S = 3.0
+"""Reports on one incarnation that differ by less mean the same crash. A stall is seen
+up to 2.5 s later than a broken connection, and a replica needs longer to start."""
 CRASH_TTL_S = 300.0
 """Time after which a crash no longer counts."""
 FIRST_TRIAL_S = 30.0
@@ -48,8 +51,10 @@
     """Answers that began, as far as one host counted them."""
     answer_age_s: float | None
     """Time since an answer to a request with the part began, None if none did."""
-    crash_ages_s: Mapping[int, float]
-    """Time since each crash, by the crash's id."""
+    crash_ages_s: tuple[tuple[int, float], ...]
+    """Id of the incarnation that crashed and time since then, for each crash. An id may
+    occur twice: an incarnation is known by its registry entry, and a replica that is
+    back serves before its new entry is read."""
 
 
 @attrs.frozen
@@ -64,6 +69,19 @@
     """Separate crashes from which the part is quarantined."""
 
 
+@attrs.frozen
+class _Crash:
+    incarnation_id: int
+    at_s: float
+
+    def is_same(self, other: "_Crash") -> bool:
+        """Return whether two reports mean the same crash."""
+        return (
+            self.incarnation_id == other.incarnation_id
+            and abs(self.at_s - other.at_s) < SAME_CRASH_S
+        )
+
+
 @attrs.define
 class _Answers:
     count: int = 0
@@ -75,18 +93,20 @@
     depth: int
     changed_s: float
     answers: _Answers = attrs.field(factory=_Answers)
-    crashes: dict[int, float] = attrs.field(factory=dict)
-    """Time of each crash since the last answer, by the crash's id."""
+    crashes: list[_Crash] = attrs.field(factory=list)
+    """Crashes since the last answer."""
 
     @property
     def crashes_needed(self) -> float:
         answers = min(self.answers.count, MAX_COUNTED_ANSWERS)
         return MIN_CRASHES + math.log2(1 + answers)
 
-    def count_crashes(self, explained: Iterable[int] = ()) -> int:
+    def count_crashes(self, explained: Collection[_Crash] = ()) -> int:
         """Return the number of separate crashes, without explained ones."""
         times_s = sorted(
-            at_s for crash_id, at_s in self.crashes.items() if crash_id not in explained
+            crash.at_s
+            for crash in self.crashes
+            if not any(crash.is_same(other) for other in explained)
         )
         count, counted_s = 0, float("-inf")
         for at_s in times_s:
@@ -94,20 +114,26 @@
                 count, counted_s = count + 1, at_s
         return count
 
-    def add_crash(self, crash_id: int, at_s: float) -> None:
-        """Add a crash, and drop the oldest one if there are too many."""
-        self.crashes.setdefault(crash_id, at_s)
+    def add_crash(self, crash: _Crash) -> bool:
+        """Add a crash, and drop the oldest one if there are too many.
+
+        Of two reports of one crash the earlier one is kept. Returns whether the crashes
+        have changed.
+        """
+        known = next((each for each in self.crashes if each.is_same(crash)), None)
+        if known is not None:
+            if known.at_s <= crash.at_s:
+                return False
+            self.crashes.remove(known)
+        self.crashes.append(crash)
         if len(self.crashes) > MAX_CRASHES:
-            del self.crashes[min(self.crashes, key=self.crashes.__getitem__)]
+            self.crashes.remove(min(self.crashes, key=lambda each: each.at_s))
+        return True
 
     def drop_crashes_before(self, at_s: float) -> bool:
         """Drop the crashes up to a moment; return whether there were any."""
         before = len(self.crashes)
-        self.crashes = {
-            crash_id: crashed_s
-            for crash_id, crashed_s in self.crashes.items()
-            if crashed_s > at_s
-        }
+        self.crashes = [crash for crash in self.crashes if crash.at_s > at_s]
         return len(self.crashes) < before
 
 
@@ -140,7 +166,8 @@
         suspect = self._suspects[part_id]
         crashes = suspect.count_crashes()
         extra = max(0, crashes - math.ceil(suspect.crashes_needed))
-        return now_s - max(suspect.crashes.values()) >= FIRST_TRIAL_S * 2.0**extra
+        last_s = max(crash.at_s for crash in suspect.crashes)
+        return now_s - last_s >= FIRST_TRIAL_S * 2.0**extra
 
     def record_answer(self, part_ids: Iterable[str], now_s: float) -> None:
         """Record that the answer to a request with these parts began."""
@@ -170,12 +197,12 @@
 
         Returns the parts that are quarantined because of it.
         """
-        crash_id = _crash_id(incarnation)
+        crash = _Crash(_incarnation_id(incarnation), at_s)
         for part_ids in starting:
             for depth, part_id in enumerate(part_ids):
                 suspect = self._get_or_add_suspect(part_id, depth, at_s)
                 suspect.changed_s = at_s
-                suspect.add_crash(crash_id, at_s)
+                suspect.add_crash(crash)
         return self._judge()
 
     def record_peer_evidence(
@@ -193,10 +220,10 @@
             answers.last_s = max(answers.last_s, now_s - evidence.answer_age_s)
             is_changed = suspect.drop_crashes_before(answers.last_s)
         oldest_s = max(answers.last_s, now_s - CRASH_TTL_S)
-        for crash_id, age_s in evidence.crash_ages_s.items():
-            if crash_id not in suspect.crashes and now_s - age_s > oldest_s:
-                suspect.add_crash(crash_id, now_s - age_s)
-                is_changed = True
+        for incarnation_id, age_s in evidence.crash_ages_s:
+            if now_s - age_s > oldest_s:
+                crash = _Crash(incarnation_id, now_s - age_s)
+                is_changed |= suspect.add_crash(crash)
         if is_changed:
             suspect.changed_s = now_s
         elif suspect.crashes_needed == needed_before:
@@ -234,10 +261,10 @@
                     if math.isfinite(suspect.answers.last_s)
                     else None
                 ),
-                crash_ages_s={
-                    crash_id: max(0.0, now_s - at_s)
-                    for crash_id, at_s in suspect.crashes.items()
-                },
+                crash_ages_s=tuple(
+                    (crash.incarnation_id, max(0.0, now_s - crash.at_s))
+                    for crash in suspect.crashes
+                ),
             )
             for _, _, part_id, suspect in sorted(rows, key=lambda row: row[:3])[
                 :MAX_SHARED_PARTS
@@ -281,7 +308,7 @@
         A part that only accompanies a quarantined one loses the crashes that the
         latter explains.
         """
-        explained: set[int] = set()
+        explained: list[_Crash] = []
         found: set[str] = set()
         while True:
             ranked = []
@@ -296,11 +323,11 @@
                 break
             part_id = max(ranked)[-1]
             found.add(part_id)
-            explained |= self._suspects[part_id].crashes.keys()
+            explained += self._suspects[part_id].crashes
         new = tuple(sorted(found - self._quarantined))
         self._quarantined = frozenset(found)
         return new
 
 
-def _crash_id(incarnation: str) -> int:
+def _incarnation_id(incarnation: str) -> int:
     return int.from_bytes(blake2b(incarnation.encode(), digest_size=4).digest())
--- a/persimmonwell/gateway/_peer_messages.py
+++ b/persimmonwell/gateway/_peer_messages.py
@@ -117,7 +117,7 @@
         evidence.depth,
         evidence.answers,
         evidence.answer_age_s,
-        list(evidence.crash_ages_s.items()),
+        list(evidence.crash_ages_s),
     )
 
 
@@ -128,7 +128,7 @@
         depth=part.depth,
         answers=part.answers,
         answer_age_s=part.answer_age_s,
-        crash_ages_s=dict(part.crash_ages_s),
+        crash_ages_s=tuple(part.crash_ages_s),
     )
 
 
--- a/tests/core/forwarding/test_crashes.py
+++ b/tests/core/forwarding/test_crashes.py
@@ -231,7 +231,7 @@
     waiting = request("urgent", digest="w", shared_parts=parts)
     (send,) = router.request_arrived(9, waiting, 0.9)
     assert isinstance(send, Send)
-    evidence = PartEvidence("dead", 1, 0, None, {1: 1.0, 2: 0.5})
+    evidence = PartEvidence("dead", 1, 0, None, ((1, 1.0), (2, 0.5)))
     router.record_peer_evidence(evidence, 2.0)
     found = router.replica_probed("b", None, 2.1, is_alive=False)
     assert not [each for each in found if isinstance(each, Send)]
--- a/tests/core/retry/test_prompt_parts.py
+++ b/tests/core/retry/test_prompt_parts.py
@@ -74,6 +74,20 @@
     assert after_crashes(crashes, answered).quarantined == quarantined
 
 
+def test_a_replica_that_crashes_again_under_its_old_entry_counts_twice() -> None:
+    """Guards against crashes that do not count until the registry shows the restart."""
+    one, two = PromptPartQuarantine(), PromptPartQuarantine()
+    assert one.record_crash("i-1/1", (DEADLY,), 1.0) == ()
+    # The other host sees the same crash later, as a stalled stage.
+    assert two.record_crash("i-1/1", (DEADLY,), 3.4) == ()
+    for evidence in one.evidence(3.5):
+        assert two.record_peer_evidence(evidence, 3.5) == ()
+    assert one.record_crash("i-1/1", (DEADLY,), 5.1) == ("dead",)
+    for evidence in one.evidence(5.2):
+        two.record_peer_evidence(evidence, 5.2)
+    assert two.quarantined == {"dead"}
+
+
 def test_an_answer_ends_the_quarantine_on_all_hosts() -> None:
     """Guards against a sound part that stays refused after crashes by chance."""
     one = after_crashes([(1.0, (DEADLY,)), (2.0, (DEADLY,))])
--- a/tests/gateway/test_peer_datagrams.py
+++ b/tests/gateway/test_peer_datagrams.py
@@ -40,7 +40,7 @@
     ),
 )
 EVIDENCE = PartEvidence(
-    part_id="p-1", depth=1, answers=0, answer_age_s=None, crash_ages_s={7: 0.5}
+    part_id="p-1", depth=1, answers=0, answer_age_s=None, crash_ages_s=((7, 0.5),)
 )
 STORE_VERSIONS = StoreVersions(config_version=4, registry_offset=88)
 
