Quarantine a prompt part after crashes at one moment

Cause: crashes within 0.2 s counted as one, since the loss of a rack looks the same. A part that came at all hosts at once crashed every replica of a service and still counted one crash of two, so that all hosts sent it again when the replicas were back. Callers of sound requests found no replica a second and a third time. The class of fault: evidence that is discarded because an innocent cause could look alike, where a test could tell them apart. Change: one joint crash more than separate ones quarantines a part that was not answered in the second before. It is tried again 2 s after the service answers, by one host; all hosts agree on the order (rendezvous), and twice as many have their turn each second without an outcome. The draw of 1 in the number of hosts goes. A crash that is confirmed after an answer to the part no longer counts. A test said that three crashes at one moment never count; its replacements check two at one moment, racks under parts that were answered lately or often, and the early trial.

--- a/persimmonwell/core/forwarding/_crashes.py
+++ b/persimmonwell/core/forwarding/_crashes.py
@@ -13,6 +13,7 @@
 
 from persimmonwell.core.forwarding._active import ActiveRequest
 from persimmonwell.core.forwarding._model import CallerRequest, Replica
+from persimmonwell.core.membership import rendezvous_order
 from persimmonwell.core.retry import (
     Blame,
     PartCount,
@@ -52,6 +53,8 @@
     def __init__(self) -> None:
         self._quarantine = Quarantine()
         self._parts = PromptPartQuarantine()
+        self._host_id = ""
+        self._host_ids = frozenset({""})
         self._unconfirmed: dict[str, _UnconfirmedCrash] = {}
         """Unconfirmed crashes by replica id."""
         self._gossip_until_s: dict[Blame, float] = {}
@@ -76,12 +79,20 @@
         """Return whether a replica crashed under a part of a request before."""
         return self._parts.has_suspect(request.shared_parts)
 
-    def is_trial_due(self, cause: str, now_s: float) -> bool:
+    def set_hosts(self, host_id: str, peer_ids: Iterable[str]) -> None:
+        """Set this host and its live peers, which take turns in trials."""
+        self._host_id = host_id
+        self._host_ids = frozenset({host_id, *peer_ids})
+
+    def begin_trial(self, cause: str, now_s: float) -> bool:
         """Return whether one request may show that a quarantined part is harmless."""
-        return cause in self._parts.quarantined and self._parts.is_trial_due(
-            cause, now_s
+        return cause in self._parts.quarantined and self._parts.begin_trial(
+            cause, now_s, host_rank=lambda: self._host_rank(cause)
         )
 
+    def _host_rank(self, cause: str) -> int:
+        return rendezvous_order(cause, self._host_ids).index(self._host_id)
+
     def record_answer(self, request: CallerRequest, now_s: float) -> None:
         """Record that a replica began the answer to a request."""
         self._parts.record_answer(request.shared_parts, now_s)
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -213,7 +213,8 @@
         active.is_caller_retry = self.caller_retries.pop_refusal(request.digest, now_s)
         state = self._state_of(active)
         state.budget.record_request(now_s)
-        active.is_trial = self._starts_trial(request, now_s)
+        cause = self.crashes.find_cause(request)
+        active.is_trial = cause is not None and self.crashes.begin_trial(cause, now_s)
         if (cause := self._quarantine_cause(active)) is not None:
             return (self._finish(active, Ending.QUARANTINED, cause),)
         if not self._upstreams.available(active.service.name):
@@ -224,19 +225,6 @@
                 return (send,)
         return self._enqueue(active, now_s)
 
-    def _starts_trial(self, request: CallerRequest, now_s: float) -> bool:
-        """Return whether a request is let through to test its quarantined part.
-
-        Each host lets through a share, so that about one request of the fleet runs
-        before its outcome is known everywhere.
-        """
-        cause = self.crashes.find_cause(request)
-        return (
-            cause is not None
-            and self.crashes.is_trial_due(cause, now_s)
-            and self._random.random() * self.host_count < 1.0
-        )
-
     def _quarantine_cause(self, active: ActiveRequest) -> str | None:
         """Return the digest or prompt part because of which a request may not run."""
         return None if active.is_trial else self.crashes.find_cause(active.request)
--- a/persimmonwell/core/retry/_prompt_parts.py
+++ b/persimmonwell/core/retry/_prompt_parts.py
@@ -2,13 +2,15 @@
 
 Requests that share such a part are otherwise all different, so that no request has a
 history of its own. A part is quarantined when crash follows crash while requests with
-it were starting and none with it got an answer. Hosts merge their evidence; the merge
+it were starting and none with it got an answer. Crashes at one moment may have a common
+cause such as the loss of a rack; they quarantine a part only if it was not answered
+lately, and it is tried again soon. Hosts merge their evidence; the merge
 is commutative and idempotent, so that it may arrive in any order and more than once.
 """
 
 import math
 from collections import OrderedDict
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from hashlib import blake2b
 
 import attrs
@@ -16,10 +18,17 @@
 MIN_CRASHES = 2
 """Crashes for the quarantine of a part that was never answered. Each doubling of the
 answers that a part had before requires one more."""
+MAX_TRIAL_SLOT = 20
+"""Slot in which a million hosts have their turn."""
 MAX_COUNTED_ANSWERS = 63
 MIN_CRASH_INTERVAL_S = 0.2
-"""Crashes that follow sooner count once, since a common cause such as the loss of a
+"""Crashes that follow sooner are joint ones, since a common cause such as the loss of a
 rack takes many upstreams at the same moment."""
+EXTRA_JOINT_CRASHES = 1
+"""Joint crashes for a quarantine beyond the number of separate ones."""
+JOINT_QUIET_S = 1.0
+"""Time before joint crashes without an answer to the part; when a rack is lost, other
+upstreams answer requests with the parts that are in use."""
 SAME_CRASH_S = 3.0
 """Reports on one incarnation that differ by less mean the same crash. A stall is seen
 up to 2.5 s later than a broken connection, and a replica needs longer to start."""
@@ -28,6 +37,11 @@
 FIRST_TRIAL_S = 30.0
 """Time from the last crash to a trial of a quarantined part; each crash beyond those
 that were needed doubles it."""
+FIRST_JOINT_TRIAL_S = 2.0
+"""Time from the first answer to anything since the last crash to a trial of a part with
+joint crashes alone; each separate crash after the first multiplies it by four."""
+TRIAL_SLOT_S = 1.0
+"""Time for the outcome of a trial to reach all hosts; then twice as many may try."""
 SHARE_S = 20.0
 """Time for which evidence that does not quarantine a part is sent to the peers."""
 MAX_SHARED_PARTS = 16
@@ -95,6 +109,10 @@
     answers: _Answers = attrs.field(factory=_Answers)
     crashes: list[_Crash] = attrs.field(factory=list)
     """Crashes since the last answer."""
+    resumed_s: float | None = None
+    """Time of the first answer to any request since the newest crash."""
+    tried_s: float = float("-inf")
+    """Time at which this host let a request through as a trial."""
 
     @property
     def crashes_needed(self) -> float:
@@ -114,6 +132,33 @@
                 count, counted_s = count + 1, at_s
         return count
 
+    def excess(self, explained: Collection[_Crash] = ()) -> float:
+        """Return by how much the crashes exceed those needed, below 0 for too few."""
+        separate = self.count_crashes(explained) - self.crashes_needed
+        return max(separate, self._joint_excess(explained))
+
+    def _joint_excess(self, explained: Collection[_Crash]) -> float:
+        times_s = [
+            crash.at_s
+            for crash in self.crashes
+            if not any(crash.is_same(other) for other in explained)
+        ]
+        if not times_s or min(times_s) - self.answers.last_s < JOINT_QUIET_S:
+            return float("-inf")
+        return len(times_s) - self.crashes_needed - EXTRA_JOINT_CRASHES
+
+    @property
+    def trial_due_s(self) -> float:
+        """Return the time from which one request may show that the part is harmless."""
+        last_s = max(crash.at_s for crash in self.crashes)
+        separate = self.count_crashes()
+        extra = separate - math.ceil(self.crashes_needed)
+        if extra >= 0 or self.resumed_s is None:
+            return last_s + FIRST_TRIAL_S * 2.0 ** max(0, extra)
+        # Upstreams that crashed together are back together. A trial before that would
+        # have no outcome, and all hosts would have their turn by then.
+        return self.resumed_s + FIRST_JOINT_TRIAL_S * 4.0 ** max(0, separate - 1)
+
     def add_crash(self, crash: _Crash) -> bool:
         """Add a crash, and drop the oldest one if there are too many.
 
@@ -126,6 +171,7 @@
                 return False
             self.crashes.remove(known)
         self.crashes.append(crash)
+        self.resumed_s = None
         if len(self.crashes) > MAX_CRASHES:
             self.crashes.remove(min(self.crashes, key=lambda each: each.at_s))
         return True
@@ -161,17 +207,31 @@
         suspects = (self._suspects.get(part_id) for part_id in part_ids)
         return any(suspect is not None and suspect.crashes for suspect in suspects)
 
-    def is_trial_due(self, part_id: str, now_s: float) -> bool:
-        """Return whether one request may show that a quarantined part is harmless."""
+    def begin_trial(
+        self, part_id: str, now_s: float, *, host_rank: Callable[[], int]
+    ) -> bool:
+        """Return whether one request may show that a quarantined part is harmless.
+
+        host_rank returns the place of this host in an order that all hosts agree on.
+        The first one begins; in each later slot twice as many hosts have their turn, so
+        that a part of which few requests come is tried too.
+        """
         suspect = self._suspects[part_id]
-        crashes = suspect.count_crashes()
-        extra = max(0, crashes - math.ceil(suspect.crashes_needed))
-        last_s = max(crash.at_s for crash in suspect.crashes)
-        return now_s - last_s >= FIRST_TRIAL_S * 2.0**extra
+        waited_s = now_s - suspect.trial_due_s
+        if waited_s < 0 or now_s - suspect.tried_s < TRIAL_SLOT_S:
+            return False
+        if host_rank() >= 2.0 ** min(MAX_TRIAL_SLOT, waited_s // TRIAL_SLOT_S):
+            return False
+        suspect.tried_s = now_s
+        return True
 
     def record_answer(self, part_ids: Iterable[str], now_s: float) -> None:
         """Record that the answer to a request with these parts began."""
         is_released = False
+        for part_id in self._quarantined:
+            quarantined = self._suspects[part_id]
+            if quarantined.resumed_s is None:
+                quarantined.resumed_s = now_s
         for part_id in part_ids:
             answers = self._answered.pop(part_id, None) or _Answers()
             self._answered[part_id] = answers
@@ -201,6 +261,8 @@
         for part_ids in starting:
             for depth, part_id in enumerate(part_ids):
                 suspect = self._get_or_add_suspect(part_id, depth, at_s)
+                if at_s <= suspect.answers.last_s:
+                    continue
                 suspect.changed_s = at_s
                 suspect.add_crash(crash)
         return self._judge()
@@ -315,7 +377,7 @@
             for part_id, suspect in self._suspects.items():
                 if part_id in found:
                     continue
-                excess = suspect.count_crashes(explained) - suspect.crashes_needed
+                excess = suspect.excess(explained)
                 if excess >= 0:
                     rank = (excess, -suspect.answers.count, suspect.depth, part_id)
                     ranked.append(rank)
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -585,6 +585,9 @@
             (peer.store_versions.config_version for peer in live_peers), default=0
         )
         self._request_handover(live_peers)
+        self._router.crashes.set_hosts(
+            self._settings.host_id, (peer.host_id for peer in live_peers)
+        )
         self._router.rate_limits.set_hosts(hosts_by_zone)
         # Hosts hidden by a network partition still use their share of the fleet's
         # retry budget, so the count never decreases.
--- a/tests/core/retry/test_prompt_parts.py
+++ b/tests/core/retry/test_prompt_parts.py
@@ -9,10 +9,13 @@
 from persimmonwell.core.retry import PromptPartQuarantine
 from persimmonwell.core.retry._prompt_parts import (
     CRASH_TTL_S,
+    FIRST_JOINT_TRIAL_S,
     FIRST_TRIAL_S,
+    MAX_COUNTED_ANSWERS,
     MAX_SHARED_PARTS,
     MAX_SUSPECT_PARTS,
     SHARE_S,
+    TRIAL_SLOT_S,
 )
 
 Crash = tuple[float, tuple[tuple[str, ...], ...]]
@@ -38,11 +41,26 @@
     [
         pytest.param([(1.0, (DEADLY,))], [], set(), id="one crash"),
         pytest.param([(1.0, (DEADLY,)), (2.0, (DEADLY,))], [], {"dead"}, id="two"),
+        pytest.param(
+            [(1.0, (DEADLY,)), (1.1, (DEADLY,))], [], set(), id="two at one moment"
+        ),
         pytest.param(
             [(1.0, (DEADLY,)), (1.1, (DEADLY,)), (1.15, (DEADLY,))],
-            [],
+            [("root",)],
+            {"dead"},
+            id="three at one moment",
+        ),
+        pytest.param(
+            [(0.1 + number / 100, (("root",),)) for number in range(9)],
+            [("root",)],
+            set(),
+            id="a rack under a part that was answered a moment before",
+        ),
+        pytest.param(
+            [(9.0 + number / 100, (("root",),)) for number in range(8)],
+            [("root",)] * MAX_COUNTED_ANSWERS,
             set(),
-            id="many upstreams at one moment",
+            id="a rack under a part that was often answered",
         ),
         pytest.param(
             [(1.0, (("root",),)), (2.0, (("root",),)), (3.0, (("root",),))],
@@ -117,11 +135,11 @@
 def test_a_quarantined_part_is_tried_again_more_and_more_seldom() -> None:
     """Guards against a part that is refused for ever, and against frequent trials."""
     parts = after_crashes([(1.0, (DEADLY,)), (2.0, (DEADLY,))])
-    assert not parts.is_trial_due("dead", 1.9 + FIRST_TRIAL_S)
-    assert parts.is_trial_due("dead", 2.0 + FIRST_TRIAL_S)
+    assert not parts.begin_trial("dead", 1.9 + FIRST_TRIAL_S, host_rank=lambda: 0)
+    assert parts.begin_trial("dead", 2.0 + FIRST_TRIAL_S, host_rank=lambda: 0)
     parts.record_crash("i-9/1", (DEADLY,), 40.0)
-    assert not parts.is_trial_due("dead", 39.9 + 2 * FIRST_TRIAL_S)
-    assert parts.is_trial_due("dead", 40.0 + 2 * FIRST_TRIAL_S)
+    assert not parts.begin_trial("dead", 39.9 + 2 * FIRST_TRIAL_S, host_rank=lambda: 0)
+    assert parts.begin_trial("dead", 40.0 + 2 * FIRST_TRIAL_S, host_rank=lambda: 0)
     parts.expire(41.0 + CRASH_TTL_S)
     assert parts.quarantined == frozenset()
 
@@ -173,4 +191,42 @@
     for number in range(2 * MAX_SUSPECT_PARTS):
         parts.record_crash("i-9/1", ((f"p{number}",),), 3.0)
     assert parts.find_quarantined(DEADLY) == "dead"
-    assert not parts.is_trial_due("dead", 4.0)
+    assert not parts.begin_trial("dead", 4.0, host_rank=lambda: 0)
+
+
+JOINT = [(1.0, (DEADLY,)), (1.1, (DEADLY,)), (1.15, (DEADLY,))]
+
+
+def test_joint_crashes_are_followed_by_a_trial_once_upstreams_answer_again() -> None:
+    """Guards against a trial that all hosts make when the upstreams are back."""
+    parts = after_crashes(JOINT, [("root",)])
+    assert not parts.begin_trial("dead", 9.0, host_rank=lambda: 0)
+    parts.record_answer(("root",), 10.0)
+    due_s = 10.0 + FIRST_JOINT_TRIAL_S
+    assert not parts.begin_trial("dead", due_s - 0.1, host_rank=lambda: 0)
+    assert not parts.begin_trial("dead", due_s, host_rank=lambda: 1)
+    assert parts.begin_trial("dead", due_s, host_rank=lambda: 0)
+    assert not parts.begin_trial("dead", due_s + 0.1, host_rank=lambda: 0)
+    parts.record_crash("i-9/1", (DEADLY,), due_s + 0.2)
+    later_s = due_s + 0.2 + FIRST_TRIAL_S
+    assert not parts.begin_trial("dead", later_s - 0.1, host_rank=lambda: 0)
+    assert parts.begin_trial("dead", later_s, host_rank=lambda: 0)
+
+
+def test_more_hosts_try_a_part_of_which_few_requests_come() -> None:
+    """Guards against a sound part that is refused until one of many hosts gets it."""
+    parts = after_crashes(JOINT, [("root",)])
+    parts.record_answer(("root",), 10.0)
+    due_s = 10.0 + FIRST_JOINT_TRIAL_S
+    assert not parts.begin_trial("dead", due_s + TRIAL_SLOT_S, host_rank=lambda: 2)
+    assert parts.begin_trial("dead", due_s + 9 * TRIAL_SLOT_S, host_rank=lambda: 339)
+
+
+def test_a_crash_that_is_confirmed_after_an_answer_does_not_count() -> None:
+    """Guards against a refused part whose requests other upstreams answer."""
+    parts = PromptPartQuarantine()
+    parts.record_answer(("root",), 1.1)
+    for number in range(9):
+        parts.record_crash(f"i-{number}/1", (("root",),), 1.0)
+    assert parts.quarantined == frozenset()
+    assert not parts.has_suspect(("root",))
