Check every field of a registry entry in one place

Cause: the port of an entry was checked with isdigit() and then converted, which raises for characters such as a superscript two and for thousands of digits. An entry with a start time beyond 64 bits was accepted, and no datagram that relayed it could be encoded; layers beyond a float and an address without a host were accepted too. Change: decode_replica checks each field against its type and its largest value and raises DocumentError that names the field; the follower reports that entry and goes on with the others. The host logs entry_rejected once for each entry and reason.

--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -61,6 +61,8 @@
 """Changes in one datagram, some 3 KB; a host that missed more reads the store."""
 REREGISTRATION_S = 2.0
 """Time in which live replicas write their entries to a restored store again."""
+MAX_REJECTED_ENTRIES = 256
+"""Rejected registry entries that are remembered, the newest ones."""
 MAX_TRACE_CHARACTERS = 4000
 GRACE_MARGIN_S = 0.4
 """Part of the grace time that is left for closing."""
@@ -100,6 +102,8 @@
         self._callers_socket: socket.socket | None = None
         self._store_available: dict[str, bool] = {}
         """Whether the store answered the last call, by follower."""
+        self._rejected_entries: dict[str, str] = {}
+        """Reasons by key of the registry entries that name no usable replica."""
         self._config_document = b""
         """Document of the configuration in force, as it stands in the store."""
         self._handover = HandoverPolicy(
@@ -120,6 +124,7 @@
             callbacks=StoreCallbacks(
                 on_config=self._call_on_loop(self._apply_config),
                 on_invalid_config=self._call_on_loop(self._log_rejected_config),
+                on_invalid_entry=self._call_on_loop(self._log_rejected_entry),
                 on_replicas=self._call_on_loop(self._apply_registry_records),
                 on_duty=self._call_on_loop(self._duty.set_lease),
                 on_store_status=self._call_on_loop(self._record_store_status),
@@ -353,6 +358,15 @@
         kept = current.version if current is not None else None
         self._log.write("config", "rejected", reason=reason, kept=kept)
 
+    def _log_rejected_entry(self, key: str, reason: str) -> None:
+        """Log an entry that names no usable replica once, not at each read."""
+        if self._rejected_entries.pop(key, None) != reason:
+            self._gateway.metrics.count_event("entries_rejected")
+            self._log.write("store", "entry_rejected", key=key[:256], reason=reason)
+        self._rejected_entries[key] = reason
+        while len(self._rejected_entries) > MAX_REJECTED_ENTRIES:
+            del self._rejected_entries[next(iter(self._rejected_entries))]
+
     def _apply_registry_records(
         self, records: tuple[RegistryRecord, ...], end_offset: int | None, era: int
     ) -> None:
--- a/persimmonwell/gateway/_store_followers.py
+++ b/persimmonwell/gateway/_store_followers.py
@@ -71,6 +71,8 @@
     the era of the store, 0 if it states none."""
     on_duty: Callable[[float | None], None]
     """Monotonic time at which this host's lease ends; None if another host holds it."""
+    on_invalid_entry: Callable[[str, str], None]
+    """Key of a registry entry that names no usable replica, and the reason."""
     on_store_status: Callable[[str, bool, str], None]
     """Name of the follower, whether the store answered, and the reason if not."""
     on_read_resumed: Callable[[StoreRead], None]
@@ -192,12 +194,25 @@
             long_poll_s=0.0,
             pause_s=REPLICA_READ_INTERVAL_S,
             handle=lambda records, end_offset, era: self._callbacks.on_replicas(
-                tuple(_registry_record(record) for record in records if record.key),
+                tuple(
+                    self._registry_record(record.key, record)
+                    for record in records
+                    if record.key
+                ),
                 end_offset,
                 era or 0,
             ),
         )
 
+    def _registry_record(self, key: str, record: StoreRecord) -> RegistryRecord:
+        """Return a record of the registry; an invalid entry names no replica."""
+        replica = None
+        try:
+            replica = decode_replica(key, record.value) if record.value else None
+        except DocumentError as error:
+            self._callbacks.on_invalid_entry(key, error.message())
+        return RegistryRecord(key, record.offset, replica)
+
     def _follow_topic(
         self,
         name: str,
@@ -370,9 +385,3 @@
         end_offset=store_slice.end_offset,
         record_count=len(store_slice.records),
     )
-
-
-def _registry_record(record: StoreRecord) -> RegistryRecord:
-    assert record.key is not None
-    replica = decode_replica(record.key, record.value) if record.value else None
-    return RegistryRecord(record.key, record.offset, replica)
--- a/persimmonwell/platform/_operator_records.py
+++ b/persimmonwell/platform/_operator_records.py
@@ -4,7 +4,9 @@
 """
 
 import json
-from typing import TypeGuard
+import re
+from collections.abc import Callable
+from typing import Any, TypeGuard, TypeVar
 
 import msgspec
 
@@ -30,6 +32,17 @@
 MAX_ENTRY_BYTES = 64 * 1024
 """Far above the size of any valid entry; larger ones of other writers are ignored."""
 MAX_NAME_CHARACTERS = 256
+MAX_REASON_CHARACTERS = 60
+"""Characters of an invalid value in the reason for its rejection."""
+MAX_COUNT = 1 << 48
+"""Largest count or time in milliseconds; hosts send no larger one to each other."""
+MAX_LAYERS = 100_000
+_ADDRESS = re.compile(
+    r"(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):([1-9]\d{0,4})", re.A
+)
+_ADDRESS_LIMITS = (255, 255, 255, 255, 65_535)
+
+_Value = TypeVar("_Value", str, int)
 
 
 class _Split(msgspec.Struct):
@@ -203,64 +216,73 @@
     )
 
 
-def decode_replica(replica_id: str, data: bytes) -> Replica | None:
-    """Return the replica of a registry entry, None for an unusable entry.
+def decode_replica(replica_id: str, data: bytes) -> Replica:
+    """Return the replica of a registry entry.
 
-    Other writers may use the topic, so each field is validated.
+    Other writers may use the topic, so each field is checked. Raises DocumentError that
+    names the first invalid field.
     """
-    if len(data) > MAX_ENTRY_BYTES or not _is_name(replica_id):
-        return None
+    if not _is_name(replica_id):
+        raise _entry_error("", "the key is no name")
+    if len(data) > MAX_ENTRY_BYTES:
+        raise _entry_error("", f"{len(data)} bytes")
     try:
-        document = json.loads(data)
-    except (ValueError, RecursionError):
-        return None
-    if not isinstance(document, dict):
-        return None
-    service = document.get("service")
-    address = document.get("address")
-    zone = document.get("zone")
-    state = document.get("state")
-    slots = document.get("slots")
-    born = document.get("born", 0)
-    accelerator = document.get("kind", "")
+        entry = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise _entry_error("", f"no JSON: {type(error).__name__}") from error
+    if not isinstance(entry, dict):
+        raise _entry_error("", "no object")
     # The entry's "sequence" counts heartbeats; the one in a report counts orders.
-    if not (_is_name(service) and _is_address(address) and _is_name(zone)):
-        return None
-    if state not in ("ready", "draining") or not isinstance(accelerator, str):
-        return None
-    if not (_is_count(slots) and _is_count(born)):
-        return None
-    layers = _parse_layers(document.get("layers"))
-    if isinstance(layers, _InvalidField):
-        return None
     return Replica(
         replica_id=replica_id,
-        service=service,
-        address=address,
-        availability_zone=zone,
-        slots=slots,
-        is_draining=state == "draining",
-        started_at_ms=born,
-        accelerator=accelerator,
-        layers=layers,
-        is_busy=document.get("busy") is True,
+        service=_checked(entry, "service", _is_name),
+        address=_checked(entry, "address", _is_address),
+        availability_zone=_checked(entry, "zone", _is_name),
+        slots=_checked(entry, "slots", _is_count),
+        is_draining=_checked(entry, "state", _is_state) == "draining",
+        started_at_ms=_checked(entry, "born", _is_count, default=0),
+        accelerator=_checked(entry, "kind", _is_kind, default=""),
+        layers=_parse_layers(entry.get("layers")),
+        is_busy=entry.get("busy") is True,
     )
 
 
-class _InvalidField:
-    """Result for a field of the wrong type, as None stands for an absent one."""
+def _entry_error(field: str, reason: str) -> DocumentError:
+    return DocumentError(faults=(Fault(path=f"/{field}", reason=reason),))
+
 
+def _checked(
+    entry: dict[str, Any],
+    field: str,
+    is_valid: Callable[[object], TypeGuard[_Value]],
+    *,
+    default: _Value | None = None,
+    within: str = "",
+) -> _Value:
+    value = entry.get(field, default)
+    if not is_valid(value):
+        raise _entry_error(within + field, _describe_value(value))
+    return value
 
-def _parse_layers(value: object) -> HeldLayers | _InvalidField | None:
+
+def _describe_value(value: object) -> str:
+    if isinstance(value, str):
+        return f"{value[:MAX_REASON_CHARACTERS]!a}"
+    # The text of a number or of nested lists may exceed what Python converts.
+    return "out of range" if type(value) is int else type(value).__name__
+
+
+def _parse_layers(value: object) -> HeldLayers | None:
     if isinstance(value, list) and len(value) == 1:
         value = value[0]
     if value is None or value == []:
         return None
     if not isinstance(value, dict):
-        return _InvalidField()
-    start, stop = value.get("from"), value.get("to")
-    if not (_is_count(start) and _is_count(stop)) or stop < start:
-        return _InvalidField()
+        raise _entry_error("layers", "no range")
+    start = _checked(value, "from", _is_layer, within="layers/")
+    stop = _checked(value, "to", _is_layer, within="layers/")
+    if stop < start:
+        raise _entry_error("layers", f"{start} to {stop}")
     return HeldLayers(start, stop)
 
 
@@ -274,12 +296,27 @@
     )
 
 
+def _is_kind(value: object) -> TypeGuard[str]:
+    return value == "" or _is_name(value)
+
+
+def _is_state(value: object) -> TypeGuard[str]:
+    return value in ("ready", "draining")
+
+
 def _is_count(value: object) -> TypeGuard[int]:
-    return type(value) is int and value >= 0
+    return type(value) is int and 0 <= value <= MAX_COUNT
+
+
+def _is_layer(value: object) -> TypeGuard[int]:
+    return _is_count(value) and value <= MAX_LAYERS
 
 
 def _is_address(value: object) -> TypeGuard[str]:
     if not isinstance(value, str):
         return False
-    host, _, port = value.rpartition(":")
-    return host.count(".") == 3 and port.isdigit() and 0 < int(port) < 65536
+    match = _ADDRESS.fullmatch(value)
+    return match is not None and all(
+        int(number) <= largest
+        for number, largest in zip(match.groups(), _ADDRESS_LIMITS, strict=True)
+    )
--- a/tests/gateway/followed_store.py
+++ b/tests/gateway/followed_store.py
@@ -34,6 +34,7 @@
             callbacks=StoreCallbacks(
                 on_config=lambda found, document: self.versions.append(found.version),
                 on_invalid_config=lambda reason: None,
+                on_invalid_entry=lambda key, reason: None,
                 on_replicas=self._record_replicas,
                 on_duty=self.lease_ends_s.append,
                 on_store_status=lambda name, is_available, reason: None,
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -282,6 +282,10 @@
         {"slots": "many"},
         {"born": 1.5},
         {"layers": "all"},
+        {"layers": {"from": 0, "to": 10**400}},
+        {"address": "127.0.0.1:8\u00b2"},
+        {"address": "127.0.0.1:70000"},
+        {"born": 10**30},
     ],
 )
 def test_malformed_registry_entry_is_ignored(
@@ -290,6 +294,7 @@
     """Guards against requests to an address from a malformed registry entry."""
     testbed.add_replica("desk-2", "desk", **entry)
     testbed.store.put("keyed.servers", ("odd", b"\xff not json"))
+    testbed.store.put("keyed.servers", ("deep", b"[" * 100_000))
     testbed.add_replica("desk-3", "desk")
     wait_until(lambda: "desk-3" in _registered_replicas(testbed))
     assert set(_registered_replicas(testbed)) == {"desk-1", "desk-3", "model-1"}
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -162,20 +162,35 @@
         ({"layers": {"from": 9, "to": 1}}, False),
         ({"layers": [{"from": 1, "to": 9}]}, True),
         ({"layers": [1, 9]}, False),
+        ({"address": "10.1.1.1:8\u00b2"}, False),
+        ({"address": "10.1.1.1:" + "8" * 5000}, False),
+        ({"address": "...:80"}, False),
+        ({"address": "10.1.1.256:80"}, False),
+        ({"address": "10.1.1.1:0"}, False),
+        ({"born": 1 << 64}, False),
+        ({"slots": 10**400}, False),
+        ({"layers": {"from": 0, "to": 10**400}}, False),
+        ({"kind": "a\r\nb"}, False),
     ],
 )
 def test_only_valid_registry_entries_are_decoded(change: Any, is_usable: bool) -> None:
     """Guards against requests to an address from a malformed entry."""
-    decoded = decode_replica("i-1", json.dumps({**ENTRY, **change}).encode())
-    assert (decoded is not None) == is_usable
-    if "layers" in change and decoded is not None:
+    data = json.dumps({**ENTRY, **change}).encode()
+    if not is_usable:
+        (field,) = change
+        with pytest.raises(DocumentError, match=field):
+            decode_replica("i-1", data)
+        return
+    decoded = decode_replica("i-1", data)
+    if "layers" in change:
         assert decoded.layers == HeldLayers(1, 9)
 
 
 @pytest.mark.parametrize("data", [b"", b"\xff", b"[]", b"4", b"[" * 100_000])
 def test_malformed_documents_are_ignored(data: bytes) -> None:
     """Guards against a malformed record of another writer that stops a host."""
-    assert decode_replica("i-1", data) is None
+    with pytest.raises(DocumentError):
+        decode_replica("i-1", data)
     assert decode_report(data) is None
     assert decode_stalled_stages(data) == {}
 
@@ -215,7 +230,8 @@
     report = decode_report(data)
     assert report is None or 1.0 <= report.slowness <= 1000.0
     decode_stalled_stages(data)
-    decode_replica("i-1", data)
+    with suppress(DocumentError):
+        decode_replica("i-1", data)
     with suppress(DocumentError):
         decode_config(data)
 
@@ -225,5 +241,6 @@
     """Guards against a header that another writer of the registry adds by its key."""
     entry = {"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 1}
     data = json.dumps({**entry, "state": "ready"}).encode()
-    assert decode_replica("i-1", data) is not None
-    assert decode_replica(name, data) is None
+    assert decode_replica("i-1", data).replica_id == "i-1"
+    with pytest.raises(DocumentError):
+        decode_replica(name, data)
