Answer what still runs when a planned stop ends

Cause: at the end of the grace time the host aborted the connections of requests that a replica was still working on. Change: before it closes, the host cancels what runs and gives each request its final answer: 502 where it may have run, 503 where it has not. Only an answer that has begun is still broken off. Measured: test_stop_answers_each_booking_that_arrives_within_the_grace_time and test_stop_refuses_what_waits_before_the_end_of_the_grace_time fail before with RemoteDisconnected and pass after.

--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -259,6 +259,16 @@
             if not active.may_have_run
         )
 
+    def end_open_requests(self, now_s: float) -> tuple[Decision, ...]:
+        """Give every open request its final answer, since the host stops now."""
+        decisions: list[Decision] = []
+        for active in list(self._active.values()):
+            if active.replica_id is not None:
+                decisions.append(CancelAttempt(active.key, active.attempt))
+                active.possible_runs += 1
+            decisions.append(self._finish_failed(active, "stopping", now_s))
+        return tuple(decisions)
+
     def caller_left(self, key: int, now_s: float) -> tuple[Decision, ...]:
         """Drop a request whose caller closed its connection, and cancel its attempt."""
         active = self._active.pop(key, None)
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -130,6 +130,10 @@
         """Refuse the requests that wait, as not run."""
         self.execute(self.router.refuse_waiting(self.now_s()))
 
+    def end_open_requests(self) -> None:
+        """Give every open request its final answer; an answer that has begun breaks."""
+        self.execute(self.router.end_open_requests(self.now_s()))
+
     def _caller_limits(self) -> CallerLimits:
         config = self.router.config
         return config.limits if config is not None else CallerLimits()
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -66,6 +66,8 @@
 MAX_TRACE_CHARACTERS = 4000
 GRACE_MARGIN_S = 0.4
 """Part of the grace time that is left for closing."""
+LAST_ANSWERS_S = 0.1
+"""Part of GRACE_MARGIN_S in which the callers' connections take their last answers."""
 DRAIN_CHECK_INTERVAL_S = 0.1
 DRAIN_MIN_IDLE_S = 0.5
 """Time that a stopping host gives a new connection to send its first request."""
@@ -235,6 +237,9 @@
                 ):
                     break
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
+        if self._gateway.open_request_count:
+            self._gateway.end_open_requests()
+            await asyncio.sleep(LAST_ANSWERS_S)
         self.close()
 
     async def _stop_listening(self) -> None:
