Read again from a pooled connection that a slow reader paused

Cause: a caller that reads slowly pauses the connection of its replica. Where the last bytes of the answer did so, the connection went to the pool paused. Later requests on it ran, and their answers were not read: 504 at the deadline, or a closed connection when the host stopped (LOST; a candidate for the LOST that users saw once on two sites). Change: a connection that is released reads again. Measured: test_connection_that_a_slow_reader_paused_is_read_again fails before with a time-out. Conclusion: mended. Whether it is what the users saw can't be told without their logs.

--- a/persimmonwell/gateway/_http_connection.py
+++ b/persimmonwell/gateway/_http_connection.py
@@ -262,6 +262,8 @@
 
     def _release(self, may_reuse: bool) -> None:
         if may_reuse and self._is_reusable and self.is_open and self._handler is None:
+            # The caller of the last answer may have paused it, and is gone.
+            self.resume_reading()
             self._on_idle(self)
         elif self._handler is None:
             self.close()
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -40,6 +40,11 @@
     "comments": (SEALED_HEAD + b"\r\n", b": still here\n\n"),
 }
 """Beginning of a response, and the bytes that are repeated after it without end."""
+ENDLESS_BODY = (
+    SEALED_HEAD + b"Content-Length: 1000000000000\r\n\r\n",
+    b"0123456789abcdef",
+)
+"""Beginning of a success and its body, which a caller may want to read for long."""
 FLOOD_REPEATS = 4096
 
 
@@ -62,7 +67,7 @@
     second response follows "now" or "late"), copy_late_s (a second copy of the response
     follows after this time), unframed (no Content-Length), garbage (not HTTP), delay_s,
     cut_body (resets within the body), alive (False: reports time out), reset (resets
-    without a response), flood (a key of FLOODS, sent until the caller closes),
+    without a response), flood (a key of FLOODS or "body", until the caller closes),
     report_flood (the same in response to one report request), deadly_part (id of a
     prompt part; the replica crashes when it begins to answer a request with it, and
     starts again after restart_s, if that is given), limit
@@ -313,7 +318,7 @@
             threading.Timer(delay_s, _send_quietly, (connection, answer)).start()
 
     def _flood(self, connection: socket.socket, flood: str, request_id: str) -> bool:
-        head, repeated = FLOODS[flood]
+        head, repeated = ENDLESS_BODY if flood == "body" else FLOODS[flood]
         connection.sendall(head.replace(b"%s", request_id.encode()))
         block = repeated * FLOOD_REPEATS
         self.is_flooding = True
--- a/tests/gateway/test_http_connection.py
+++ b/tests/gateway/test_http_connection.py
@@ -1,12 +1,20 @@
 """Tests of upstream connections against a replica in trouble, over real sockets."""
 
+import asyncio
+import socket
 import time
 from collections.abc import Iterator
 
 import pytest
 
-from standins.platform_config import config
-from standins.replica import FLOODS
+from persimmonwell.gateway._http_connection import (
+    AnswerMatch,
+    ConnectionPool,
+    RawHeaders,
+    UpstreamConnection,
+)
+from standins.platform_config import API_KEY, HOST, config
+from standins.replica import FLOODS, PlatformReplica
 from tests.fleet import wait_until
 from tests.gateway.harness import GatewayTestbed
 
@@ -15,6 +23,12 @@
 STREAM_FLOODS = ("event", "comments")
 
 
+def request_to(path: str) -> bytes:
+    """Return a request whose answer its caller reads later."""
+    head = f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\nApi-Key: {API_KEY}\r\n"
+    return head.encode() + b"Request-Id: r\r\nDeadline-Remaining: 5000\r\n\r\n"
+
+
 @pytest.fixture
 def testbed() -> Iterator[GatewayTestbed]:
     """Return a running host with one desk replica and one model replica."""
@@ -56,6 +70,81 @@
     assert 0 < replica.flooded_bytes < MAX_FLOOD_BYTES
 
 
+def test_body_without_end_waits_for_its_caller(testbed: GatewayTestbed) -> None:
+    """Guards against a host that keeps the bytes of a body that is read late.
+
+    Other operators saw a host run out of memory, which ended all requests on it.
+    """
+    replica = testbed.replicas["desk-1"]
+    testbed.add_replica("desk-2", "desk")
+    replica.faults["flood"] = "body"
+    address = ("127.0.0.1", testbed.ports["front"])
+    with socket.create_connection(address) as caller:
+        caller.sendall(request_to("/look/x"))
+        wait_until(lambda: replica.flooded_bytes > 0)
+        # Long enough for hundreds of megabytes over loopback.
+        time.sleep(1.0)
+        assert replica.flooded_bytes < MAX_FLOOD_BYTES
+        replica.faults.clear()
+        assert testbed.send("/look/x")[0] == 200
+    wait_until(lambda: not replica.is_flooding, timeout_s=1.0)
+
+
+class _PausingHandler:
+    """Handler of an answer whose caller takes no more bytes."""
+
+    def __init__(self, connection: UpstreamConnection) -> None:
+        self._connection = connection
+        self.ended = asyncio.Event()
+
+    def on_head(self, status: int, headers: RawHeaders) -> None:
+        """Accept any head."""
+
+    def on_data(self, data: bytes) -> None:
+        """Pause, as a caller's full write buffer does."""
+        self._connection.pause_reading()
+
+    def on_end(self, *, is_framed: bool) -> None:
+        """Record the end."""
+        self.ended.set()
+
+    def on_broken(self, detail: str) -> None:
+        """Leave the end open."""
+
+
+async def _send_twice(replica: PlatformReplica) -> int:
+    """Return the connections that two requests take, each paused by its body."""
+    pool = ConnectionPool(
+        match_answer=lambda status, headers, request_id: AnswerMatch.SAME_REQUEST,
+        clock=time.monotonic,
+        default_idle_timeout_s=4.0,
+    )
+    for _ in range(2):
+        connection = pool.acquire_idle(replica.address, max_idle_s=1.0)
+        connection = connection or await pool.connect(replica.address)
+        handler = _PausingHandler(connection)
+        head = f"GET /look HTTP/1.1\r\nExpect-Instance: {replica.replica_id}\r\n\r\n"
+        connection.send(head.encode(), "", handler)
+        await asyncio.wait_for(handler.ended.wait(), 1.0)
+        await asyncio.sleep(0.01)
+    pool.close()
+    return pool.opened_count
+
+
+def test_connection_that_a_slow_reader_paused_is_read_again() -> None:
+    """Guards against requests on a pooled connection from which nothing is read.
+
+    Seen with answers of 12 MB to callers that read 5 MB/s: later requests on the
+    connection ran, and ended at their deadline or with their host.
+    """
+    replica = PlatformReplica("desk-1", service="desk", zone="za")
+    replica.start()
+    try:
+        assert asyncio.run(_send_twice(replica)) == 1
+    finally:
+        replica.close()
+
+
 @pytest.mark.parametrize("delay_s", [0.0001, 0.05, 5.0])
 def test_late_copy_of_an_answer_reaches_no_other_caller(
     testbed: GatewayTestbed, delay_s: float
