Tell requests apart that differ in their prompt alone

Cause: a request was known by path, caller and body. Change: the digest takes in the parts that other requests may share; the last part stays out, since a retry may have a new one. Measured: test_requests_that_differ_in_their_prompt_alone_have_different_digests fails before. Not measured over real processes. Conclusion: a deadly request and a sound one no longer share evidence unless their shared parts are the same.

--- a/persimmonwell/core/forwarding/_model.py
+++ b/persimmonwell/core/forwarding/_model.py
@@ -204,7 +204,7 @@
     """Time that the caller waits, counted from the arrival."""
     last_event_id: str | None = None
     digest: str = ""
-    """Digest of path, caller and body; empty if unknown."""
+    """Digest of path, caller, shared parts and body; empty if unknown."""
     shared_parts: tuple[str, ...] = ()
     """Ids of the prompt's parts that other requests may have too."""
     size: GenerationSize | None = None
--- a/persimmonwell/platform/_headers.py
+++ b/persimmonwell/platform/_headers.py
@@ -64,6 +64,8 @@
 ) -> CallerRequest:
     """Return the parts of a caller's request that the router needs."""
     values = {name: value.decode("latin-1") for name, value in headers}
+    shared_parts = _parse_shared_parts(values.get(_PROMPT_PREFIX))
+    key = values.get(_API_KEY, "")
     return CallerRequest(
         request_id=values.get(_REQUEST_ID, ""),
         host=host,
@@ -72,15 +74,15 @@
         api_key=values.get(_API_KEY),
         timeout_s=_milliseconds_to_s(values.get(_DEADLINE_REMAINING)),
         last_event_id=values.get(_LAST_EVENT_ID),
-        digest=_request_digest(method, host, target, values.get(_API_KEY, ""), body),
+        digest=_digest((method, host, target, key, *shared_parts), body),
         size=_parse_generation_size(values.get(_TOKEN_COUNT), values.get(_LENGTH_HINT)),
-        shared_parts=_parse_shared_parts(values.get(_PROMPT_PREFIX)),
+        shared_parts=shared_parts,
     )
 
 
-def _request_digest(method: str, host: str, target: str, key: str, body: bytes) -> str:
-    digest = blake2b("\0".join((method, host, target, key)).encode(), digest_size=8)
-    digest.update(body)
+def _digest(names: Iterable[str], body: bytes) -> str:
+    digest = blake2b("\0".join(names).encode(), digest_size=8)
+    digest.update(b"\0\0" + body)
     return digest.hexdigest()
 
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -142,6 +142,22 @@
     assert [choice.service for choice in route.services] == ["s"]
 
 
+def digest_of(prefix: bytes | None, body: bytes = b"x") -> str:
+    headers = [(b"api-key", b"k")]
+    if prefix is not None:
+        headers.append((b"prompt-prefix", prefix))
+    return decode_request("POST", "/talk/x", headers, host="h", body=body).digest
+
+
+def test_requests_that_differ_in_their_prompt_alone_have_different_digests() -> None:
+    """Guards against sound requests refused for a day because of a deadly one."""
+    assert digest_of(b"a:1,b:2") != digest_of(b"a:1,dead:1,b:2")
+    # A caller's retry has the same shared parts; its last part may be new.
+    assert digest_of(b"a:1,b:2") == digest_of(b"a:1,c:2")
+    assert digest_of(None) != digest_of(None, b"y")
+    assert digest_of(b"a:1,b:2", b"") != digest_of(b"b:2", b"a")
+
+
 ENTRY = {"service": "s", "address": "10.1.1.1:80", "zone": "z", "slots": 6}
 ENTRY |= {"state": "ready", "sequence": 4, "cold_remaining_ms": 0}
 
