Obey what replicas state: that they leave, and when to come back

Cause: Server-Leaving and a 503's Retry-After were not read. A replica that said so in its answers went on getting requests until the registry showed it, or for as long as its heartbeats said ready. A replica that turns away at once never has a request in flight, so it looked like the least loaded one and drew most requests. Change: core/forwarding/_statements.py keeps both. A leaving incarnation is not chosen any more, nor as a stage; the host tells its zone at once and all peers for 10 s, and what runs there goes on. The mark ends with the entry of a new start. Only a service without another replica asks the leaving ones again, each second, and believes an answer without the header; until then its callers get 503 not_ready, since a request sent to a replica that leaves may be cut. Retry-After up to 60 s keeps this host's requests and paths away; a request that no replica wants in time is refused at once. Each refusal, with the header or without, prefers other replicas for 0.1 s, doubling up to 2 s, until the next answer. The replica's Retry-After is not copied to callers. One log line for each: leaving_stated, leaving_retracted, hold_off_stated.

--- a/bench/forwarding_cost.py
+++ b/bench/forwarding_cost.py
@@ -3,6 +3,7 @@
 Run: python -m bench.forwarding_cost
 """
 
+import random
 import time
 from collections.abc import Callable
 from functools import partial
@@ -11,13 +12,21 @@
 
 from persimmonwell.core.forwarding import (
     AcceleratorKind,
+    CallerRequest,
     EngineSpec,
     GenerationSize,
     LoadTable,
+    RegistryRecord,
     Replica,
+    Route,
+    RouteKind,
+    ServiceSpec,
+    WeightedService,
     find_path,
     plan_placement,
 )
+from persimmonwell.core.forwarding._active import ActiveRequest
+from persimmonwell.core.forwarding._upstreams import UpstreamPool
 from persimmonwell.gateway._event_stream import EventStreamParser
 
 ZONES = 6
@@ -71,6 +80,37 @@
     return (time.process_time() - start_s) / rounds * 1e6
 
 
+def choose_path_us(count: int) -> tuple[int, float]:
+    """Return the replicas of the zone and the mean CPU time of one choice of a path."""
+    replicas = build_replicas(count)
+    pool = UpstreamPool(availability_zone="z0", rng=random.Random(1))
+    pool.registry.replace(
+        tuple(RegistryRecord(r.replica_id, n, r) for n, r in enumerate(replicas)), 0.0
+    )
+    route = Route(
+        name="r",
+        host="h",
+        prefix="/",
+        kind=RouteKind.STREAM,
+        services=(WeightedService("model", 1.0),),
+        timeout_s=20.0,
+        latency_objective_s=0.5,
+        priority=0,
+        max_attempts=2,
+    )
+    active = ActiveRequest(
+        key=1,
+        request=CallerRequest("r", "h", "/", "POST", size=REQUEST_SIZE),
+        route=route,
+        service=ServiceSpec("model", "/health", 100, ENGINE),
+        tenant=None,
+        arrived_s=0.0,
+        deadline_s=20.0,
+    )
+    in_zone = sum(replica.availability_zone == "z0" for replica in replicas)
+    return in_zone, cpu_time_us(lambda: pool.choose_path(active, 0.0), ROUNDS)
+
+
 def main() -> None:
     """Print the costs by number of replicas."""
     for count in (40, 100, 400, 1300):
@@ -86,6 +126,8 @@
             f"{count} replicas, {len(zone_replicas)} in the zone: "
             f"{path_us:.0f} us a path, {plan_us / 1000:.1f} ms a plan"
         )
+    in_zone, chosen_us = choose_path_us(6 * 217)
+    print(f"{in_zone} replicas in the zone: {chosen_us:.0f} us a choice of a path")
     cutter = EventStreamParser()
     event = b"data: " + b"x" * 60 + b"\n\n"
     numbers = iter(range(1, 10**9))
--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -22,6 +22,8 @@
     Ending,
     FetchStallReport,
     Finish,
+    HoldOffStated,
+    LeavingChanged,
     ProbeReplica,
     Quarantined,
     RateLimitChanged,
@@ -65,6 +67,7 @@
     ReplicaRegistry,
 )
 from persimmonwell.core.forwarding._router import ForwardingRouter
+from persimmonwell.core.forwarding._statements import LeavingNotice, ReplicaStatement
 
 __all__ = [
     "CALLER_RETRY_WINDOW_S",
@@ -89,6 +92,10 @@
     "ForwardingRouter",
     "GenerationSize",
     "HandoverPolicy",
+    "HoldOffStated",
+    "LeavingChanged",
+    "LeavingNotice",
+    "ReplicaStatement",
     "HeldLayers",
     "LoadTable",
     "PeerStatus",
--- a/persimmonwell/core/forwarding/_events.py
+++ b/persimmonwell/core/forwarding/_events.py
@@ -123,6 +123,22 @@
     rate_per_s: float | None
 
 
+@attrs.frozen
+class LeavingChanged:
+    """Report that a replica states that it leaves, or no longer does."""
+
+    replica_id: str
+    is_leaving: bool
+
+
+@attrs.frozen
+class HoldOffStated:
+    """Report to operators the time for which a replica wants no request."""
+
+    replica_id: str
+    seconds: float
+
+
 @attrs.frozen
 class Quarantined:
     """Report to operators a request or prompt part under which replicas crash."""
@@ -132,7 +148,14 @@
 
 
 RequestDecision: TypeAlias = Send | Finish | CancelAttempt | Reroute
-Report: TypeAlias = CrashSuspected | CrashResolved | Quarantined | RateLimitChanged
+Report: TypeAlias = (
+    CrashSuspected
+    | CrashResolved
+    | HoldOffStated
+    | LeavingChanged
+    | Quarantined
+    | RateLimitChanged
+)
 Decision: TypeAlias = RequestDecision | FetchStallReport | ProbeReplica | Report
 
 
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -19,6 +19,8 @@
     Decision,
     Ending,
     Finish,
+    HoldOffStated,
+    LeavingChanged,
     ProbeReplica,
     Quarantined,
     RateLimitChanged,
@@ -45,6 +47,11 @@
     UnknownRouteError,
 )
 from persimmonwell.core.forwarding._stalls import StallDetector
+from persimmonwell.core.forwarding._statements import (
+    LeavingNotice,
+    LeavingReplicas,
+    ReplicaStatement,
+)
 from persimmonwell.core.forwarding._upstreams import UpstreamPool
 from persimmonwell.core.retry import Blame, PartEvidence
 
@@ -140,6 +147,11 @@
         """Return the rate limits that replicas stated."""
         return self._upstreams.rate_limits
 
+    @property
+    def leaving(self) -> LeavingReplicas:
+        """Return the replicas that stated that they leave."""
+        return self._upstreams.leaving
+
     @property
     def is_ready(self) -> bool:
         """Return whether a configuration and a registered replica are known."""
@@ -219,6 +231,9 @@
             return (self._finish(active, Ending.QUARANTINED, cause),)
         if not self._upstreams.available(active.service.name):
             return (self._finish(active, Ending.NOT_READY, "no replica"),)
+        hold_off_s = self._upstreams.hold_off_s(active.service.name, now_s)
+        if hold_off_s > active.max_wait_s:
+            return (self._refuse(active, "replicas hold off", hold_off_s, now_s),)
         if state.queue.count_ahead_of(active) == 0:
             send = self._try_send(active, now_s)
             if send is not None:
@@ -295,6 +310,47 @@
             return ()
         return (RateLimitChanged(replica.replica_id, rate_per_s),)
 
+    def statement_received(
+        self, key: int, attempt: int, statement: ReplicaStatement, now_s: float
+    ) -> tuple[Decision, ...]:
+        """Record what the head of an answer says about its replica."""
+        active = self._running_attempt(key, attempt)
+        if active is None or active.replica_id is None:
+            return ()
+        return self.replica_stated(active.replica_id, statement, now_s)
+
+    def replica_stated(
+        self, replica_id: str, statement: ReplicaStatement, now_s: float
+    ) -> tuple[Decision, ...]:
+        """Record what a replica says about itself in an answer of any kind."""
+        replica = self.registry.replicas.get(replica_id)
+        if replica is None:
+            return ()
+        decisions: list[Decision] = []
+        if statement.is_leaving:
+            if self.leaving.record(replica, now_s):
+                decisions.append(LeavingChanged(replica_id, True))
+        elif not self._upstreams.available(replica.service):
+            # Only a service without other replicas takes its answer for a correction;
+            # an answer may also have been on its way when the replica began to leave.
+            if self.leaving.retract(replica, now_s):
+                decisions.append(LeavingChanged(replica_id, False))
+        seconds = statement.hold_off_s
+        if seconds is not None and self._upstreams.refusals.record_hold_off(
+            replica, seconds, now_s
+        ):
+            decisions.append(HoldOffStated(replica_id, seconds))
+        return tuple(decisions)
+
+    def record_peer_notice(
+        self, notice: LeavingNotice, now_s: float
+    ) -> tuple[Decision, ...]:
+        """Record a replica that stated to a peer that it leaves."""
+        replica_id, _ = notice.incarnation
+        if not self.leaving.record_notice(notice, now_s):
+            return ()
+        return (LeavingChanged(replica_id, True),)
+
     def answer_opened(self, key: int, attempt: int) -> None:
         """Record that an upstream sent the head of a success."""
         active = self._running_attempt(key, attempt)
@@ -504,6 +560,7 @@
                 decisions += _verdict_decisions(replica_id, verdict)
         registered = set(self.registry.replicas)
         self.health.prune(registered)
+        self._upstreams.refusals.prune(registered, now_s)
         self._stalls.prune(registered)
         return decisions
 
@@ -585,6 +642,7 @@
             )
         ]
         self.registry.expire(now_s)
+        self.leaving.expire(now_s)
         decisions += _quarantine_decisions(self.crashes.expire(now_s))
         for active in list(self._active.values()):
             decisions += self._expire_request(active, now_s)
@@ -600,6 +658,11 @@
                 decisions.append(ProbeReplica(replica_id, replica.address))
         for name in list(self._services):
             decisions += self._dispatch_queue(name, now_s)
+            # A service that lost all its replicas by a mistake of theirs comes back.
+            decisions += [
+                ProbeReplica(replica.replica_id, replica.address)
+                for replica in self._upstreams.due_leaving_checks(name, now_s)
+            ]
         return tuple(decisions)
 
     def _expire_request(self, active: ActiveRequest, now_s: float) -> list[Decision]:
--- a/persimmonwell/core/forwarding/_upstreams.py
+++ b/persimmonwell/core/forwarding/_upstreams.py
@@ -17,6 +17,7 @@
 )
 from persimmonwell.core.forwarding._rate_limits import ReplicaRateLimits
 from persimmonwell.core.forwarding._registry import ReplicaRegistry
+from persimmonwell.core.forwarding._statements import LeavingReplicas, ReplicaRefusals
 
 CROSS_ZONE_PENALTY_MS = 4.0
 """Added to the step time of a path in another zone when paths are compared."""
@@ -33,18 +34,46 @@
         self.registry = ReplicaRegistry()
         self.loads = LoadTable()
         self.health = ReplicaHealth()
+        self.leaving = LeavingReplicas()
+        self.refusals = ReplicaRefusals()
         self.rate_limits = ReplicaRateLimits(
             availability_zone=availability_zone, rng=rng
         )
 
     def available(self, service: str) -> list[Replica]:
-        """Return the registered replicas of a service that are not draining."""
+        """Return the registered replicas of a service that do not leave."""
+        leaving = self.leaving.incarnations
         return [
             replica
             for replica in self.registry.replicas.values()
-            if replica.service == service and not replica.is_draining
+            if replica.service == service
+            and not replica.is_draining
+            and not (leaving and replica.incarnation in leaving)
         ]
 
+    def due_leaving_checks(self, service: str, now_s: float) -> tuple[Replica, ...]:
+        """Return the leaving replicas to ask again, if a service has no other ones."""
+        if self.available(service):
+            return ()
+        replicas = (
+            replica
+            for replica in self.registry.replicas.values()
+            if replica.service == service and not replica.is_draining
+        )
+        return self.leaving.due_checks(replicas, now_s)
+
+    def hold_off_s(self, service: str, now_s: float) -> float:
+        """Return for how long every replica of a service wants no request."""
+        if not self.refusals.replica_ids:
+            return 0.0
+        return min(
+            (
+                self.refusals.hold_off_s(replica, now_s)
+                for replica in self.available(service)
+            ),
+            default=0.0,
+        )
+
     def live(self, service: str, now_s: float) -> tuple[Replica, ...]:
         """Return the available replicas of a service that are not lost."""
         return tuple(
@@ -86,11 +115,16 @@
         """
         engine = active.service.engine
         assert engine is not None
+        refusing = self.refusals.replica_ids
         available = [
             replica
             for replica in self.available(active.service.name)
             if replica.availability_zone == zone
             and not self.health.is_ejected(replica.replica_id, now_s)
+            and not (
+                replica.replica_id in refusing
+                and self.refusals.hold_off_s(replica, now_s)
+            )
             and (
                 replica.layers is None
                 or replica.layers.start > 0
@@ -125,6 +159,7 @@
             for replica in self.available(active.service.name)
             if active.may_send_to(replica.replica_id)
             and self.loads.total(replica.replica_id).requests < max(1, replica.slots)
+            and not self.refusals.hold_off_s(replica, now_s)
             and self.rate_limits.may_send(replica, now_s)
         ]
         untried = [
@@ -137,6 +172,7 @@
             replica
             for replica in available
             if not self.health.is_ejected(replica.replica_id, now_s)
+            and not self.refusals.is_paused(replica, now_s)
         ]
         available = healthy or available
         if not available:
@@ -196,6 +232,7 @@
             replica = self.registry.replicas.get(replica_id)
             if replica is not None:
                 self.health.record_success(replica_id, replica.incarnation, latency_s)
+                self.refusals.record_answer(replica)
 
     def record_failure(
         self,
@@ -215,11 +252,14 @@
                 else:
                     self.suspect_address(fault_address, now_s)
             return
-        if active.replica_id is None or failure is AttemptFailure.NOT_RUN:
+        if active.replica_id is None:
             return
         replica = self.registry.replicas.get(active.replica_id)
         if replica is None:
             return
+        if failure is AttemptFailure.NOT_RUN:
+            self.refusals.record_refusal(replica, now_s)
+            return
         self.health.record_error(replica.replica_id, replica.incarnation)
         if failure is AttemptFailure.NO_CONNECTION:
             self.suspect(replica.replica_id, now_s)
--- a/persimmonwell/gateway/_exchange.py
+++ b/persimmonwell/gateway/_exchange.py
@@ -13,6 +13,7 @@
     Ending,
     FailedAttempt,
     Finish,
+    ReplicaStatement,
     Send,
 )
 from persimmonwell.gateway._caller_connection import CallerConnection, RawRequest
@@ -73,6 +74,11 @@
     def limit_stated(self, exchange: "Exchange", rate_per_s: float | None) -> None:
         """Record the rate limit in the head of an answer, None if it states none."""
 
+    def statement_received(
+        self, exchange: "Exchange", statement: ReplicaStatement
+    ) -> None:
+        """Record what the head of an answer says about its replica."""
+
     def answer_opened(self, exchange: "Exchange") -> None:
         """Record that an upstream sent the head of a success."""
 
@@ -314,6 +320,9 @@
         # An answer without a seal may come from something else than the replica.
         if facts.has_seal or (rate_per_s is not None and not facts.is_wrong_replica):
             self._owner.limit_stated(self, rate_per_s)
+        statement = attempt.head.statement
+        if statement is not None:
+            self._owner.statement_received(self, statement)
         if attempt.body_use in (BodyUse.FORWARD_EVENTS, BodyUse.FORWARD_PLAIN):
             self._owner.answer_opened(self)
 
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from persimmonwell.core.forwarding import (
     AttemptFailure,
@@ -16,9 +16,12 @@
     FetchStallReport,
     Finish,
     ForwardingRouter,
+    HoldOffStated,
+    LeavingChanged,
     ProbeReplica,
     Quarantined,
     RateLimitChanged,
+    ReplicaStatement,
     Reroute,
     RouteKind,
     Send,
@@ -31,7 +34,7 @@
     RawHeaders,
 )
 from persimmonwell.gateway._metrics import GatewayMetrics
-from persimmonwell.gateway._replica_calls import call_replica
+from persimmonwell.gateway._replica_calls import CallAnswer, call_replica
 from persimmonwell.observe import DecisionLog
 from persimmonwell.platform import (
     ORDER_PATH,
@@ -65,7 +68,12 @@
     """
 
     def __init__(
-        self, *, router: ForwardingRouter, log: DecisionLog, seed: int
+        self,
+        *,
+        router: ForwardingRouter,
+        log: DecisionLog,
+        seed: int,
+        on_leaving: Callable[[], None] = lambda: None,
     ) -> None:
         self.router = router
         self.pool = ConnectionPool(
@@ -76,6 +84,7 @@
         self.metrics = GatewayMetrics()
         self.is_draining = False
         self._log = log
+        self._on_leaving = on_leaving
         self._random = random.Random(seed)
         self._last_key = 0
         self._exchanges: dict[int, Exchange] = {}
@@ -209,6 +218,23 @@
             )
         )
 
+    def statement_received(
+        self, exchange: Exchange, statement: ReplicaStatement
+    ) -> None:
+        """Record what the head of an answer says about its replica."""
+        self.execute(
+            self.router.statement_received(
+                exchange.key, exchange.attempt, statement, self.now_s()
+            )
+        )
+
+    def _record_call(self, replica_id: str, answer: CallAnswer) -> None:
+        """Record what the answer to a control call says about its replica."""
+        if answer.statement is not None:
+            self.execute(
+                self.router.replica_stated(replica_id, answer.statement, self.now_s())
+            )
+
     def answer_opened(self, exchange: Exchange) -> None:
         """Record that an upstream sent the head of a success."""
         self.router.answer_opened(exchange.key, exchange.attempt)
@@ -288,6 +314,24 @@
                     rate_per_s=decision.rate_per_s,
                 )
                 continue
+            if isinstance(decision, LeavingChanged):
+                self.metrics.count_event("leaving_changed")
+                self._log.write(
+                    "upstream",
+                    "leaving_stated" if decision.is_leaving else "leaving_retracted",
+                    replica=decision.replica_id,
+                )
+                self._on_leaving()
+                continue
+            if isinstance(decision, HoldOffStated):
+                self.metrics.count_event("hold_offs_stated")
+                self._log.write(
+                    "upstream",
+                    "hold_off_stated",
+                    replica=decision.replica_id,
+                    seconds=decision.seconds,
+                )
+                continue
             if isinstance(decision, Quarantined):
                 self.metrics.count_event("quarantined")
                 self._log.write("request", "quarantined", cause=decision.cause)
@@ -394,6 +438,7 @@
             self.pool, decision.address, method="GET", path=REPORT_PATH
         )
         self.metrics.count_event("stall_questions")
+        self._record_call(decision.replica_id, answer)
         stalled = decode_stalled_stages(answer.body) if answer.status == 200 else {}
         self._log.write(
             "upstream",
@@ -419,6 +464,7 @@
         report = decode_report(answer.body) if answer.status == 200 else None
         is_alive = answer.status not in REPLICA_GONE_STATUSES
         self.metrics.count_event("replica_checks")
+        self._record_call(probe.replica_id, answer)
         self._log.write(
             "upstream",
             "alive" if is_alive else "silent",
@@ -446,6 +492,7 @@
             headers=expected_replica_headers(reroute.path.first_stage.replica_id),
         )
         self.metrics.count_event("reroutes")
+        self._record_call(reroute.path.first_stage.replica_id, answer)
         self._log.write(
             "request",
             "rerouted",
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -92,7 +92,12 @@
             retry_window_s=settings.retry_window_s,
         )
         self._router.host_count = max(1, len(settings.seeds))
-        self._gateway = Gateway(router=self._router, log=self._log, seed=seed)
+        self._gateway = Gateway(
+            router=self._router,
+            log=self._log,
+            seed=seed,
+            on_leaving=lambda: self._peers.send_to_zone(),
+        )
         self._duty = PlacementDuty(
             router=self._router,
             pool=self._gateway.pool,
@@ -465,6 +470,7 @@
             blames=self._router.crashes.blames(time.monotonic()),
             refused=self._router.caller_retries.recent_digests(time.monotonic()),
             part_evidence=self._router.crashes.part_evidence(time.monotonic()),
+            leaving=self._router.leaving.notices(time.monotonic()),
             registry_changes=self._relayed_changes(),
         )
 
@@ -508,6 +514,8 @@
             self._gateway.execute(self._router.record_peer_blame(blame, now_s))
         for evidence in report.part_evidence:
             self._gateway.execute(self._router.record_peer_evidence(evidence, now_s))
+        for notice in report.leaving:
+            self._gateway.execute(self._router.record_peer_notice(notice, now_s))
         self._follow_reader(report, now_s)
 
     def _follow_reader(self, report: PeerReport, now_s: float) -> None:
--- a/persimmonwell/gateway/_peer_datagrams.py
+++ b/persimmonwell/gateway/_peer_datagrams.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from persimmonwell.core.forwarding import (
+    LeavingNotice,
     PeerStatus,
     RegistryChanges,
     ReplicaLoad,
@@ -25,8 +26,10 @@
     Report,
     decode_changes,
     decode_evidence,
+    decode_notice,
     encode_changes,
     encode_evidence,
+    encode_notice,
 )
 
 SEND_INTERVAL_S = 0.25
@@ -52,6 +55,8 @@
 MAX_BLAMES = 30
 MAX_SHARED_PARTS = 16
 """Suspected prompt parts that are read from one datagram."""
+MAX_SHARED_LEAVING = 32
+"""Leaving replicas in one datagram, the newest ones."""
 MAX_PEER_ADDRESSES = 64
 """Peer addresses in one datagram, the next ones in turn; with the same ones each time,
 the last hosts of a larger fleet never learned of each other."""
@@ -79,6 +84,7 @@
     registry_changes: RegistryChanges | None = None
     """Changes that a host which reads the store relays to its availability zone."""
     part_evidence: tuple[PartEvidence, ...] = ()
+    leaving: tuple[LeavingNotice, ...] = ()
 
     @property
     def host_id(self) -> str:
@@ -101,6 +107,7 @@
     refused: tuple[str, ...]
     registry_changes: RegistryChanges | None = None
     part_evidence: tuple[PartEvidence, ...] = ()
+    leaving: tuple[LeavingNotice, ...] = ()
 
 
 SocketAddress = tuple[str, int]
@@ -208,6 +215,10 @@
                     decode_evidence(part)
                     for part in report.suspect_parts[:MAX_SHARED_PARTS]
                 ),
+                leaving=tuple(
+                    decode_notice(message)
+                    for message in report.leaving[:MAX_SHARED_LEAVING]
+                ),
                 registry_changes=decode_changes(report.registry_changes),
             )
         )
@@ -302,6 +313,9 @@
             registry_changes=encode_changes(state.registry_changes),
             suspect_parts=[encode_evidence(part) for part in state.part_evidence],
             registry_era=state.store_versions.registry_era,
+            leaving=[
+                encode_notice(notice) for notice in state.leaving[-MAX_SHARED_LEAVING:]
+            ],
         )
         data = msgspec.msgpack.encode(report)
         for address in addresses:
--- a/persimmonwell/gateway/_peer_messages.py
+++ b/persimmonwell/gateway/_peer_messages.py
@@ -9,6 +9,7 @@
 
 from persimmonwell.core.forwarding import (
     HeldLayers,
+    LeavingNotice,
     RegistryChanges,
     RegistryRecord,
     Replica,
@@ -81,6 +82,14 @@
     crash_ages_s: list[tuple[Count, Age]]
 
 
+class Leaving(msgspec.Struct, array_like=True):
+    """Statement of a replica that it leaves; see LeavingNotice."""
+
+    replica_id: Name
+    started_at_ms: Count
+    age_s: Age
+
+
 class Report(msgspec.Struct, array_like=True):
     """State of a host; each report replaces the previous one of its sender."""
 
@@ -108,6 +117,8 @@
     """Absent from earlier builds."""
     registry_era: Count = 0
     """Absent from earlier builds."""
+    leaving: list[Leaving] = []
+    """Absent from earlier builds."""
 
 
 def encode_evidence(evidence: PartEvidence) -> SuspectPart:
@@ -132,6 +143,16 @@
     )
 
 
+def encode_notice(notice: LeavingNotice) -> Leaving:
+    """Return the message for the statement of a leaving replica."""
+    return Leaving(*notice.incarnation, notice.age_s)
+
+
+def decode_notice(message: Leaving) -> LeavingNotice:
+    """Return the statement in a message."""
+    return LeavingNotice((message.replica_id, message.started_at_ms), message.age_s)
+
+
 def encode_changes(changes: RegistryChanges | None) -> Changes | None:
     """Return the message for changes, None for none."""
     if changes is None:
--- a/persimmonwell/gateway/_replica_calls.py
+++ b/persimmonwell/gateway/_replica_calls.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from persimmonwell.core.forwarding import ReplicaReport
+from persimmonwell.core.forwarding import ReplicaReport, ReplicaStatement
 from persimmonwell.gateway._http_connection import ConnectionPool, RawHeaders
-from persimmonwell.platform import REPORT_PATH, decode_report
+from persimmonwell.platform import REPORT_PATH, decode_answer_head, decode_report
 
 CALL_TIMEOUT_S = 0.6
 """A live replica answers reports and orders without delay."""
@@ -23,17 +23,21 @@
     status: int
     body: bytes = b""
     detail: str = ""
+    statement: ReplicaStatement | None = None
+    """What the replica says about itself; None if it did not answer."""
 
 
 class _AnswerCollector:
     def __init__(self, future: asyncio.Future[CallAnswer]) -> None:
         self._future = future
         self._status = 0
+        self._statement: ReplicaStatement | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
 
     def on_head(self, status: int, headers: RawHeaders) -> None:
         self._status = status
+        self._statement = decode_answer_head(status, headers).statement
 
     def on_data(self, data: bytes) -> None:
         self._body_bytes += len(data)
@@ -44,7 +48,8 @@
         self._body.append(data)
 
     def on_end(self, *, is_framed: bool) -> None:
-        self._set_answer(CallAnswer(self._status, b"".join(self._body)))
+        body = b"".join(self._body)
+        self._set_answer(CallAnswer(self._status, body, statement=self._statement))
 
     def on_broken(self, detail: str) -> None:
         self._set_answer(CallAnswer(0, detail=detail))
--- a/persimmonwell/platform/_headers.py
+++ b/persimmonwell/platform/_headers.py
@@ -3,7 +3,7 @@
 import json
 import math
 import re
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from hashlib import blake2b
 
 import attrs
@@ -13,6 +13,7 @@
     GenerationSize,
     PipelinePath,
     ReplicaReport,
+    ReplicaStatement,
     UpstreamAnswer,
 )
 
@@ -166,6 +167,8 @@
     keep_alive_s: float | None
     rate_limit_per_s: float | None
     """Requests a second that the replica takes from all hosts together."""
+    statement: ReplicaStatement | None
+    """What the replica says about itself; None if another replica answered."""
 
     @property
     def status(self) -> int:
@@ -188,11 +191,24 @@
         request_id=request_id.decode("latin-1") if request_id else None,
         fault_address=fault.decode("latin-1") if fault else None,
         keep_alive_s=_parse_keep_alive_s(values.get(b"keep-alive")),
-        rate_limit_per_s=_parse_rate(values.get(b"server-limit")),
+        rate_limit_per_s=_parse_non_negative(values.get(b"server-limit")),
+        statement=_parse_statement(status, values),
     )
 
 
-def _parse_rate(value: bytes | None) -> float | None:
+def _parse_statement(
+    status: int, values: Mapping[bytes, bytes]
+) -> ReplicaStatement | None:
+    if status == 421:
+        return None
+    hold_off_s = None
+    if status == 503:
+        hold_off_s = _parse_non_negative(values.get(b"retry-after"))
+    is_leaving = values.get(b"server-leaving", b"").strip() == b"1"
+    return ReplicaStatement(is_leaving, hold_off_s)
+
+
+def _parse_non_negative(value: bytes | None) -> float | None:
     try:
         rate = float(value) if value is not None else math.nan
     except ValueError:
@@ -213,7 +229,8 @@
 def forwarded_answer_headers(headers: Headers) -> Iterable[tuple[bytes, bytes]]:
     """Yield the headers of a replica's answer that are forwarded to the caller."""
     for name, value in headers:
-        if name.lower() not in _HOP_BY_HOP:
+        # The time to come back to a replica is not that to come back to the host.
+        if name.lower() not in _HOP_BY_HOP and name.lower() != b"retry-after":
             yield name, value
 
 
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -61,20 +61,21 @@
 class PlatformReplica:
     """HTTP server of one replica with injectable faults.
 
-    Faults: shed (503 without running the request), shed_once, error (status 500),
-    reset_at (event number at which the stream resets), stall_at (event number, for
-    stall_s), comments_at (event number before which only comments follow), extra (a
+    Faults: shed (503 without running the request), shed_once, hold_off (text of the
+    Retry-After of refusals), leaving (all answers state that it leaves), error (status
+    500), reset_at (event number at which the stream resets), stall_at (event number,
+    for stall_s), comments_at (event number before which only comments follow), extra (a
     second response follows "now" or "late"), copy_late_s (a second copy of the response
     follows after this time), unframed (no Content-Length), garbage (not HTTP), delay_s,
     cut_body (resets within the body), alive (False: reports time out), reset (resets
     without a response), flood (a key of FLOODS or "body", until the caller closes),
     report_flood (the same in response to one report request), deadly_part (id of a
     prompt part; the replica crashes when it begins to answer a request with it, and
-    starts again after restart_s, if that is given), limit
-    (requests a second that its answers state, as text), repeat_refusal (each refusal is
-    written once more when the next request arrives on its connection; "unnamed" leaves
-    its request id out), cut_head (closes within the head, after so many of its lines),
-    resume_answer (bytes that answer the resumption of a stream, before a close).
+    starts again after restart_s, if that is given), limit (requests a second that its
+    answers state, as text), repeat_refusal (each refusal is written once more when the
+    next request arrives on its connection; "unnamed" leaves its request id out),
+    cut_head (closes within the head, after so many of its lines), resume_answer (bytes
+    that answer the resumption of a stream, before a close).
     """
 
     def __init__(self, replica_id: str, *, service: str, zone: str) -> None:
@@ -84,6 +85,7 @@
         self.faults: dict[str, Any] = {}
         self.received: list[ReceivedRequest] = []
         self.received_at_s: list[float] = []
+        self.refused_at_s: list[float] = []
         self.orders: list[dict[str, Any]] = []
         self.connections = 0
         self.flooded_bytes = 0
@@ -215,23 +217,25 @@
     def _handle_request(
         self, connection: socket.socket, request: ReceivedRequest
     ) -> bool:
+        leaving = {"Server-Leaving": "1"} if self.faults.get("leaving") else {}
         if request.target == "/persimmonwell/report":
             if self.faults.get("alive") is False:
                 time.sleep(2.0)
                 return False
             if not self.serves_reports:
                 # A plain service has no report path and rejects the missing request id.
-                connection.sendall(_build_response(400, {"Not-Executed": "1"}, b""))
+                headers = {"Not-Executed": "1", **leaving}
+                connection.sendall(_build_response(400, headers, b""))
                 return True
             if self.faults.pop("report_flood", None):
                 return self._flood(connection, "report", "")
             connection.sendall(
-                _build_response(200, {}, json.dumps(self._report()).encode())
+                _build_response(200, leaving, json.dumps(self._report()).encode())
             )
             return True
         if request.target == "/persimmonwell/order":
             self.orders.append(json.loads(request.body))
-            connection.sendall(_build_response(202, {}, b"{}"))
+            connection.sendall(_build_response(202, leaving, b"{}"))
             return True
         return self._run_request(connection, request)
 
@@ -248,6 +252,8 @@
             "Request-Id": request_id,
             "Response-Seal": f"seal-{self.replica_id}",
         }
+        if self.faults.get("leaving"):
+            response_headers["Server-Leaving"] = "1"
         if limit := self.faults.get("limit"):
             response_headers["Server-Limit"] = limit
         if request.headers.get("expect-instance") != self.replica_id:
@@ -257,6 +263,11 @@
             return True
         if self.faults.get("shed") or self.faults.pop("shed_once", None):
             refusal = {"Not-Executed": "1", "Request-Id": request_id}
+            self.refused_at_s.append(time.monotonic())
+            if (hold_off := self.faults.get("hold_off")) is not None:
+                refusal["Retry-After"] = hold_off
+            if self.faults.get("leaving"):
+                refusal["Server-Leaving"] = "1"
             answer = _build_response(503, refusal, b"")
             connection.sendall(answer)
             self._schedule_copy(connection, answer)
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -12,6 +12,7 @@
     CallerRequest,
     Ending,
     Finish,
+    ReplicaStatement,
     Send,
 )
 from persimmonwell.gateway._caller_connection import RawRequest
@@ -103,6 +104,10 @@
 
     def limit_stated(self, exchange: Exchange, rate_per_s: float | None) -> None: ...
 
+    def statement_received(
+        self, exchange: Exchange, statement: ReplicaStatement
+    ) -> None: ...
+
     def answer_opened(self, exchange: Exchange) -> None: ...
 
     def answer_began(self, exchange: Exchange) -> None: ...
--- a/tests/gateway/test_peer_datagrams.py
+++ b/tests/gateway/test_peer_datagrams.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from persimmonwell.core.forwarding import (
+    LeavingNotice,
     PeerStatus,
     RegistryChanges,
     RegistryRecord,
@@ -168,6 +169,7 @@
         [80, 91, [["i-1", 85, entry], ["i-2", 90, None]], 2],
         [["p-1", 1, 0, None, [[7, 0.5]]]],
         2,
+        [["i-4", 5, 0.5]],
     ]
 
 
@@ -181,7 +183,7 @@
 )
 
 
-@given(st.integers(0, 16), junk)
+@given(st.integers(0, 17), junk)
 @example(2, [["i-1", -1, 900]])
 @example(3, ["desk.example"])
 @example(7, {"i-7": 1e9})
@@ -190,6 +192,8 @@
 @example(14, [80, 91, [["i-1", -5, None]]])
 @example(14, [80, 91, [["i-1", 85, None]], -1])
 @example(16, -1)
+@example(17, [["i-4", -1, 0.5]])
+@example(17, [["i-4", 5, -0.5]])
 @example(15, [["p-1", 1, 0, -1.0, [[7, 0.5]]]])
 @example(15, [["p-1", 1, 0, None, [[7, float("nan")]]]])
 def test_report_with_any_wrong_field_does_no_lasting_harm(
@@ -255,11 +259,12 @@
     earlier_report = sample_report()[:14]
     one.datagram_received(msgspec.msgpack.encode(earlier_report), ("127.0.0.9", 1))
     assert reports["h2"].registry_changes is None
-    assert reports["h2"].part_evidence == ()
+    assert reports["h2"].part_evidence == () and reports["h2"].leaving == ()
     later_report = [*sample_report(), {"a": "field of a later build"}]
     one.datagram_received(msgspec.msgpack.encode(later_report), ("127.0.0.9", 1))
     assert reports["h2"].registry_changes is not None
     assert reports["h2"].part_evidence == (EVIDENCE,)
+    assert reports["h2"].leaving == (LeavingNotice(("i-4", 5), 0.5),)
 
 
 class _Network:
