Refuse all keys when tenants have none left

Cause: a request needed a key only if some tenant had one. The class of fault: the absence of an entry read as the absence of the whole table. Change: whether keys are required is a property of the configuration and depends on its tenants. The daemon has workspaces without keys of their own, so it has no such table. Conclusion: mended.

--- a/persimmonwell/core/forwarding/_model.py
+++ b/persimmonwell/core/forwarding/_model.py
@@ -133,8 +133,14 @@
     routes: tuple[Route, ...]
     services: tuple[ServiceSpec, ...]
     tenants: tuple[Tenant, ...] = ()
+    """Workspaces; without any, requests need no key."""
     limits: CallerLimits = attrs.field(factory=CallerLimits)
 
+    @property
+    def requires_keys(self) -> bool:
+        """Return whether a request needs a key, which no tenant may have any more."""
+        return bool(self.tenants)
+
 
 @attrs.frozen
 class HeldLayers:
--- a/persimmonwell/core/forwarding/_routes.py
+++ b/persimmonwell/core/forwarding/_routes.py
@@ -43,7 +43,7 @@
         for route in config.routes:
             self._prefixes[route.host.lower()][route.prefix] = route
         self._services = {service.name: service for service in config.services}
-        self._tenants = {
+        self._tenant_by_key = {
             key: tenant for tenant in config.tenants for key in tenant.keys
         }
 
@@ -65,8 +65,8 @@
         route = self._match_prefix(request.host, request.path)
         if route is None:
             raise UnknownRouteError(request.path)
-        tenant = self._tenants.get(request.api_key) if request.api_key else None
-        if tenant is None and self._tenants and not route.is_public:
+        tenant = self._tenant_by_key.get(request.api_key) if request.api_key else None
+        if tenant is None and self._config.requires_keys and not route.is_public:
             raise UnknownKeyError
         service = self._services.get(_pick_service(route, draw))
         if service is None:
--- a/tests/core/forwarding/test_routes.py
+++ b/tests/core/forwarding/test_routes.py
@@ -6,6 +6,7 @@
 from persimmonwell.core.forwarding import (
     ForwardingConfig,
     RouteKind,
+    Tenant,
     WeightedService,
 )
 from persimmonwell.core.forwarding._routes import (
@@ -83,3 +84,15 @@
     config: ForwardingConfig = attrs.evolve(CONFIG, tenants=())
     resolved = RouteTable(config).resolve(request("look", api_key=None), draw=0.0)
     assert resolved.tenant is None
+
+
+@pytest.mark.parametrize("api_key", ["key-1", "never-held", None])
+def test_tenants_without_a_key_left_let_nobody_in(api_key: str | None) -> None:
+    """Guards against requests with any key after the last key was taken away."""
+    tenants = (Tenant("range", ()),)
+    table = RouteTable(attrs.evolve(TABLE.config, tenants=tenants))
+    with pytest.raises(UnknownKeyError):
+        table.resolve(request("a", api_key=api_key), draw=0.0)
+    assert table.resolve(request("open", api_key=api_key), draw=0.0).tenant is None
+    without_tenants = RouteTable(attrs.evolve(TABLE.config, tenants=()))
+    assert without_tenants.resolve(request("a", api_key=api_key), draw=0.0)
