Resume a stream after the last event that was forwarded

Cause: the parser took over the id of an event that was out of order, although the events of that piece were not forwarded. The class of fault: a position that is advanced by what was read rather than by what was passed on. Change: the parser alone owns the position. It returns the events up to the one that is out of order, and its position ends with them; the exchange forwards these and aborts. A spoiled id of the very first event can't be told from a sound one; that is left. Conclusion: mended but for the first event.

--- a/persimmonwell/gateway/_event_stream.py
+++ b/persimmonwell/gateway/_event_stream.py
@@ -50,7 +50,11 @@
         return comments
 
     def feed(self, data: bytes) -> CompleteEvents:
-        """Add a piece of the stream and return the events that are complete now."""
+        """Add a piece of the stream and return the events that are complete now.
+
+        Events up to one that is out of order are returned, and that one and later ones
+        are not: the next attempt resumes after the last event that was returned.
+        """
         searched = max(0, len(self._partial_event) - 1)
         data = self._partial_event + data if self._partial_event else data
         end = data.rfind(b"\n\n", searched)
@@ -64,19 +68,24 @@
         for event in complete[:-2].split(b"\n\n"):
             position += len(event) + 2
             event_id = _parse_event_id(event)
-            if event_id is None and self._must_continue and not _is_comment(event):
+            if event_id is None:
                 # An error's text, for example, is no continuation of the stream.
-                in_order = False
+                in_order = not self._must_continue or _is_comment(event)
+            else:
+                in_order = _is_next_id(self.last_id, event_id)
+            if not in_order:
+                break
             if event_id is None and not _has_data(event):
                 continue
             count += 1
             end_of_events = position
-            if event_id is None:
-                continue
-            in_order = in_order and _is_next_id(self.last_id, event_id)
-            self._must_continue = False
-            self.last_id = event_id
-        if count:
+            if event_id is not None:
+                self._must_continue = False
+                self.last_id = event_id
+        if not in_order:
+            events = self._comments + complete[:end_of_events] if count else b""
+            self._partial_event = self._comments = b""
+        elif count:
             events = self._comments + complete[:end_of_events]
             self._comments = complete[end_of_events:]
         else:
--- a/persimmonwell/gateway/_exchange.py
+++ b/persimmonwell/gateway/_exchange.py
@@ -331,21 +331,21 @@
         if not self._is_current(attempt):
             return
         events = self._event_parser.feed(data)
+        if events.data:
+            self._write_events(attempt, events.data)
         if not events.is_in_order:
             self._abort_attempt(attempt, AttemptFailure.BROKEN, "events out of order")
-            return
-        if self._event_parser.held_bytes > MAX_EVENT_BYTES:
+        elif self._event_parser.held_bytes > MAX_EVENT_BYTES:
             self._abort_attempt(attempt, AttemptFailure.BROKEN, "event without end")
-            return
-        if not events.data:
-            return
+
+    def _write_events(self, attempt: _Attempt, data: bytes) -> None:
         if self._answer.add_events():
-            self._begin_answer(attempt, events.data)
+            self._begin_answer(attempt, data)
         else:
             now_s = self._owner.now_s()
             self.max_gap_s = max(self.max_gap_s, now_s - self._last_event_s)
             self._last_event_s = now_s
-            self._caller.write_data(events.data)
+            self._caller.write_data(data)
         self._owner.event_forwarded(self)
 
     def _begin_answer(self, attempt: _Attempt, data: bytes) -> None:
--- a/tests/gateway/test_event_stream.py
+++ b/tests/gateway/test_event_stream.py
@@ -1,5 +1,6 @@
 """Tests of the parser of event streams."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -43,3 +44,26 @@
     parser.feed(COMMENT)
     parser.begin_attempt()
     assert parser.take_comments() == b""
+
+
+@pytest.mark.parametrize("odd_id", [b"22", b"1", b"3"])
+@pytest.mark.parametrize("size", [1, 7, 1000])
+def test_stream_resumes_after_the_last_event_that_was_forwarded(
+    odd_id: bytes, size: int
+) -> None:
+    """Guards against pieces missing or sent twice after an event with a spoiled id."""
+    odd = event(4).replace(b"id: 4", b"id: " + odd_id)
+    stream = b"".join((event(1), event(2), event(3), odd, event(5)))
+    parser = EventStreamParser()
+    forwarded = b""
+    for start in range(0, len(stream), size):
+        events = parser.feed(stream[start : start + size])
+        forwarded += events.data
+        if not events.is_in_order:
+            break
+    assert not events.is_in_order
+    assert forwarded == event(1) + event(2) + event(3)
+    assert parser.last_id == b"3"
+    parser.begin_attempt()
+    assert parser.feed(event(4)).data == event(4)
+    assert parser.last_id == b"4"
