Reject an answer whose head holds the bytes of two

Cause: late bytes that end within a head's reason phrase or the value of a header join with the next status line, and the fields that follow are those of the next answer. Change: a head with a status line within a value or the phrase, or with an id, seal, refusal or length twice, breaks the connection, and nothing of it is passed on. The daemon's clients, which the deploy file does not start, were not checked for it.

--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -518,7 +518,10 @@
 
 def _match_answer(status: int, headers: RawHeaders, request_id: str) -> AnswerMatch:
     """Return whether an answer names the request that was sent."""
-    answer_id = decode_answer_head(status, headers).request_id
+    head = decode_answer_head(status, headers)
+    if head.is_joined:
+        return AnswerMatch.JOINED
+    answer_id = head.request_id
     if not request_id or answer_id == request_id:
         return AnswerMatch.SAME_REQUEST
     return AnswerMatch.UNNAMED if answer_id is None else AnswerMatch.OTHER_REQUEST
--- a/persimmonwell/gateway/_http_connection.py
+++ b/persimmonwell/gateway/_http_connection.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client connections to upstreams, and their pool."""
 
 import asyncio
+import re
 import socket
 from collections.abc import Callable, Collection, Sequence
 from enum import Enum
@@ -25,6 +26,8 @@
 """Bytes without a byte of a body: heads, chunk sizes with their extensions, trailers. A
 faulty replica may send them without end."""
 
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+
 RawHeaders = Sequence[tuple[bytes, bytes]]
 
 
@@ -34,6 +37,8 @@
     SAME_REQUEST = "same_request"
     OTHER_REQUEST = "other_request"
     UNNAMED = "unnamed"
+    JOINED = "joined"
+    """The head holds the bytes of two answers."""
 
 
 MatchAnswer = Callable[[int, RawHeaders, str], AnswerMatch]
@@ -90,6 +95,7 @@
         self._handler: AnswerHandler | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
+        self._reason = b""
         self._request_id = ""
         self._is_skipping = False
         self._skipped_count = 0
@@ -202,8 +208,13 @@
             self._is_reusable = False
             return
         self._headers = []
+        self._reason = b""
         self._in_message = False
 
+    def on_status(self, reason: bytes) -> None:
+        """Add a part of the reason phrase."""
+        self._reason += reason
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header."""
         self._headers.append((name, value))
@@ -211,12 +222,17 @@
     def on_headers_complete(self) -> None:
         """Hand the head to the handler, or skip an answer to another request."""
         status = self._parser.get_status_code()
+        _check_not_joined(self._reason)
+        for _, value in self._headers:
+            _check_not_joined(value)
         if self._handler is None or status < 200:
             return
         self._in_message = True
         names = {name.lower() for name, _ in self._headers}
         self._is_framed = bool(names & {b"content-length", b"transfer-encoding"})
         match = self._match_answer(status, self._headers, self._request_id)
+        if match is AnswerMatch.JOINED:
+            raise ValueError("two answers in one head")
         if match is AnswerMatch.UNNAMED and self.use_count > 1:
             # It may repeat the answer to an earlier request, such as a refusal.
             raise ValueError("an answer without a request id")
@@ -269,6 +285,15 @@
             self.close()
 
 
+def _check_not_joined(text: bytes) -> None:
+    """Raise ValueError for a part of a head that was cut before another answer.
+
+    The next status line becomes a part of the value or the phrase that was cut.
+    """
+    if _STATUS_LINE.search(text):
+        raise ValueError("two answers in one head")
+
+
 class ConnectionPool:
     """Pool of idle connections by address."""
 
--- a/persimmonwell/platform/_headers.py
+++ b/persimmonwell/platform/_headers.py
@@ -32,6 +32,11 @@
 _LENGTH_HINT = b"length-hint"
 _PROMPT_PREFIX = b"prompt-prefix"
 _PART_ID = re.compile("[0-9A-Za-z]{1,64}")
+_UNIQUE_HEADERS = (
+    *(_REQUEST_ID, b"response-seal", b"not-executed", b"content-length"),
+    b"transfer-encoding",
+)
+"""Headers that occur at most once in an answer."""
 _HOP_BY_HOP = frozenset(
     {
         *(b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate"),
@@ -169,6 +174,8 @@
     """Requests a second that the replica takes from all hosts together."""
     statement: ReplicaStatement | None
     """What the replica says about itself; None if another replica answered."""
+    is_joined: bool = False
+    """Whether the bytes of two heads are mixed, so that no field is reliable."""
 
     @property
     def status(self) -> int:
@@ -193,9 +200,16 @@
         keep_alive_s=_parse_keep_alive_s(values.get(b"keep-alive")),
         rate_limit_per_s=_parse_non_negative(values.get(b"server-limit")),
         statement=_parse_statement(status, values),
+        is_joined=_is_joined(headers),
     )
 
 
+def _is_joined(headers: Headers) -> bool:
+    """Return whether a head has the fields of two answers."""
+    names = [name.lower() for name, _ in headers]
+    return any(names.count(name) > 1 for name in _UNIQUE_HEADERS)
+
+
 def _parse_statement(
     status: int, values: Mapping[bytes, bytes]
 ) -> ReplicaStatement | None:
--- a/tests/gateway/test_http_connection.py
+++ b/tests/gateway/test_http_connection.py
@@ -4,9 +4,11 @@
 import socket
 import time
 from collections.abc import Iterator
+from unittest.mock import Mock
 
 import pytest
 
+from persimmonwell.gateway._gateway import _match_answer
 from persimmonwell.gateway._http_connection import (
     AnswerMatch,
     ConnectionPool,
@@ -172,3 +174,88 @@
     status, _, body = testbed.send("/book/x")
     assert (status, body) == (200, b"desk-1 POST /book/x")
     assert len(replica.received) == 1
+
+
+class _Recorder:
+    """Handler that records the outcome of one answer."""
+
+    def __init__(self) -> None:
+        self.status: int | None = None
+        self.body = b""
+        self.is_whole = False
+        self.is_broken = False
+
+    def on_head(self, status: int, headers: RawHeaders) -> None:
+        """Record the status."""
+        self.status = status
+
+    def on_data(self, data: bytes) -> None:
+        """Record a part of the body."""
+        self.body += data
+
+    def on_end(self, *, is_framed: bool) -> None:
+        """Record the end."""
+        self.is_whole = True
+
+    def on_broken(self, detail: str) -> None:
+        """Record the failure."""
+        self.is_broken = True
+
+
+def answer_of(
+    status: int, request_id: str, body: bytes, refused: bool = False
+) -> bytes:
+    """Return an answer whose head has a field before and after those that count."""
+    head = f"HTTP/1.1 {status} Status\r\nDate: Sat, 5 Dec\r\n"
+    head += "" if refused else f"Response-Seal: seal-{request_id}\r\n"
+    head += "Not-Executed: 1\r\n" if refused else ""
+    head += f"Request-Id: {request_id}\r\nContent-Length: {len(body)}\r\n"
+    return head.encode() + b"Server: x\r\n\r\n" + body
+
+
+LATE_ANSWERS = {
+    "success": answer_of(200, "earlier", b"other"),
+    "error": answer_of(500, "earlier", b"other"),
+    "refusal": answer_of(503, "earlier", b"", refused=True),
+    "own refusal": answer_of(503, "mine", b"", refused=True),
+}
+
+
+@pytest.mark.parametrize("late", LATE_ANSWERS.values(), ids=LATE_ANSWERS)
+@pytest.mark.parametrize("status", [200, 500])
+def test_late_bytes_cut_anywhere_in_a_head_join_with_no_answer(
+    late: bytes, status: int
+) -> None:
+    """Guards against an answer with the status, seal or id of another one.
+
+    A refusal that joins with the answer to a booking counts it as not run.
+    """
+
+    async def outcome(cut: int, size: int) -> _Recorder:
+        connection = UpstreamConnection(
+            match_answer=_match_answer,
+            on_idle=lambda connection: None,
+            on_lost=lambda connection: None,
+        )
+        transport = Mock(spec=asyncio.Transport)
+        transport.get_extra_info.return_value = None
+        transport.get_write_buffer_size.return_value = 0
+        connection.connection_made(transport)
+        recorder = _Recorder()
+        connection.use_count = 1
+        connection.send(b"", "mine", recorder)
+        data = late[:cut] + answer_of(status, "mine", b"right")
+        for start in range(0, len(data), size):
+            connection.data_received(data[start : start + size])
+            if recorder.is_broken:
+                break
+        return recorder
+
+    for cut in range(late.index(b"\r\n\r\n")):
+        for size in (1, 10_000):
+            recorder = asyncio.run(outcome(cut, size))
+            if recorder.is_whole:
+                assert (recorder.status, recorder.body) == (status, b"right"), cut
+            else:
+                assert recorder.is_broken, cut
+            assert recorder.is_whole == (cut == 0), cut
