End the placement plan for every fleet

Cause: to fill a gap the planner took the least used replica whose layers all have copies. Change: replicas without room for a layer are left out, so that each step fills a layer and opens none. Conclusion: the plan ends.

--- a/persimmonwell/core/forwarding/_placement.py
+++ b/persimmonwell/core/forwarding/_placement.py
@@ -260,8 +260,15 @@
     kv_tokens: float,
     requests_at: Callable[[str], int],
 ) -> dict[str, HeldLayers]:
-    """Fill gaps with empty devices first, then with devices that only hold copies."""
+    """Fill gaps with empty devices first, then with devices that only hold copies.
+
+    Each step fills a layer and opens none, as a device that moves leaves only layers
+    with other copies; devices without room for a layer are left out.
+    """
     target = dict(held)
+    devices = [
+        device for device in devices if _layer_capacity(device, spec, kv_tokens) > 0
+    ]
     empty_devices = [
         device for device in devices if device.replica.replica_id not in held
     ]
@@ -281,8 +288,6 @@
         if device is None:
             break
         count = _layer_capacity(device, spec, kv_tokens)
-        if count <= 0:
-            continue
         start = gap[0] if gap[1] - gap[0] >= count else max(0, gap[1] - count)
         start = min(start, spec.layers - count)
         target[device.replica.replica_id] = HeldLayers(start, start + count)
--- a/tests/core/forwarding/test_placement.py
+++ b/tests/core/forwarding/test_placement.py
@@ -1,11 +1,19 @@
 """Tests of the placement of layers on replicas."""
 
+import itertools
 import random
+from collections.abc import Iterator
 
 import attrs
 import pytest
 
-from persimmonwell.core.forwarding import HeldLayers, Replica, plan_placement
+from persimmonwell.core.forwarding import (
+    AcceleratorKind,
+    EngineSpec,
+    HeldLayers,
+    Replica,
+    plan_placement,
+)
 from tests.core.forwarding.fleets import ENGINE, ZONES, empty_replicas
 
 KINDS = dict(ENGINE.accelerators)
@@ -133,3 +141,54 @@
     first_replicas = [r for r in placed if r.layers and r.layers.start == 0]
     assert {r.accelerator for r in first_replicas} <= {"l4", "t4"}
     assert HeldLayers(0, 1).count == 1
+
+
+def draw_fleet(rng: random.Random) -> tuple[EngineSpec, list[Replica]]:
+    """Return a model and replicas that hold any layers, also without room for them."""
+    layers = rng.choice((1, 2, 6, 20, 80))
+    layer_mb = rng.choice((1.0, 500.0, 1750.0, 12_000.0, 40_000.0))
+    # Some kinds hold a layer, but not beside the KV memory that others leave.
+    memory_mb = (layer_mb * rng.uniform(0.9, 1 + layers / 3) for _ in range(4))
+    kinds = tuple(
+        (f"k{number}", AcceleratorKind(mb, rng.uniform(1, 16), rng.uniform(1, 16)))
+        for number, mb in enumerate(memory_mb)
+    )
+    spec = attrs.evolve(ENGINE, layers=layers, layer_mb=layer_mb, accelerators=kinds)
+    replicas = []
+    for replica in empty_replicas({"za": {"k0": 4, "k1": 3}, "zb": {"k2": 3, "k3": 3}}):
+        start = rng.randrange(layers)
+        held = HeldLayers(start, min(layers, start + rng.randint(1, 3)))
+        replicas.append(
+            attrs.evolve(
+                replica,
+                layers=held if rng.random() < 0.95 else None,
+                is_busy=rng.random() < 0.1,
+                is_draining=rng.random() < 0.1,
+            )
+        )
+    return spec, replicas[: rng.randint(1, len(replicas))]
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_plan_ends_for_every_fleet(seed: int) -> None:
+    """Guards against a planner that runs for ever and stops its whole host."""
+    rng = random.Random(seed)
+    for _ in range(500):
+        spec, replicas = draw_fleet(rng)
+        most_steps = spec.layers * len(replicas) * len(replicas)
+        steps = itertools.count(1)
+
+        def requests_at(
+            replica_id: str, steps: Iterator[int] = steps, most: int = most_steps
+        ) -> int:
+            assert next(steps) <= most
+            return 0
+
+        orders = plan_placement(replicas, spec, requests_at=requests_at)
+        by_id = {replica.replica_id: replica for replica in replicas}
+        assert len(orders) <= len(replicas)
+        for order in orders:
+            kind = spec.accelerator(by_id[order.replica_id].accelerator)
+            assert kind is not None and 0 < order.layers.count
+            assert order.layers.count * spec.layer_mb <= kind.memory_mb
+            assert 0 <= order.layers.start < order.layers.stop <= spec.layers
