Renew the placement duty only while the event loop runs

Cause: a thread renewed the lease on the placement duty whatever the event loop did. Conclusion: the duty of a host that hangs is free within 6 s.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: install demo test lint bench capacity soak report
+.PHONY: install demo test lint bench capacity soak report review
 
 install: $(VENV)/.installed
 
@@ -32,6 +32,10 @@
 report: install
 	$(BIN)/python -m bench.report --out target/report.html
 
+review: install
+	bash review/build.sh
+	for number in 1 2 3 4 5; do bash review/$$number/run.sh || exit 1; done
+
 SEEDS ?= 50
 
 soak: install
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -611,6 +611,7 @@
         self._router.peer_config_version = max(
             (peer.store_versions.config_version for peer in live_peers), default=0
         )
+        self._followers.confirm_responsive()
         self._request_handover(live_peers)
         self._router.crashes.set_hosts(
             self._settings.host_id, (peer.host_id for peer in live_peers)
--- a/persimmonwell/gateway/_store_followers.py
+++ b/persimmonwell/gateway/_store_followers.py
@@ -43,6 +43,9 @@
 REPLICA_FOLLOWER = "replicas"
 DUTY_RENEWAL_INTERVAL_S = 1.0
 DUTY_TTL_MS = 4000
+MAX_UNRESPONSIVE_S = 2.0
+"""Time without a sign of the event loop after which the duty is not renewed. The lease
+ends within DUTY_TTL_MS then, and another host takes over."""
 DUTY_GROUP = "placement"
 DUTY_TOPIC = "placement"
 
@@ -111,6 +114,8 @@
         """Era of the store at the last read, by follower."""
         self._confirmed_s = dict.fromkeys(self._read_requests, float("-inf"))
         self._reader_count = 1
+        self._responsive_s = time.monotonic()
+        """Time of the last sign that the host's event loop runs."""
         self._random = random.Random(member)
 
     def start(self) -> None:
@@ -147,6 +152,14 @@
         """Set the number of hosts that share the retries of this zone."""
         self._reader_count = max(1, count)
 
+    def confirm_responsive(self) -> None:
+        """Record that the event loop, which does the duty's work, runs."""
+        self._responsive_s = time.monotonic()
+
+    @property
+    def _is_responsive(self) -> bool:
+        return time.monotonic() - self._responsive_s <= MAX_UNRESPONSIVE_S
+
     def request_read(self, follower: str) -> None:
         """Read now, since a peer has read something newer.
 
@@ -309,6 +322,11 @@
                 # The readers and the holder are enough candidates for one duty.
                 self._resigned.wait(DUTY_RENEWAL_INTERVAL_S)
                 continue
+            if not self._is_responsive:
+                # The renewal belongs to the loop that does the work.
+                holds_duty = False
+                self._resigned.wait(DUTY_RENEWAL_INTERVAL_S)
+                continue
             call_start_s = time.monotonic()
             try:
                 membership = client.join_group(
--- a/tests/gateway/test_store_followers.py
+++ b/tests/gateway/test_store_followers.py
@@ -7,6 +7,8 @@
 from persimmonwell.gateway import _store_followers
 from persimmonwell.gateway._store_followers import (
     CONFIG_FOLLOWER,
+    DUTY_RENEWAL_INTERVAL_S,
+    MAX_UNRESPONSIVE_S,
     REPLICA_FOLLOWER,
     StoreRead,
 )
@@ -170,3 +172,23 @@
     followed_store.store.restore(followed_store.store.copy())
     wait_until(lambda: len(followed_store.resumed_reads) == 4)
     assert {read.era for read in followed_store.resumed_reads[2:]} == {2}
+
+
+def test_duty_of_a_host_that_hangs_goes_to_another_one(
+    followed_store: FollowedStore,
+) -> None:
+    """Guards against a lease that a thread renews while the host does no work."""
+    wait_until(lambda: any(followed_store.lease_ends_s))
+    end_s = time.monotonic() + MAX_UNRESPONSIVE_S + 0.5
+    while time.monotonic() < end_s:
+        followed_store.followers.confirm_responsive()
+        time.sleep(0.1)
+    calls = len(followed_store.lease_ends_s)
+    time.sleep(MAX_UNRESPONSIVE_S + DUTY_RENEWAL_INTERVAL_S)
+    # The lease ends in the store when nobody renews it.
+    renewals = len(followed_store.lease_ends_s)
+    assert calls < renewals
+    time.sleep(3 * DUTY_RENEWAL_INTERVAL_S)
+    assert len(followed_store.lease_ends_s) == renewals
+    followed_store.followers.confirm_responsive()
+    wait_until(lambda: len(followed_store.lease_ends_s) > renewals)
