--- a/standins/replica.py
+++ b/standins/replica.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import json
+import math
 import socket
 import struct
 import threading
@@ -58,6 +59,16 @@
     body: bytes
 
 
+@attrs.frozen
+class Arrival:
+    """Request that reached a replica, with what its answer states."""
+
+    at_s: float
+    request_id: str
+    is_leaving: bool
+    hold_off_s: float | None
+
+
 class PlatformReplica:
     """HTTP server of one replica with injectable faults.
 
@@ -86,6 +97,7 @@
         self.received: list[ReceivedRequest] = []
         self.received_at_s: list[float] = []
         self.refused_at_s: list[float] = []
+        self.arrivals: list[Arrival] = []
         self.orders: list[dict[str, Any]] = []
         self.connections = 0
         self.flooded_bytes = 0
@@ -261,7 +273,17 @@
                 _build_response(421, {"Instance-Id": self.replica_id}, b"")
             )
             return True
-        if self.faults.get("shed") or self.faults.pop("shed_once", None):
+        is_shed = bool(self.faults.get("shed") or self.faults.pop("shed_once", None))
+        stated_s = self.faults.get("hold_off") if is_shed else None
+        self.arrivals.append(
+            Arrival(
+                at_s=time.monotonic(),
+                request_id=request_id,
+                is_leaving=bool(self.faults.get("leaving")),
+                hold_off_s=_finite_seconds(stated_s),
+            )
+        )
+        if is_shed:
             refusal = {"Not-Executed": "1", "Request-Id": request_id}
             self.refused_at_s.append(time.monotonic())
             if (hold_off := self.faults.get("hold_off")) is not None:
@@ -410,6 +432,14 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
+def _finite_seconds(text: str | None) -> float | None:
+    try:
+        seconds = float(text) if text is not None else math.nan
+    except ValueError:
+        return None
+    return seconds if math.isfinite(seconds) and seconds > 0 else None
+
+
 def _send_quietly(connection: socket.socket, data: bytes) -> None:
     try:
         connection.sendall(data)
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -11,13 +11,14 @@
 
 import argparse
 import http.client
+import math
 import random
 import signal
 import sys
 import tempfile
 import threading
 import time
-from collections import Counter
+from collections import Counter, defaultdict
 from pathlib import Path
 from typing import Any
 
@@ -26,7 +27,7 @@
 from standins.gateway_process import GatewayProcess
 from standins.log import Log, LogCopy
 from standins.platform_config import API_KEY, HOST, config, free_ports, route
-from standins.replica import STREAM_EVENTS, PlatformReplica
+from standins.replica import STREAM_EVENTS, Arrival, PlatformReplica
 
 HOSTS = 4
 """Two hosts of a zone read the store for the others; four hosts cover both kinds."""
@@ -45,6 +46,14 @@
     *({"shed": True}, {"extra": "now"}, {"extra": "late"}, {"unframed": True}),
     *({"reset_at": 3}, {"delay_s": 0.3}),
 )
+STATEMENT_SHARE = 0.25
+"""Share of the faults that are followed by a statement of a replica."""
+HOLD_OFF = "1.5"
+"""Retry-After of a replica that turns requests away."""
+MAX_HELD_OFF_ARRIVALS = 2
+DRAIN_S = 2.0
+MAX_LISTED = 5
+"""Violations of one kind that are listed."""
 MAX_IDLE_S = 1.6
 """Idle time of a connection that callers use again: four fifths of the limit."""
 MAX_COPIES = 12
@@ -67,6 +76,12 @@
 """Open connections of one caller by host IP, each with the time of its last use."""
 
 
+@attrs.frozen
+class _Sent:
+    host_ip: str
+    at_s: float
+
+
 class Soak:
     """One soak run, whose faults and requests are drawn from the seed."""
 
@@ -78,11 +93,20 @@
         folder: Path,
         host_count: int = HOSTS,
         starts_without_store: bool = True,
+        states: bool = True,
     ) -> None:
         self._random = random.Random(seed)
         # Drawn apart, so that the other faults of a seed stay as they are.
         self._start_random = random.Random(f"{seed} starts")
         self._starts_without_store = starts_without_store
+        self._statement_random = random.Random(f"{seed} statements")
+        self._states = states
+        self._sent: dict[str, _Sent] = {}
+        """Host and time of each request by its id."""
+        self._disrupted_s: dict[str, list[float]] = defaultdict(list)
+        """Times at which a host was started or paused, by its IP."""
+        self._restarted_s: dict[str, list[float]] = defaultdict(list)
+        """Times of the starts of replicas that had stated that they leave, by id."""
         self._seed = seed
         self._seconds = seconds
         self.store = Log()
@@ -117,7 +141,7 @@
             if replica.serves_reports:
                 replica.layers = {"from": 0, "to": 8, "version": 1}
             replica.start()
-            self.store.put_key("keyed.servers", replica.replica_id, replica.entry())
+            self._register(replica)
         try:
             for host in self.hosts:
                 host.configure(self.store.server.address)
@@ -136,6 +160,7 @@
                 caller.join()
             return (
                 self._request_violations()
+                + self._statement_violations()
                 + self._recovery_violations()
                 + self._propagation_violations()
             )
@@ -144,6 +169,7 @@
 
     def _start(self, host: GatewayProcess) -> None:
         self._incarnations[host.ip] += 1
+        self._disrupted_s[host.ip].append(time.monotonic())
         host.start()
 
     def _close(self) -> None:
@@ -172,6 +198,8 @@
         while time.monotonic() < end_s:
             self._copies = [*self._copies, self.store.copy()][-MAX_COPIES:]
             self._random.choice(actions)()
+            if self._states and self._statement_random.random() < STATEMENT_SHARE:
+                self._state_on_replica()
             if self._start_random.random() < START_WITHOUT_STORE_SHARE:
                 self._start_without_store()
             time.sleep(self._random.uniform(0.1, 0.5))
@@ -215,6 +243,7 @@
         host.signal(signal.SIGSTOP)
         time.sleep(self._random.uniform(0.1, 1.0))
         host.signal(signal.SIGCONT)
+        self._disrupted_s[host.ip].append(time.monotonic())
 
     def _reload_host(self) -> None:
         self._random.choice(self.hosts).signal(signal.SIGHUP)
@@ -224,6 +253,20 @@
         replica.faults.clear()
         replica.faults.update(self._random.choice(REPLICA_FAULTS))
 
+    def _state_on_replica(self) -> None:
+        """Let a desk replica state that it leaves, or when to come back."""
+        replica = self._statement_random.choice(self.replicas[:2])
+        replica.faults.clear()
+        if self._statement_random.random() < 0.5:
+            replica.faults.update(shed=True, hold_off=HOLD_OFF)
+            return
+        replica.faults["leaving"] = True
+        time.sleep(self._statement_random.uniform(0.0, 2 * DRAIN_S))
+        replica.faults.clear()
+        replica.started_at_ms = int(time.time() * 1000)
+        self._restarted_s[replica.replica_id].append(time.monotonic())
+        self._register(replica)
+
     def _set_store_fault(self) -> None:
         proxy = self._random.choice(self.hosts).proxy
         if proxy is not None:
@@ -260,17 +303,18 @@
         ):
             self._append_config_version()
         for replica in self.replicas:
-            entry = replica.entry(sequence=2)
-            self.store.put_key("keyed.servers", replica.replica_id, entry)
+            self._register(replica)
 
     def _drain_and_restore_replica(self) -> None:
         """Mark one of the two service replicas as draining, then as ready again."""
         replica = self._random.choice(self.replicas[:2])
-        name = replica.replica_id
-        entry = replica.entry(state="draining")
-        self.store.put_key("keyed.servers", name, entry)
+        self._register(replica, state="draining")
         time.sleep(self._random.uniform(0.1, 0.5))
-        self.store.put_key("keyed.servers", name, replica.entry(sequence=2))
+        self._register(replica)
+
+    def _register(self, replica: PlatformReplica, **values: Any) -> None:
+        entry = replica.entry(sequence=2, born=replica.started_at_ms, **values)
+        self.store.put_key("keyed.servers", replica.replica_id, entry)
 
     # Callers
 
@@ -324,6 +368,7 @@
             connection = http.client.HTTPConnection(host.ip, port, timeout=4.0)
         headers = {"Host": HOST, "Api-Key": API_KEY, "Request-Id": request_id}
         headers["Deadline-Remaining"] = "3000"
+        self._sent[request_id] = _Sent(host.ip, time.monotonic())
         try:
             path = f"/{name}/{request_id}"
             connection.request("POST", path, body=b"x", headers=headers)
@@ -358,8 +403,7 @@
         violations = self._version_violations()
         self._append_config_version()
         draining_replica, _ = self.replicas[:2]
-        entry = draining_replica.entry(state="draining")
-        self.store.put_key("keyed.servers", draining_replica.replica_id, entry)
+        self._register(draining_replica, state="draining")
         time.sleep(PROPAGATION_LIMIT_S)
         received_before = len(draining_replica.received)
         violations += self._version_violations()
@@ -401,6 +445,51 @@
                 violations.append(f"{name}: unexpectedly denied with {answer.status}")
         return violations
 
+    def _statement_violations(self) -> list[str]:
+        """Check that hosts obey what replicas stated to them."""
+        violations = []
+        for replica in self.replicas:
+            for stated in replica.arrivals:
+                if stated.request_id not in self._sent:
+                    continue
+                later = self._arrivals_after(replica, stated)
+                if stated.is_leaving and later:
+                    violations.append(f"{replica.replica_id} leaves but got {later[0]}")
+                held_off = [
+                    arrival
+                    for arrival in later
+                    if stated.hold_off_s is not None
+                    and 0.5 < arrival.at_s - stated.at_s < stated.hold_off_s
+                ]
+                if len(held_off) > MAX_HELD_OFF_ARRIVALS:
+                    violations.append(
+                        f"{replica.replica_id} wants nothing but got {held_off[0]}"
+                    )
+        return violations[:MAX_LISTED]
+
+    def _arrivals_after(
+        self, replica: PlatformReplica, stated: Arrival
+    ) -> list[Arrival]:
+        """Return what one host sent to a replica after one of its statements.
+
+        A request that was sent within DRAIN_S after the statement of a leaving replica
+        does not count, nor one after a new start of the replica or the host.
+        """
+        host_ip = self._sent[stated.request_id].host_ip
+        restarts_s = self._restarted_s[replica.replica_id] + self._disrupted_s[host_ip]
+        end_s = min(
+            (at_s for at_s in restarts_s if at_s > stated.at_s), default=math.inf
+        )
+        from_s = stated.at_s + (DRAIN_S if stated.is_leaving else 0.0)
+        return [
+            arrival
+            for arrival in replica.arrivals
+            if (sent := self._sent.get(arrival.request_id)) is not None
+            and sent.host_ip == host_ip
+            and sent.at_s > from_s
+            and arrival.at_s < end_s
+        ]
+
     def _wait_ready(self) -> bool:
         deadline_s = time.monotonic() + READY_TIMEOUT_S
         while time.monotonic() < deadline_s:
