Test answers without a length or chunks, cut at each byte

Change: tests only. An answer that is reset at any byte is a failure; a stream that is closed at any byte is forwarded in whole events and completed only between events. A plain answer that is closed early, and not reset, can't be told from a whole one.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -86,7 +86,9 @@
     answers state, as text), repeat_refusal (each refusal is written once more when the
     next request arrives on its connection; "unnamed" leaves its request id out),
     cut_head (closes within the head, after so many of its lines), resume_answer (bytes
-    that answer the resumption of a stream, before a close).
+    that answer the resumption of a stream, before a close),
+    raw_answer (bytes that answer any request, before a close, or a reset with
+    raw_reset).
     """
 
     def __init__(self, replica_id: str, *, service: str, zone: str) -> None:
@@ -311,6 +313,11 @@
             head = _build_response(200, response_headers, b"").split(b"\r\n")
             connection.sendall(b"\r\n".join(head[:line_count]))
             return False
+        if (raw := self.faults.get("raw_answer")) is not None:
+            connection.sendall(raw.replace(b"%s", request_id.encode()))
+            if self.faults.get("raw_reset"):
+                _reset_connection(connection)
+            return False
         if flood := self.faults.get("flood"):
             return self._flood(connection, flood, request_id)
         if "hop-count" not in request.headers and self._has_deadly_part(request):
