--- a/persimmonwell/core/forwarding/_queue.py
+++ b/persimmonwell/core/forwarding/_queue.py
@@ -50,6 +50,7 @@
     def record_send(self, now_s: float) -> None:
         """Record a send of the service for the rate."""
         self._send_times_s.append(now_s)
+        self._drop_old_sends(now_s)
 
     def expected_wait_s(self, active: ActiveRequest, now_s: float) -> float:
         """Return how long a request would wait at the measured send rate."""
@@ -63,9 +64,12 @@
         The relocation of a stage stops all sends for a second or two; the longer
         window prevents refusals because of that.
         """
-        while self._send_times_s and self._send_times_s[0] < now_s - LONG_RATE_WINDOW_S:
-            self._send_times_s.popleft()
+        self._drop_old_sends(now_s)
         recent = sum(
             1 for sent_s in self._send_times_s if sent_s >= now_s - RATE_WINDOW_S
         )
         return max(recent / RATE_WINDOW_S, len(self._send_times_s) / LONG_RATE_WINDOW_S)
+
+    def _drop_old_sends(self, now_s: float) -> None:
+        while self._send_times_s and self._send_times_s[0] < now_s - LONG_RATE_WINDOW_S:
+            self._send_times_s.popleft()
