Quote keys in the queries of the store

Cause: the key after which a page of the registry's list goes on stood unquoted in the query. Change: names and values of a query are percent-encoded.

--- a/persimmonwell/platform/_store_client.py
+++ b/persimmonwell/platform/_store_client.py
@@ -4,6 +4,7 @@
 import json
 import struct
 from typing import Any
+from urllib.parse import quote, urlencode
 
 import attrs
 import urllib3
@@ -219,7 +220,8 @@
         timeout = urllib3.Timeout(
             connect=CONNECT_TIMEOUT_S, read=self._timeout_s + wait_s
         )
-        query_string = "&".join(f"{name}={value}" for name, value in query.items())
+        # Keys of other writers may hold any character.
+        query_string = urlencode(query, quote_via=quote)
         try:
             response = self._pool.request(
                 method,
--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -69,6 +69,21 @@
     store.close()
 
 
+@pytest.mark.parametrize("key", ["i#1", "i&after=a", "i 1%41", "i+1", "\u00b2"])
+def test_list_goes_on_after_a_page_that_ends_with_any_key(log: Log, key: str) -> None:
+    """Guards against a page that is read again and again because of an odd key."""
+    store = StoreClient(url=log.server.url, timeout_s=2.0)
+    # The key sorts between the others, at the end of the first page.
+    for number in range(499):
+        log.put_key("keyed.servers", f"a-{number:03}", {"slots": 1})
+    log.put_key("keyed.servers", key, {"slots": 1})
+    for number in range(3):
+        log.put_key("keyed.servers", f"\u00ff-{number}", {"slots": 1})
+    keys = [record.key for record in store.read_latest("keyed.servers").records]
+    assert len(keys) == len(set(keys)) == 503 and key in keys
+    store.close()
+
+
 @pytest.mark.parametrize("body", [b"", b"{}", b'{"offset": null}'])
 def test_append_without_an_offset_is_not_acknowledged(log: Log, body: bytes) -> None:
     """Guards against an untyped error when the answer was cut within its head."""
