Bound the counts in a replica's report

Cause: a report may state any integer; one beyond the range of a float raised in the router when it was compared with the memory's share (kin of the odd registry entries). Change: counts are clamped to 0 to 2^48, as in registry entries and datagrams. Measured: test_report_is_decoded, extended, fails before.

--- a/persimmonwell/platform/_headers.py
+++ b/persimmonwell/platform/_headers.py
@@ -5,6 +5,7 @@
 import re
 from collections.abc import Iterable, Mapping, Sequence
 from hashlib import blake2b
+from typing import Any
 
 import attrs
 
@@ -21,6 +22,8 @@
 
 REPORT_PATH = "/persimmonwell/report"
 ORDER_PATH = "/persimmonwell/order"
+MAX_REPORTED = 1 << 48
+"""Upper bound of the counts in a report; a larger number fits into no float."""
 MAX_SLOWNESS = 1000.0
 """Upper bound of a replica's slowness; reports may state any number."""
 
@@ -284,9 +287,9 @@
         document = json.loads(body)
         return ReplicaReport(
             # Here "sequence" counts orders; in the registry it counts heartbeats.
-            orders_accepted=int(document["sequence"]),
-            kv_used=int(document.get("kv_used") or 0),
-            kv_total=int(document.get("kv_total") or 0),
+            orders_accepted=_bounded(document["sequence"]),
+            kv_used=_bounded(document.get("kv_used") or 0),
+            kv_total=_bounded(document.get("kv_total") or 0),
             # Here "pace" is the state of this replica; in the configuration, it is a
             # property of its accelerator.
             slowness=min(MAX_SLOWNESS, max(1.0, float(document.get("pace") or 1.0))),
@@ -296,6 +299,10 @@
         return None
 
 
+def _bounded(number: Any) -> int:
+    return min(MAX_REPORTED, max(0, int(number)))
+
+
 def decode_stalled_stages(body: bytes) -> dict[str, str]:
     """Return the address of the stalled stage by request id, from a report."""
     try:
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -217,6 +217,10 @@
     decoded = decode_report(json.dumps(document).encode())
     assert decoded is not None
     assert (decoded.orders_accepted, decoded.kv_used, decoded.slowness) == (2, 41, 12.0)
+    huge = {"sequence": 10**400, "kv_used": 10**400, "kv_total": -(10**400)}
+    decoded = decode_report(json.dumps(huge).encode())
+    assert decoded is not None
+    assert 0.6 * decoded.kv_total < float(decoded.kv_used) and decoded.kv_total == 0
     rows = {"stalled": [{"id": "r", "address": "10.1.1.1:80"}]}
     assert decode_stalled_stages(json.dumps(rows).encode()) == {"r": "10.1.1.1:80"}
 
