--- a/standins/deadly_part.py
+++ b/standins/deadly_part.py
@@ -13,6 +13,7 @@
 import http.client
 import itertools
 import random
+import signal
 import sys
 import tempfile
 import threading
@@ -91,7 +92,10 @@
         host_count: int = 4,
         replica_count: int = 6,
         seconds: float = 25.0,
+        restart_after_s: float | None = None,
     ) -> None:
+        self._restart_after_s = restart_after_s
+        """Time from the first request with the part to the restart of a host."""
         self._random = random.Random(seed)
         self._seconds = seconds
         self._store = Log()
@@ -125,7 +129,11 @@
             ]
             for sender in senders:
                 sender.start()
-            self._stop.wait(CALM_S + self._seconds)
+            if self._restart_after_s is not None:
+                self._stop.wait(CALM_S + self._restart_after_s)
+                self._hosts[0].stop(signal.SIGKILL)
+                self._hosts[0].start()
+            self._stop.wait(start_s + self._seconds - time.monotonic())
             self._stop.set()
             for sender in senders:
                 sender.join()
@@ -266,6 +274,7 @@
     parser.add_argument("--seconds", type=float, default=25.0)
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--replicas", type=int, default=6)
+    parser.add_argument("--restart-after", type=float, help="seconds")
     parser.add_argument("--logs", type=Path, help="folder for the hosts' logs")
     options = parser.parse_args()
     failed = 0
@@ -281,6 +290,7 @@
                 host_count=options.hosts,
                 replica_count=options.replicas,
                 seconds=options.seconds,
+                restart_after_s=options.restart_after,
             ).run()
         violations = outcome.violations
         print(f"seed {seed}: {outcome}; violated: {violations or 'none'}", flush=True)
