Keep the time of a trial when an earlier report of a crash arrives

Cause: of two reports of one crash the earlier one is kept, and that counted as a new crash, so that each datagram with a shorter delay put the trial off by 2 s. Change: only a new crash clears the time at which the service answered again. Measured: test_earlier_report_of_a_known_crash_does_not_put_off_the_trial fails before.

--- a/persimmonwell/core/retry/_prompt_parts.py
+++ b/persimmonwell/core/retry/_prompt_parts.py
@@ -170,8 +170,9 @@
             if known.at_s <= crash.at_s:
                 return False
             self.crashes.remove(known)
+        else:
+            self.resumed_s = None
         self.crashes.append(crash)
-        self.resumed_s = None
         if len(self.crashes) > MAX_CRASHES:
             self.crashes.remove(min(self.crashes, key=lambda each: each.at_s))
         return True
--- a/tests/core/retry/test_prompt_parts.py
+++ b/tests/core/retry/test_prompt_parts.py
@@ -213,6 +213,18 @@
     assert parts.begin_trial("dead", later_s, host_rank=lambda: 0)
 
 
+def test_earlier_report_of_a_known_crash_does_not_put_off_the_trial() -> None:
+    """Guards against a trial that each datagram with a shorter delay puts off."""
+    parts = after_crashes(JOINT, [("root",)])
+    parts.record_answer(("root",), 10.0)
+    (evidence,) = [
+        each for each in after_crashes(JOINT).evidence(9.0) if each.part_id == "dead"
+    ]
+    parts.record_peer_evidence(evidence, 8.99)
+    due_s = 10.0 + FIRST_JOINT_TRIAL_S
+    assert parts.begin_trial("dead", due_s, host_rank=lambda: 0)
+
+
 def test_more_hosts_try_a_part_of_which_few_requests_come() -> None:
     """Guards against a sound part that is refused until one of many hosts gets it."""
     parts = after_crashes(JOINT, [("root",)])
