Prefer a replica that refuses to one that is lost

Cause: a pause after a refusal was weighed together with ejection. While all live replicas of a service were full, the choice fell back to all of them, the lost ones included, which look idle. Change: ejected replicas are left out first, refusing ones among the rest. Measured: test_replica_that_refuses_is_preferred_to_a_lost_one fails before.

--- a/persimmonwell/core/forwarding/_upstreams.py
+++ b/persimmonwell/core/forwarding/_upstreams.py
@@ -172,9 +172,15 @@
             replica
             for replica in available
             if not self.health.is_ejected(replica.replica_id, now_s)
-            and not self.refusals.is_paused(replica, now_s)
         ]
         available = healthy or available
+        # A replica that refuses may take a request; an ejected one may be dead.
+        taking = [
+            replica
+            for replica in available
+            if not self.refusals.is_paused(replica, now_s)
+        ]
+        available = taking or available
         if not available:
             return None
         latencies_s = [
--- a/tests/core/forwarding/test_statements.py
+++ b/tests/core/forwarding/test_statements.py
@@ -169,5 +169,16 @@
     assert refusals <= 10
 
 
+def test_replica_that_refuses_is_preferred_to_a_lost_one() -> None:
+    """Guards against requests sent to a dead replica while the others are full."""
+    router = make_router(*DESKS)
+    router.replica_probed("d-2", None, 0.0, is_alive=False)
+    send = send_look(router, 1, 0.1)
+    assert isinstance(send, Send) and send.replica_id == "d-1"
+    router.attempt_failed(1, send.attempt, AttemptFailure.NOT_RUN, 0.11)
+    router.caller_left(1, 0.11)
+    assert targets(router, 0.12) == {"d-1"}
+
+
 def _attempt_of(router: ForwardingRouter, key: int) -> int:
     return router._active[key].attempt
