Send the zone only what this host heard of a leaving replica

Cause: found by reading the change. A host that learned of a leaving replica from a peer, or took a statement back, sent its state to its whole zone, although that carried nothing new: as many datagrams as the square of the hosts. Every tick listed the replicas of each service to look for leaving ones, and a replica's refusals stayed on record after its next answers, so that each arrival listed the replicas once more. Change: only a statement that this host heard is sent at once; the check of leaving replicas ends where there are none; an answer drops the record unless a stated time still runs. The unused LeavingReplicas.is_leaving goes. Measured: tests/core/forwarding, tests/core/retry, test_statements, test_event_stream and test_exchange pass. The datagrams and the time saved were not measured. Conclusion: what callers and replicas see stays as it was.

--- a/persimmonwell/core/forwarding/_events.py
+++ b/persimmonwell/core/forwarding/_events.py
@@ -129,6 +129,7 @@
 
     replica_id: str
     is_leaving: bool
+    is_from_peer: bool = False
 
 
 @attrs.frozen
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -349,7 +349,7 @@
         replica_id, _ = notice.incarnation
         if not self.leaving.record_notice(notice, now_s):
             return ()
-        return (LeavingChanged(replica_id, True),)
+        return (LeavingChanged(replica_id, True, is_from_peer=True),)
 
     def answer_opened(self, key: int, attempt: int) -> None:
         """Record that an upstream sent the head of a success."""
--- a/persimmonwell/core/forwarding/_statements.py
+++ b/persimmonwell/core/forwarding/_statements.py
@@ -67,10 +67,6 @@
         """Return the incarnations that leave."""
         return self._leaving.keys()
 
-    def is_leaving(self, replica: Replica) -> bool:
-        """Return whether this incarnation has stated that it leaves."""
-        return replica.incarnation in self._leaving
-
     def record(self, replica: Replica, now_s: float) -> bool:
         """Record a statement that this host heard; return whether it is new."""
         known = self._leaving.get(replica.incarnation)
@@ -181,12 +177,16 @@
         if pause_s < MAX_REFUSAL_PAUSE_S:
             refusals.count += 1
 
-    def record_answer(self, replica: Replica) -> None:
-        """Record that a replica took a request."""
+    def record_answer(self, replica: Replica, now_s: float) -> None:
+        """Record that a replica took a request; only a stated time outlasts that."""
         refusals = self._known(replica)
-        if refusals is not None:
-            refusals.count = 0
-            refusals.paused_until_s = float("-inf")
+        if refusals is None:
+            return
+        if refusals.hold_off_until_s <= now_s:
+            del self._refusals[replica.replica_id]
+            return
+        refusals.count = 0
+        refusals.paused_until_s = float("-inf")
 
     def prune(self, registered: set[str], now_s: float) -> None:
         """Drop the state of replicas that are not registered, once it has ended."""
--- a/persimmonwell/core/forwarding/_upstreams.py
+++ b/persimmonwell/core/forwarding/_upstreams.py
@@ -53,7 +53,7 @@
 
     def due_leaving_checks(self, service: str, now_s: float) -> tuple[Replica, ...]:
         """Return the leaving replicas to ask again, if a service has no other ones."""
-        if self.available(service):
+        if not self.leaving.incarnations or self.available(service):
             return ()
         replicas = (
             replica
@@ -238,7 +238,7 @@
             replica = self.registry.replicas.get(replica_id)
             if replica is not None:
                 self.health.record_success(replica_id, replica.incarnation, latency_s)
-                self.refusals.record_answer(replica)
+                self.refusals.record_answer(replica, now_s)
 
     def record_failure(
         self,
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -321,7 +321,8 @@
                     "leaving_stated" if decision.is_leaving else "leaving_retracted",
                     replica=decision.replica_id,
                 )
-                self._on_leaving()
+                if decision.is_leaving and not decision.is_from_peer:
+                    self._on_leaving()
                 continue
             if isinstance(decision, HoldOffStated):
                 self.metrics.count_event("hold_offs_stated")
--- a/tests/core/forwarding/test_statements.py
+++ b/tests/core/forwarding/test_statements.py
@@ -75,7 +75,8 @@
     one, two = make_router(*DESKS), make_router(*DESKS)
     one.replica_stated("d-1", LEAVING, 10.0)
     for notice in one.leaving.notices(10.2):
-        assert two.record_peer_notice(notice, 20.2) == (LeavingChanged("d-1", True),)
+        heard = LeavingChanged("d-1", True, is_from_peer=True)
+        assert two.record_peer_notice(notice, 20.2) == (heard,)
         assert two.record_peer_notice(notice, 20.3) == ()
     assert targets(two, 20.3) == {"d-2"}
     assert two.leaving.notices(20.3) == ()
