Forward only whole events that bear one id

Callers got a complete answer with one event twice when a byte in the name of its id was spoiled (`xd: 12`), or a byte of the separator before it (ORDER). Cause: an event with data but without an id was forwarded without a move of the position. The id after it did not follow, and the stream was resumed before the event that the caller had. Two events whose separator was spoiled were forwarded as one in the same way, and an event whose data had another name counted as forwarded although callers read nothing from it. Change: one expression states what an event is: one id in its shortest form, then the data. Whatever is neither an event nor a comment ends the attempt before it is forwarded. Ten of eleven rows of the new table of malformed events fail before.

--- a/persimmonwell/gateway/_event_stream.py
+++ b/persimmonwell/gateway/_event_stream.py
@@ -1,7 +1,22 @@
 """Incremental parser of event streams that forwards only complete events."""
 
+import re
+
 import attrs
 
+_EVENT = re.compile(
+    rb"(?:(?:(?!id:|data:)[a-z-]*:[^\r\n]*)?\n)*?"
+    rb"id: ?(0|[1-9]\d*)\n"
+    rb"data(?::[^\r\n]*)?"
+    rb"(?:\n(?:data|event|retry)(?::[^\r\n]*)?)*"
+)
+"""One event: comments and further fields, one id in its shortest form, then the data.
+
+Two events whose separator was spoiled look like one with a second id, or with a line
+of another name after the data, and do not match.
+"""
+_COMMENT = re.compile(rb"(?:(?::[^\r\n]*)?(?:\n|\Z))*")
+
 
 @attrs.frozen
 class CompleteEvents:
@@ -24,8 +39,6 @@
     def __init__(self, *, last_id: str | None = None) -> None:
         self._partial_event = b""
         self._comments = b""
-        self._must_continue = False
-        """Whether the next event has to bear the id after the last one."""
         self.last_id = last_id.encode("latin-1", "replace") if last_id else None
         """Id of the last complete event, at first that of the caller's last one."""
 
@@ -42,7 +55,6 @@
     def begin_attempt(self) -> None:
         """Discard an incomplete event, as the next attempt sends it again."""
         self._partial_event = self._comments = b""
-        self._must_continue = self.last_id is not None
 
     def take_comments(self) -> bytes:
         """Return the comments after the last event and forget them."""
@@ -52,8 +64,9 @@
     def feed(self, data: bytes) -> CompleteEvents:
         """Add a piece of the stream and return the events that are complete now.
 
-        Events up to one that is out of order are returned, and that one and later ones
-        are not: the next attempt resumes after the last event that was returned.
+        Events up to one that is malformed or out of order are returned, and that one
+        and later ones are not: the next attempt resumes after the last event that was
+        returned.
         """
         searched = max(0, len(self._partial_event) - 1)
         data = self._partial_event + data if self._partial_event else data
@@ -67,21 +80,19 @@
         position = end_of_events = 0
         for event in complete[:-2].split(b"\n\n"):
             position += len(event) + 2
-            event_id = _parse_event_id(event)
-            if event_id is None:
-                # An error's text, for example, is no continuation of the stream.
-                in_order = not self._must_continue or _is_comment(event)
-            else:
-                in_order = _is_next_id(self.last_id, event_id)
+            match = _EVENT.fullmatch(event)
+            if match is None:
+                # An error's text, for example, is no part of the stream.
+                in_order = _COMMENT.fullmatch(event) is not None
+                if in_order:
+                    continue
+                break
+            in_order = _is_next_id(self.last_id, match[1])
             if not in_order:
                 break
-            if event_id is None and not _has_data(event):
-                continue
             count += 1
             end_of_events = position
-            if event_id is not None:
-                self._must_continue = False
-                self.last_id = event_id
+            self.last_id = match[1]
         events = self._comments + complete[:end_of_events] if count else b""
         if not in_order:
             self._partial_event = self._comments = b""
@@ -92,25 +103,8 @@
         return CompleteEvents(events, count, self.last_id, in_order)
 
 
-def _has_data(event: bytes) -> bool:
-    return event.startswith(b"data") or b"\ndata" in event
-
-
-def _is_comment(event: bytes) -> bool:
-    return all(not line or line.startswith(b":") for line in event.split(b"\n"))
-
-
-def _parse_event_id(event: bytes) -> bytes | None:
-    start = 0 if event.startswith(b"id:") else event.find(b"\nid:") + 1
-    if start == 0 and not event.startswith(b"id:"):
-        return None
-    end = event.find(b"\n", start)
-    line = event[start : end if end >= 0 else len(event)]
-    return line[3:].strip()
-
-
 def _is_next_id(last_id: bytes | None, event_id: bytes) -> bool:
     """Return whether an id follows the last one; only numeric ids are compared."""
-    if last_id is None or not (last_id.isdigit() and event_id.isdigit()):
+    if last_id is None or not last_id.isdigit():
         return True
     return int(event_id) == int(last_id) + 1
--- a/tests/gateway/test_event_stream.py
+++ b/tests/gateway/test_event_stream.py
@@ -67,3 +67,39 @@
     parser.begin_attempt()
     assert parser.feed(event(4)).data == event(4)
     assert parser.last_id == b"4"
+
+
+MALFORMED_EVENTS = {
+    "spoiled name of the id": b"xd: 4\ndata: 4\n\n",
+    "id as a comment": b":id: 4\ndata: 4\n\n",
+    "no id": b"data: 4\n\n",
+    "no number": b"id: 4x\ndata: 4\n\n",
+    "leading zero": b"id: 04\ndata: 4\n\n",
+    "no data": b"id: 4\n\n",
+    "spoiled name of the data": b"id: 4\nxata: 4\n\n",
+    "two ids": b"id: 4\nid: 4\ndata: 4\n\n",
+    "spoiled separator": b"id: 4\ndata: 4\n:id: 5\ndata: 5\n\n",
+    "carriage return as separator": b"id: 4\ndata: 4\n\rid: 5\ndata: 5\n\n",
+    "text": b"out of memory\n\n",
+}
+
+
+@pytest.mark.parametrize("odd", MALFORMED_EVENTS.values(), ids=MALFORMED_EVENTS)
+def test_malformed_event_ends_the_attempt_before_it_is_forwarded(odd: bytes) -> None:
+    """Guards against an event that is forwarded although the next attempt repeats it.
+
+    The event after it no longer follows the last id, so that the stream was resumed
+    before the event whose data the caller had.
+    """
+    parser = EventStreamParser()
+    events = parser.feed(event(1) + event(2) + event(3) + odd + event(5))
+    assert not events.is_in_order
+    assert events.data == event(1) + event(2) + event(3)
+    assert parser.last_id == b"3"
+
+
+def test_event_with_further_fields_is_forwarded() -> None:
+    """Guards against a sound stream that ends at a change of the weights."""
+    parser = EventStreamParser()
+    first = b": hello\nweight-versions: 7\nid: 1\ndata: a\ndata: b\nevent: token\n\n"
+    assert parser.feed(first + event(2)).data == first + event(2)
