Answer a request whose header holds no number in range

Callers that sent `Length-Hint: inf` or `1e999`, or `Deadline-Remaining: nan`, got a closed connection without an answer on each kind of route (LOST), and a stream with a `Token-Count` of 300 digits waited before it was refused. Cause: headers were converted with int() and float(), which accept more than the protocol does. `int(float("inf"))` raised while the request was read. With nan the deadline became nan (min(nan, timeout) is nan), and its conversion to milliseconds raised when the request was sent. Both ended in the handler for faults of the host, which closes the connection. Any other value of the three headers is answered 400 at once, with the name of the header; nothing runs, and the connection stays open. The line `rejected` and a counter show it.

--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -1,10 +1,12 @@
 """Gateway: connects callers and upstreams to the forwarding router."""
 
 import asyncio
+import json
 import random
 import time
 from collections.abc import Callable, Iterable
 
+from persimmonwell._exceptions import BadRequestError
 from persimmonwell.core.forwarding import (
     AttemptFailure,
     CallerLimits,
@@ -42,9 +44,11 @@
     decode_answer_head,
     decode_report,
     decode_request,
+    decode_request_id,
     decode_stalled_stages,
     encode_reroute_order,
     expected_replica_headers,
+    local_answer_headers,
 )
 
 TICK_S = 0.05
@@ -155,12 +159,18 @@
 
     # Requests
 
-    def _open_exchange(self, caller: CallerConnection, raw: RawRequest) -> Exchange:
+    def _open_exchange(
+        self, caller: CallerConnection, raw: RawRequest
+    ) -> Exchange | None:
         self._last_key += 1
         key = self._last_key
-        request = decode_request(
-            raw.method, raw.target, raw.headers, host=raw.host, body=raw.body
-        )
+        try:
+            request = decode_request(
+                raw.method, raw.target, raw.headers, host=raw.host, body=raw.body
+            )
+        except BadRequestError as error:
+            self._reject_request(caller, decode_request_id(raw.headers), error)
+            return None
         exchange = Exchange(
             key=key,
             owner=self,
@@ -174,6 +184,21 @@
         self.execute(self.router.request_arrived(key, request, self.now_s()))
         return exchange
 
+    def _reject_request(
+        self, caller: CallerConnection, request_id: str, error: BadRequestError
+    ) -> None:
+        self.metrics.count_event("rejected")
+        self._log.write(
+            "request",
+            "rejected",
+            id=request_id,
+            field=error.field,
+            reason=error.reason,
+        )
+        body = json.dumps({"error": error.code, "field": error.field}).encode()
+        headers = local_answer_headers(request_id, None)
+        caller.write_answer(error.status, headers, body)
+
     def _is_stream(self, key: int) -> bool:
         route = self.router.route_of(key)
         return route is not None and route.kind is RouteKind.STREAM
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import http.client
+import json
 import socket
 import time
 from collections.abc import Iterator
@@ -362,6 +363,35 @@
     assert testbed.replica_request_count() == 0
 
 
+@pytest.mark.parametrize("path", ["/look/x", "/book/x", "/fixed/x"])
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("Length-Hint", "inf"),
+        ("Length-Hint", "1e999"),
+        ("Deadline-Remaining", "nan"),
+        ("Deadline-Remaining", "9" * 300),
+        ("Token-Count", "9" * 300 + ",5"),
+        ("Token-Count", "5," + "9" * 300),
+    ],
+)
+def test_request_with_an_odd_number_is_answered_at_once(
+    testbed: GatewayTestbed, path: str, name: str, value: str
+) -> None:
+    """Guards against a closed connection, or a wait, for a number out of range."""
+    connection = testbed.connect()
+    headers = {"Token-Count": "5,5", name: value}
+    start_s = time.monotonic()
+    status, answer_headers, body = testbed.send(path, connection=connection, **headers)
+    assert status == 400 and time.monotonic() - start_s < 0.5
+    assert answer_headers["request-id"] == "req-1"
+    assert json.loads(body)["field"] == name.lower()
+    assert testbed.replica_request_count() == 0
+    # The connection goes on with the next request.
+    assert testbed.send(path, connection=connection)[0] == 200
+    connection.close()
+
+
 def test_pipelined_requests_are_answered_in_order(testbed: GatewayTestbed) -> None:
     """Guards against answers out of order on one connection."""
     head = f"Host: {HOST}\r\nApi-Key: {API_KEY}\r\n".encode()
