Confirm the id of a stream's first event before it counts

Callers got a complete answer 1, 8, 9, ... when a byte of the first event's id was spoiled (7 for 1): the stream was resumed after 7 (ORDER). Change: core/forwarding/_stream_position.py owns the position, without I/O. A stream begins with 1, or after the caller's Last-Event-Id. A first event with another id is held until the next one bears the id after it; both are then forwarded, so a stream that counts from elsewhere goes on. Otherwise the attempt ends before anything was forwarded, and the next one begins at the start. The position is a number, so a caller's Last-Event-Id that is none is answered 400 like the other headers. Measured: the rows of one attempt in test_one_spoiled_byte_loses_and_repeats_no_event (each byte of the first event too, in four framings) fail before and pass after. A first event with a sound id is forwarded at once, as before.

--- a/bench/forwarding_cost.py
+++ b/bench/forwarding_cost.py
@@ -21,6 +21,7 @@
     Route,
     RouteKind,
     ServiceSpec,
+    StreamPosition,
     WeightedService,
     find_path,
     plan_placement,
@@ -128,7 +129,7 @@
         )
     in_zone, chosen_us = choose_path_us(6 * 217)
     print(f"{in_zone} replicas in the zone: {chosen_us:.0f} us a choice of a path")
-    cutter = EventStreamParser()
+    cutter = EventStreamParser(StreamPosition())
     event = b"data: " + b"x" * 60 + b"\n\n"
     numbers = iter(range(1, 10**9))
     cut_us = cpu_time_us(
--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -68,6 +68,7 @@
 )
 from persimmonwell.core.forwarding._router import ForwardingRouter
 from persimmonwell.core.forwarding._statements import LeavingNotice, ReplicaStatement
+from persimmonwell.core.forwarding._stream_position import EventPlace, StreamPosition
 
 __all__ = [
     "CALLER_RETRY_WINDOW_S",
@@ -85,6 +86,7 @@
     "Decision",
     "Ending",
     "EngineSpec",
+    "EventPlace",
     "FailedAttempt",
     "FetchStallReport",
     "Finish",
@@ -118,6 +120,7 @@
     "ServiceSpec",
     "Stage",
     "StoreVersions",
+    "StreamPosition",
     "Tenant",
     "UpstreamAnswer",
     "WeightedService",
--- a/persimmonwell/core/forwarding/_model.py
+++ b/persimmonwell/core/forwarding/_model.py
@@ -208,7 +208,7 @@
     api_key: str | None = None
     timeout_s: float | None = None
     """Time that the caller waits, counted from the arrival."""
-    last_event_id: str | None = None
+    last_event_id: int | None = None
     digest: str = ""
     """Digest of path, caller, shared parts and body; empty if unknown."""
     shared_parts: tuple[str, ...] = ()
--- a/persimmonwell/gateway/_event_stream.py
+++ b/persimmonwell/gateway/_event_stream.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from persimmonwell.core.forwarding import EventPlace, StreamPosition
+
 _EVENT = re.compile(
     rb"(?:(?:(?!id:|data:)[a-z-]*:[^\r\n]*)?\n)*?"
     rb"id: ?(0|[1-9]\d*)\n"
@@ -24,41 +26,41 @@
 
     data: bytes
     count: int
-    last_id: bytes | None
     is_in_order: bool
 
 
 class EventStreamParser:
-    """Splits a stream into complete events and checks the order of their ids.
+    """Splits a stream into complete events, up to one that is out of order.
 
-    It buffers the incomplete event at the end and keeps the id of the last complete
-    one, at which another attempt resumes. Comments are held until the next event, so
-    that a stalled stream that only sends comments does not count as active.
+    It buffers the incomplete event at the end, and a first event whose id the next one
+    has to confirm. Comments are held until the next event, so that a stalled stream
+    that only sends comments does not count as active.
     """
 
-    def __init__(self, *, last_id: str | None = None) -> None:
+    def __init__(self, position: StreamPosition) -> None:
+        self._position = position
         self._partial_event = b""
-        self._comments = b""
-        self.last_id = last_id.encode("latin-1", "replace") if last_id else None
-        """Id of the last complete event, at first that of the caller's last one."""
+        self._held = b""
+        """Comments after the last event, with a first event that is held."""
 
     @property
-    def has_partial_event(self) -> bool:
-        """Return whether the stream so far ends within an event."""
-        return bool(self._partial_event)
+    def ends_within_event(self) -> bool:
+        """Return whether an event of the stream so far was not forwarded."""
+        return bool(self._partial_event) or self._position.has_held_event
 
     @property
     def held_bytes(self) -> int:
         """Return how many bytes wait for the end of an event."""
-        return len(self._partial_event) + len(self._comments)
+        return len(self._partial_event) + len(self._held)
 
     def begin_attempt(self) -> None:
         """Discard an incomplete event, as the next attempt sends it again."""
-        self._partial_event = self._comments = b""
+        self._partial_event = self._held = b""
+        self._position.begin_attempt()
 
     def take_comments(self) -> bytes:
         """Return the comments after the last event and forget them."""
-        comments, self._comments = self._comments, b""
+        comments, self._held = self._held, b""
         return comments
 
     def feed(self, data: bytes) -> CompleteEvents:
@@ -73,7 +75,7 @@
         end = data.rfind(b"\n\n", searched)
         if end < 0:
             self._partial_event = data
-            return CompleteEvents(b"", 0, self.last_id, True)
+            return CompleteEvents(b"", 0, True)
         complete, self._partial_event = data[: end + 2], data[end + 2 :]
         count = 0
         in_order = True
@@ -87,24 +89,18 @@
                 if in_order:
                     continue
                 break
-            in_order = _is_next_id(self.last_id, match[1])
-            if not in_order:
+            place = self._position.place(int(match[1]))
+            if place is EventPlace.NEXT:
+                count += 1
+                end_of_events = position
+            elif place is EventPlace.MISPLACED:
+                in_order = False
                 break
-            count += 1
-            end_of_events = position
-            self.last_id = match[1]
-        events = self._comments + complete[:end_of_events] if count else b""
+        events = self._held + complete[:end_of_events] if count else b""
         if not in_order:
-            self._partial_event = self._comments = b""
+            self._partial_event = self._held = b""
         elif count:
-            self._comments = complete[end_of_events:]
+            self._held = complete[end_of_events:]
         else:
-            self._comments += complete
-        return CompleteEvents(events, count, self.last_id, in_order)
-
-
-def _is_next_id(last_id: bytes | None, event_id: bytes) -> bool:
-    """Return whether an id follows the last one; only numeric ids are compared."""
-    if last_id is None or not last_id.isdigit():
-        return True
-    return int(event_id) == int(last_id) + 1
+            self._held += complete
+        return CompleteEvents(events, count, in_order)
--- a/persimmonwell/gateway/_exchange.py
+++ b/persimmonwell/gateway/_exchange.py
@@ -15,6 +15,7 @@
     Finish,
     ReplicaStatement,
     Send,
+    StreamPosition,
 )
 from persimmonwell.gateway._caller_connection import CallerConnection, RawRequest
 from persimmonwell.gateway._event_stream import EventStreamParser
@@ -179,7 +180,8 @@
         self._is_stream = is_stream
         self._current_attempt: _Attempt | None = None
         self._last_attempt: _Attempt | None = None
-        self._event_parser = EventStreamParser(last_id=request.last_event_id)
+        self._position = StreamPosition(request.last_event_id)
+        self._event_parser = EventStreamParser(self._position)
         self._answer = AnswerState()
         self._failed_attempt: _Attempt | None = None
         self._used_connections: list[UpstreamConnection] = []
@@ -239,7 +241,6 @@
     def _write(self, attempt: _Attempt, connection: UpstreamConnection) -> None:
         send = attempt.send
         remaining_ms = int((send.deadline_s - self._owner.now_s()) * 1000)
-        last_id = self._event_parser.last_id
         head = encode_request_head(
             self._raw.method,
             self._raw.target,
@@ -248,7 +249,7 @@
             deadline_ms=remaining_ms,
             replica_id=send.replica_id,
             tenant=send.tenant,
-            last_event_id=last_id.decode("latin-1") if last_id is not None else None,
+            last_event_id=self._position.last_id,
             path=send.path,
         )
         attempt.connection = connection
@@ -385,7 +386,7 @@
         return self._answer.judge_end(
             attempt.head.facts,
             is_stream=self.is_stream,
-            ends_within_event=self._event_parser.has_partial_event,
+            ends_within_event=self._event_parser.ends_within_event,
             is_framed=is_framed,
         )
 
--- a/persimmonwell/platform/_headers.py
+++ b/persimmonwell/platform/_headers.py
@@ -87,7 +87,7 @@
         method=method,
         api_key=values.get(_API_KEY),
         timeout_s=_parse_timeout_s(values.get(_DEADLINE_REMAINING)),
-        last_event_id=values.get(_LAST_EVENT_ID),
+        last_event_id=_parse_last_event_id(values.get(_LAST_EVENT_ID)),
         digest=_digest((method, host, target, key, *shared_parts), body),
         size=_parse_generation_size(values.get(_TOKEN_COUNT), values.get(_LENGTH_HINT)),
         shared_parts=shared_parts,
@@ -128,6 +128,15 @@
     return GenerationSize(prompt, output, None if expected is None else int(expected))
 
 
+def _parse_last_event_id(event_id: str | None) -> int | None:
+    if not event_id:
+        return None
+    number = parse_count(event_id)
+    if number is None:
+        raise _header_error(_LAST_EVENT_ID, event_id)
+    return number
+
+
 def _header_error(name: bytes, value: str) -> BadRequestError:
     reason = f"{value[:MAX_REASON_CHARACTERS]!a} is no number in range"
     return BadRequestError(field=name.decode(), reason=reason)
@@ -150,7 +159,7 @@
     deadline_ms: int,
     replica_id: str,
     tenant: str | None,
-    last_event_id: str | None,
+    last_event_id: int | None,
     path: PipelinePath | None,
 ) -> bytes:
     """Return the request line and headers that are sent to a replica.
@@ -168,7 +177,7 @@
     if tenant is not None:
         lines.append(b"tenant: " + tenant.encode("latin-1", "replace"))
     if last_event_id is not None:
-        lines.append(b"last-event-id: " + last_event_id.encode("latin-1", "replace"))
+        lines.append(b"last-event-id: %d" % last_event_id)
     if path is not None:
         lines.append(b"hop-count: " + _encode_path(path).encode())
     if body_bytes is not None:
--- a/tests/gateway/test_event_stream.py
+++ b/tests/gateway/test_event_stream.py
@@ -4,6 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from persimmonwell.core.forwarding import StreamPosition
 from persimmonwell.gateway._event_stream import EventStreamParser
 
 COMMENT = b": still here\n\n"
@@ -21,7 +22,7 @@
     numbers = iter(range(1, 20))
     blocks = [event(next(numbers)) if is_event else COMMENT for is_event in kinds]
     stream = b"".join(blocks)
-    parser = EventStreamParser()
+    parser = EventStreamParser(StreamPosition())
     forwarded, count, position = b"", 0, 0
     for size in sizes * (len(stream) + 1):
         events = parser.feed(stream[position : position + size])
@@ -30,14 +31,14 @@
         forwarded += events.data
         count += events.count
         position += size
-    assert not parser.has_partial_event
+    assert not parser.ends_within_event
     assert forwarded + parser.take_comments() == stream
     assert count == sum(kinds)
 
 
 def test_comments_do_not_count_as_events() -> None:
     """Guards against a stalled stream that stays alive by its comments."""
-    parser = EventStreamParser()
+    parser = EventStreamParser(StreamPosition())
     assert parser.feed(COMMENT * 3).count == 0
     assert parser.held_bytes == 3 * len(COMMENT)
     assert parser.feed(event(1)).data == COMMENT * 3 + event(1)
@@ -54,7 +55,8 @@
     """Guards against pieces missing or sent twice after an event with a spoiled id."""
     odd = event(4).replace(b"id: 4", b"id: " + odd_id)
     stream = b"".join((event(1), event(2), event(3), odd, event(5)))
-    parser = EventStreamParser()
+    position = StreamPosition()
+    parser = EventStreamParser(position)
     forwarded = b""
     for start in range(0, len(stream), size):
         events = parser.feed(stream[start : start + size])
@@ -63,10 +65,10 @@
             break
     assert not events.is_in_order
     assert forwarded == event(1) + event(2) + event(3)
-    assert parser.last_id == b"3"
+    assert position.last_id == 3
     parser.begin_attempt()
     assert parser.feed(event(4)).data == event(4)
-    assert parser.last_id == b"4"
+    assert position.last_id == 4
 
 
 MALFORMED_EVENTS = {
@@ -91,15 +93,43 @@
     The event after it no longer follows the last id, so that the stream was resumed
     before the event whose data the caller had.
     """
-    parser = EventStreamParser()
+    position = StreamPosition()
+    parser = EventStreamParser(position)
     events = parser.feed(event(1) + event(2) + event(3) + odd + event(5))
     assert not events.is_in_order
     assert events.data == event(1) + event(2) + event(3)
-    assert parser.last_id == b"3"
+    assert position.last_id == 3
 
 
 def test_event_with_further_fields_is_forwarded() -> None:
     """Guards against a sound stream that ends at a change of the weights."""
-    parser = EventStreamParser()
+    parser = EventStreamParser(StreamPosition())
     first = b": hello\nweight-versions: 7\nid: 1\ndata: a\ndata: b\nevent: token\n\n"
     assert parser.feed(first + event(2)).data == first + event(2)
+
+
+@pytest.mark.parametrize("first", [0, 7, 12])
+@pytest.mark.parametrize("size", [1, 1000])
+def test_first_event_with_an_odd_id_waits_for_the_next_one(
+    first: int, size: int
+) -> None:
+    """Guards against a stream resumed after an id that nothing but its event shows."""
+    spoiled = event(1).replace(b"id: 1", b"id: %d" % first)
+    for second, is_confirmed in ((2, False), (first + 1, True)):
+        position = StreamPosition()
+        parser = EventStreamParser(position)
+        stream = COMMENT + spoiled + COMMENT + event(second)
+        forwarded = b""
+        for start in range(0, len(stream), size):
+            events = parser.feed(stream[start : start + size])
+            forwarded += events.data
+        assert events.is_in_order == is_confirmed
+        assert forwarded == (stream if is_confirmed else b"")
+        assert position.last_id == (second if is_confirmed else None)
+
+
+def test_stream_that_ends_with_an_unconfirmed_event_ends_within_an_event() -> None:
+    """Guards against a stream whose only event has a spoiled id and looks complete."""
+    parser = EventStreamParser(StreamPosition())
+    assert parser.feed(event(7)).data == b""
+    assert parser.ends_within_event
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -176,7 +176,7 @@
     owner: ScriptedOwner,
     *,
     is_stream: bool,
-    last_event_id: str | None = None,
+    last_event_id: int | None = None,
 ) -> Exchange:
     return Exchange(
         key=1,
@@ -222,7 +222,7 @@
     """Guards against a gap or a repeat where the caller itself resumes a stream."""
     for first_event, is_sound in ((2, False), (3, True), (4, False)):
         caller, owner = RecordingCaller(), ScriptedOwner()
-        exchange = new_exchange(caller, owner, is_stream=True, last_event_id="2")
+        exchange = new_exchange(caller, owner, is_stream=True, last_event_id=2)
         exchange.send(Send(1, 1, "u1", "a:1", None, 9.0, True, None))
         assert b"last-event-id: 2\r\n" in owner.connection.sent
         owner.connection.handler.on_head(200, headers_of(Answer(), 1))
--- a/tests/gateway/test_spoiled_streams.py
+++ b/tests/gateway/test_spoiled_streams.py
@@ -33,11 +33,17 @@
     return HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"
 
 
+def in_small_chunks(events: list[bytes]) -> bytes:
+    # The size of such a chunk is one digit, so that one byte can make it the last.
+    parts = [each[start : start + 11] for each in events for start in (0, 11)]
+    return in_chunks([part for part in parts if part])
+
+
 def until_close(events: list[bytes]) -> bytes:
     return HEAD + b"\r\n" + b"".join(events)
 
 
-FRAMINGS = (with_length, in_chunks, until_close)
+FRAMINGS = (with_length, in_chunks, in_small_chunks, until_close)
 
 
 class MemoryTransport(asyncio.Transport):
@@ -153,7 +159,7 @@
         assert len(ids) == EVENT_COUNT, caller.body
 
 
-@pytest.mark.parametrize(("attempts", "piece"), [(2, 4096), (3, 11)])
+@pytest.mark.parametrize(("attempts", "piece"), [(1, 11), (2, 4096), (3, 11)])
 @pytest.mark.parametrize("framing", FRAMINGS)
 def test_one_spoiled_byte_loses_and_repeats_no_event(
     framing: Callable[[list[bytes]], bytes], attempts: int, piece: int
@@ -164,7 +170,8 @@
     """
     events = [event(number) for number in range(1, EVENT_COUNT + 1)]
     whole = framing(events)
-    broken_off = whole.index(event(4)) + 9
+    # Within the last bytes of the fourth event.
+    broken_off = len(framing(events[:4])) - 14
     before: list[Spoil] = [
         lambda data: data[: min(broken_off, len(data) - 1)] for _ in range(attempts - 1)
     ]
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -97,7 +97,9 @@
 
 
 @pytest.mark.parametrize("value", ODD_NUMBERS)
-@pytest.mark.parametrize("name", ["deadline-remaining", "length-hint", "token-count"])
+@pytest.mark.parametrize(
+    "name", ["deadline-remaining", "last-event-id", "length-hint", "token-count"]
+)
 def test_request_with_an_odd_number_is_rejected_by_its_header(
     name: str, value: bytes
 ) -> None:
