End an attempt at an event id with thousands of digits

A stream of a replica that sent an id of 5,000 digits broke off after two seconds, where a resumption at a sound replica was possible. Cause: Python refuses to convert numbers of more than 4,300 digits. The ValueError left the parser while the replica's bytes were read, and the connection was given up as a whole. Change: an id has at most 15 digits; a longer one is no event, so that the attempt ends and the stream is resumed after the last event that was forwarded. Measured: the row "id without end" of the malformed events fails before with that ValueError and passes after. Conclusion: mended.

--- a/persimmonwell/gateway/_event_stream.py
+++ b/persimmonwell/gateway/_event_stream.py
@@ -8,7 +8,7 @@
 
 _EVENT = re.compile(
     rb"(?:(?:(?!id:|data:)[a-z-]*:[^\r\n]*)?\n)*?"
-    rb"id: ?(0|[1-9]\d*)\n"
+    rb"id: ?(0|[1-9]\d{0,14})\n"
     rb"data(?::[^\r\n]*)?"
     rb"(?:\n(?:data|event|retry)(?::[^\r\n]*)?)*"
 )
--- a/tests/gateway/test_event_stream.py
+++ b/tests/gateway/test_event_stream.py
@@ -76,6 +76,7 @@
     "id as a comment": b":id: 4\ndata: 4\n\n",
     "no id": b"data: 4\n\n",
     "no number": b"id: 4x\ndata: 4\n\n",
+    "id without end": b"id: " + b"4" * 5000 + b"\ndata: 4\n\n",
     "leading zero": b"id: 04\ndata: 4\n\n",
     "no data": b"id: 4\n\n",
     "spoiled name of the data": b"id: 4\nxata: 4\n\n",
