Let nobody in once the last tenant is taken away

Absent and empty were one state of the type. The other places that read the table were checked: a host takes the document itself from a peer and decodes it in the same way, peers send only a version, and the daemon refuses a workspace that its configuration does not name. Change: the tenants of a configuration are None where the document has none; only then are no keys required. Measured: five rows over decoder, table and a running host fail before and pass after (test_nobody_is_let_in_once_the_last_key_is_taken_away: 200 before, 401 after). test_a_configuration_without_tenants_needs_no_key built its configuration with an empty table; it now uses None, and the empty table is a row of the test beside it. Conclusion: mended.

--- a/persimmonwell/core/forwarding/_model.py
+++ b/persimmonwell/core/forwarding/_model.py
@@ -132,14 +132,14 @@
     version: int
     routes: tuple[Route, ...]
     services: tuple[ServiceSpec, ...]
-    tenants: tuple[Tenant, ...] = ()
-    """Workspaces; without any, requests need no key."""
+    tenants: tuple[Tenant, ...] | None = None
+    """Workspaces; None where requests need no key. With none left, no key is valid."""
     limits: CallerLimits = attrs.field(factory=CallerLimits)
 
     @property
     def requires_keys(self) -> bool:
-        """Return whether a request needs a key, which no tenant may have any more."""
-        return bool(self.tenants)
+        """Return whether a request needs a key, which may be held by no tenant."""
+        return self.tenants is not None
 
 
 @attrs.frozen
--- a/persimmonwell/core/forwarding/_routes.py
+++ b/persimmonwell/core/forwarding/_routes.py
@@ -44,7 +44,7 @@
             self._prefixes[route.host.lower()][route.prefix] = route
         self._services = {service.name: service for service in config.services}
         self._tenant_by_key = {
-            key: tenant for tenant in config.tenants for key in tenant.keys
+            key: tenant for tenant in config.tenants or () for key in tenant.keys
         }
 
     @property
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -353,7 +353,7 @@
                 "in_force",
                 version=config.version,
                 routes=len(config.routes),
-                tenants=len(config.tenants),
+                tenants=len(config.tenants) if config.tenants is not None else None,
             )
             self._notify_zone()
             return
--- a/persimmonwell/platform/_operator_records.py
+++ b/persimmonwell/platform/_operator_records.py
@@ -125,7 +125,8 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
-    tenants: list[_Tenant] = []
+    tenants: list[_Tenant] | msgspec.UnsetType = msgspec.UNSET
+    """Absent where requests need no key; present and empty if no key is valid."""
 
 
 def decode_config(data: bytes) -> ForwardingConfig:
@@ -139,10 +140,7 @@
             version=document.version,
             routes=tuple(_build_route(route) for route in document.routes),
             services=tuple(_build_service(service) for service in document.services),
-            tenants=tuple(
-                Tenant(tenant.name, tuple(tenant.api_keys), tenant.priority)
-                for tenant in document.tenants
-            ),
+            tenants=_build_tenants(document.tenants),
             limits=_build_limits(document.limits),
         )
     except (
@@ -154,6 +152,17 @@
         raise DocumentError(faults=(Fault(path="/", reason=str(error)),)) from error
 
 
+def _build_tenants(
+    tenants: list[_Tenant] | msgspec.UnsetType,
+) -> tuple[Tenant, ...] | None:
+    if isinstance(tenants, msgspec.UnsetType):
+        return None
+    return tuple(
+        Tenant(tenant.name, tuple(tenant.api_keys), tenant.priority)
+        for tenant in tenants
+    )
+
+
 def _build_route(route: _Route) -> Route:
     services = tuple(
         WeightedService(split.service, split.weight) for split in route.traffic_split
--- a/tests/core/forwarding/test_routes.py
+++ b/tests/core/forwarding/test_routes.py
@@ -81,18 +81,20 @@
 
 def test_a_configuration_without_tenants_needs_no_key() -> None:
     """Guards against refusing callers where no keys are configured."""
-    config: ForwardingConfig = attrs.evolve(CONFIG, tenants=())
+    config: ForwardingConfig = attrs.evolve(CONFIG, tenants=None)
     resolved = RouteTable(config).resolve(request("look", api_key=None), draw=0.0)
     assert resolved.tenant is None
 
 
+@pytest.mark.parametrize("tenants", [(Tenant("range", ()),), ()])
 @pytest.mark.parametrize("api_key", ["key-1", "never-held", None])
-def test_tenants_without_a_key_left_let_nobody_in(api_key: str | None) -> None:
-    """Guards against requests with any key after the last key was taken away."""
-    tenants = (Tenant("range", ()),)
+def test_tenants_without_a_key_left_let_nobody_in(
+    api_key: str | None, tenants: tuple[Tenant, ...]
+) -> None:
+    """Guards against requests with any key after the last key or tenant is gone."""
     table = RouteTable(attrs.evolve(TABLE.config, tenants=tenants))
     with pytest.raises(UnknownKeyError):
         table.resolve(request("a", api_key=api_key), draw=0.0)
     assert table.resolve(request("open", api_key=api_key), draw=0.0).tenant is None
-    without_tenants = RouteTable(attrs.evolve(TABLE.config, tenants=()))
+    without_tenants = RouteTable(attrs.evolve(TABLE.config, tenants=None))
     assert without_tenants.resolve(request("a", api_key=api_key), draw=0.0)
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -363,6 +363,21 @@
     assert testbed.replica_request_count() == 0
 
 
+@pytest.mark.parametrize(
+    "tenants", [[], [{"name": "range", "api_keys": []}], [{"name": "range"}]]
+)
+def test_nobody_is_let_in_once_the_last_key_is_taken_away(
+    testbed: GatewayTestbed, tenants: list[Any]
+) -> None:
+    """Guards against requests of anybody that run without a valid key."""
+    assert testbed.send("/look/x")[0] == 200
+    testbed.store.put_key("keyed.op", "config", config(5, tenants=tenants))
+    wait_until(lambda: testbed.send("/look/x")[0] == 401)
+    for path in ("/look/x", "/book/x", "/fixed/x"):
+        for key in (API_KEY, "never-held", ""):
+            assert testbed.send(path, Api_Key=key)[0] == 401
+
+
 @pytest.mark.parametrize("path", ["/look/x", "/book/x", "/fixed/x"])
 @pytest.mark.parametrize(
     ("name", "value"),
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -154,6 +154,24 @@
     assert caught.value.faults[0].reason
 
 
+@pytest.mark.parametrize(
+    ("tenants", "requires_keys"),
+    [
+        ({}, False),
+        ({"tenants": []}, True),
+        ({"tenants": [{"name": "range"}]}, True),
+        ({"tenants": [{"name": "range", "api_keys": []}]}, True),
+    ],
+)
+def test_only_a_configuration_without_tenants_needs_no_key(
+    tenants: dict[str, Any], requires_keys: bool
+) -> None:
+    """Guards against requests of anybody once the last tenant is taken away."""
+    document = {"version": 7, "routes": [], "services": [], **tenants}
+    config = decode_config(json.dumps(document).encode())
+    assert config.requires_keys == requires_keys
+
+
 def test_route_without_a_split_uses_its_service() -> None:
     """Guards against routes without any service."""
     row = {"name": "r", "host": "h", "path_prefix": "/r/", "kind": "safe"}
