Plan and route with odd figures of an engine

An engine that states no `kv_token_bytes` (the field is optional), or 0 for it, `read_per_s` or the usual tokens, made each choice of a path or each plan raise ZeroDivisionError: its requests ended with a closed connection, and the timer that ends and sends requests failed at each tick. A model of no layers raised in plan_placement, which only its caller prevented. Cause: figures of the configuration divide costs, and nothing checked them. Change: the decoder takes each figure of an engine into a range that costs can be computed from. It does not reject the document, since the store accepted it. plan_placement returns no orders for a model without layers. Conclusion: mended.

--- a/persimmonwell/core/forwarding/_placement.py
+++ b/persimmonwell/core/forwarding/_placement.py
@@ -66,8 +66,11 @@
     """Return the orders that give every zone all layers of a service's model.
 
     A zone without memory for a whole model is planned together with the next zone.
-    requests_at returns the requests in flight at a replica.
+    requests_at returns the requests in flight at a replica. A model without layers
+    needs no orders.
     """
+    if spec.layers == 0:
+        return ()
     orders: list[PlacementOrder] = []
     for devices in _group_zones(replicas, spec):
         target, is_repartition = _plan_group(devices, spec, requests_at)
--- a/persimmonwell/platform/_operator_records.py
+++ b/persimmonwell/platform/_operator_records.py
@@ -37,6 +37,9 @@
 MAX_COUNT = 1 << 48
 """Largest count or time in milliseconds; hosts send no larger one to each other."""
 MAX_LAYERS = 100_000
+MIN_FIGURE = 1e-6
+MAX_FIGURE = 1e12
+"""Range of an engine's figures, some of which divide others."""
 _ADDRESS = re.compile(
     r"(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):([1-9]\d{0,4})", re.A
 )
@@ -198,24 +201,37 @@
 def _build_engine(engine: _Engine) -> EngineSpec:
     return EngineSpec(
         slots=engine.slots,
-        layers=engine.layers,
-        layer_mb=engine.layer_mb,
-        kv_token_bytes=engine.kv_token_bytes,
-        step_ms=engine.step_ms,
-        step_ms_per_sequence=engine.per_seq_ms,
-        step_ms_per_1k_context=engine.context_per_k,
-        prefill_tokens_per_s=engine.read_per_s,
-        typical_prompt_tokens=engine.usual.prompt,
-        typical_output_tokens=engine.usual.answer,
+        layers=min(MAX_LAYERS, max(0, engine.layers)),
+        layer_mb=_clamp(engine.layer_mb),
+        kv_token_bytes=_clamp(engine.kv_token_bytes),
+        step_ms=_clamp(engine.step_ms),
+        step_ms_per_sequence=_clamp(engine.per_seq_ms),
+        step_ms_per_1k_context=_clamp(engine.context_per_k),
+        prefill_tokens_per_s=_clamp(engine.read_per_s),
+        typical_prompt_tokens=_clamp(engine.usual.prompt),
+        typical_output_tokens=_clamp(engine.usual.answer),
         hop_delay_ms=DEFAULT_HOP_DELAY_MS,
-        load_s=max((model.load_s for model in engine.models), default=0.0),
+        load_s=max((_clamp(model.load_s) for model in engine.models), default=0.0),
         accelerators=tuple(
-            (kind.name, AcceleratorKind(kind.mb, kind.pace, kind.read_x))
+            (
+                kind.name,
+                AcceleratorKind(
+                    _clamp(kind.mb), _clamp(kind.pace), _clamp(kind.read_x)
+                ),
+            )
             for kind in engine.kinds
         ),
     )
 
 
+def _clamp(figure: float) -> float:
+    """Return a figure of an engine within the range that costs can be computed from.
+
+    The configuration was accepted, so that an odd figure may not keep it from use.
+    """
+    return min(MAX_FIGURE, max(MIN_FIGURE, figure))
+
+
 def _build_limits(limits: _Limits) -> CallerLimits:
     return CallerLimits(
         max_header_bytes=limits.max_header_bytes,
--- a/tests/core/forwarding/test_placement.py
+++ b/tests/core/forwarding/test_placement.py
@@ -192,3 +192,9 @@
             assert kind is not None and 0 < order.layers.count
             assert order.layers.count * spec.layer_mb <= kind.memory_mb
             assert 0 <= order.layers.start < order.layers.stop <= spec.layers
+
+
+def test_a_model_without_layers_needs_no_orders() -> None:
+    """Guards against a plan that raises on the timer of the duty's holder."""
+    spec = attrs.evolve(ENGINE, layers=0)
+    assert plan_placement(empty_replicas(ZONES), spec) == ()
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -4,12 +4,21 @@
 from contextlib import suppress
 from typing import Any
 
+import attrs
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from persimmonwell._exceptions import BadRequestError, DocumentError
-from persimmonwell.core.forwarding import GenerationSize, HeldLayers, RouteKind
+from persimmonwell.core.forwarding import (
+    GenerationSize,
+    HeldLayers,
+    LoadTable,
+    Replica,
+    RouteKind,
+    find_path,
+    plan_placement,
+)
 from persimmonwell.platform import (
     decode_answer_head,
     decode_config,
@@ -19,6 +28,7 @@
     decode_stalled_stages,
     parse_node_file,
 )
+from standins.platform_config import config as standin_config
 
 NODE = {
     "node": "front-1",
@@ -154,6 +164,46 @@
     assert caught.value.faults[0].reason
 
 
+ENGINE_FIGURES = (
+    *("kv_token_bytes", "step_ms", "per_seq_ms", "context_per_k", "read_per_s"),
+    *("layers", "layer_mb"),
+)
+
+
+@pytest.mark.parametrize("value", [None, 0, -1, 1e300])
+@pytest.mark.parametrize("field", [*ENGINE_FIGURES, "usual", "kinds"])
+def test_odd_figure_of_an_engine_stops_no_plan_and_no_path(
+    field: str, value: float | None
+) -> None:
+    """Guards against a division by zero for each request and each plan.
+
+    An engine may state no figure for its KV cache at all, for example.
+    """
+    document = standin_config(3)
+    engine = document["services"][0]["engine"]
+    if value is None:
+        engine.pop(field)
+    elif field == "usual":
+        engine["usual"] = {"prompt": value, "answer": value}
+    elif field == "kinds":
+        engine["kinds"] = [{"name": "big", "mb": value, "pace": value, "read_x": value}]
+    elif field == "layers":
+        engine["layers"] = int(min(value, 1000))
+    else:
+        engine[field] = value
+    spec = decode_config(json.dumps(document).encode()).services[0].engine
+    assert spec is not None
+    empty = [
+        Replica(f"r{n}", "model", f"a:{n}", "z", 8, accelerator="big") for n in "12"
+    ]
+    for order in plan_placement(empty, spec):
+        assert 0 <= order.layers.start < order.layers.stop <= spec.layers
+    if spec.layers:
+        held = [attrs.evolve(each, layers=HeldLayers(0, spec.layers)) for each in empty]
+        plan_placement(held, spec)
+        find_path(held, spec, GenerationSize(9, 9), loads=LoadTable(), now_s=0.0)
+
+
 @pytest.mark.parametrize(
     ("tenants", "requires_keys"),
     [
