End a request alone after an unexpected error

A request on which the host raised an error that nobody expected ended with a closed connection or waited for its deadline, and stayed in the router with its place and its reservations. One that raised while the queue was passed kept all requests behind it from being sent, at each tick. A first event that raised halfway was followed by a chunk without a head. Cause: errors left through the event loop's callback that happened to run. Change: the router ends a request that raises while it is expired, moved or sent. The gateway does so for each event of a request, and the exchange for each part of an answer: 502 where it may have run, 503 where it has not, a break where an answer has begun. Its place and reservations are freed. An answer counts as begun just before its first byte. The trace is logged once a cause; `unexpected_errors` counts all. Decoding and the trace have a test each. Conclusion: what is unexpected ends one request. Errors in the pass over stalled stages and in a peer's report are still left to the event loop.

--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -27,6 +27,8 @@
     ProbeReplica,
     Quarantined,
     RateLimitChanged,
+    Report,
+    RequestDecision,
     Reroute,
     Send,
 )
@@ -113,6 +115,8 @@
     "ReplicaLoad",
     "ReplicaRegistry",
     "ReplicaReport",
+    "Report",
+    "RequestDecision",
     "Reroute",
     "Route",
     "RouteKind",
--- a/persimmonwell/core/forwarding/_answers.py
+++ b/persimmonwell/core/forwarding/_answers.py
@@ -122,13 +122,11 @@
         """Record that a part of a plain answer was sent."""
         self._begin(AnswerPhase.PLAIN)
 
-    def add_events(self) -> bool:
-        """Record events of a stream; return whether they are the caller's first."""
+    def add_events(self) -> None:
+        """Record that events of a stream were sent."""
         self._attempt_has_events = True
-        if self._phase is AnswerPhase.STREAM:
-            return False
-        self._begin(AnswerPhase.STREAM)
-        return True
+        if self._phase is not AnswerPhase.STREAM:
+            self._begin(AnswerPhase.STREAM)
 
     def _begin(self, phase: AnswerPhase) -> None:
         assert self._phase in (AnswerPhase.PENDING, phase)
--- a/persimmonwell/core/forwarding/_events.py
+++ b/persimmonwell/core/forwarding/_events.py
@@ -59,6 +59,8 @@
     route: Route | None = None
     requests_ahead: int | None = None
     """Queued requests that are served before this one, where that decided."""
+    error: Exception | None = None
+    """Unexpected error of the host that ended the request."""
 
 
 @attrs.frozen
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -284,6 +284,30 @@
             decisions.append(self._finish_failed(active, "stopping", now_s))
         return tuple(decisions)
 
+    def end_faulted(
+        self, key: int, error: Exception, *, was_sent: bool
+    ) -> tuple[Decision, ...]:
+        """End a request on which an unexpected error of the host was raised.
+
+        Frees its place and its reservations. was_sent tells whether any attempt
+        reached a connection.
+        """
+        active = self._active.get(key)
+        if active is not None:
+            return self._end_faulted(active, error, was_sent=was_sent)
+        return (_finish_faulted(key, error, may_have_run=was_sent),)
+
+    def _end_faulted(
+        self, active: ActiveRequest, error: Exception, *, was_sent: bool = True
+    ) -> tuple[Decision, ...]:
+        is_running = active.replica_id is not None
+        active.possible_runs += is_running and was_sent
+        del self._active[active.key]
+        self._detach(active)
+        finish = _finish_faulted(active.key, error, may_have_run=active.may_have_run)
+        cancel = (CancelAttempt(active.key, active.attempt),) if is_running else ()
+        return (*cancel, attrs.evolve(finish, route=active.route))
+
     def caller_left(self, key: int, now_s: float) -> tuple[Decision, ...]:
         """Drop a request whose caller closed its connection, and cancel its attempt."""
         active = self._active.pop(key, None)
@@ -576,7 +600,10 @@
                 self.health.is_ejected(stage.replica_id, now_s)
                 for stage in later_stages
             ):
-                decisions += self._move_off_stage(active, now_s)
+                try:
+                    decisions += self._move_off_stage(active, now_s)
+                except Exception as error:
+                    decisions += self._end_faulted(active, error)
         return tuple(decisions)
 
     def _move_off_stage(
@@ -645,7 +672,10 @@
         self.leaving.expire(now_s)
         decisions += _quarantine_decisions(self.crashes.expire(now_s))
         for active in list(self._active.values()):
-            decisions += self._expire_request(active, now_s)
+            try:
+                decisions += self._expire_request(active, now_s)
+            except Exception as error:
+                decisions += self._end_faulted(active, error)
         streams = (
             active
             for active in self._active.values()
@@ -692,7 +722,12 @@
             if (cause := self._quarantine_cause(active)) is not None:
                 decisions.append(self._end_quarantined(active, cause))
                 continue
-            send = self._try_send(active, now_s)
+            try:
+                send = self._try_send(active, now_s)
+            except Exception as error:
+                # Raised again at each pass, it would keep the queue from all others.
+                decisions += self._end_faulted(active, error, was_sent=False)
+                continue
             if send is None:
                 blocked += 1
                 if blocked >= QUEUE_SCAN_LIMIT:
@@ -798,6 +833,12 @@
     return decisions
 
 
+def _finish_faulted(key: int, error: Exception, *, may_have_run: bool) -> Finish:
+    ending = Ending.UPSTREAM_FAILED if may_have_run else Ending.NOT_READY
+    detail = type(error).__name__
+    return Finish(key, ending, NOT_READY_RETRY_AFTER_S, detail, error=error)
+
+
 def _open_request(
     key: int, request: CallerRequest, resolved: ResolvedRoute, now_s: float
 ) -> ActiveRequest:
--- a/persimmonwell/gateway/_exchange.py
+++ b/persimmonwell/gateway/_exchange.py
@@ -95,11 +95,15 @@
     def caller_left(self, exchange: "Exchange") -> None:
         """Handle a caller that closed its connection."""
 
+    def exchange_faulted(self, exchange: "Exchange", error: Exception) -> None:
+        """Give a request on which an unexpected error was raised its final answer."""
+
 
 class _Attempt:
     """Attempt at one upstream, which collects its answer.
 
-    The exchange ignores events of attempts other than the current one.
+    The exchange ignores events of attempts other than the current one. An unexpected
+    error ends the exchange, and does not count as a fault of the upstream.
     """
 
     def __init__(self, exchange: "Exchange", send: Send) -> None:
@@ -114,6 +118,29 @@
 
     def on_head(self, status: int, headers: RawHeaders) -> None:
         """Decode the head of the answer and the keep-alive time it advertises."""
+        self._contain(lambda: self._receive_head(status, headers))
+
+    def on_data(self, data: bytes) -> None:
+        """Forward a part of a stream, or buffer a part of a plain answer."""
+        self._contain(lambda: self._receive_data(data))
+
+    def on_end(self, *, is_framed: bool) -> None:
+        """End the attempt with a complete answer."""
+        self.connection = None
+        self._contain(lambda: self.exchange.answer_ended(self, is_framed=is_framed))
+
+    def on_broken(self, detail: str) -> None:
+        """End the attempt with a truncated or malformed answer."""
+        self.connection = None
+        self._contain(lambda: self.exchange.answer_broken(self, detail))
+
+    def _contain(self, handle: Callable[[], None]) -> None:
+        try:
+            handle()
+        except Exception as error:
+            self.exchange.fault(error)
+
+    def _receive_head(self, status: int, headers: RawHeaders) -> None:
         self.head = decode_answer_head(status, headers)
         self.headers = list(headers)
         if self.connection is not None:
@@ -121,8 +148,7 @@
         self.body_use = self.exchange.use_body(self)
         self.exchange.head_received(self)
 
-    def on_data(self, data: bytes) -> None:
-        """Forward a part of a stream, or buffer a part of a plain answer."""
+    def _receive_data(self, data: bytes) -> None:
         if self.body_use is BodyUse.FORWARD_EVENTS:
             self.exchange.forward_events(self, data)
             return
@@ -136,16 +162,6 @@
         else:
             self.exchange.reject_large_answer(self)
 
-    def on_end(self, *, is_framed: bool) -> None:
-        """End the attempt with a complete answer."""
-        self.connection = None
-        self.exchange.answer_ended(self, is_framed=is_framed)
-
-    def on_broken(self, detail: str) -> None:
-        """End the attempt with a truncated or malformed answer."""
-        self.connection = None
-        self.exchange.answer_broken(self, detail)
-
 
 class Exchange:
     """One request from its arrival to the end of its answer.
@@ -200,6 +216,11 @@
         attempt = self._last_attempt
         return attempt.head.status if attempt is not None and attempt.head else None
 
+    @property
+    def was_sent(self) -> bool:
+        """Return whether any attempt reached a connection."""
+        return bool(self._used_connections)
+
     @property
     def has_partial_answer(self) -> bool:
         """Return whether a part of an answer was sent to the caller."""
@@ -236,7 +257,10 @@
         if not self._is_current(attempt):
             connection.close()
             return
-        self._write(attempt, connection)
+        try:
+            self._write(attempt, connection)
+        except Exception as error:
+            self.fault(error)
 
     def _write(self, attempt: _Attempt, connection: UpstreamConnection) -> None:
         send = attempt.send
@@ -271,10 +295,8 @@
         """
         if self._answer.is_ended:
             return
-        has_begun = self._answer.has_begun
-        self._answer.end()
-        if has_begun:
-            self._caller.abort_answer()
+        if self._answer.has_begun:
+            self.abort()
             return
         if self._failed_attempt is not None and finish.ending is Ending.UPSTREAM_FAILED:
             self._forward_answer(self._failed_attempt)
@@ -283,8 +305,26 @@
         retry_after_s = finish.retry_after_s if finish.ending.has_not_run else None
         headers = local_answer_headers(self.request.request_id, retry_after_s)
         body = b'{"error":"%b"}' % finish.ending.value.encode()
+        self._answer.end()
         self._caller.write_answer(status, headers, body)
 
+    def abort(self) -> None:
+        """Close the caller's connection without a complete answer."""
+        self._answer.end()
+        self._caller.abort_answer()
+
+    def fault(self, error: Exception) -> None:
+        """End the request after an unexpected error, which may have left it halfway."""
+        self._owner.exchange_faulted(self, error)
+
+    def finish_bare(self, ending: Ending) -> None:
+        """Answer with a status alone, or abort an answer that may have begun."""
+        if self._answer.is_ended or self._answer.has_begun:
+            self.abort()
+            return
+        self._answer.end()
+        self._caller.write_answer(STATUS_BY_ENDING[ending], (), b"")
+
     # Callers
 
     def caller_left(self) -> None:
@@ -340,19 +380,25 @@
             self._abort_attempt(attempt, AttemptFailure.BROKEN, "event without end")
 
     def _write_events(self, attempt: _Attempt, data: bytes) -> None:
-        if self._answer.add_events():
-            self._begin_answer(attempt, data)
+        if not self._answer.has_begun:
+            self._begin_answer(attempt, data, self._answer.add_events)
         else:
+            self._answer.add_events()
             now_s = self._owner.now_s()
             self.max_gap_s = max(self.max_gap_s, now_s - self._last_event_s)
             self._last_event_s = now_s
             self._caller.write_data(data)
         self._owner.event_forwarded(self)
 
-    def _begin_answer(self, attempt: _Attempt, data: bytes) -> None:
+    def _begin_answer(
+        self, attempt: _Attempt, data: bytes, record_begin: Callable[[], None]
+    ) -> None:
         assert attempt.head is not None
         self.first_event_s = self._last_event_s = self._owner.now_s()
-        headers = forwarded_answer_headers(attempt.headers)
+        headers = list(forwarded_answer_headers(attempt.headers))
+        # An error before this leaves the caller without a byte, so that it can still
+        # get another answer.
+        record_begin()
         self._caller.begin_answer(attempt.head.status, headers, data)
         self._owner.answer_began(self)
 
@@ -365,8 +411,7 @@
         if self._answer.has_begun:
             self._caller.write_data(data)
         else:
-            self._answer.begin_plain()
-            self._begin_answer(attempt, data)
+            self._begin_answer(attempt, data, self._answer.begin_plain)
 
     def reject_large_answer(self, attempt: _Attempt) -> None:
         """Abort an attempt whose failure has a body that is too large to keep."""
@@ -404,11 +449,11 @@
                 attempt, verdict.failure, verdict.detail, head.fault_address
             )
             return
-        self._answer.end()
         if verdict is Completion.WHOLE:
             self._forward_answer(attempt)
         else:
             rest = self._event_parser.take_comments() or b"".join(attempt.body)
+            self._answer.end()
             if rest:
                 self._caller.write_data(rest)
             self._caller.end_answer()
@@ -416,11 +461,10 @@
 
     def _forward_answer(self, attempt: _Attempt) -> None:
         assert attempt.head is not None
-        self._caller.write_answer(
-            attempt.head.status,
-            forwarded_answer_headers(attempt.headers),
-            b"".join(attempt.body),
-        )
+        headers = list(forwarded_answer_headers(attempt.headers))
+        body = b"".join(attempt.body)
+        self._answer.end()
+        self._caller.write_answer(attempt.head.status, headers, body)
 
     def answer_broken(self, attempt: _Attempt, detail: str) -> None:
         """Report a truncated or malformed answer."""
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -24,12 +24,14 @@
     Quarantined,
     RateLimitChanged,
     ReplicaStatement,
+    Report,
+    RequestDecision,
     Reroute,
     RouteKind,
     Send,
 )
 from persimmonwell.gateway._caller_connection import CallerConnection, RawRequest
-from persimmonwell.gateway._exchange import Exchange
+from persimmonwell.gateway._exchange import STATUS_BY_ENDING, Exchange
 from persimmonwell.gateway._http_connection import (
     AnswerMatch,
     ConnectionPool,
@@ -171,6 +173,11 @@
         except BadRequestError as error:
             self._reject_request(caller, decode_request_id(raw.headers), error)
             return None
+        except Exception as error:
+            self._report_error(error)
+            status = STATUS_BY_ENDING[Ending.NOT_READY]
+            caller.write_answer(status, local_answer_headers("", None), b"")
+            return None
         exchange = Exchange(
             key=key,
             owner=self,
@@ -181,9 +188,31 @@
         )
         self._exchanges[key] = exchange
         self.metrics.count_event("requests")
-        self.execute(self.router.request_arrived(key, request, self.now_s()))
+        self._decide(
+            exchange, lambda: self.router.request_arrived(key, request, self.now_s())
+        )
         return exchange
 
+    def _decide(
+        self, exchange: Exchange, ask_router: Callable[[], Iterable[Decision]]
+    ) -> None:
+        """Execute the router's decisions on an event of one request.
+
+        An unexpected error ends this request alone.
+        """
+        try:
+            decisions = ask_router()
+        except Exception as error:
+            self.exchange_faulted(exchange, error)
+        else:
+            self.execute(decisions)
+
+    def exchange_faulted(self, exchange: Exchange, error: Exception) -> None:
+        """Give a request on which an unexpected error was raised its final answer."""
+        self.execute(
+            self.router.end_faulted(exchange.key, error, was_sent=exchange.was_sent)
+        )
+
     def _reject_request(
         self, caller: CallerConnection, request_id: str, error: BadRequestError
     ) -> None:
@@ -225,32 +254,36 @@
             answer=exchange.answer_status,
             began=exchange.has_partial_answer,
         )
-        decisions = self.router.attempt_failed(
-            exchange.key,
-            exchange.attempt,
-            failure,
-            self.now_s(),
-            fault_address=fault_address,
-            detail=detail,
+        self._decide(
+            exchange,
+            lambda: self.router.attempt_failed(
+                exchange.key,
+                exchange.attempt,
+                failure,
+                self.now_s(),
+                fault_address=fault_address,
+                detail=detail,
+            ),
         )
-        self.execute(decisions)
 
     def limit_stated(self, exchange: Exchange, rate_per_s: float | None) -> None:
         """Record the rate limit in the head of an answer, None if it states none."""
-        self.execute(
-            self.router.limit_stated(
+        self._decide(
+            exchange,
+            lambda: self.router.limit_stated(
                 exchange.key, exchange.attempt, rate_per_s, self.now_s()
-            )
+            ),
         )
 
     def statement_received(
         self, exchange: Exchange, statement: ReplicaStatement
     ) -> None:
         """Record what the head of an answer says about its replica."""
-        self.execute(
-            self.router.statement_received(
+        self._decide(
+            exchange,
+            lambda: self.router.statement_received(
                 exchange.key, exchange.attempt, statement, self.now_s()
-            )
+            ),
         )
 
     def _record_call(self, replica_id: str, answer: CallAnswer) -> None:
@@ -294,8 +327,9 @@
             max_gap_ms=round(exchange.max_gap_s * 1000, 1),
         )
         self._exchanges.pop(exchange.key, None)
-        self.execute(
-            self.router.answer_completed(exchange.key, exchange.attempt, now_s)
+        self._decide(
+            exchange,
+            lambda: self.router.answer_completed(exchange.key, exchange.attempt, now_s),
         )
 
     def caller_left(self, exchange: Exchange) -> None:
@@ -309,71 +343,88 @@
             began=exchange.has_partial_answer,
             ms=round((self.now_s() - exchange.arrived_s) * 1000, 1),
         )
-        decisions = self.router.caller_left(exchange.key, self.now_s())
-        self.execute(decisions)
+        self._decide(
+            exchange, lambda: self.router.caller_left(exchange.key, self.now_s())
+        )
         self._exchanges.pop(exchange.key, None)
 
     # Decisions
 
     def execute(self, decisions: Iterable[Decision]) -> None:
-        """Execute decisions in order; those of closed exchanges are skipped."""
+        """Execute decisions in order; those of closed exchanges are skipped.
+
+        An unexpected error ends the request of its decision and none of the others.
+        """
         for decision in decisions:
-            if isinstance(decision, FetchStallReport):
-                self._run_in_background(self._fetch_stall_report(decision))
-                continue
-            if isinstance(decision, ProbeReplica):
-                self._run_in_background(self._probe_replica(decision))
-                continue
-            if isinstance(decision, CrashSuspected):
-                self._log_suspected_crash(decision)
-                continue
-            if isinstance(decision, CrashResolved):
-                self._log_resolved_crash(decision)
-                continue
-            if isinstance(decision, RateLimitChanged):
-                self.metrics.count_event("limits_changed")
-                self._log.write(
-                    "upstream",
-                    "limit_stated",
-                    replica=decision.replica_id,
-                    rate_per_s=decision.rate_per_s,
-                )
-                continue
-            if isinstance(decision, LeavingChanged):
-                self.metrics.count_event("leaving_changed")
-                self._log.write(
-                    "upstream",
-                    "leaving_stated" if decision.is_leaving else "leaving_retracted",
-                    replica=decision.replica_id,
-                )
-                if decision.is_leaving and not decision.is_from_peer:
-                    self._on_leaving()
-                continue
-            if isinstance(decision, HoldOffStated):
-                self.metrics.count_event("hold_offs_stated")
-                self._log.write(
-                    "upstream",
-                    "hold_off_stated",
-                    replica=decision.replica_id,
-                    seconds=decision.seconds,
-                )
-                continue
-            if isinstance(decision, Quarantined):
-                self.metrics.count_event("quarantined")
-                self._log.write("request", "quarantined", cause=decision.cause)
+            if not isinstance(decision, RequestDecision):
+                self._execute_report(decision)
                 continue
             exchange = self._exchanges.get(decision.key)
             if exchange is None:
+                if isinstance(decision, Finish) and decision.error is not None:
+                    self._report_error(decision.error)
                 continue
-            if isinstance(decision, Send):
-                self._log_send(exchange, decision)
-                exchange.send(decision)
-            elif isinstance(decision, Finish):
-                self._finish(exchange, decision)
-            elif isinstance(decision, CancelAttempt):
-                exchange.cancel(decision.attempt)
-            else:
-                self._run_in_background(self._send_reroute_order(exchange, decision))
+            try:
+                self._execute_for(exchange, decision)
+            except Exception as error:
+                self.exchange_faulted(exchange, error)
+
+    def _execute_for(self, exchange: Exchange, decision: RequestDecision) -> None:
+        if isinstance(decision, Send):
+            self._log_send(exchange, decision)
+            exchange.send(decision)
+        elif isinstance(decision, Finish):
+            self._finish(exchange, decision)
+        elif isinstance(decision, CancelAttempt):
+            exchange.cancel(decision.attempt)
+        else:
+            self._run_in_background(self._send_reroute_order(exchange, decision))
+
+    def _report_error(self, error: Exception) -> None:
+        asyncio.get_running_loop().call_exception_handler(
+            {"message": "a request failed", "exception": error}
+        )
+
+    def _execute_report(
+        self, decision: FetchStallReport | ProbeReplica | Report
+    ) -> None:
+        """Ask a replica for its state, or report a change of what the host believes."""
+        if isinstance(decision, FetchStallReport):
+            self._run_in_background(self._fetch_stall_report(decision))
+        elif isinstance(decision, ProbeReplica):
+            self._run_in_background(self._probe_replica(decision))
+        elif isinstance(decision, CrashSuspected):
+            self._log_suspected_crash(decision)
+        elif isinstance(decision, CrashResolved):
+            self._log_resolved_crash(decision)
+        elif isinstance(decision, RateLimitChanged):
+            self.metrics.count_event("limits_changed")
+            self._log.write(
+                "upstream",
+                "limit_stated",
+                replica=decision.replica_id,
+                rate_per_s=decision.rate_per_s,
+            )
+        elif isinstance(decision, LeavingChanged):
+            self.metrics.count_event("leaving_changed")
+            self._log.write(
+                "upstream",
+                "leaving_stated" if decision.is_leaving else "leaving_retracted",
+                replica=decision.replica_id,
+            )
+            if decision.is_leaving and not decision.is_from_peer:
+                self._on_leaving()
+        elif isinstance(decision, HoldOffStated):
+            self.metrics.count_event("hold_offs_stated")
+            self._log.write(
+                "upstream",
+                "hold_off_stated",
+                replica=decision.replica_id,
+                seconds=decision.seconds,
+            )
+        elif isinstance(decision, Quarantined):
+            self.metrics.count_event("quarantined")
+            self._log.write("request", "quarantined", cause=decision.cause)
 
     def _log_suspected_crash(self, suspected: CrashSuspected) -> None:
         self.metrics.count_event("crashes_suspected")
@@ -457,7 +508,13 @@
             ms=round((self.now_s() - exchange.arrived_s) * 1000, 1),
         )
         self._exchanges.pop(exchange.key, None)
-        exchange.finish(finish)
+        if finish.error is not None:
+            self._report_error(finish.error)
+        try:
+            exchange.finish(finish)
+        except Exception as error:
+            self._report_error(error)
+            exchange.finish_bare(finish.ending)
 
     async def _fetch_stall_report(self, decision: FetchStallReport) -> None:
         answer = await call_replica(
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -64,6 +64,8 @@
 MAX_REJECTED_ENTRIES = 256
 """Rejected registry entries that are remembered, the newest ones."""
 MAX_TRACE_CHARACTERS = 4000
+MAX_LOGGED_CAUSES = 256
+"""Causes of unexpected errors whose trace is logged once; later ones log it anew."""
 GRACE_MARGIN_S = 0.4
 """Part of the grace time that is left for closing."""
 LAST_ANSWERS_S = 0.1
@@ -110,6 +112,8 @@
         self._store_available: dict[str, bool] = {}
         """Whether the store answered the last call, by follower."""
         self._rejected_entries: dict[str, str] = {}
+        self._logged_errors: set[str] = set()
+        """Causes of the unexpected errors whose trace is in the log."""
         """Reasons by key of the registry entries that name no usable replica."""
         self._config_document = b""
         """Document of the configuration in force, as it stands in the store."""
@@ -320,16 +324,20 @@
     def _log_unexpected_error(
         self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
     ) -> None:
-        """Log an error of one callback; the host goes on."""
+        """Log an error of one callback, with its trace once; the host goes on."""
         self._gateway.metrics.count_event("unexpected_errors")
         error = context.get("exception")
-        trace = traceback.format_exception(error) if error is not None else []
+        trace: list[str] = []
+        if (cause := _error_cause(error)) not in self._logged_errors:
+            trace = traceback.format_exception(error) if error is not None else []
+            if len(self._logged_errors) < MAX_LOGGED_CAUSES:
+                self._logged_errors.add(cause)
         self._log.write(
             "host",
             "unexpected_error",
             message=context.get("message"),
-            error=repr(error),
-            trace="".join(trace)[-MAX_TRACE_CHARACTERS:],
+            error=repr(error)[:MAX_TRACE_CHARACTERS],
+            trace="".join(trace)[-MAX_TRACE_CHARACTERS:] or None,
         )
 
     # Store
@@ -658,3 +666,10 @@
         metrics.add_gauge(
             "upstream_connections_opened", lambda: self._gateway.pool.opened_count
         )
+
+
+def _error_cause(error: BaseException | None) -> str:
+    """Return the type of an error and the line that raised it."""
+    frames = traceback.extract_tb(error.__traceback__) if error is not None else []
+    line = f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
+    return f"{type(error).__name__} {line}"
