Check the addresses in a peer's report like those of the registry

A replica whose address came from a peer's datagram with a port such as 99999 took requests that then waited up to their deadline without an answer. Cause: the pattern of the message took any digits as octets and port, and the connect raised OverflowError, which nothing caught. Change: octets are at most 255 and ports 1 to 65,535 in a peer's entry too. An unexpected error while a connection is made ends its request at once, as not run. Conclusion: mended.

--- a/persimmonwell/gateway/_exchange.py
+++ b/persimmonwell/gateway/_exchange.py
@@ -254,6 +254,9 @@
                 attempt, AttemptFailure.NO_CONNECTION, type(error).__name__
             )
             return
+        except Exception as error:
+            self.fault(error)
+            return
         if not self._is_current(attempt):
             connection.close()
             return
--- a/persimmonwell/gateway/_peer_messages.py
+++ b/persimmonwell/gateway/_peer_messages.py
@@ -24,8 +24,10 @@
 Factor = Annotated[float, msgspec.Meta(ge=1.0, le=1000.0)]
 Offset = Annotated[int, msgspec.Meta(ge=-1, le=1 << 62)]
 Name = Annotated[str, msgspec.Meta(pattern=r"\A[\x20-\x7e]{1,256}\Z")]
+_OCTET = "(25[0-5]|(2[0-4]|1[0-9]|[1-9])?[0-9])"
+_PORT = "(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5]?[0-9]{1,4})"
 Address = Annotated[
-    str, msgspec.Meta(pattern=r"\A[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]+\Z")
+    str, msgspec.Meta(pattern=rf"\A{_OCTET}(\.{_OCTET}){{3}}:(?!0){_PORT}\Z")
 ]
 Age = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
 """Seconds since an event."""
--- a/tests/gateway/test_faulted_requests.py
+++ b/tests/gateway/test_faulted_requests.py
@@ -12,6 +12,7 @@
 from persimmonwell.core.forwarding import CallerRequest, ForwardingRouter
 from persimmonwell.core.forwarding._active import ActiveRequest
 from persimmonwell.gateway._exchange import Exchange
+from persimmonwell.gateway._http_connection import ConnectionPool
 from persimmonwell.platform import decode_request
 from standins.platform_config import config
 from tests.fleet import wait_until
@@ -159,6 +160,22 @@
     assert statuses == [b"503", b"200", b"503", b"200"]
 
 
+def test_error_while_a_connection_is_made_ends_its_request(
+    testbed: GatewayTestbed, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a wait up to the deadline for a port such as 99999."""
+
+    async def connect(pool: ConnectionPool, address: str) -> Any:
+        raise OverflowError("port must be 0-65535")
+
+    monkeypatch.setattr(ConnectionPool, "connect", connect)
+    monkeypatch.setattr(ConnectionPool, "acquire_idle", lambda *_, **options: None)
+    start_s = time.monotonic()
+    for path in PATHS:
+        assert status_of(testbed, path, "odd") == 503
+    assert time.monotonic() - start_s < 1.0
+
+
 def test_trace_of_a_cause_is_logged_once(
     testbed: GatewayTestbed, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/gateway/test_peer_datagrams.py
+++ b/tests/gateway/test_peer_datagrams.py
@@ -216,6 +216,27 @@
         socket.inet_aton(address)
 
 
+@pytest.mark.parametrize(
+    ("address", "is_valid"),
+    [
+        *((each, True) for each in ("10.2.0.1:1", "255.9.99.100:65535", "0.0.0.0:80")),
+        *((each, False) for each in ("10.2.0.256:80", "10.2.0.1:0", "10.2.0.1:08")),
+        *((each, False) for each in ("10.2.0.1:65536", "10.2.0.1:99999", "10.2.0:80")),
+        *((each, False) for each in ("10.2.0.1:" + "9" * 5000, "10.2.0.1:8²")),
+    ],
+)
+def test_entry_of_a_peer_names_an_address_that_can_be_connected_to(
+    clock: _Clock, address: str, is_valid: bool
+) -> None:
+    """Guards against requests that wait for a connection which cannot be made."""
+    one, reports = peer("h1", "127.0.0.1", 1, clock)
+    fields = sample_report()
+    entry = ["desk", address, "za", 8, False, 5, "l4", [0, 4], False]
+    fields[14] = [80, 91, [["i-1", 85, entry]], 2]
+    one.datagram_received(msgspec.msgpack.encode(fields), ("127.0.0.9", 1))
+    assert bool(reports) == is_valid
+
+
 @given(st.binary(max_size=300))
 def test_any_bytes_as_a_datagram_are_survived(data: bytes) -> None:
     """Guards against an error that ends the state exchange."""
