Refuse no stream as not run that an upstream may have run

A resumable stream whose attempt broke off was answered 503 with Retry-After when the queue before its next attempt was too long, although a replica may have run it. 503 promises that it has not run (the review's remark on _enqueue). Cause: the check of the expected wait is shared with new requests, and always refused. Change: a request that may have run ends as failed there, as it does at all other ends. Conclusion: mended; "not run" is true for requests that may be repeated, too.

--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -254,6 +254,8 @@
         queue = self._state_of(active).queue
         expected_s = queue.expected_wait_s(active, now_s)
         if expected_s > active.max_wait_s:
+            if active.may_have_run:
+                return (self._finish(active, Ending.UPSTREAM_FAILED, "queue"),)
             return (self._refuse(active, "queue", expected_s, now_s),)
         queue.add(active)
         return ()
--- a/tests/core/forwarding/test_router.py
+++ b/tests/core/forwarding/test_router.py
@@ -19,6 +19,7 @@
     Reroute,
     Send,
 )
+from persimmonwell.core.forwarding._queue import RequestQueue
 from tests.core.forwarding.fleets import (
     CONFIG,
     desk_replica,
@@ -476,6 +477,20 @@
     assert (send.key, send.attempt) == (0, 2)
 
 
+@pytest.mark.parametrize("failure", [FAILED.BROKEN, FAILED.ERROR, FAILED.NOT_RUN])
+def test_a_refusal_at_the_queue_tells_whether_the_request_may_have_run(
+    failure: AttemptFailure, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against "not run" for a resumable stream that an upstream has run."""
+    router = make_router(*CHAIN)
+    only_send(router.request_arrived(0, request("urgent"), 0.0))
+    fill(router, "a", 96)
+    monkeypatch.setattr(RequestQueue, "expected_wait_s", lambda *_: 60.0)
+    decisions = router.attempt_failed(0, 1, failure, 0.2)
+    (finish,) = (each for each in decisions if isinstance(each, Finish))
+    assert finish.ending.has_not_run == (failure is FAILED.NOT_RUN)
+
+
 def test_a_broken_stream_without_capacity_ends_in_time() -> None:
     """Guards against queueing an interrupted stream beyond its caller's timeout."""
     router = make_router(*CHAIN)
