--- a/persimmonwell/gateway/_exchange.py
+++ b/persimmonwell/gateway/_exchange.py
@@ -216,6 +216,11 @@
         attempt = self._last_attempt
         return attempt.head.status if attempt is not None and attempt.head else None
 
+    @property
+    def resumes_after(self) -> int | None:
+        """Return the id of the event after which the next attempt resumes a stream."""
+        return self._position.last_id
+
     @property
     def was_sent(self) -> bool:
         """Return whether any attempt reached a connection."""
@@ -276,7 +281,7 @@
             deadline_ms=remaining_ms,
             replica_id=send.replica_id,
             tenant=send.tenant,
-            last_event_id=self._position.last_id,
+            last_event_id=self.resumes_after,
             path=send.path,
         )
         attempt.connection = connection
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -473,6 +473,7 @@
             kind=route.kind.value if route is not None else None,
             tenant=send.tenant,
             attempt=send.attempt,
+            after=exchange.resumes_after,
             to=send.replica_id,
             born=replica.started_at_ms if replica is not None else None,
             stages=len(send.path.stages) if send.path is not None else 0,
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -3,6 +3,7 @@
 import http.client
 import time
 from collections.abc import Iterator
+from typing import Any
 
 import pytest
 
@@ -67,3 +68,22 @@
     connection.close()
     assert body.count(b"id:") == 6
     assert attempts(testbed) == 1
+
+
+def test_log_shows_after_which_event_a_stream_is_resumed(
+    testbed: GatewayTestbed, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a wrong place of resumption that no line of the log shows."""
+    assert testbed.host is not None
+    sent: list[tuple[int, int | None]] = []
+
+    def record(part: str, event: str, **fields: Any) -> None:
+        if event == "sent":
+            sent.append((fields["attempt"], fields["after"]))
+
+    monkeypatch.setattr(testbed.host._log, "write", record)
+    for replica in testbed.replicas.values():
+        replica.faults["reset_at"] = 4
+    with pytest.raises((http.client.IncompleteRead, ConnectionResetError)):
+        testbed.send("/talk/x", Deadline_Remaining="1500")
+    assert sent[:2] == [(1, None), (2, 3)]
