Let the soak spoil bytes of streams, registry entries and headers

Change: half of the faults are followed by a spoiled byte in one event of each stream of a replica (its id, the names of its fields, or its end), by an odd entry of another writer, or by a header with an odd number, which has to be answered 400.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -59,6 +59,22 @@
     body: bytes
 
 
+@attrs.frozen
+class Spoil:
+    """One byte of an event that a replica sends in place of another one."""
+
+    event: int
+    offset: int
+    """Offset in the event; a negative one counts from its end."""
+    byte: int
+
+    def apply(self, event: bytes) -> bytes:
+        """Return the event with the byte."""
+        spoiled = bytearray(event)
+        spoiled[self.offset] = self.byte
+        return bytes(spoiled)
+
+
 @attrs.frozen
 class Arrival:
     """Request that reached a replica, with what its answer states."""
@@ -85,7 +101,8 @@
     starts again after restart_s, if that is given), limit (requests a second that its
     answers state, as text), repeat_refusal (each refusal is written once more when the
     next request arrives on its connection; "unnamed" leaves its request id out),
-    cut_head (closes within the head, after so many of its lines), resume_answer (bytes
+    spoil (a Spoil: one byte of one event of each stream), cut_head (closes within the
+    head, after so many of its lines), resume_answer (bytes
     that answer the resumption of a stream, before a close),
     raw_answer (bytes that answer any request, before a close, or a reset with
     raw_reset).
@@ -389,6 +406,9 @@
         request_id = request.headers["request-id"]
         for number in range(first, self.stream_events + 1):
             event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+            spoil = self.faults.get("spoil")
+            if spoil is not None and number == spoil.event:
+                event = spoil.apply(event)
             if number == self.faults.get("reset_at"):
                 connection.sendall(_chunk(event[:-7]))
                 time.sleep(0.02)
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -2,7 +2,8 @@
 
 Faults are killed, paused and reloaded hosts, faulty replicas and store connections,
 configuration changes, draining replicas, a store that comes back from an older copy,
-and hosts that start while the store is down. Callers keep their connections open until
+hosts that start while the store is down, spoiled bytes of streams, odd registry entries
+and odd numbers in callers' headers. Callers keep their connections open until
 a request fails. Checked are at-most-once execution of unsafe requests, complete
 answers, recovery, and the propagation of configuration versions and draining replicas.
 
@@ -19,6 +20,7 @@
 import threading
 import time
 from collections import Counter, defaultdict
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 
@@ -27,7 +29,7 @@
 from standins.gateway_process import GatewayProcess
 from standins.log import Log, LogCopy
 from standins.platform_config import API_KEY, HOST, config, free_ports, route
-from standins.replica import STREAM_EVENTS, Arrival, PlatformReplica
+from standins.replica import STREAM_EVENTS, Arrival, PlatformReplica, Spoil
 
 HOSTS = 4
 """Two hosts of a zone read the store for the others; four hosts cover both kinds."""
@@ -48,6 +50,22 @@
 )
 STATEMENT_SHARE = 0.25
 """Share of the faults that are followed by a statement of a replica."""
+SPOIL_SHARE = 0.5
+"""Share of the faults that are followed by odd bytes from outside."""
+SPOILED_OFFSETS = (*range(11), -2, -1)
+"""Offsets of an event that its id and the names of its fields take, and of its end. A
+byte within the data shows nowhere in a stream."""
+SPOILING_BYTES = b"\n\r:;09 xd\x00\xff"
+ODD_ENTRIES: tuple[dict[str, Any], ...] = (
+    *({"address": "127.0.0.1:8²"}, {"address": "127.0.0.1:" + "9" * 5000}),
+    *({"address": "127.0.0.1:65536"}, {"born": 1 << 70}, {"slots": "8"}),
+    *({"layers": [{"from": 9, "to": 1 << 70}]}, {"state": "odd"}, {"service": None}),
+)
+"""Fields in which an entry of another writer differs from a sound one."""
+ODD_HEADERS = (
+    *(("Length-Hint", "inf"), ("Deadline-Remaining", "nan"), ("Token-Count", "1,-1")),
+    *(("Token-Count", "9" * 300 + ",1"), ("Last-Event-Id", "9" * 300)),
+)
 HOLD_OFF = "1.5"
 """Retry-After of a replica that turns requests away."""
 MAX_HELD_OFF_ARRIVALS = 2
@@ -94,6 +112,7 @@
         host_count: int = HOSTS,
         starts_without_store: bool = True,
         states: bool = True,
+        spoils: bool = True,
     ) -> None:
         self._random = random.Random(seed)
         # Drawn apart, so that the other faults of a seed stay as they are.
@@ -101,6 +120,8 @@
         self._starts_without_store = starts_without_store
         self._statement_random = random.Random(f"{seed} statements")
         self._states = states
+        self._spoil_random = random.Random(f"{seed} spoils")
+        self._spoils = spoils
         self._sent: dict[str, _Sent] = {}
         """Host and time of each request by its id."""
         self._disrupted_s: dict[str, list[float]] = defaultdict(list)
@@ -200,6 +221,8 @@
             self._random.choice(actions)()
             if self._states and self._statement_random.random() < STATEMENT_SHARE:
                 self._state_on_replica()
+            if self._spoils and self._spoil_random.random() < SPOIL_SHARE:
+                self._spoil()
             if self._start_random.random() < START_WITHOUT_STORE_SHARE:
                 self._start_without_store()
             time.sleep(self._random.uniform(0.1, 0.5))
@@ -267,6 +290,30 @@
         self._restarted_s[replica.replica_id].append(time.monotonic())
         self._register(replica)
 
+    def _spoil(self) -> None:
+        """Spoil a byte of each stream of a replica, or write an odd entry or header."""
+        rng = self._spoil_random
+        kind = rng.choice(("stream", "entry", "header"))
+        if kind == "stream":
+            event = rng.randint(1, STREAM_EVENTS)
+            offset, byte = rng.choice(SPOILED_OFFSETS), rng.choice(SPOILING_BYTES)
+            replica = rng.choice(self.replicas[2:])
+            replica.faults.clear()
+            replica.faults["spoil"] = Spoil(event, offset, byte)
+        elif kind == "entry":
+            entry = self.replicas[0].entry(**rng.choice(ODD_ENTRIES))
+            self.store.put_key("keyed.servers", f"odd-{rng.randint(1, 3)}", entry)
+        else:
+            self._send_odd_header(rng.choice(self.hosts), rng.choice(ODD_HEADERS))
+
+    def _send_odd_header(self, host: GatewayProcess, header: tuple[str, str]) -> None:
+        """Check that a host in service answers a request with an odd number by 400."""
+        starts = self._incarnations[host.ip]
+        is_ready = host.is_ready()
+        answer = self._send(host, "look", "odd", headers=dict([header]))
+        if is_ready and starts == self._incarnations[host.ip] and answer.status != 400:
+            self._violations.append(f"{host.ip} answers {answer.status} to {header[0]}")
+
     def _set_store_fault(self) -> None:
         proxy = self._random.choice(self.hosts).proxy
         if proxy is not None:
@@ -356,6 +403,7 @@
         name: str,
         request_id: str,
         kept_connections: _Connections | None = None,
+        headers: Mapping[str, str] | None = None,
     ) -> Answer:
         """Send one request, on the kept connection to the host if there is one."""
         connections = {} if kept_connections is None else kept_connections
@@ -366,12 +414,12 @@
         if connection is None:
             port = host.ports["front"]
             connection = http.client.HTTPConnection(host.ip, port, timeout=4.0)
-        headers = {"Host": HOST, "Api-Key": API_KEY, "Request-Id": request_id}
-        headers["Deadline-Remaining"] = "3000"
+        values = {"Host": HOST, "Api-Key": API_KEY, "Request-Id": request_id}
+        values = {**values, "Deadline-Remaining": "3000", **(headers or {})}
         self._sent[request_id] = _Sent(host.ip, time.monotonic())
         try:
             path = f"/{name}/{request_id}"
-            connection.request("POST", path, body=b"x", headers=headers)
+            connection.request("POST", path, body=b"x", headers=values)
             answer = connection.getresponse()
             response_headers = {
                 name.lower(): value for name, value in answer.getheaders()
