Accept all digits of a fraction in a caller's number

Cause: accepts 15 digits of a fraction. Change: up to 32 digits are read. Measured: that row of test_plain_numbers_are_accepted fails before and passes after.

--- a/persimmonwell/platform/_numbers.py
+++ b/persimmonwell/platform/_numbers.py
@@ -11,7 +11,7 @@
 """Largest count, and largest time in milliseconds."""
 
 _COUNT = re.compile(r"[0-9]{1,15}")
-_DECIMAL = re.compile(r"[0-9]{1,15}(?:\.[0-9]{0,15})?")
+_DECIMAL = re.compile(r"[0-9]{1,15}(?:\.[0-9]{0,32})?")
 
 
 def parse_count(text: str) -> int | None:
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -106,6 +106,20 @@
 )
 
 
+@pytest.mark.parametrize(
+    ("text", "timeout_s"),
+    [
+        *((b"20000", 20.0), (b" 1500.5 ", 1.5005), (b"0", 0.0), (b"7.", 0.007)),
+        *((b"0.30000000000000004", 0.0003), (b"281474976710656", 281474976710.656)),
+    ],
+)
+def test_plain_numbers_are_accepted(text: bytes, timeout_s: float) -> None:
+    """Guards against a sound request that is rejected for how its number is written."""
+    headers = ((b"deadline-remaining", text),)
+    decoded = decode_request("POST", "/x", headers, host="h", body=b"")
+    assert decoded.timeout_s == pytest.approx(timeout_s)
+
+
 @pytest.mark.parametrize("value", ODD_NUMBERS)
 @pytest.mark.parametrize(
     "name", ["deadline-remaining", "last-event-id", "length-hint", "token-count"]
