Check the numbers of the settings file like those of a registry entry

A settings file whose port holds a superscript two or thousands of digits, whose memory limit is 1e999, or that holds a byte that is no UTF-8, ended the start of a host with a traceback, and a reload with an error that `settings_rejected` did not show. nan and inf were accepted as times. Change: ports, times and counts are read by platform/_numbers.py, and the field is named. Bytes that are no text make their own field invalid. The registry's decoder shares the constants. Measured: nine rows of test_each_invalid_setting_is_named and test_settings_file_with_bytes_that_are_no_text_is_read fail before and pass after. Conclusion: mended.

--- a/persimmonwell/platform/_headers.py
+++ b/persimmonwell/platform/_headers.py
@@ -18,14 +18,17 @@
     ReplicaStatement,
     UpstreamAnswer,
 )
-from persimmonwell.platform._numbers import MAX_NUMBER, parse_count, parse_decimal
+from persimmonwell.platform._numbers import (
+    MAX_NUMBER,
+    MAX_REASON_CHARACTERS,
+    parse_count,
+    parse_decimal,
+)
 
 Headers = Sequence[tuple[bytes, bytes]]
 
 REPORT_PATH = "/persimmonwell/report"
 ORDER_PATH = "/persimmonwell/order"
-MAX_REASON_CHARACTERS = 60
-"""Characters of an invalid value in the reason for its rejection."""
 MAX_SLOWNESS = 1000.0
 """Upper bound of a replica's slowness; reports may state any number."""
 
--- a/persimmonwell/platform/_node_file.py
+++ b/persimmonwell/platform/_node_file.py
@@ -4,10 +4,16 @@
 
 from persimmonwell._exceptions import DocumentError
 from persimmonwell.core._documents import FaultList
+from persimmonwell.platform._numbers import (
+    MAX_REASON_CHARACTERS,
+    parse_count,
+    parse_decimal,
+)
 from persimmonwell.settings import Endpoint, ForwarderSettings
 
 NODE_FILE_VARIABLE = "PERSIMMONWELL_NODE_FILE"
 DEFAULT_NODE_FILE = "/etc/persimmonwell/node.conf"
+MAX_PORT = 65_535
 METRICS_PORT_OFFSET = 1
 """The metrics port is the one after the peer port, which is the first internal port."""
 DEFAULT_NUMBERS = {
@@ -40,11 +46,11 @@
         value = fields.get(name, "")
         if not value:
             return DEFAULT_NUMBERS[name]
-        try:
-            return float(value)
-        except ValueError:
-            faults.add(name, f"is not a number: {value!r}")
+        number = parse_decimal(value)
+        if number is None:
+            faults.add(name, f"is not a number: {_describe(value)}")
             return DEFAULT_NUMBERS[name]
+        return number
 
     peer_port = _parse_first_port(fields.get("internal_ports", ""), faults)
     control = fields.get("listen.control", "")
@@ -84,19 +90,24 @@
 
 def _parse_endpoint(name: str, value: str, faults: FaultList) -> Endpoint:
     host, separator, port = value.rpartition(":")
-    if not separator or not port.isdigit() or not 0 < int(port) < 65536:
+    number = parse_count(port) or 0
+    if not separator or not 0 < number <= MAX_PORT:
         if value:
-            faults.add(name, f"is not IP:PORT: {value!r}")
+            faults.add(name, f"is not IP:PORT: {_describe(value)}")
         return Endpoint("", 0)
-    return Endpoint(host, int(port))
+    return Endpoint(host, number)
 
 
 def _parse_first_port(value: str, faults: FaultList) -> int:
-    first = value.partition(",")[0]
-    if not first.isdigit():
-        faults.add("internal_ports", f"is not a range of ports: {value!r}")
+    first = parse_count(value.partition(",")[0])
+    if first is None or first + METRICS_PORT_OFFSET > MAX_PORT:
+        faults.add("internal_ports", f"is not a range of ports: {_describe(value)}")
         return 0
-    return int(first)
+    return first
+
+
+def _describe(value: str) -> str:
+    return f"{value[:MAX_REASON_CHARACTERS]!a}"
 
 
 def read_node_file(path: str) -> ForwarderSettings:
@@ -104,7 +115,8 @@
 
     Raises OSError or DocumentError.
     """
-    with open(path, encoding="utf-8") as file:
+    # A byte that is no text makes its own field invalid, and no other one.
+    with open(path, encoding="utf-8", errors="replace") as file:
         return parse_node_file(file.read())
 
 
--- a/persimmonwell/platform/_numbers.py
+++ b/persimmonwell/platform/_numbers.py
@@ -1,4 +1,4 @@
-"""Numbers in the headers of callers and replicas, checked for their form and range.
+"""Numbers in headers and settings, checked for their form and range.
 
 Only plain decimal numbers are accepted. What else `int` and `float` read, such as
 `inf`, `nan`, `1_0` or thousands of digits, is no number of the protocol, and raises
@@ -9,6 +9,8 @@
 
 MAX_NUMBER = 1 << 48
 """Largest count, and largest time in milliseconds."""
+MAX_REASON_CHARACTERS = 60
+"""Characters of an invalid value in the reason for its rejection."""
 
 _COUNT = re.compile(r"[0-9]{1,15}")
 _DECIMAL = re.compile(r"[0-9]{1,15}(?:\.[0-9]{0,32})?")
--- a/persimmonwell/platform/_operator_records.py
+++ b/persimmonwell/platform/_operator_records.py
@@ -24,6 +24,7 @@
     Tenant,
     WeightedService,
 )
+from persimmonwell.platform._numbers import MAX_NUMBER, MAX_REASON_CHARACTERS
 
 CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
@@ -32,10 +33,6 @@
 MAX_ENTRY_BYTES = 64 * 1024
 """Far above the size of any valid entry; larger ones of other writers are ignored."""
 MAX_NAME_CHARACTERS = 256
-MAX_REASON_CHARACTERS = 60
-"""Characters of an invalid value in the reason for its rejection."""
-MAX_COUNT = 1 << 48
-"""Largest count or time in milliseconds; hosts send no larger one to each other."""
 MAX_LAYERS = 100_000
 MIN_FIGURE = 1e-6
 MAX_FIGURE = 1e12
@@ -330,7 +327,7 @@
 
 
 def _is_count(value: object) -> TypeGuard[int]:
-    return type(value) is int and 0 <= value <= MAX_COUNT
+    return type(value) is int and 0 <= value <= MAX_NUMBER
 
 
 def _is_layer(value: object) -> TypeGuard[int]:
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -2,6 +2,7 @@
 
 import json
 from contextlib import suppress
+from pathlib import Path
 from typing import Any
 
 import attrs
@@ -27,6 +28,7 @@
     decode_request,
     decode_stalled_stages,
     parse_node_file,
+    read_node_file,
 )
 from standins.platform_config import config as standin_config
 
@@ -71,6 +73,15 @@
         ("bounds.grace_s", "soon"),
         ("internal_ports", "all"),
         ("seeds", "10.1.0.40"),
+        ("seeds", "10.1.0.40:8²"),
+        ("listen.front", "10.1.0.40:" + "9" * 5000),
+        ("internal_ports", "8²,9"),
+        ("internal_ports", "65535,65545"),
+        ("internal_ports", "9" * 5000),
+        ("bounds.grace_s", "nan"),
+        ("bounds.budget_window_s", "inf"),
+        ("bounds.retry_budget_ratio", "-1"),
+        ("limits.memory_mb", "1e999"),
     ],
 )
 def test_each_invalid_setting_is_named(field: str, value: str) -> None:
@@ -81,6 +92,13 @@
     assert field in {fault.path for fault in caught.value.faults}
 
 
+def test_settings_file_with_bytes_that_are_no_text_is_read(tmp_path: Path) -> None:
+    """Guards against a host that does not start for a byte in an unknown field."""
+    path = tmp_path / "node.conf"
+    path.write_bytes(node_file().encode() + b"\na.new.field=\xff\xfe")
+    assert read_node_file(str(path)).grace_s == 5.5
+
+
 def test_request_headers_are_decoded() -> None:
     """Guards against deadlines and sizes decoded in the wrong unit."""
     headers = (
