Treat a malformed answer of the store as none, and check a body's length

An answer of the store with an offset such as 1e999, a conflict without an offset, deep brackets or an era of 5,000 digits raised errors that the callers of the client do not expect. In the daemon, a Content-Length with a superscript two or thousands of digits did. Change: the client names the errors of a malformed answer once, for all calls. A body's length is plain digits; one with more digits than any limit is too large.

--- a/persimmonwell/front/_parsing.py
+++ b/persimmonwell/front/_parsing.py
@@ -27,6 +27,8 @@
 MAX_PREFIX_BLOCKS = 64
 CHARS_PER_TOKEN = 4
 MAX_IDEMPOTENCY_KEY_CHARS = 200
+MAX_LENGTH_DIGITS = 18
+"""Digits of a Content-Length; any limit has fewer."""
 FORWARDED_PARAMETERS = ("temperature", "top_p", "stop", "seed", "presence_penalty")
 
 _VISIBLE_ASCII = re.compile(r"^[\x21-\x7e]+$")
@@ -86,10 +88,11 @@
     """
     if not content_length:
         return b""
-    if not content_length.isdigit():
+    if not (content_length.isascii() and content_length.isdigit()):
         raise BadRequestError("Content-Length", "must be a whole number")
-    length = int(content_length)
-    if length > limit_bytes:
+    # More digits than any limit has; Python does not convert thousands of them.
+    length = int(content_length[:MAX_LENGTH_DIGITS])
+    if length > limit_bytes or len(content_length) > MAX_LENGTH_DIGITS:
         raise BodyTooLargeError(limit_bytes)
     body = read(length)
     if len(body) != length:
--- a/persimmonwell/platform/_store_client.py
+++ b/persimmonwell/platform/_store_client.py
@@ -15,6 +15,13 @@
 _READ_HEADER = struct.Struct(">QQ")
 CONNECT_TIMEOUT_S = 1.0
 ERA_HEADER = "Store-Era"
+_MALFORMED = (
+    *(LookupError, TypeError, ValueError, AttributeError),
+    *(OverflowError, RecursionError),
+)
+"""Errors that a malformed answer raises while its fields are read."""
+MAX_ERA_DIGITS = 20
+"""Digits of a 64-bit number."""
 
 
 @attrs.frozen
@@ -111,10 +118,7 @@
                 if not answer.get("has_more") or not answer["items"]:
                     return StoreSlice(tuple(records), 0, end, era)
                 after = str(answer["items"][-1]["key"])
-            except (
-                *(LookupError, TypeError, ValueError, AttributeError),
-                OverflowError,
-            ) as error:
+            except _MALFORMED as error:
                 raise PlatformUnavailableError("log", str(error)) from error
 
     def read(
@@ -157,7 +161,7 @@
         answer, _ = self._call_json("POST", "log-append", query, body=body)
         try:
             return int(answer["offset"])
-        except (LookupError, TypeError, ValueError) as error:
+        except _MALFORMED as error:
             raise PlatformUnavailableError("log", str(error)) from error
 
     def join_group(
@@ -180,7 +184,7 @@
         try:
             parts = frozenset((str(row[0]), int(row[1])) for row in answer["parts"])
             return GroupMembership(int(answer["generation"]), parts, era)
-        except (LookupError, TypeError, ValueError) as error:
+        except _MALFORMED as error:
             raise PlatformUnavailableError("log", str(error)) from error
 
     def leave_group(self, group: str, *, member: str, generation: int) -> None:
@@ -199,10 +203,12 @@
         status = response.status
         try:
             answer = json.loads(response.data) if response.data else {}
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise PlatformUnavailableError("log", str(error)) from error
         if status == 412 and isinstance(answer, dict):
-            end = int(answer.get("end", 0))
+            end = answer.get("end", 0)
+            if type(end) is not int:
+                raise PlatformUnavailableError("log", "conflict without an offset")
             raise AppendConflictError("log", "conflict", end_offset=end)
         if status != 200 or not isinstance(answer, dict):
             raise PlatformUnavailableError("log", f"status {status}")
@@ -235,15 +241,14 @@
         except urllib3.exceptions.HTTPError as error:
             raise PlatformUnavailableError("log", type(error).__name__) from error
         era = response.headers.get(ERA_HEADER, "")
-        return _Answer(
-            response.status, response.data, int(era) if era.isdecimal() else None
-        )
+        is_era = era.isascii() and era.isdecimal() and len(era) <= MAX_ERA_DIGITS
+        return _Answer(response.status, response.data, int(era) if is_era else None)
 
 
 def _parse_first_offset(data: bytes) -> int:
     try:
         return int(json.loads(data)["first"])
-    except (ValueError, LookupError, TypeError) as error:
+    except _MALFORMED as error:
         raise PlatformUnavailableError("log", str(error)) from error
 
 
--- a/tests/front/test_parsing.py
+++ b/tests/front/test_parsing.py
@@ -9,12 +9,14 @@
 
 from persimmonwell._exceptions import (
     BadRequestError,
+    BodyTooLargeError,
     NotFoundError,
     PersimmonwellError,
     UnauthorizedError,
 )
 from persimmonwell.core.config import parse_config
 from persimmonwell.front import HttpRequest, ParsedServiceCall, parse_request
+from persimmonwell.front._parsing import read_body
 
 CONFIG = parse_config(
     {
@@ -165,3 +167,18 @@
     )
     assert isinstance(parsed, ParsedServiceCall)
     assert parsed.call.repeatable == (method == "GET")
+
+
+@pytest.mark.parametrize(
+    ("length", "error"),
+    [
+        *(("8²", BadRequestError), ("-1", BadRequestError), ("x", BadRequestError)),
+        *(("9" * 5000, BodyTooLargeError), ("101", BodyTooLargeError)),
+    ],
+)
+def test_odd_length_of_a_body_is_rejected(
+    length: str, error: type[PersimmonwellError]
+) -> None:
+    """Guards against an untyped error for digits that Python does not convert."""
+    with pytest.raises(error):
+        read_body(lambda count: b"x" * count, length, limit_bytes=100)
--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -94,6 +94,33 @@
     store.close()
 
 
+@pytest.mark.parametrize(
+    ("status", "body"),
+    [
+        *((412, b'{"end": "x"}'), (412, b'{"end": null}'), (412, b'{"end": 1e999}')),
+        *((200, b"[" * 100_000), (200, b'{"offset": 1e999}'), (200, b"\xff")),
+    ],
+)
+def test_malformed_answer_to_an_append_is_none(
+    log: Log, status: int, body: bytes
+) -> None:
+    """Guards against an untyped error that ends the caller of the client."""
+    log.server.route("POST", "/persimmonwell/log-append", lambda *_: (status, body))
+    store = StoreClient(url=log.server.url, timeout_s=2.0)
+    with pytest.raises(PlatformUnavailableError):
+        store.append("config", (b"{}",), expected_end_offset=3)
+    store.close()
+
+
+@pytest.mark.parametrize("era", ["9" * 5000, "-1", "1e3", "x"])
+def test_odd_era_of_the_store_is_none(log: Log, era: str) -> None:
+    """Guards against a header of the store that stops all reads."""
+    log.server.answer_headers["Store-Era"] = era
+    store = StoreClient(url=log.server.url, timeout_s=2.0)
+    assert store.read_latest("keyed.op").era is None
+    store.close()
+
+
 def test_changed_and_invalid_host_lists_are_detected(hosts: HostDirectory) -> None:
     """Guards against a stale list after a change, and the use of an invalid one."""
     client = HostListClient(url=hosts.server.url, timeout_s=2.0)
