Answer 502 where a replica fails a request it ran with 503, 429 or 408

Cause: the answer of a replica was returned whatever its status promises. Change: a status of that promise without a refusal is a failure of the replica. It is retried where the route allows it, and never forwarded. Measured: six rows of test_status_of_a_request_that_ran_promises_nothing fail before (408, 429, 503 on a booking and a look-up) and pass after. Conclusion: "not run" is true for the statuses of replicas, too.

--- a/persimmonwell/core/forwarding/_answers.py
+++ b/persimmonwell/core/forwarding/_answers.py
@@ -14,6 +14,8 @@
 HTTP_OK = 200
 FIRST_ERROR_STATUS = 300
 FIRST_SERVER_ERROR_STATUS = 500
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that promise callers that their request has not run."""
 
 
 class AnswerPhase(Enum):
@@ -66,7 +68,15 @@
     @property
     def is_failure(self) -> bool:
         """Return whether the upstream reports a failure of its own."""
-        return self.status >= FIRST_SERVER_ERROR_STATUS
+        return self.status >= FIRST_SERVER_ERROR_STATUS or self.is_false_promise
+
+    @property
+    def is_false_promise(self) -> bool:
+        """Return whether the status promises what the upstream does not state.
+
+        Callers may repeat a request after it, and the upstream may have run it.
+        """
+        return self.status in NOT_RUN_STATUSES and not self.not_run
 
 
 @attrs.frozen
--- a/persimmonwell/gateway/_exchange.py
+++ b/persimmonwell/gateway/_exchange.py
@@ -451,7 +451,11 @@
         assert head is not None
         verdict = self._judge_end(attempt, is_framed=is_framed)
         if isinstance(verdict, FailedAttempt):
-            if verdict.failure is AttemptFailure.ERROR and not self._answer.has_begun:
+            is_answer = (
+                verdict.failure is AttemptFailure.ERROR
+                and not head.facts.is_false_promise
+            )
+            if is_answer and not self._answer.has_begun:
                 self._failed_attempt = attempt
             self._report_failure(
                 attempt, verdict.failure, verdict.detail, head.fault_address
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -90,21 +90,21 @@
 
     Faults: shed (503 without running the request), shed_once, hold_off (text of the
     Retry-After of refusals), leaving (all answers state that it leaves), error (status
-    500), reset_at (event number at which the stream resets), stall_at (event number,
-    for stall_s), comments_at (event number before which only comments follow), extra (a
-    second response follows "now" or "late"), copy_late_s (a second copy of the response
-    follows after this time), unframed (no Content-Length), garbage (not HTTP), delay_s,
-    cut_body (resets within the body), alive (False: reports time out), reset (resets
-    without a response), flood (a key of FLOODS or "body", until the caller closes),
-    report_flood (the same in response to one report request), deadly_part (id of a
-    prompt part; the replica crashes when it begins to answer a request with it, and
-    starts again after restart_s, if that is given), limit (requests a second that its
-    answers state, as text), repeat_refusal (each refusal is written once more when the
-    next request arrives on its connection; "unnamed" leaves its request id out),
-    spoil (a Spoil: one byte of one event of each stream), cut_head (closes within the
-    head, after so many of its lines), resume_answer (bytes
-    that answer the resumption of a stream, before a close),
-    raw_answer (bytes that answer any request, before a close, or a reset with
+    500), status (of the answer to a plain request that it runs), reset_at (event number
+    at which the stream resets), stall_at (event number, for stall_s), comments_at
+    (event number before which only comments follow), extra (a second response follows
+    "now" or "late"), copy_late_s (a second copy of the response follows after this
+    time), unframed (no Content-Length), garbage (not HTTP), delay_s, cut_body (resets
+    within the body), alive (False: reports time out), reset (resets without a
+    response), flood (a key of FLOODS or "body", until the caller closes), report_flood
+    (the same in response to one report request), deadly_part (id of a prompt part; the
+    replica crashes when it begins to answer a request with it, and starts again after
+    restart_s, if that is given), limit (requests a second that its answers state, as
+    text), repeat_refusal (each refusal is written once more when the next request
+    arrives on its connection; "unnamed" leaves its request id out), spoil (a Spoil: one
+    byte of one event of each stream), cut_head (closes within the head, after so many
+    of its lines), resume_answer (bytes that answer the resumption of a stream, before a
+    close), raw_answer (bytes that answer any request, before a close, or a reset with
     raw_reset).
     """
 
@@ -343,7 +343,7 @@
         if "hop-count" in request.headers:
             return self._stream(connection, request, response_headers)
         body = f"{self.replica_id} {request.method} {request.target}".encode()
-        status = 500 if self.faults.get("error") else 200
+        status = self.faults.get("status", 500 if self.faults.get("error") else 200)
         if self.faults.get("unframed"):
             answer = _build_head(status, response_headers) + b"\r\n" + body
             connection.sendall(answer)
--- a/tests/gateway/test_faulty_replicas.py
+++ b/tests/gateway/test_faulty_replicas.py
@@ -111,3 +111,17 @@
         replica.faults["cut_head"] = line_count
     status, headers, body = testbed.send(path)
     assert status in (502, 504), (status, headers, body)
+
+
+@pytest.mark.parametrize("own_status", [408, 429, 503])
+@pytest.mark.parametrize("path", ["/book/1", "/look/1"])
+def test_status_of_a_request_that_ran_promises_nothing(
+    testbed: GatewayTestbed, path: str, own_status: int
+) -> None:
+    """Guards against "not run" for a request that its replica ran and failed itself."""
+    replica = testbed.replicas["desk-1"]
+    replica.faults["status"] = own_status
+    status, headers, _ = testbed.send(path)
+    assert status == 502 and "response-seal" not in headers
+    runs = [each for each in replica.received if each.target == path]
+    assert len(runs) == 1 if path.startswith("/book") else runs
