Build the program's libraries before the review's cases run

Cause: make review compiled the stand-ins of review/ but not target/deps, from which the cases start the product. In a clean clone each case ended with 2, since no host became ready. Change: a make target builds target/deps as deploy/system.toml does, and make review needs it.

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,11 @@
 report: install
 	$(BIN)/python -m bench.report --out target/report.html
 
-review: install
+target/deps: deploy/requirements.txt
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --upgrade --target $@ -r $<
+	touch $@
+
+review: install target/deps
 	bash review/build.sh
 	for number in 1 2 3 4 5; do bash review/$$number/run.sh || exit 1; done
 
