--- a/standins/replica.py
+++ b/standins/replica.py
@@ -105,7 +105,7 @@
     byte of one event of each stream), cut_head (closes within the head, after so many
     of its lines), resume_answer (bytes that answer the resumption of a stream, before a
     close), raw_answer (bytes that answer any request, before a close, or a reset with
-    raw_reset).
+    raw_reset), pad_bytes (number of zero bytes in front of the body of a plain answer).
     """
 
     def __init__(self, replica_id: str, *, service: str, zone: str) -> None:
@@ -342,7 +342,8 @@
             return False
         if "hop-count" in request.headers:
             return self._stream(connection, request, response_headers)
-        body = f"{self.replica_id} {request.method} {request.target}".encode()
+        body = bytes(self.faults.get("pad_bytes", 0))
+        body += f"{self.replica_id} {request.method} {request.target}".encode()
         status = self.faults.get("status", 500 if self.faults.get("error") else 200)
         if self.faults.get("unframed"):
             answer = _build_head(status, response_headers) + b"\r\n" + body
