Add the bound on connections and the settings of callers' progress

Cause: limits.max_fds was not read anywhere, and nothing decided which connection gives way to a new one. Change: core/resources/_connections.py derives the bound (200 descriptors for files, 300 fixed, half of the rest for callers and half for their upstreams, at most the limit of the process) and chooses the connection to close: idle ones first, longest without progress first, never one that may not be evicted. Connections that could not be closed are looked at again at most every 0.25 s. Measured: tests/core/resources, tests/observe and tests/platform/test_decoding.py pass; a property test compares each choice with a plain search.

--- /dev/null
+++ b/persimmonwell/core/resources/_connections.py
@@ -0,0 +1,176 @@
+"""Bound on accepted connections, and the choice of the one to close for a new one.
+
+Each connection takes a descriptor. Without a bound, clients that only connect take all
+of them; then neither another caller is accepted nor an upstream connected to.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterator
+from typing import Generic, TypeVar
+
+import attrs
+
+FILE_DESCRIPTORS = 200
+"""Descriptors of `limits.max_fds` that are reserved for files."""
+CLOSING_CONNECTIONS = 64
+"""Connections beyond the bound that still send a refusal; with more, the one that has
+been closing for the longest is aborted."""
+FIXED_DESCRIPTORS = 300
+"""Descriptors apart from files, callers and their upstreams: 96 connections of the
+status ports, 64 connections that are closing, 64 that were accepted in the last turns
+of the event loop and are not counted yet, 60 for control calls to replicas, and 16 for
+the store, listeners, peers and logs."""
+MIN_CALLER_CONNECTIONS = 16
+"""Bound where the descriptors do not even suffice for the reserves."""
+RECHECK_INTERVAL_S = 0.25
+"""Interval at which connections that could not be closed are looked at again. Without
+it, each new connection would look at all of them."""
+
+C = TypeVar("C")
+
+
+def caller_connection_bound(max_descriptors: int, process_limit: int | None) -> int:
+    """Return how many connections of callers may be open.
+
+    `process_limit` is the limit of the operating system, None for no limit. Each caller
+    may be answered from an upstream, whose connection takes a descriptor too.
+    """
+    usable = (
+        max_descriptors
+        if process_limit is None
+        else min(max_descriptors, process_limit)
+    )
+    bound = (usable - FILE_DESCRIPTORS - FIXED_DESCRIPTORS) // 2
+    return max(MIN_CALLER_CONNECTIONS, bound)
+
+
+@attrs.frozen
+class Admission(Generic[C]):
+    """What to do about a new connection."""
+
+    is_admitted: bool
+    """Whether the connection is kept; otherwise it is to be refused and closed."""
+    evicted: C | None = None
+    """Connection to close, so that there is room for the new one."""
+    aborted: C | None = None
+    """Connection to abort, since it is closing for longer than there is room."""
+
+
+class ConnectionTable(Generic[C]):
+    """Open connections in the order of their last progress, bounded in number.
+
+    `is_idle` tells whether a connection has no request, `may_be_evicted` whether it may
+    be closed for another one. Only the latter may change without a call of
+    `record_progress`.
+    """
+
+    def __init__(
+        self,
+        *,
+        bound: int,
+        is_idle: Callable[[C], bool],
+        may_be_evicted: Callable[[C], bool],
+        closing_bound: int = CLOSING_CONNECTIONS,
+    ) -> None:
+        self.bound = bound
+        self._closing_bound = closing_bound
+        self._is_idle = is_idle
+        self._may_be_evicted = may_be_evicted
+        self._idle: OrderedDict[C, None] = OrderedDict()
+        self._busy: OrderedDict[C, None] = OrderedDict()
+        self._passed_idle: OrderedDict[C, None] = OrderedDict()
+        """Connections that could not be closed when they were looked at. They are older
+        than those in the table that they were taken from."""
+        self._passed_busy: OrderedDict[C, None] = OrderedDict()
+        self._closing: OrderedDict[C, None] = OrderedDict()
+        self._rechecked_s = float("-inf")
+
+    def __len__(self) -> int:
+        """Return how many connections are open, those that are closing included."""
+        return self._kept_count + len(self._closing)
+
+    def __iter__(self) -> Iterator[C]:
+        """Iterate over the open connections, those that are closing included."""
+        for table in (*self._kept, self._closing):
+            yield from tuple(table)
+
+    @property
+    def _kept(self) -> tuple[OrderedDict[C, None], ...]:
+        return self._idle, self._busy, self._passed_idle, self._passed_busy
+
+    @property
+    def _kept_count(self) -> int:
+        return sum(map(len, self._kept))
+
+    def add(self, connection: C, now_s: float) -> Admission[C]:
+        """Count a new connection and return what to do about it.
+
+        The caller of this method carries that out; each connection is counted until it
+        is removed or aborted.
+        """
+        evicted: C | None = None
+        if self._kept_count >= self.bound:
+            evicted = self._choose(now_s)
+            if evicted is None:
+                return Admission(False, aborted=self._start_closing(connection))
+        aborted = None
+        if evicted is not None:
+            self._take(evicted)
+            aborted = self._start_closing(evicted)
+        self._idle[connection] = None
+        return Admission(True, evicted, aborted)
+
+    def record_progress(self, connection: C) -> None:
+        """Record that a connection transferred data, or began or ended a request."""
+        table = self._idle if self._is_idle(connection) else self._busy
+        if connection in table:
+            table.move_to_end(connection)
+        elif self._take(connection):
+            table[connection] = None
+
+    def remove(self, connection: C) -> None:
+        """Forget a connection that is closed."""
+        if not self._take(connection):
+            self._closing.pop(connection, None)
+
+    def _take(self, connection: C) -> bool:
+        for table in self._kept:
+            if connection in table:
+                del table[connection]
+                return True
+        return False
+
+    def _start_closing(self, connection: C) -> C | None:
+        """Count a connection as closing; return the one to abort if there are many."""
+        self._closing[connection] = None
+        if len(self._closing) <= self._closing_bound:
+            return None
+        oldest, _ = self._closing.popitem(last=False)
+        return oldest
+
+    def _choose(self, now_s: float) -> C | None:
+        """Return the connection to close, None if none may be closed."""
+        if now_s - self._rechecked_s >= RECHECK_INTERVAL_S:
+            self._rechecked_s = now_s
+            self._idle = self._passed_idle | self._idle
+            self._busy = self._passed_busy | self._busy
+            self._passed_idle = OrderedDict()
+            self._passed_busy = OrderedDict()
+        while self._idle:
+            connection = next(iter(self._idle))
+            if not self._is_idle(connection):
+                # It has begun a request since its last progress was recorded.
+                del self._idle[connection]
+                self._busy[connection] = None
+            elif self._may_be_evicted(connection):
+                return connection
+            else:
+                del self._idle[connection]
+                self._passed_idle[connection] = None
+        while self._busy:
+            connection = next(iter(self._busy))
+            if self._may_be_evicted(connection):
+                return connection
+            del self._busy[connection]
+            self._passed_busy[connection] = None
+        return None
--- a/persimmonwell/observe/__init__.py
+++ b/persimmonwell/observe/__init__.py
@@ -8,6 +8,7 @@
     part_logger,
 )
 from persimmonwell.observe._metrics import GaugeReadings, Metrics, RenderedMetrics
+from persimmonwell.observe._rate_limited import RateLimitedLog
 from persimmonwell.observe._recorder import Recorder
 from persimmonwell.observe._token_timer import TokenTimer
 
@@ -15,6 +16,7 @@
     "DecisionLog",
     "GaugeReadings",
     "Metrics",
+    "RateLimitedLog",
     "Recorder",
     "RenderedMetrics",
     "RepeatLimiter",
--- a/persimmonwell/platform/_node_file.py
+++ b/persimmonwell/platform/_node_file.py
@@ -9,21 +9,28 @@
     parse_count,
     parse_decimal,
 )
-from persimmonwell.settings import Endpoint, ForwarderSettings
+from persimmonwell.settings import CallerProgress, Endpoint, ForwarderSettings
 
 NODE_FILE_VARIABLE = "PERSIMMONWELL_NODE_FILE"
 DEFAULT_NODE_FILE = "/etc/persimmonwell/node.conf"
 MAX_PORT = 65_535
 METRICS_PORT_OFFSET = 1
 """The metrics port is the one after the peer port, which is the first internal port."""
+_PROGRESS = CallerProgress()
 DEFAULT_NUMBERS = {
     "bounds.grace_s": 8.0,
     "bounds.retry_budget_ratio": 0.2,
     "bounds.retry_budget_slack": 20.0,
     "bounds.budget_window_s": 10.0,
     "limits.memory_mb": 256.0,
+    "limits.max_fds": 1024.0,
+    "callers.min_body_bytes_per_s": _PROGRESS.min_body_bytes_per_s,
+    "callers.body_window_s": _PROGRESS.body_window_s,
+    "callers.unread_answer_s": _PROGRESS.unread_answer_s,
+    "callers.upload_wait_s": _PROGRESS.upload_wait_s,
 }
-"""Values of absent fields, as in the platform's documentation."""
+"""Values of absent fields: those of `bounds` as in the platform's documentation, and
+the limit that processes have by default for `limits.max_fds`."""
 
 
 def parse_node_file(text: str) -> ForwarderSettings:
@@ -42,6 +49,12 @@
     def required_endpoint(name: str) -> Endpoint:
         return _parse_endpoint(name, required_text(name), faults)
 
+    def positive_or_default(name: str) -> float:
+        number = number_or_default(name)
+        if not number:
+            faults.add(name, "is not above 0")
+        return number
+
     def number_or_default(name: str) -> float:
         value = fields.get(name, "")
         if not value:
@@ -70,10 +83,17 @@
         ),
         store=required_endpoint("platform.address"),
         memory_mb=int(number_or_default("limits.memory_mb")),
+        max_fds=int(number_or_default("limits.max_fds")),
         grace_s=number_or_default("bounds.grace_s"),
         retry_ratio=number_or_default("bounds.retry_budget_ratio"),
         retry_slack=number_or_default("bounds.retry_budget_slack"),
         retry_window_s=number_or_default("bounds.budget_window_s"),
+        caller_progress=CallerProgress(
+            min_body_bytes_per_s=number_or_default("callers.min_body_bytes_per_s"),
+            body_window_s=positive_or_default("callers.body_window_s"),
+            unread_answer_s=positive_or_default("callers.unread_answer_s"),
+            upload_wait_s=positive_or_default("callers.upload_wait_s"),
+        ),
     )
     faults.raise_if_any()
     return settings
--- /dev/null
+++ b/tests/core/resources/test_connections.py
@@ -0,0 +1,188 @@
+"""Tests of the bound on connections and of the choice of the one to close."""
+
+import attrs
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from persimmonwell.core.resources import (
+    CLOSING_CONNECTIONS,
+    FILE_DESCRIPTORS,
+    FIXED_DESCRIPTORS,
+    MIN_CALLER_CONNECTIONS,
+    ConnectionTable,
+    caller_connection_bound,
+)
+from persimmonwell.core.resources._connections import RECHECK_INTERVAL_S
+
+
+@attrs.define(eq=False)
+class _Connection:
+    name: int
+    is_idle: bool = True
+    may_be_evicted: bool = True
+    looked_at: int = 0
+
+
+def table_of(bound: int, **values: int) -> ConnectionTable[_Connection]:
+    def may_be_evicted(connection: _Connection) -> bool:
+        connection.looked_at += 1
+        return connection.may_be_evicted
+
+    return ConnectionTable(
+        bound=bound,
+        is_idle=lambda connection: connection.is_idle,
+        may_be_evicted=may_be_evicted,
+        **values,
+    )
+
+
+@pytest.mark.parametrize(
+    ("max_fds", "process_limit", "bound"),
+    [
+        (4100, None, 1800),
+        (4100, 20_000, 1800),
+        (20_000, 4100, 1800),
+        (1024, 1024, 262),
+        (500, None, MIN_CALLER_CONNECTIONS),
+        (0, None, MIN_CALLER_CONNECTIONS),
+        (1 << 48, 0, MIN_CALLER_CONNECTIONS),
+    ],
+)
+def test_bound_leaves_descriptors_for_everything_else(
+    max_fds: int, process_limit: int | None, bound: int
+) -> None:
+    """Guards against callers that take the descriptors of upstreams and the store."""
+    assert caller_connection_bound(max_fds, process_limit) == bound
+    usable = min(max_fds, process_limit if process_limit is not None else max_fds)
+    if bound > MIN_CALLER_CONNECTIONS:
+        assert 2 * bound + FILE_DESCRIPTORS + FIXED_DESCRIPTORS <= usable
+
+
+@pytest.mark.parametrize(
+    ("connections", "progress", "expected"),
+    [
+        # The oldest of equal ones.
+        ([(True, True), (True, True)], [], 0),
+        ([(True, True), (True, True)], [0], 1),
+        ([(False, True), (False, True), (False, True)], [1, 0], 2),
+        # An idle one before one with a request, however recent its progress is.
+        ([(False, True), (True, True)], [0, 1], 1),
+        # Never one whose answer is being read.
+        ([(False, False), (False, True)], [], 1),
+        ([(False, False), (False, True)], [1, 0], 1),
+        ([(True, False), (False, True)], [], 1),
+        ([(False, False), (False, False)], [], None),
+    ],
+)
+def test_connection_to_close_is_the_idle_or_slowest_one(
+    connections: list[tuple[bool, bool]], progress: list[int], expected: int | None
+) -> None:
+    """Guards against an ordinary caller that is closed in place of a stalled one."""
+    table = table_of(len(connections))
+    each = [_Connection(name, *state) for name, state in enumerate(connections)]
+    for connection in each:
+        table.add(connection, 0.0)
+        table.record_progress(connection)
+    for name in progress:
+        table.record_progress(each[name])
+    admission = table.add(_Connection(9), 1.0)
+    assert admission.is_admitted is (expected is not None)
+    evicted = admission.evicted
+    assert (evicted.name if evicted is not None else None) == expected
+
+
+def test_connection_that_is_idle_no_more_is_not_taken_for_an_idle_one() -> None:
+    """Guards against a caller that is closed because its request was not noticed."""
+    table = table_of(2)
+    began, idle = _Connection(1), _Connection(2)
+    table.add(began, 0.0)
+    table.add(idle, 0.0)
+    began.is_idle = False
+    assert table.add(_Connection(3), 1.0).evicted is idle
+
+
+operations = st.lists(
+    st.one_of(
+        st.tuples(st.just("add"), st.booleans(), st.booleans()),
+        st.tuples(st.just("progress"), st.integers(0, 30), st.booleans()),
+        st.tuples(st.just("evictable"), st.integers(0, 30), st.booleans()),
+        st.tuples(st.just("remove"), st.integers(0, 30), st.booleans()),
+    ),
+    max_size=60,
+)
+
+
+@given(operations, st.integers(1, 4))
+def test_every_choice_is_that_of_a_plain_search(
+    steps: list[tuple[str, int, bool]], bound: int
+) -> None:
+    """Guards against a wrong order after any sequence, and against a leaked entry."""
+    table = table_of(bound, closing_bound=2)
+    kept: list[_Connection] = []  # In the order of their last progress.
+    closing: list[_Connection] = []
+    added: list[_Connection] = []
+    for number, (step, value, flag) in enumerate(steps):
+        now_s = number * RECHECK_INTERVAL_S
+        if step == "add":
+            new = _Connection(number, bool(value), flag)
+            added.append(new)
+            admission = table.add(new, now_s)
+            if len(kept) < bound:
+                expected = None
+            else:
+                candidates = [each for each in kept if each.may_be_evicted]
+                idle = [each for each in candidates if each.is_idle]
+                expected = next(iter(idle or candidates), None)
+            assert admission.evicted is expected
+            if expected is not None:
+                kept.remove(expected)
+                closing.append(expected)
+            assert admission.is_admitted is (len(kept) < bound)
+            (kept if admission.is_admitted else closing).append(new)
+            if len(closing) > 2:
+                assert admission.aborted is closing.pop(0)
+            else:
+                assert admission.aborted is None
+            if new in kept:
+                # Whether it has a request is known from its first progress on.
+                table.record_progress(new)
+        elif added:
+            connection = added[value % len(added)]
+            if step == "progress" and connection in kept:
+                connection.is_idle = flag
+                kept.remove(connection)
+                kept.append(connection)
+                table.record_progress(connection)
+            elif step == "progress":
+                table.record_progress(connection)
+            elif step == "evictable":
+                connection.may_be_evicted = flag
+            else:
+                table.remove(connection)
+                for connections in (kept, closing):
+                    if connection in connections:
+                        connections.remove(connection)
+        assert len(table) == len(kept) + len(closing)
+        assert set(table) == {*kept, *closing}
+        assert len(table) <= bound + 2
+    for connection in added:
+        table.remove(connection)
+    assert len(table) == 0
+
+
+def test_connections_that_may_not_be_closed_are_not_searched_each_time() -> None:
+    """Guards against a crowd of new connections that takes the event loop's time."""
+    table = table_of(1000)
+    answered = [_Connection(name, False, False) for name in range(1000)]
+    for connection in answered:
+        table.add(connection, 0.0)
+        table.record_progress(connection)
+    for number in range(500):
+        assert not table.add(_Connection(2000 + number), 1.0).is_admitted
+    assert sum(connection.looked_at for connection in answered) == 1000
+    assert len(table) == 1000 + CLOSING_CONNECTIONS
+    # Without an event that the table is told of, as when a caller stops reading.
+    answered[7].may_be_evicted = True
+    admission = table.add(_Connection(3000), 1.0 + RECHECK_INTERVAL_S)
+    assert admission.evicted is answered[7]
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -30,6 +30,7 @@
     parse_node_file,
     read_node_file,
 )
+from persimmonwell.settings import CallerProgress
 from standins.platform_config import config as standin_config
 
 NODE = {
@@ -82,6 +83,12 @@
         ("bounds.budget_window_s", "inf"),
         ("bounds.retry_budget_ratio", "-1"),
         ("limits.memory_mb", "1e999"),
+        ("limits.max_fds", "many"),
+        ("limits.max_fds", "-1"),
+        ("callers.min_body_bytes_per_s", "-1"),
+        ("callers.body_window_s", "0"),
+        ("callers.unread_answer_s", "nan"),
+        ("callers.upload_wait_s", "0"),
     ],
 )
 def test_each_invalid_setting_is_named(field: str, value: str) -> None:
@@ -92,6 +99,17 @@
     assert field in {fault.path for fault in caught.value.faults}
 
 
+def test_absent_limits_of_callers_have_defaults() -> None:
+    """Guards against a host that does not start with a file of earlier fields."""
+    settings = parse_node_file(node_file())
+    assert settings.max_fds == 1024
+    assert settings.caller_progress == CallerProgress()
+    text = node_file(limits__max_fds="4100", callers__unread_answer_s="12.5")
+    settings = parse_node_file(text)
+    assert settings.max_fds == 4100
+    assert settings.caller_progress == CallerProgress(unread_answer_s=12.5)
+
+
 def test_settings_file_with_bytes_that_are_no_text_is_read(tmp_path: Path) -> None:
     """Guards against a host that does not start for a byte in an unknown field."""
     path = tmp_path / "node.conf"
