Bound the connections of callers and the status ports

Cause: each port accepted connections without a bound, up to 1,024 in one turn of the event loop. The status ports collected a URL of any length, and built the state again for each pipelined request of a client that does not read. Change: callers are counted in a ConnectionTable and 32 are accepted in one turn (8 on a status port). A status port reads one request of at most 8 KB at a time, within 5 s and without a body; it reads nothing while an answer is unsent, sends answers in slices, closes a connection whose client does not read within 10 s, and holds 32 connections and 16 MB of unsent answers. The state and the metrics are built at most every 0.1 s. Refused and terminated connections are counted by reason and logged; gauges show bytes and descriptors by use. Until CallerConnection has evict, refuse_at_accept and may_be_evicted, only idle callers are closed, and a refused one gets no 503.

--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -30,6 +30,7 @@
     RouteKind,
     Send,
 )
+from persimmonwell.core.resources import ConnectionTable
 from persimmonwell.gateway._caller_connection import CallerConnection, RawRequest
 from persimmonwell.gateway._exchange import STATUS_BY_ENDING, Exchange
 from persimmonwell.gateway._http_connection import (
@@ -39,7 +40,7 @@
 )
 from persimmonwell.gateway._metrics import GatewayMetrics
 from persimmonwell.gateway._replica_calls import CallAnswer, call_replica
-from persimmonwell.observe import DecisionLog
+from persimmonwell.observe import DecisionLog, RateLimitedLog
 from persimmonwell.platform import (
     ORDER_PATH,
     REPORT_PATH,
@@ -79,6 +80,7 @@
         router: ForwardingRouter,
         log: DecisionLog,
         seed: int,
+        caller_bound: int,
         on_leaving: Callable[[], None] = lambda: None,
     ) -> None:
         self.router = router
@@ -94,7 +96,12 @@
         self._random = random.Random(seed)
         self._last_key = 0
         self._exchanges: dict[int, Exchange] = {}
-        self._callers: set[CallerConnection] = set()
+        self._client_log = RateLimitedLog(log, clock=time.monotonic)
+        self._callers = ConnectionTable[CallerConnection](
+            bound=caller_bound,
+            is_idle=lambda caller: caller.is_idle,
+            may_be_evicted=lambda caller: caller.is_idle,
+        )
         self._tasks: set[asyncio.Task[None]] = set()
         self._tick_timer: asyncio.TimerHandle | None = None
 
@@ -108,6 +115,11 @@
         """Return how many callers are connected."""
         return len(self._callers)
 
+    @property
+    def caller_bound(self) -> int:
+        """Return how many callers may be connected."""
+        return self._callers.bound
+
     def start(self) -> None:
         """Start the timer of time-outs and stall detection."""
         self._tick()
@@ -154,10 +166,33 @@
         return config.limits if config is not None else CallerLimits()
 
     def _caller_open_changed(self, caller: CallerConnection, is_open: bool) -> None:
-        if is_open:
-            self._callers.add(caller)
-        else:
-            self._callers.discard(caller)
+        if not is_open:
+            self._callers.remove(caller)
+            return
+        admission = self._callers.add(caller, self.now_s())
+        if admission.evicted is not None:
+            self.record_client("terminated", "callers_full")
+            admission.evicted.close_idle(min_idle_s=0.0)
+        if admission.aborted is not None:
+            self.record_client("terminated", "closing_full")
+            admission.aborted.abort_answer()
+        if not admission.is_admitted:
+            self.record_client("refused", "callers_full")
+            caller.abort_answer()
+
+    def record_client(self, action: str, reason: str) -> None:
+        """Count a client's connection or request that was refused or terminated.
+
+        One line per reason and minute goes to the log.
+        """
+        self.metrics.count_client(action, reason)
+        self._client_log.write(
+            "clients", action, cause=reason, callers=len(self._callers)
+        )
+
+    def log_suppressed_clients(self) -> None:
+        """Log how many lines about clients were not written."""
+        self._client_log.flush()
 
     # Requests
 
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -1,11 +1,13 @@
 """Forwarding host: wires the gateway to the store, the peers and the platform."""
 
 import asyncio
+import os
+import resource
 import socket
 import time
 import traceback
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 from typing import Any
 
@@ -24,6 +26,7 @@
     should_be_reader,
     should_plan_without_store,
 )
+from persimmonwell.core.resources import caller_connection_bound
 from persimmonwell.gateway._gateway import Gateway
 from persimmonwell.gateway._peer_datagrams import (
     SEND_INTERVAL_S,
@@ -39,7 +42,10 @@
     StateFetcher,
     encode_state,
 )
-from persimmonwell.gateway._status_server import StatusServerConnection
+from persimmonwell.gateway._status_server import (
+    ACCEPTS_PER_TURN as STATUS_ACCEPTS_PER_TURN,
+)
+from persimmonwell.gateway._status_server import Answer, RecentAnswer, StatusServer
 from persimmonwell.gateway._store_followers import (
     CONFIG_FOLLOWER,
     REPLICA_FOLLOWER,
@@ -52,6 +58,9 @@
 
 BACKLOG = 1024
 """Listen backlog; when it is full, new connections are delayed by seconds."""
+ACCEPTS_PER_TURN = 32
+"""Connections of callers that are accepted in one turn of the event loop. Each is
+counted two turns later, so that up to 64 exceed the bound for that time."""
 DEREGISTRATION_S = 2.2
 """Time in which the platform stops sending new connections: it probes readiness each
 second and deregisters a host after two failed probes."""
@@ -98,6 +107,7 @@
             router=self._router,
             log=self._log,
             seed=seed,
+            caller_bound=caller_connection_bound(settings.max_fds, _process_limit()),
             on_leaving=lambda: self._peers.send_to_zone(),
         )
         self._duty = PlacementDuty(
@@ -108,6 +118,11 @@
             may_plan_without_store=self._may_plan_without_store,
         )
         self._servers: list[asyncio.Server] = []
+        self._status_servers: list[StatusServer] = []
+        self._state_answer = RecentAnswer(self._encode_state, clock=time.monotonic)
+        self._metrics_answer = RecentAnswer(
+            lambda: self._gateway.metrics.render(), clock=time.monotonic
+        )
         self._callers_socket: socket.socket | None = None
         self._store_available: dict[str, bool] = {}
         """Whether the store answered the last call, by follower."""
@@ -176,45 +191,63 @@
             callers=str(self._settings.callers),
             store=str(self._settings.store),
             memory_mb=self._settings.memory_mb,
+            max_fds=self._settings.max_fds,
+            process_fds=_process_limit(),
+            caller_bound=self._gateway.caller_bound,
         )
 
     async def _open_ports(self) -> None:
         loop = asyncio.get_running_loop()
         settings = self._settings
-        await self._listen(
-            settings.readiness, lambda: StatusServerConnection(self._answer_readiness)
-        )
+        await self._listen_for_status(settings.readiness, self._answer_readiness)
         metrics = Endpoint(settings.ip, settings.metrics_port)
-        await self._listen(
-            metrics, lambda: StatusServerConnection(self._answer_peers_and_metrics)
-        )
+        await self._listen_for_status(metrics, self._answer_peers_and_metrics)
         if settings.control is not None:
-            await self._listen(
-                settings.control, lambda: StatusServerConnection(self._answer_readiness)
-            )
-        self._callers_socket = socket.create_server(
-            (settings.callers.host, settings.callers.port), backlog=BACKLOG
-        )
-        self._callers_socket.setblocking(False)
-        self._servers.append(
-            await loop.create_server(
-                self._gateway.create_caller_connection,
-                sock=self._callers_socket,
-                backlog=BACKLOG,
-            )
+            await self._listen_for_status(settings.control, self._answer_readiness)
+        self._callers_socket = await self._listen(
+            settings.callers,
+            self._gateway.create_caller_connection,
+            accepts_per_turn=ACCEPTS_PER_TURN,
         )
         await loop.create_datagram_endpoint(
             lambda: self._peers, local_addr=(settings.ip, settings.peer_port)
         )
 
-    async def _listen(
-        self, endpoint: Endpoint, factory: Callable[[], asyncio.Protocol]
+    async def _listen_for_status(
+        self, endpoint: Endpoint, answer: Callable[[str], Answer]
     ) -> None:
+        status_server = StatusServer(
+            answer,
+            clock=time.monotonic,
+            on_terminated=lambda reason: self._gateway.record_client(
+                "terminated", reason
+            ),
+        )
+        self._status_servers.append(status_server)
+        await self._listen(
+            endpoint,
+            status_server.create_connection,
+            accepts_per_turn=STATUS_ACCEPTS_PER_TURN,
+        )
+
+    async def _listen(
+        self,
+        endpoint: Endpoint,
+        factory: Callable[[], asyncio.BaseProtocol],
+        *,
+        accepts_per_turn: int,
+    ) -> socket.socket:
         loop = asyncio.get_running_loop()
+        listener = socket.create_server((endpoint.host, endpoint.port), backlog=BACKLOG)
+        listener.setblocking(False)
+        # The event loop accepts up to `backlog` connections in one turn, and only then
+        # counts them; the length of the kernel's queue is set again afterwards.
         server = await loop.create_server(
-            factory, endpoint.host, endpoint.port, backlog=BACKLOG
+            factory, sock=listener, backlog=accepts_per_turn
         )
+        listener.listen(BACKLOG)
         self._servers.append(server)
+        return listener
 
     async def drain(self) -> None:
         """Finish the requests in flight within the grace time, then close.
@@ -257,20 +290,18 @@
         The kernel resets a connection that was not accepted when the listener closes.
         """
         assert self._loop is not None and self._callers_socket is not None
-        accepted = []
-        while True:
+        for _ in range(BACKLOG):
             try:
                 connection, _ = self._callers_socket.accept()
             except OSError:
                 # The queue is empty, or no descriptor is left; the stop goes on.
                 break
-            accepted.append(connection)
-        self._servers[-1].close()
-        for connection in accepted:
             connection.setblocking(False)
+            # Connected one at a time, so that each is counted before the next one.
             await self._loop.connect_accepted_socket(
                 self._gateway.create_caller_connection, connection
             )
+        self._servers[-1].close()
 
     def close(self) -> None:
         """Stop at once; open requests are aborted."""
@@ -282,6 +313,8 @@
         self._gateway.close()
         for server in self._servers:
             server.close()
+        for status_server in self._status_servers:
+            status_server.close()
         if self._state_timer is not None:
             self._state_timer.cancel()
         self._peers.close()
@@ -296,6 +329,7 @@
             retry_ratio=settings.retry_ratio,
             retry_slack=settings.retry_slack,
             retry_window_s=settings.retry_window_s,
+            caller_progress=settings.caller_progress,
         )
         self._peers.set_seeds(frozenset(seed.host for seed in settings.seeds))
         self._router.set_retry_budget(
@@ -310,6 +344,10 @@
             grace_s=settings.grace_s,
             retry_ratio=settings.retry_ratio,
             retry_slack=settings.retry_slack,
+            **{
+                f"callers_{name}": value
+                for name, value in attrs.asdict(settings.caller_progress).items()
+            },
         )
 
     def reload_failed(self, reason: str) -> None:
@@ -630,6 +668,7 @@
         self._router.host_count = max(self._router.host_count, hosts_by_zone.total())
         self._peers.send()
         self._gateway.pool.close_expired()
+        self._gateway.log_suppressed_clients()
 
     # Readiness and metrics
 
@@ -641,9 +680,21 @@
 
     def _answer_peers_and_metrics(self, target: str) -> tuple[int, bytes]:
         if target == STATE_PATH:
-            snapshot = self._router.registry.snapshot()
-            return 200, encode_state(self._config_document, snapshot)
-        return 200, self._gateway.metrics.render()
+            return 200, self._state_answer.read()
+        return 200, self._metrics_answer.read()
+
+    def _encode_state(self) -> bytes:
+        return encode_state(self._config_document, self._router.registry.snapshot())
+
+    def _read_bytes(self) -> Mapping[str, float]:
+        return {"status": sum(each.unsent_bytes for each in self._status_servers)}
+
+    def _read_descriptors(self) -> Mapping[str, float]:
+        return {
+            "callers": self._gateway.caller_connection_count,
+            "status": sum(each.connection_count for each in self._status_servers),
+            "total": _count_descriptors(),
+        }
 
     def _add_gauges(self) -> None:
         metrics = self._gateway.metrics
@@ -666,6 +717,24 @@
         metrics.add_gauge(
             "upstream_connections_opened", lambda: self._gateway.pool.opened_count
         )
+        metrics.add_gauge("caller_connection_bound", lambda: self._gateway.caller_bound)
+        metrics.set_resource_readers(
+            read_bytes=self._read_bytes, read_descriptors=self._read_descriptors
+        )
+
+
+def _process_limit() -> int | None:
+    """Return the operating system's limit on descriptors, None for no limit."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return None if limit == resource.RLIM_INFINITY else limit
+
+
+def _count_descriptors() -> int:
+    try:
+        return len(os.listdir("/proc/self/fd"))
+    except OSError:
+        # No descriptor is left for the directory itself.
+        return -1
 
 
 def _error_cause(error: BaseException | None) -> str:
--- a/persimmonwell/gateway/_metrics.py
+++ b/persimmonwell/gateway/_metrics.py
@@ -1,6 +1,6 @@
 """Metrics of one host in the text exposition format."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.formats.text import TextFormatter
@@ -34,12 +34,31 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self._client_counter = Counter(
+            f"{PREFIX}_clients_total",
+            "Connections and requests refused or terminated, by reason.",
+            registry=self._registry,
+        )
+        self._bytes_in_use = Gauge(
+            f"{PREFIX}_bytes", "Bytes in use by purpose.", registry=self._registry
+        )
+        self._descriptors = Gauge(
+            f"{PREFIX}_descriptors",
+            "Open descriptors by use.",
+            registry=self._registry,
+        )
         self._gauge_readers: dict[str, Callable[[], float]] = {}
+        self._read_bytes: Callable[[], Mapping[str, float]] = dict
+        self._read_descriptors: Callable[[], Mapping[str, float]] = dict
 
     def count_event(self, event: str) -> None:
         """Increment the counter of an event."""
         self._event_counter.inc({"event": event})
 
+    def count_client(self, action: str, reason: str) -> None:
+        """Count a connection or request that was refused or terminated."""
+        self._client_counter.inc({"action": action, "reason": reason})
+
     def observe_first_event(self, seconds: float) -> None:
         """Record the time to the first event of an answer."""
         self._first_event_seconds.observe({}, seconds)
@@ -52,9 +71,23 @@
         """Add a gauge whose value is read at each scrape."""
         self._gauge_readers[name] = read
 
+    def set_resource_readers(
+        self,
+        *,
+        read_bytes: Callable[[], Mapping[str, float]],
+        read_descriptors: Callable[[], Mapping[str, float]],
+    ) -> None:
+        """Set the functions that return bytes by purpose and descriptors by use."""
+        self._read_bytes = read_bytes
+        self._read_descriptors = read_descriptors
+
     def render(self) -> bytes:
         """Read the gauges and return all metrics as text."""
         for name, read in self._gauge_readers.items():
             self._gauges.set({"name": name}, read())
+        for purpose, size in self._read_bytes().items():
+            self._bytes_in_use.set({"purpose": purpose}, size)
+        for use, count in self._read_descriptors().items():
+            self._descriptors.set({"use": use}, count)
         text: bytes = TextFormatter().marshall(self._registry)
         return text
