Bound what peers' datagrams leave in the tables

Cause: datagrams are not authenticated. Each host id kept a row of loads for up to 10 s, each source address a peer, each named address an entry for 300 s; unknown replica ids in lost and slow stayed until the registry changed, the offsets of removed replicas and entries of forged changes until a list, and names had any length. Change: bounds four times or more above the needs of 1,000 hosts (4,096 peers and addresses, 16,384 lost and slow replicas, 16,384 relayed entries, 131,072 offsets), 131,072 loads over all peers, which is what 1,000 hosts send, and 320 characters per name; what was heard of first is dropped, so that a peer that goes on reporting stays. Lists in one report are read up to a bound, and the rest is ignored, so that a report of another build still counts. Measured: tests/gateway/test_peer_datagrams.py and tests/core/forwarding pass, with 8,192 forged hosts and 524,288 forged addresses among the new cases. CallerRetryTracker, LeavingReplicas and both quarantines were bounded already. Conclusion: the memory is bounded; forged reports still mislead a host, as before.

--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -12,7 +12,10 @@
     FailedAttempt,
     UpstreamAnswer,
 )
-from persimmonwell.core.forwarding._caller_retries import CALLER_RETRY_WINDOW_S
+from persimmonwell.core.forwarding._caller_retries import (
+    CALLER_RETRY_WINDOW_S,
+    MAX_SHARED_DIGESTS,
+)
 from persimmonwell.core.forwarding._events import (
     AttemptFailure,
     CancelAttempt,
@@ -74,6 +77,7 @@
 
 __all__ = [
     "CALLER_RETRY_WINDOW_S",
+    "MAX_SHARED_DIGESTS",
     "AcceleratorKind",
     "AnswerPhase",
     "AnswerState",
--- a/persimmonwell/core/forwarding/_health.py
+++ b/persimmonwell/core/forwarding/_health.py
@@ -28,6 +28,10 @@
 SLOWNESS_TTL_S = 2.5
 """Validity of a measured slowness; while streams through the replica are silent, the
 next probe comes earlier."""
+MAX_PEER_REPORTED = 16_384
+"""Replicas that peers call lost, and those that they call slow, the ones named last;
+1,000 hosts have some 3,300 replicas. Those that are not registered stay until the
+registry changes, and anyone can send reports with any names."""
 
 
 @attrs.define
@@ -85,11 +89,18 @@
         current = self._slowness.get(replica_id)
         if not is_local and current is not None and current.is_local:
             return
+        self._slowness.pop(replica_id, None)
         if factor > 1.0:
             until_s = now_s + SLOWNESS_TTL_S
             self._slowness[replica_id] = _Slowness(factor, until_s, is_local)
-        else:
-            self._slowness.pop(replica_id, None)
+        if len(self._slowness) > MAX_PEER_REPORTED:
+            self._drop_oldest_peer_slowness()
+
+    def _drop_oldest_peer_slowness(self) -> None:
+        for replica_id, entry in self._slowness.items():
+            if not entry.is_local:
+                del self._slowness[replica_id]
+                return
 
     def slowness(self, replica_id: str, now_s: float) -> float:
         """Return the factor on a replica's step times, 1.0 while none is known."""
@@ -174,7 +185,10 @@
     def record_peer_lost(self, replica_ids: Iterable[str], until_s: float) -> None:
         """Record replicas that a peer found dead, valid until until_s."""
         for replica_id in replica_ids:
+            self._peer_lost_until_s.pop(replica_id, None)
             self._peer_lost_until_s[replica_id] = until_s
+            if len(self._peer_lost_until_s) > MAX_PEER_REPORTED:
+                del self._peer_lost_until_s[next(iter(self._peer_lost_until_s))]
 
     def _evidence_for(self, replica_id: str, incarnation: tuple[str, int]) -> _Evidence:
         evidence = self._evidence.get(replica_id)
--- a/persimmonwell/core/forwarding/_loads.py
+++ b/persimmonwell/core/forwarding/_loads.py
@@ -9,6 +9,12 @@
 """Time for which KV memory that no host accounts for counts as used: attempts whose
 caller or answer was lost end within about that time."""
 
+MAX_PEERS = 4096
+"""Peers whose loads are kept, those that reported last."""
+MAX_PEER_LOADS = 131_072
+"""Loads that are kept over all peers, some 35 MB: the 128 loads in a report of each of
+1,000 hosts. Anyone can send reports in the names of any number of hosts."""
+
 
 @attrs.frozen
 class ReplicaLoad:
@@ -36,6 +42,8 @@
     def __init__(self) -> None:
         self._local: dict[str, ReplicaLoad] = {}
         self._peers: dict[str, _PeerLoads] = {}
+        """Loads by peer, the one that reported first at the beginning."""
+        self._peer_load_count = 0
         self._peer_totals: dict[str, ReplicaLoad] | None = {}
         """Sums over the peers; None when they have to be recomputed."""
         self._untracked: dict[str, _Untracked] = {}
@@ -94,14 +102,23 @@
         self, peer: str, loads: Mapping[str, ReplicaLoad], until_s: float
     ) -> None:
         """Replace the loads that a peer reported, valid until until_s."""
+        self._drop_peer(peer)
         self._peers[peer] = _PeerLoads(loads, until_s)
+        self._peer_load_count += len(loads)
+        while len(self._peers) > MAX_PEERS or self._peer_load_count > MAX_PEER_LOADS:
+            self._drop_peer(next(iter(self._peers)))
         self._peer_totals = None
 
+    def _drop_peer(self, peer: str) -> None:
+        dropped = self._peers.pop(peer, None)
+        if dropped is not None:
+            self._peer_load_count -= len(dropped.loads)
+
     def expire_peers(self, now_s: float) -> None:
         """Drop the loads of peers whose last report has expired."""
         gone = [peer for peer, state in self._peers.items() if now_s > state.until_s]
         for peer in gone:
-            del self._peers[peer]
+            self._drop_peer(peer)
             self._peer_totals = None
 
     def _sum_peers(self) -> dict[str, ReplicaLoad]:
--- a/persimmonwell/core/forwarding/_registry.py
+++ b/persimmonwell/core/forwarding/_registry.py
@@ -21,6 +21,14 @@
 MAX_REMOVED = 1024
 """Removed replicas that are not taken from an older copy of the store again."""
 
+MAX_RELAYED_ENTRIES = 16_384
+"""Entries up to which relayed changes add others; 1,000 hosts have some 3,300 replicas.
+Anyone can send datagrams with changes, and a list from the store removes the entries
+that it lacks."""
+
+MAX_OFFSETS = 131_072
+"""Replicas whose newest offset is kept, those without an entry included."""
+
 
 @attrs.frozen
 class RegistryRecord:
@@ -198,6 +206,12 @@
         """
         if changes.era != self._era or self._newest_offset < changes.after_offset:
             return None
+        added = sum(
+            record.replica is not None and record.replica_id not in self._entries
+            for record in changes.records
+        )
+        if added and len(self._entries) + added > MAX_RELAYED_ENTRIES:
+            return None
         changed = self.apply(changes.records, now_s)
         self._newest_offset = max(self._newest_offset, changes.end_offset)
         return changed
@@ -219,6 +233,8 @@
             ):
                 continue  # A later full list did not have it any more.
             self._offsets[record.replica_id] = record.offset
+            if len(self._offsets) > MAX_OFFSETS:
+                self._drop_old_offsets()
             self._newest_offset = max(self._newest_offset, record.offset)
             if self._apply_record(record, now_s):
                 changed = True
@@ -228,6 +244,12 @@
                 self._record_change(record, now_s)
         return changed
 
+    def _drop_old_offsets(self) -> None:
+        """Drop the older half of the offsets of replicas that have no entry."""
+        removed = [key for key in self._offsets if key not in self._entries]
+        for replica_id in removed[: (len(removed) + 1) // 2]:
+            del self._offsets[replica_id]
+
     def _record_change(self, record: RegistryRecord, now_s: float) -> None:
         self._changed_offset = max(self._changed_offset, record.offset)
         self._changes.append(_Change(record, now_s))
--- a/persimmonwell/core/retry/__init__.py
+++ b/persimmonwell/core/retry/__init__.py
@@ -12,6 +12,7 @@
 from persimmonwell.core.retry._backoff import backoff_s
 from persimmonwell.core.retry._budget import RetryBudget
 from persimmonwell.core.retry._prompt_parts import (
+    MAX_CRASHES,
     PartCount,
     PartEvidence,
     PromptPartQuarantine,
@@ -19,6 +20,7 @@
 from persimmonwell.core.retry._quarantine import Blame, Quarantine, QuarantineChange
 
 __all__ = [
+    "MAX_CRASHES",
     "AcceptedEnd",
     "AcceptedToken",
     "Blame",
--- a/persimmonwell/gateway/_peer_datagrams.py
+++ b/persimmonwell/gateway/_peer_datagrams.py
@@ -8,12 +8,14 @@
 import ipaddress
 import math
 from collections.abc import Callable, Mapping
+from itertools import islice
 from typing import cast
 
 import attrs
 import msgspec
 
 from persimmonwell.core.forwarding import (
+    MAX_SHARED_DIGESTS,
     LeavingNotice,
     PeerStatus,
     RegistryChanges,
@@ -22,6 +24,7 @@
 )
 from persimmonwell.core.retry import Blame, PartEvidence
 from persimmonwell.gateway._peer_messages import (
+    Changes,
     Load,
     Report,
     decode_changes,
@@ -62,6 +65,22 @@
 the last hosts of a larger fleet never learned of each other."""
 
 
+MAX_PEERS = 4096
+"""Peers and learned addresses that are kept, those heard of last: four times 1,000
+hosts. Datagrams are not authenticated, so that anyone can name any number of hosts."""
+MAX_READ_LOADS = 4 * MAX_LOADS
+MAX_READ_REPLICAS = 4096
+"""Lost and slow replicas that are read from one datagram; 1,000 hosts have some 3,300
+replicas."""
+MAX_READ_DIGESTS = 4 * MAX_SHARED_DIGESTS
+MAX_READ_CHANGES = 1000
+"""Changes that are read from one datagram, which holds some 30. A report with more
+counts as one without changes, so that they are read from the store."""
+MAX_READ_NAME_CHARACTERS = 320
+"""Longer names are ignored: an id has at most 256 characters, and a blame adds a start
+time to it."""
+
+
 @attrs.frozen
 class _PeerEntry:
     status: PeerStatus
@@ -184,6 +203,8 @@
             return
         if report.host_id == self._host_id:
             return
+        if not (_is_short(report.host_id) and _is_short(report.availability_zone)):
+            return
         valid_s = MAX_MISSED_REPORTS * report.interval_s
         store_versions = StoreVersions(
             report.config_version, report.registry_offset, report.registry_era
@@ -196,20 +217,31 @@
             is_reader=report.is_reader,
             store_versions=store_versions,
         )
-        self._peers[addr[0]] = _PeerEntry(status, self._clock(), valid_s)
+        self._record_peer(addr[0], _PeerEntry(status, self._clock(), valid_s))
         self._learn_addresses(report.peers[:MAX_PEER_ADDRESSES])
         loads = {
             load.replica_id: ReplicaLoad(load.requests, load.layer_tokens)
-            for load in report.loads
+            for load in report.loads[:MAX_READ_LOADS]
+            if _is_short(load.replica_id)
         }
         self._on_report(
             PeerReport(
                 status=status,
                 loads=loads,
-                lost=tuple(report.lost),
-                slow=report.slow,
-                blames=tuple(Blame(*blame) for blame in report.blames),
-                refused=tuple(report.refused),
+                lost=tuple(filter(_is_short, report.lost[:MAX_READ_REPLICAS])),
+                slow={
+                    replica_id: factor
+                    for replica_id, factor in islice(
+                        report.slow.items(), MAX_READ_REPLICAS
+                    )
+                    if _is_short(replica_id)
+                },
+                blames=tuple(
+                    Blame(*blame)
+                    for blame in report.blames[: 4 * MAX_BLAMES]
+                    if all(map(_is_short, blame))
+                ),
+                refused=tuple(filter(_is_short, report.refused[:MAX_READ_DIGESTS])),
                 valid_s=min(valid_s, MAX_LOAD_VALIDITY_S),
                 part_evidence=tuple(
                     decode_evidence(part)
@@ -219,15 +251,29 @@
                     decode_notice(message)
                     for message in report.leaving[:MAX_SHARED_LEAVING]
                 ),
-                registry_changes=decode_changes(report.registry_changes),
+                registry_changes=_read_changes(report.registry_changes),
             )
         )
 
+    def _record_peer(self, address: str, entry: _PeerEntry) -> None:
+        """Record a report of a peer; drop the peer that was heard of first."""
+        self._peers.pop(address, None)
+        self._peers[address] = entry
+        if len(self._peers) > MAX_PEERS:
+            del self._peers[next(iter(self._peers))]
+
+    def _learn_address(self, address: str, learned_s: float) -> None:
+        """Record an address; drop the one that was named first."""
+        self._learned_addresses.pop(address, None)
+        self._learned_addresses[address] = learned_s
+        if len(self._learned_addresses) > MAX_PEERS:
+            del self._learned_addresses[next(iter(self._learned_addresses))]
+
     def _learn_addresses(self, addresses: list[str]) -> None:
         now_s = self._clock()
         for address in addresses:
             if address in self._learned_addresses or _is_ipv4_address(address):
-                self._learned_addresses[address] = now_s
+                self._learn_address(address, now_s)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore unreachable peers; they expire when they send no reports."""
@@ -240,7 +286,7 @@
         for address, peer in list(self._peers.items()):
             if now_s - peer.last_report_s > max(PEER_EXPIRY_S, peer.valid_s):
                 del self._peers[address]
-                self._learned_addresses[address] = peer.last_report_s
+                self._learn_address(address, peer.last_report_s)
         for address, learned_s in list(self._learned_addresses.items()):
             if now_s - learned_s > ADDRESS_EXPIRY_S:
                 del self._learned_addresses[address]
@@ -322,6 +368,17 @@
             self._transport.sendto(data, (address, self._local_address[1]))
 
 
+def _read_changes(changes: Changes | None) -> RegistryChanges | None:
+    if changes is None or len(changes.changes) > MAX_READ_CHANGES:
+        return None
+    return decode_changes(changes)
+
+
+def _is_short(name: str) -> bool:
+    """Return whether a name may be kept."""
+    return len(name) <= MAX_READ_NAME_CHARACTERS
+
+
 def _is_ipv4_address(text: str) -> bool:
     """Return whether a datagram can be sent there without a blocking name look-up."""
     try:
--- a/persimmonwell/gateway/_peer_messages.py
+++ b/persimmonwell/gateway/_peer_messages.py
@@ -14,7 +14,7 @@
     RegistryRecord,
     Replica,
 )
-from persimmonwell.core.retry import PartEvidence
+from persimmonwell.core.retry import MAX_CRASHES, PartEvidence
 
 MAX_INTERVAL_S = 120.0
 """Longest interval between two reports to one peer: those to other availability zones,
@@ -51,7 +51,7 @@
     slots: Count
     is_draining: bool
     started_at_ms: Count
-    accelerator: str
+    accelerator: Annotated[str, msgspec.Meta(max_length=256)]
     layers: tuple[Count, Count] | None
     is_busy: bool
 
@@ -141,7 +141,7 @@
         depth=part.depth,
         answers=part.answers,
         answer_age_s=part.answer_age_s,
-        crash_ages_s=tuple(part.crash_ages_s),
+        crash_ages_s=tuple(part.crash_ages_s[:MAX_CRASHES]),
     )
 
 
--- /dev/null
+++ b/tests/core/forwarding/test_peer_tables.py
@@ -0,0 +1,110 @@
+"""Tests of the tables that peers' reports feed: none grows with forged reports."""
+
+import pytest
+
+from persimmonwell.core.forwarding import (
+    RegistryChanges,
+    RegistryRecord,
+    Replica,
+    ReplicaLoad,
+)
+from persimmonwell.core.forwarding import _loads as loads_module
+from persimmonwell.core.forwarding import _registry as registry_module
+from persimmonwell.core.forwarding._caller_retries import (
+    MAX_REMEMBERED,
+    CallerRetryTracker,
+)
+from persimmonwell.core.forwarding._health import MAX_PEER_REPORTED, ReplicaHealth
+from persimmonwell.core.forwarding._loads import MAX_PEERS, LoadTable
+from persimmonwell.core.forwarding._registry import ReplicaRegistry
+from tests.core.forwarding.fleets import desk_replica
+
+
+def test_loads_of_forged_hosts_are_bounded() -> None:
+    """Guards against a report per forged host id, of which each is kept for 10 s."""
+    table = LoadTable()
+    table.set_peer_loads("real", {"i-1": ReplicaLoad(2, 10)}, 10.0)
+    for number in range(2 * MAX_PEERS):
+        table.set_peer_loads(f"h-{number}", {}, 10.0)
+        if number % 1000 == 0:
+            table.set_peer_loads("real", {"i-1": ReplicaLoad(3, 10)}, 10.0)
+    assert len(table._peers) == MAX_PEERS
+    assert table.total("i-1").requests == 3
+
+
+def test_loads_over_all_hosts_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against the loads of many hosts, of which each is within its bound."""
+    monkeypatch.setattr(loads_module, "MAX_PEER_LOADS", 100)
+    table = LoadTable()
+    for number in range(50):
+        loads = {f"i-{number}-{each}": ReplicaLoad(1, 1) for each in range(number % 20)}
+        table.set_peer_loads(f"h-{number % 30}", loads, float(number))
+        kept = sum(len(state.loads) for state in table._peers.values())
+        assert kept == table._peer_load_count <= 100
+    table.expire_peers(1000.0)
+    assert table._peer_load_count == 0 == len(table._peers)
+
+
+def test_replicas_that_peers_report_are_bounded() -> None:
+    """Guards against replica ids that no entry of the registry ever removes."""
+    health = ReplicaHealth()
+    health.record_slowness("own", 3.0, 0.0)
+    for number in range(2 * MAX_PEER_REPORTED):
+        health.record_slowness(f"i-{number}", 2.0, 0.0, is_local=False)
+        health.record_peer_lost((f"i-{number}",), 10.0)
+        if number % 1000 == 0:
+            health.record_slowness("known", 2.0, 0.0, is_local=False)
+            health.record_peer_lost(("known",), 10.0)
+    assert len(health._slowness) == len(health._peer_lost_until_s) == MAX_PEER_REPORTED
+    # What this host measured stays, and so does what a peer goes on reporting.
+    assert health.slowness("own", 1.0) == 3.0
+    assert health.slowness("known", 1.0) == 2.0
+    assert health.is_lost("known", 1.0)
+
+
+def test_refusals_of_peers_are_bounded() -> None:
+    """Guards against digests of forged refusals, and the loss of this host's own."""
+    tracker = CallerRetryTracker()
+    tracker.record_refusal("own", retry_s=1.0, now_s=0.0)
+    tracker.record_peer_refusals((f"d-{number}" for number in range(5000)), 3.0)
+    assert len(tracker._from_peers) == MAX_REMEMBERED
+    assert tracker.pop_refusal("own", 1.0)
+
+
+def changes_of(
+    first: int, replica: Replica | None, *, count: int = 10
+) -> RegistryChanges:
+    records = tuple(
+        RegistryRecord(f"i-{number}", number, replica)
+        for number in range(first, first + count)
+    )
+    return RegistryChanges(first - 1, first + count, records, 0)
+
+
+def test_entries_from_peers_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against replicas that forged changes add; a list removes the others."""
+    monkeypatch.setattr(registry_module, "MAX_RELAYED_ENTRIES", 50)
+    registry = ReplicaRegistry()
+    replica = desk_replica("i-0")
+    registry.replace((RegistryRecord("i-0", 0, replica),), 0.0, end_offset=1)
+    for first in range(1, 200, 10):
+        registry.apply_changes(changes_of(first, replica), 1.0)
+        assert len(registry.replicas) <= 50
+    # Changes of known entries are still applied.
+    known = RegistryChanges(0, 300, (RegistryRecord("i-0", 300, None),), 0)
+    assert registry.apply_changes(known, 1.0) is True
+
+
+def test_offsets_of_removed_replicas_are_bounded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against the offset of each replica that was ever removed."""
+    monkeypatch.setattr(registry_module, "MAX_OFFSETS", 100)
+    registry = ReplicaRegistry()
+    replica = desk_replica("i-0")
+    registry.replace((RegistryRecord("i-0", 0, replica),), 0.0, end_offset=1)
+    for first in range(1, 2000, 10):
+        registry.apply_changes(changes_of(first, None), 1.0)
+        assert len(registry._offsets) <= 100
+    assert registry._offsets["i-0"] == 0
+    assert registry._offsets["i-2000"] == 2000
--- a/tests/gateway/test_peer_datagrams.py
+++ b/tests/gateway/test_peer_datagrams.py
@@ -19,7 +19,13 @@
 )
 from persimmonwell.core.retry import Blame, PartEvidence, PromptPartQuarantine
 from persimmonwell.gateway._peer_datagrams import (
+    MAX_BLAMES,
     MAX_LOAD_VALIDITY_S,
+    MAX_PEERS,
+    MAX_READ_CHANGES,
+    MAX_READ_DIGESTS,
+    MAX_READ_LOADS,
+    MAX_READ_REPLICAS,
     SEND_INTERVAL_S,
     LocalState,
     PeerDatagrams,
@@ -244,6 +250,83 @@
     one.datagram_received(data, ("127.0.0.9", 1))
 
 
+def test_forged_datagrams_keep_a_bounded_number_of_peers(clock: _Clock) -> None:
+    """Guards against tables that grow with each sender that a datagram claims.
+
+    A peer that goes on reporting is not displaced by those that report once.
+    """
+    one, _ = peer("h1", "127.0.0.1", 1, clock)
+    real = msgspec.msgpack.encode(sample_report())
+    for number in range(2 * MAX_PEERS):
+        fields = sample_report()
+        fields[0] = f"forged-{number}"
+        first = 64 * number
+        fields[3] = [
+            f"10.{each >> 16 & 255}.{each >> 8 & 255}.{each & 255}"
+            for each in range(first, first + 64)
+        ]
+        sender = f"11.0.{number >> 8}.{number & 255}"
+        one.datagram_received(msgspec.msgpack.encode(fields), (sender, 1))
+        if number % 1000 == 0:
+            one.datagram_received(real, ("127.0.0.9", 1))
+    assert len(one._peers) == len(one._learned_addresses) == MAX_PEERS
+    assert one.address_of("h2") == "127.0.0.9"
+    clock.now_s += 1000.0
+    one.connection_made(_Network())  # type: ignore[arg-type]
+    one.send()
+    assert len(one._peers) == 0 and len(one._learned_addresses) <= MAX_PEERS
+
+
+@pytest.mark.parametrize(
+    ("field", "value", "kept"),
+    [
+        (2, [[f"i-{number}", 1, 1] for number in range(5000)], MAX_READ_LOADS),
+        (4, [f"i-{number}" for number in range(9000)], MAX_READ_REPLICAS),
+        (7, {f"i-{number}": 2.0 for number in range(6000)}, MAX_READ_REPLICAS),
+        (12, [[f"d-{number}", "i-1/0"] for number in range(5000)], 4 * MAX_BLAMES),
+        (13, [f"d-{number}" for number in range(9000)], MAX_READ_DIGESTS),
+        (2, [["i" * 1000, 1, 1]], 0),
+        (4, ["i" * 60_000], 0),
+        (7, {"i" * 60_000: 2.0}, 0),
+        (12, [["d", "i" * 60_000]], 0),
+        (13, ["d" * 60_000], 0),
+    ],
+)
+def test_what_one_report_can_hold_is_bounded(
+    clock: _Clock, field: int, value: list[object], kept: int
+) -> None:
+    """Guards against lists and names that one datagram leaves in the tables."""
+    one, reports = peer("h1", "127.0.0.1", 1, clock)
+    fields = sample_report()
+    fields[field] = value
+    one.datagram_received(msgspec.msgpack.encode(fields), ("127.0.0.9", 1))
+    names = {2: "loads", 4: "lost", 7: "slow", 12: "blames", 13: "refused"}
+    assert len(getattr(reports["h2"], names[field])) == kept
+
+
+@pytest.mark.parametrize("field", [0, 1])
+def test_report_of_a_host_with_a_long_name_is_ignored(
+    clock: _Clock, field: int
+) -> None:
+    """Guards against names of hosts and zones that fill the memory."""
+    one, reports = peer("h1", "127.0.0.1", 1, clock)
+    fields = sample_report()
+    fields[field] = "h" * 1000
+    one.datagram_received(msgspec.msgpack.encode(fields), ("127.0.0.9", 1))
+    assert not reports and not one._peers
+
+
+def test_report_with_too_many_changes_counts_as_one_without(clock: _Clock) -> None:
+    """Guards against a registry that one datagram fills."""
+    one, reports = peer("h1", "127.0.0.1", 1, clock)
+    fields = sample_report()
+    rows = [[f"i-{number}", 85, None] for number in range(MAX_READ_CHANGES + 1)]
+    fields[14] = [80, 91, rows, 2]
+    one.datagram_received(msgspec.msgpack.encode(fields), ("127.0.0.9", 1))
+    assert reports["h2"].registry_changes is None
+    assert reports["h2"].loads == LOADS
+
+
 def test_datagrams_per_send_are_limited_in_a_large_fleet(clock: _Clock) -> None:
     """Guards against control traffic that grows with the square of the host count.
 
