Bound the responses of the store

Cause: a response and a list of pages were read to their end, whatever their length and time. Change: 8 MB for a response, 10 s from its head to its end and 32 MB for a list; a longer one counts as an unavailable store, and its connection is closed. Compressed responses, which the client does not ask for, are not unpacked. Measured: tests/platform/test_clients.py passes; a response of 1 GB is left after less than 32 MB were handed to the server's socket, one of 2 MB is read with and without chunks, and five pairs of calls use one connection. Conclusion: control answers of replicas (1 MB) and the state of a peer (8 MB) were bounded already.

--- a/persimmonwell/platform/_store_client.py
+++ b/persimmonwell/platform/_store_client.py
@@ -3,6 +3,7 @@
 import base64
 import json
 import struct
+import time
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -20,6 +21,17 @@
     *(OverflowError, RecursionError),
 )
 """Errors that a malformed answer raises while its fields are read."""
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+"""Bytes that are read of one response. The store takes at most 2 MB in a call, and its
+pages and reads are limited to 1 MB."""
+MAX_LIST_BYTES = 4 * MAX_RESPONSE_BYTES
+"""Bytes of all pages of one list; the entries of 3,300 replicas take some 2 MB."""
+MAX_TRANSFER_S = 10.0
+"""Time from the head of a response to its end. The time-out of the socket alone would
+let a response arrive byte by byte without end."""
+_READ_BYTES = 65_536
+RECORD_BYTES = 200
+"""Memory of a record apart from its key and value."""
 MAX_ERA_DIGITS = 20
 """Digits of a 64-bit number."""
 
@@ -96,6 +108,7 @@
         Raises PlatformUnavailableError if no complete answer arrived.
         """
         records: list[StoreRecord] = []
+        list_bytes = 0
         after = ""
         end: int | None = None
         first_era: int | None = None
@@ -115,6 +128,9 @@
                     value = base64.b64decode(item["value"])
                     record = StoreRecord(int(item["offset"]), str(item["key"]), value)
                     records.append(record)
+                    list_bytes += RECORD_BYTES + len(record.key or "") + len(value)
+                if list_bytes > MAX_LIST_BYTES:
+                    raise PlatformUnavailableError("log", "the list is too long")
                 if not answer.get("has_more") or not answer["items"]:
                     return StoreSlice(tuple(records), 0, end, era)
                 after = str(answer["items"][-1]["key"])
@@ -237,12 +253,34 @@
                 body=body if method == "POST" else None,
                 headers={"Content-Type": "application/json"} if body else None,
                 timeout=timeout,
+                preload_content=False,
+                decode_content=False,
             )
+            data = _read_body(response, until_s=time.monotonic() + MAX_TRANSFER_S)
         except urllib3.exceptions.HTTPError as error:
             raise PlatformUnavailableError("log", type(error).__name__) from error
         era = response.headers.get(ERA_HEADER, "")
         is_era = era.isascii() and era.isdecimal() and len(era) <= MAX_ERA_DIGITS
-        return _Answer(response.status, response.data, int(era) if is_era else None)
+        return _Answer(response.status, data, int(era) if is_era else None)
+
+
+def _read_body(response: urllib3.BaseHTTPResponse, *, until_s: float) -> bytes:
+    """Return the body of a response.
+
+    Raises PlatformUnavailableError for one that is too long or does not end, and closes
+    its connection.
+    """
+    data = bytearray()
+    while part := response.read1(_READ_BYTES):
+        data += part
+        if len(data) > MAX_RESPONSE_BYTES:
+            response.close()
+            raise PlatformUnavailableError("log", "the response is too long")
+        if time.monotonic() > until_s:
+            response.close()
+            raise PlatformUnavailableError("log", "the response does not end")
+    response.release_conn()
+    return bytes(data)
 
 
 def _parse_first_offset(data: bytes) -> int:
--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -1,12 +1,19 @@
 """Tests of the clients of the platform's store and host list."""
 
-from collections.abc import Iterator
+import time
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import pytest
 
 from persimmonwell._exceptions import PlatformUnavailableError
-from persimmonwell.platform import HostListClient, JsonLog, StoreClient
+from persimmonwell.platform import (
+    HostListClient,
+    JsonLog,
+    StoreClient,
+    _store_client,
+)
+from persimmonwell.platform._store_client import MAX_RESPONSE_BYTES
 from standins.hosts import HostDirectory
 from standins.log import Log
 
@@ -94,6 +101,88 @@
     store.close()
 
 
+@pytest.mark.parametrize("call", ["log-read", "log-newest", "log-append", "log-join"])
+def test_response_without_end_is_cut_off(log: Log, call: str) -> None:
+    """Guards against a store whose responses take all memory of the host."""
+    sent = 0
+
+    def endless() -> Iterator[bytes]:
+        nonlocal sent
+        for _ in range(1000):
+            sent += 1_000_000
+            yield bytes(1_000_000)
+
+    for method in ("GET", "POST"):
+        log.server.route(method, f"/persimmonwell/{call}", lambda *_: endless())
+    store = StoreClient(url=log.server.url, timeout_s=2.0)
+    calls: dict[str, Callable[[], object]] = {
+        "log-read": lambda: store.read("config", from_offset=0),
+        "log-newest": lambda: store.read_latest("keyed.op"),
+        "log-append": lambda: store.append("config", (b"{}",)),
+        "log-join": lambda: store.join_group(
+            "g", member="m", topic="t", ttl_ms=1000, generation=0
+        ),
+    }
+    with pytest.raises(PlatformUnavailableError, match="too long"):
+        calls[call]()
+    # What is in the buffers of both sockets comes on top.
+    assert sent < 4 * MAX_RESPONSE_BYTES
+    store.close()
+
+
+def test_response_of_the_largest_size_is_read(log: Log) -> None:
+    """Guards against a bound below what the store may send, with or without chunks."""
+    body = bytes(16) + b"\0\0\0\1x" * 400_000
+    for answer in ((200, body), iter([body[:99], body[99:]])):
+        log.server.route(
+            "GET", "/persimmonwell/log-read", lambda *_, answer=answer: answer
+        )
+        store = StoreClient(url=log.server.url, timeout_s=2.0)
+        assert len(store.read("config", from_offset=0).records) == 400_000
+        store.close()
+
+
+def test_connection_to_the_store_is_used_again(log: Log) -> None:
+    """Guards against a descriptor and a handshake for each call."""
+    store = StoreClient(url=log.server.url, timeout_s=2.0)
+    for _ in range(5):
+        store.read_latest("keyed.op")
+        store.read("config", from_offset=0)
+    (pool,) = (store._pool.pools.get(key) for key in store._pool.pools.keys())
+    assert pool.num_connections == 1
+    store.close()
+
+
+def test_response_that_trickles_is_given_up(
+    log: Log, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a thread that a response of single bytes holds without end."""
+    monkeypatch.setattr(_store_client, "MAX_TRANSFER_S", 0.0)
+
+    def trickle() -> Iterator[bytes]:
+        for _ in range(100):
+            time.sleep(0.05)
+            yield b"x"
+
+    log.server.route("GET", "/persimmonwell/log-read", lambda *_: trickle())
+    store = StoreClient(url=log.server.url, timeout_s=0.2)
+    with pytest.raises(PlatformUnavailableError, match="does not end"):
+        store.read("config", from_offset=0)
+    store.close()
+
+
+def test_list_without_end_is_cut_off(log: Log, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a store that always has another page."""
+    monkeypatch.setattr(_store_client, "MAX_LIST_BYTES", 100_000)
+    item = {"offset": 1, "key": "a", "value": "eHh4"}
+    page = {"end": 2, "has_more": True, "items": [item] * 100}
+    log.server.route("GET", "/persimmonwell/log-newest", lambda *_: (200, page))
+    store = StoreClient(url=log.server.url, timeout_s=2.0)
+    with pytest.raises(PlatformUnavailableError, match="too long"):
+        store.read_latest("keyed.op")
+    store.close()
+
+
 @pytest.mark.parametrize(
     ("status", "body"),
     [
