Let admission queue any entry in any ordered priority class

Cause: core/admission knew the daemon's Rank enum and queued requests of a workspace in order of arrival alone, so the gateway could not use it and had a queue of its own. Change: QueueEntry is generic in its class and identity and has a precedence within the workspace. ClassQueues creates a fair queue for each class on demand and yields the entries in dispatch order, passing over those that the caller leaves queued. ClassFloors (was RankFloors) has default floors, bounded in all, and may require that a floor is earned before it is used. AdmissionQueue and the daemon's router use them with Rank as the class and behave as before.

--- a/persimmonwell/core/config/_model.py
+++ b/persimmonwell/core/config/_model.py
@@ -89,6 +89,11 @@
     waiting_threads: int
     """Requests of this rank that may hold a thread while queued."""
 
+    @property
+    def name(self) -> str:
+        """Return the name of the rank in the configuration."""
+        return self.rank.name.lower()
+
 
 @attrs.frozen
 class RetryConfig:
--- a/persimmonwell/core/router/_active.py
+++ b/persimmonwell/core/router/_active.py
@@ -36,7 +36,7 @@
 
     work: ModelRequest | ServiceCall
     target: str
-    entry: QueueEntry
+    entry: QueueEntry[Rank, str]
     arrived_s: float
     expires_s: float
     phase: Phase = Phase.QUEUED
--- a/persimmonwell/core/router/_admit.py
+++ b/persimmonwell/core/router/_admit.py
@@ -74,7 +74,7 @@
     entry = QueueEntry(
         request_id=work.request_id,
         workspace=work.workspace,
-        rank=work.rank,
+        priority_class=work.rank,
         cost_tokens=cost_tokens,
         deadline_s=work.deadline_s,
     )
--- a/persimmonwell/core/router/_state.py
+++ b/persimmonwell/core/router/_state.py
@@ -21,7 +21,7 @@
     """Queues of one target, that is one model or plain service."""
 
     target: str
-    queue: AdmissionQueue
+    queue: AdmissionQueue[Rank, str]
     resume_queues: dict[Rank, OrderedDict[str, None]] = attrs.field(
         factory=lambda: {rank: OrderedDict() for rank in Rank}
     )
--- a/tests/core/admission/test_admission.py
+++ b/tests/core/admission/test_admission.py
@@ -6,6 +6,8 @@
 
 from persimmonwell.core import Rank
 from persimmonwell.core.admission import (
+    ClassFloors,
+    ClassQueues,
     DispatchRateMeter,
     FairQueue,
     Limits,
@@ -116,3 +118,52 @@
     assert meter.tokens_per_s(110.0) == pytest.approx(500, rel=0.05)
     meter.set_backlogged(True, 120.0)
     assert meter.tokens_per_s(120.1) is None
+
+
+Class = tuple[int, str]
+
+
+def _in_class(name: str, key: Class, workspace: str = "a") -> QueueEntry[Class, str]:
+    return QueueEntry(name, workspace, key, 10, 1e9)
+
+
+def test_classes_are_any_ordered_keys_created_on_demand() -> None:
+    """Guards against a second queue for callers without the daemon's ranks."""
+    queues = ClassQueues[Class, str](ClassFloors())
+    for name, key in (("1", (2, "x")), ("2", (0, "y")), ("3", (1, "")), ("4", (0, ""))):
+        queues[key].push(_in_class(name, key), 1.0)
+    assert queues.backlogged() == [(0, ""), (0, "y"), (1, ""), (2, "x")]
+    assert [entry.request_id for entry in queues.in_order()] == ["4", "2", "3", "1"]
+    assert queues.count_ahead(_in_class("5", (1, ""), "b")) == 3
+
+
+def test_default_floors_of_many_classes_are_bounded_in_all() -> None:
+    """Guards against floors that take the capacity of the most urgent class."""
+    queues = ClassQueues[int, int](
+        ClassFloors(default=0.05, total=0.1, is_prepaid=True)
+    )
+    for number in range(11 * 1000):
+        queues[number % 11].push(QueueEntry(number, "a", number % 11, 10, 1e9), 1.0)
+    count = dict.fromkeys(range(11), 0)
+    for _ in range(900):
+        entry = next(queues.in_order())
+        key = entry.priority_class
+        queues.floors.charge(key, entry.cost_tokens, queues.backlogged())
+        queues[key].dispatch(entry)
+        count[key] += 1
+    assert 800 <= count[0] <= 820
+    assert all(8 <= count[key] <= 10 for key in range(1, 11))
+
+
+def test_an_entry_of_higher_precedence_goes_first_in_its_workspace() -> None:
+    """Guards against a removal that takes another entry out of the order."""
+    queue = FairQueue[int, str]()
+    entries = {}
+    for name, precedence in (("1", 2.0), ("2", 1.0), ("3", 2.0), ("4", 0.0)):
+        entry = QueueEntry(name, "a", 0, 10, 1e9, precedence=(precedence,))
+        entries[name] = entry
+        queue.push(entry, 1.0)
+    assert [entry.request_id for entry in queue.in_order()] == ["4", "2", "1", "3"]
+    queue.remove(entries["1"])
+    queue.dispatch(entries["2"])
+    assert [entry.request_id for entry in queue.in_order()] == ["4", "3"]
