Share a service's capacity among workspaces on forwarding hosts

Cause: the gateway's queue ordered by priority and arrival alone. A workspace at eight times its load took the capacity of its class, a less urgent class got nothing in a surge, and a host knew nothing of what other hosts gave a workspace. Change: RequestQueue uses core/admission: strict priority with small floors, fair queueing of tenants by tokens, precedence within a tenant, and a bounded hold for a request that smaller ones pass. WorkspaceUsage keeps the decayed tokens of each workspace, for reports to the peers, and merges theirs; the queue charges what is new in them. Finish names the tenant and, for a refusal, its share. The expected wait of a less urgent class is bounded by its floor; otherwise it would always be refused on arrival and never use the floor.

--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -71,6 +71,7 @@
 from persimmonwell.core.forwarding._router import ForwardingRouter
 from persimmonwell.core.forwarding._statements import LeavingNotice, ReplicaStatement
 from persimmonwell.core.forwarding._stream_position import EventPlace, StreamPosition
+from persimmonwell.core.forwarding._workspace_usage import WorkspaceTokens
 
 __all__ = [
     "CALLER_RETRY_WINDOW_S",
@@ -128,6 +129,7 @@
     "Tenant",
     "UpstreamAnswer",
     "WeightedService",
+    "WorkspaceTokens",
     "count_readers",
     "find_path",
     "plan_placement",
--- a/persimmonwell/core/forwarding/_active.py
+++ b/persimmonwell/core/forwarding/_active.py
@@ -1,5 +1,7 @@
 """State of one caller's request from its arrival to its final answer."""
 
+from typing import TypeAlias
+
 import attrs
 
 from persimmonwell.core.forwarding._model import (
@@ -19,9 +21,17 @@
 MAX_WAIT_SHARE = 0.7
 """Part of the caller's timeout that may be spent in the queue; the rest is for the
 answer."""
+SERVICE_COST_TOKENS = 100
+"""Flat cost of a request to a plain service, which has a queue of its own. The decayed
+sums are exchanged as integers, so it is above 1."""
+NO_WORKSPACE = ""
+"""Workspace of the requests without a tenant."""
 EXTRA_ATTEMPTS = 2
 """Attempts beyond the number of upstreams that the route allows."""
 
+PriorityClass: TypeAlias = tuple[int, int]
+"""Priority of the tenant, or else of the route, and priority of the route."""
+
 
 @attrs.define(eq=False)
 class ActiveRequest:
@@ -58,6 +68,22 @@
     is_trial: bool = False
     """Whether the request was let through to test a quarantined prompt part."""
     reserved: dict[str, int] = attrs.field(factory=dict)
+    workspace: str = attrs.field(init=False)
+    """Tenant's name; requests without a tenant share a workspace."""
+    priority_class: PriorityClass = attrs.field(init=False)
+    """Class in the queue; the tenant's priority comes first."""
+    cost_tokens: int = attrs.field(init=False)
+    """Tokens that the workspace is charged for one send."""
+
+    def __attrs_post_init__(self) -> None:
+        """Derive what the queue needs, which each send uses."""
+        tenant = self.tenant
+        priority = own_priority = self.route.priority
+        if tenant is not None and tenant.priority is not None:
+            priority = tenant.priority
+        self.workspace = tenant.name if tenant is not None else NO_WORKSPACE
+        self.priority_class = (priority, own_priority)
+        self.cost_tokens = _cost_tokens(self.request, self.service)
 
     @property
     def is_starting(self) -> bool:
@@ -97,17 +123,19 @@
         return len(self.tried_replica_ids) < self.route.max_attempts
 
     @property
-    def queue_order(self) -> tuple[int, int, int, int]:
-        """Return the sort key in the queue; the tenant's priority comes first.
+    def precedence(self) -> int:
+        """Return the rank in the queue of the workspace, the lowest goes first.
 
-        Within a priority, interrupted answers precede callers' retries, and these
-        precede new requests.
+        Interrupted answers precede callers' retries, and these new requests.
         """
-        priority = self.route.priority
-        if self.tenant is not None and self.tenant.priority is not None:
-            priority = self.tenant.priority
-        precedence = 0 if self.has_partial_answer else 1 if self.is_caller_retry else 2
-        return (priority, self.route.priority, precedence, self.key)
+        return 0 if self.has_partial_answer else 1 if self.is_caller_retry else 2
+
+    @property
+    def latest_send_s(self) -> float:
+        """Return the time until which the request may wait in the queue."""
+        return self.max_wait_s + (
+            self.last_event_s if self.has_partial_answer else self.arrived_s
+        )
 
     @property
     def max_wait_s(self) -> float:
@@ -131,3 +159,13 @@
     def may_send_to(self, replica_id: str) -> bool:
         """Return whether the route allows an attempt at this upstream."""
         return replica_id in self.tried_replica_ids or self.may_use_another_upstream
+
+
+def _cost_tokens(request: CallerRequest, service: ServiceSpec) -> int:
+    engine = service.engine
+    if engine is None or engine.layers <= 0:
+        return SERVICE_COST_TOKENS
+    size = request.size
+    if size is None:
+        return int(engine.typical_prompt_tokens + engine.typical_output_tokens)
+    return max(1, size.total_tokens(engine.typical_output_tokens))
--- a/persimmonwell/core/forwarding/_events.py
+++ b/persimmonwell/core/forwarding/_events.py
@@ -61,6 +61,9 @@
     """Queued requests that are served before this one, where that decided."""
     error: Exception | None = None
     """Unexpected error of the host that ended the request."""
+    tenant: str | None = None
+    share: float | None = None
+    """Tenant's share of its class's recent tokens on this host, for a refusal."""
 
 
 @attrs.frozen
--- a/persimmonwell/core/forwarding/_model.py
+++ b/persimmonwell/core/forwarding/_model.py
@@ -187,6 +187,11 @@
     expected_output_tokens: int | None = None
     """The caller's estimate, which is often inaccurate."""
 
+    def total_tokens(self, typical_output_tokens: float) -> int:
+        """Return the tokens of the prompt and of the expected output."""
+        output = self.expected_output_tokens or typical_output_tokens
+        return self.prompt_tokens + int(min(self.max_output_tokens, output))
+
     def expected_tokens(self, typical_output_tokens: float) -> int:
         """Return the tokens whose KV cache the request occupies on average.
 
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -2,12 +2,17 @@
 
 import random
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from functools import partial
+from itertools import product
 
 import attrs
 
-from persimmonwell.core.forwarding._active import ActiveRequest
+from persimmonwell.core.forwarding._active import (
+    NO_WORKSPACE,
+    ActiveRequest,
+    PriorityClass,
+)
 from persimmonwell.core.forwarding._budget import RetryBudget
 from persimmonwell.core.forwarding._caller_retries import CallerRetryTracker
 from persimmonwell.core.forwarding._crashes import CrashTracker, CrashVerdict
@@ -53,6 +58,10 @@
     ReplicaStatement,
 )
 from persimmonwell.core.forwarding._upstreams import UpstreamPool
+from persimmonwell.core.forwarding._workspace_usage import (
+    WorkspaceTokens,
+    WorkspaceUsage,
+)
 from persimmonwell.core.retry import Blame, PartEvidence
 
 DEFAULT_CALLER_TIMEOUT_S = 30.0
@@ -108,11 +117,14 @@
         self._stalls = StallDetector()
         self.crashes = CrashTracker()
         self.caller_retries = CallerRetryTracker()
+        self.workspace_usage = WorkspaceUsage()
         self._route_table: RouteTable | None = None
         self.host_count = 1
         """Hosts of the fleet that this host knows of, with itself."""
         self.peer_config_version = 0
         """Newest configuration version that a live peer has read."""
+        self._known_classes: frozenset[PriorityClass] = frozenset()
+        """Priority classes that the configuration in force allows for."""
         self._active: dict[int, ActiveRequest] = {}
         self._is_stopping = False
         self._new_retry_budget = partial(
@@ -167,6 +179,15 @@
         """Return how many requests wait for capacity, over all services."""
         return sum(len(state.queue) for state in self._services.values())
 
+    @property
+    def queued_by_priority(self) -> dict[int, int]:
+        """Return how many requests wait by the priority of their tenant or route."""
+        counts: dict[int, int] = defaultdict(int)
+        for state in self._services.values():
+            for (priority, _), size in state.queue.sizes.items():
+                counts[priority] += size
+        return counts
+
     @property
     def open_request_count(self) -> int:
         """Return how many requests have no final answer, queued ones included."""
@@ -178,6 +199,13 @@
         if current is not None and config.version <= current.version:
             return False
         self._route_table = RouteTable(config)
+        of_routes = {route.priority for route in config.routes}
+        of_tenants = {
+            tenant.priority
+            for tenant in config.tenants or ()
+            if tenant.priority is not None
+        }
+        self._known_classes = frozenset(product(of_routes | of_tenants, of_routes))
         return True
 
     def set_retry_budget(self, *, ratio: float, slack: float, window_s: float) -> None:
@@ -517,6 +545,31 @@
         """Record a crash that a peer attributed to a request."""
         return _quarantine_decisions(self.crashes.record_peer_blame(blame, now_s))
 
+    def record_peer_usage(
+        self, peer: str, rows: Sequence[WorkspaceTokens], now_s: float
+    ) -> None:
+        """Charge the workspaces for what a peer gave them.
+
+        What the configuration in force does not name is left out, so that a peer
+        cannot make the tables grow.
+        """
+        config = self.config
+        if config is None or not rows:
+            return
+        services = {service.name for service in config.services}
+        workspaces = {tenant.name for tenant in config.tenants or ()} | {NO_WORKSPACE}
+        known = [
+            row
+            for row in rows
+            if row.service in services
+            and row.workspace in workspaces
+            and row.priority_class in self._known_classes
+        ]
+        for row in self.workspace_usage.merge_peer(peer, known, now_s):
+            self._services[row.service].queue.charge(
+                row.priority_class, row.workspace, row.tokens, now_s
+            )
+
     # Stalled stages
 
     def stall_report_received(
@@ -664,6 +717,7 @@
         """Expire what is due, query stalls, probe suspects and send queued requests."""
         decisions: list[Decision] = []
         self.loads.expire_peers(now_s)
+        self.workspace_usage.expire(now_s)
         decisions += [
             RateLimitChanged(replica_id, None)
             for replica_id in self.rate_limits.expire(
@@ -718,9 +772,11 @@
 
     def _dispatch_queue(self, name: str, now_s: float) -> tuple[Decision, ...]:
         queue = self._services[name].queue
+        if not len(queue):
+            return ()
         decisions: list[Decision] = []
         blocked = 0
-        for active in queue:
+        for active in queue.candidates(now_s):
             if (cause := self._quarantine_cause(active)) is not None:
                 decisions.append(self._end_quarantined(active, cause))
                 continue
@@ -735,7 +791,6 @@
                 if blocked >= QUEUE_SCAN_LIMIT:
                     break
                 continue
-            queue.discard(active)
             decisions.append(send)
         return tuple(decisions)
 
@@ -766,7 +821,14 @@
         active.has_answer_head = active.has_answer_part = False
         active.sent_s = active.last_event_s = now_s
         self._upstreams.reserve(active)
-        self._state_of(active).queue.record_send(now_s)
+        self._state_of(active).queue.record_send(active, now_s)
+        self.workspace_usage.record(
+            active.service.name,
+            active.priority_class,
+            active.workspace,
+            active.cost_tokens,
+            now_s,
+        )
         self.rate_limits.record_send(replica_id)
         return Send(
             key=active.key,
@@ -811,6 +873,13 @@
             detail,
             route=active.route,
             requests_ahead=ahead if ending is Ending.OVERLOADED else None,
+            tenant=active.tenant.name if active.tenant is not None else None,
+            share=self._usage_share(active) if ending is Ending.OVERLOADED else None,
+        )
+
+    def _usage_share(self, active: ActiveRequest) -> float:
+        return self.workspace_usage.share(
+            active.service.name, active.priority_class, active.workspace
         )
 
     def _running_attempt(self, key: int, attempt: int) -> ActiveRequest | None:
