Exchange the usage of workspaces and show shares to operators

Cause: hosts need each other's usage to share capacity over the fleet, and an operator could not see why a request was refused. Change: Report has a field usage with at most 16 workspaces, each value checked and bounded; earlier builds ignore it. A sender leaves out a row that exceeds the bounds, since a receiver would drop the whole datagram. The line ended names the tenant and, for a refusal, its share. Gauges waiting_requests_priority_N count the waiting requests by priority. Measured: tests/gateway/test_peer_datagrams.py, test_gateway*.py and test_host.py pass.

--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -479,6 +479,7 @@
             refused=self._router.caller_retries.recent_digests(time.monotonic()),
             part_evidence=self._router.crashes.part_evidence(time.monotonic()),
             leaving=self._router.leaving.notices(time.monotonic()),
+            usage=self._router.workspace_usage.heaviest(time.monotonic()),
             registry_changes=self._relayed_changes(),
         )
 
@@ -518,6 +519,7 @@
         self._router.caller_retries.record_peer_refusals(
             report.refused, now_s + CALLER_RETRY_WINDOW_S
         )
+        self._router.record_peer_usage(report.host_id, report.usage, now_s)
         for blame in report.blames:
             self._gateway.execute(self._router.record_peer_blame(blame, now_s))
         for evidence in report.part_evidence:
@@ -650,6 +652,13 @@
         router = self._router
         metrics.add_gauge("open_requests", lambda: self._gateway.open_request_count)
         metrics.add_gauge("waiting_requests", lambda: router.queued_request_count)
+        metrics.add_gauge_group(
+            "waiting_requests_priority_",
+            lambda: {
+                str(priority): count
+                for priority, count in router.queued_by_priority.items()
+            },
+        )
         metrics.add_gauge(
             "caller_connections", lambda: self._gateway.caller_connection_count
         )
--- a/persimmonwell/gateway/_metrics.py
+++ b/persimmonwell/gateway/_metrics.py
@@ -1,6 +1,6 @@
 """Metrics of one host in the text exposition format."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.formats.text import TextFormatter
@@ -35,6 +35,7 @@
             registry=self._registry,
         )
         self._gauge_readers: dict[str, Callable[[], float]] = {}
+        self._group_readers: dict[str, Callable[[], Mapping[str, float]]] = {}
 
     def count_event(self, event: str) -> None:
         """Increment the counter of an event."""
@@ -52,9 +53,21 @@
         """Add a gauge whose value is read at each scrape."""
         self._gauge_readers[name] = read
 
+    def add_gauge_group(
+        self, prefix: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """Add gauges, named by prefix and key, that are read at each scrape.
+
+        A key that was read once has to be read again, with 0 if need be.
+        """
+        self._group_readers[prefix] = read
+
     def render(self) -> bytes:
         """Read the gauges and return all metrics as text."""
         for name, read in self._gauge_readers.items():
             self._gauges.set({"name": name}, read())
+        for prefix, read_group in self._group_readers.items():
+            for key, value in read_group().items():
+                self._gauges.set({"name": f"{prefix}{key}"}, value)
         text: bytes = TextFormatter().marshall(self._registry)
         return text
--- a/persimmonwell/gateway/_peer_datagrams.py
+++ b/persimmonwell/gateway/_peer_datagrams.py
@@ -19,6 +19,7 @@
     RegistryChanges,
     ReplicaLoad,
     StoreVersions,
+    WorkspaceTokens,
 )
 from persimmonwell.core.retry import Blame, PartEvidence
 from persimmonwell.gateway._peer_messages import (
@@ -27,9 +28,11 @@
     decode_changes,
     decode_evidence,
     decode_notice,
+    decode_usage,
     encode_changes,
     encode_evidence,
     encode_notice,
+    encode_usage,
 )
 
 SEND_INTERVAL_S = 0.25
@@ -57,6 +60,8 @@
 """Suspected prompt parts that are read from one datagram."""
 MAX_SHARED_LEAVING = 32
 """Leaving replicas in one datagram, the newest ones."""
+MAX_SHARED_USAGE = 16
+"""Workspaces whose usage is read from one datagram."""
 MAX_PEER_ADDRESSES = 64
 """Peer addresses in one datagram, the next ones in turn; with the same ones each time,
 the last hosts of a larger fleet never learned of each other."""
@@ -85,6 +90,7 @@
     """Changes that a host which reads the store relays to its availability zone."""
     part_evidence: tuple[PartEvidence, ...] = ()
     leaving: tuple[LeavingNotice, ...] = ()
+    usage: tuple[WorkspaceTokens, ...] = ()
 
     @property
     def host_id(self) -> str:
@@ -108,6 +114,7 @@
     registry_changes: RegistryChanges | None = None
     part_evidence: tuple[PartEvidence, ...] = ()
     leaving: tuple[LeavingNotice, ...] = ()
+    usage: tuple[WorkspaceTokens, ...] = ()
 
 
 SocketAddress = tuple[str, int]
@@ -219,6 +226,9 @@
                     decode_notice(message)
                     for message in report.leaving[:MAX_SHARED_LEAVING]
                 ),
+                usage=tuple(
+                    decode_usage(message) for message in report.usage[:MAX_SHARED_USAGE]
+                ),
                 registry_changes=decode_changes(report.registry_changes),
             )
         )
@@ -316,6 +326,11 @@
             leaving=[
                 encode_notice(notice) for notice in state.leaving[-MAX_SHARED_LEAVING:]
             ],
+            usage=[
+                message
+                for row in state.usage[:MAX_SHARED_USAGE]
+                if (message := encode_usage(row)) is not None
+            ],
         )
         data = msgspec.msgpack.encode(report)
         for address in addresses:
--- a/persimmonwell/gateway/_peer_messages.py
+++ b/persimmonwell/gateway/_peer_messages.py
@@ -13,7 +13,9 @@
     RegistryChanges,
     RegistryRecord,
     Replica,
+    WorkspaceTokens,
 )
+from persimmonwell.core.forwarding._workspace_usage import MAX_SHARED_TOKENS
 from persimmonwell.core.retry import PartEvidence
 
 MAX_INTERVAL_S = 120.0
@@ -31,6 +33,10 @@
 ]
 Age = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
 """Seconds since an event."""
+Priority = Annotated[int, msgspec.Meta(ge=-(1 << 31), le=1 << 31)]
+Workspace = Annotated[str, msgspec.Meta(pattern=r"\A[\x20-\x7e]{0,128}\Z")]
+"""Name of a tenant, empty for the requests without one."""
+Tokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_SHARED_TOKENS)]
 Interval = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_INTERVAL_S)]
 
 
@@ -92,6 +98,16 @@
     age_s: Age
 
 
+class Usage(msgspec.Struct, array_like=True):
+    """Tokens that a host gave a workspace lately; see WorkspaceTokens."""
+
+    service: Name
+    priorities: tuple[Priority, Priority]
+    workspace: Workspace
+    tokens: Tokens
+    age_s: Age
+
+
 class Report(msgspec.Struct, array_like=True):
     """State of a host; each report replaces the previous one of its sender."""
 
@@ -121,6 +137,8 @@
     """Absent from earlier builds."""
     leaving: list[Leaving] = []
     """Absent from earlier builds."""
+    usage: list[Usage] = []
+    """Absent from earlier builds."""
 
 
 def encode_evidence(evidence: PartEvidence) -> SuspectPart:
@@ -155,6 +173,32 @@
     return LeavingNotice((message.replica_id, message.started_at_ms), message.age_s)
 
 
+def encode_usage(row: WorkspaceTokens) -> Usage | None:
+    """Return the message for a workspace's tokens.
+
+    Returns None where a name or priority of the configuration exceeds the bounds of
+    the field, since a receiver would drop the whole datagram.
+    """
+    tokens = min(round(row.tokens), MAX_SHARED_TOKENS)
+    try:
+        return msgspec.convert(
+            [row.service, row.priority_class, row.workspace, tokens, row.age_s], Usage
+        )
+    except msgspec.ValidationError:
+        return None
+
+
+def decode_usage(message: Usage) -> WorkspaceTokens:
+    """Return the tokens of a workspace in a message."""
+    return WorkspaceTokens(
+        service=message.service,
+        priority_class=message.priorities,
+        workspace=message.workspace,
+        tokens=message.tokens,
+        age_s=message.age_s,
+    )
+
+
 def encode_changes(changes: RegistryChanges | None) -> Changes | None:
     """Return the message for changes, None for none."""
     if changes is None:
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -233,6 +233,24 @@
     assert _received_requests(testbed, "desk") == []
 
 
+def test_log_of_a_refusal_names_the_tenant_and_its_share(
+    testbed: GatewayTestbed, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against operators who cannot see why a workspace is refused."""
+    assert testbed.host is not None
+    ended: list[dict[str, Any]] = []
+
+    def record(part: str, event: str, **fields: Any) -> None:
+        if event == "ended":
+            ended.append(fields)
+
+    monkeypatch.setattr(testbed.host._log, "write", record)
+    testbed.replicas["desk-1"].faults["shed"] = True
+    assert testbed.send("/book/x")[0] == 503
+    (fields,) = ended
+    assert fields["tenant"] and fields["share"] == 1.0
+
+
 @pytest.mark.parametrize("extra", ["now", "late"])
 def test_unsolicited_answer_is_discarded(testbed: GatewayTestbed, extra: str) -> None:
     """Guards against bytes of one answer in the answer to another request."""
@@ -498,3 +516,4 @@
     assert 'persimmonwell_gateway_events_total{event="requests"} 2' in text
     assert 'persimmonwell_gateway_state{name="config_version"} 3' in text
     assert "persimmonwell_gateway_first_event_seconds_count" in text
+    assert 'persimmonwell_gateway_state{name="waiting_requests_priority_' in text
--- a/tests/gateway/test_peer_datagrams.py
+++ b/tests/gateway/test_peer_datagrams.py
@@ -16,10 +16,13 @@
     RegistryRecord,
     ReplicaLoad,
     StoreVersions,
+    WorkspaceTokens,
 )
+from persimmonwell.core.forwarding._workspace_usage import MAX_SHARED_TOKENS
 from persimmonwell.core.retry import Blame, PartEvidence, PromptPartQuarantine
 from persimmonwell.gateway._peer_datagrams import (
     MAX_LOAD_VALIDITY_S,
+    MAX_SHARED_USAGE,
     SEND_INTERVAL_S,
     LocalState,
     PeerDatagrams,
@@ -43,6 +46,7 @@
 EVIDENCE = PartEvidence(
     part_id="p-1", depth=1, answers=0, answer_age_s=None, crash_ages_s=((7, 0.5),)
 )
+USAGE = WorkspaceTokens("desk", (0, 1), "team 1", 900, 0.25)
 STORE_VERSIONS = StoreVersions(config_version=4, registry_offset=88)
 
 
@@ -55,7 +59,13 @@
 
 
 def peer(
-    name: str, ip: str, port: int, clock: _Clock, *seeds: str, zone: str = "za"
+    name: str,
+    ip: str,
+    port: int,
+    clock: _Clock,
+    *seeds: str,
+    zone: str = "za",
+    usage: tuple[WorkspaceTokens, ...] = (USAGE,),
 ) -> tuple[PeerDatagrams, Reports]:
     reports: Reports = {}
     state = LocalState(
@@ -70,6 +80,7 @@
         refused=("d2",),
         registry_changes=CHANGES,
         part_evidence=(EVIDENCE,),
+        usage=usage,
     )
     datagrams = PeerDatagrams(
         host_id=name,
@@ -95,6 +106,7 @@
     return PeerReport(
         *(status, LOADS, ("i-9",), {"i-7": 4.0}, (BLAME,), ("d2",), 0.625, CHANGES),
         part_evidence=(EVIDENCE,),
+        usage=(USAGE,),
     )
 
 
@@ -170,6 +182,7 @@
         [["p-1", 1, 0, None, [[7, 0.5]]]],
         2,
         [["i-4", 5, 0.5]],
+        [["desk", [0, 1], "team 1", 900, 0.25]],
     ]
 
 
@@ -183,7 +196,7 @@
 )
 
 
-@given(st.integers(0, 17), junk)
+@given(st.integers(0, 18), junk)
 @example(2, [["i-1", -1, 900]])
 @example(3, ["desk.example"])
 @example(7, {"i-7": 1e9})
@@ -194,6 +207,14 @@
 @example(16, -1)
 @example(17, [["i-4", -1, 0.5]])
 @example(17, [["i-4", 5, -0.5]])
+@example(18, [["desk", [0, 1], "team 1", -1, 0.25]])
+@example(18, [["desk", [0, 1], "team 1", 1 << 40, 0.25]])
+@example(18, [["desk", [0, 1], "team 1", 900, -0.25]])
+@example(18, [["desk", [0, 1], "team 1", 900, float("nan")]])
+@example(18, [["desk", [0, 1 << 60], "team 1", 900, 0.25]])
+@example(18, [["desk", [0], "team 1", 900, 0.25]])
+@example(18, [["desk", [0, 1], "t" * 200, 900, 0.25]] * 3)
+@example(18, [["desk", [0, 1], "team 1", 900, 0.25]] * 1000)
 @example(15, [["p-1", 1, 0, -1.0, [[7, 0.5]]]])
 @example(15, [["p-1", 1, 0, None, [[7, float("nan")]]]])
 def test_report_with_any_wrong_field_does_no_lasting_harm(
@@ -212,6 +233,9 @@
         changes = report.registry_changes
         for record in changes.records if changes is not None else ():
             assert record.replica_id.isprintable() and record.offset >= 0
+        assert len(report.usage) <= MAX_SHARED_USAGE
+        for row in report.usage:
+            assert 0 <= row.tokens <= MAX_SHARED_TOKENS and row.age_s >= 0.0
     for address in one._learned_addresses:
         socket.inet_aton(address)
 
@@ -281,11 +305,35 @@
     one.datagram_received(msgspec.msgpack.encode(earlier_report), ("127.0.0.9", 1))
     assert reports["h2"].registry_changes is None
     assert reports["h2"].part_evidence == () and reports["h2"].leaving == ()
+    assert reports["h2"].usage == ()
     later_report = [*sample_report(), {"a": "field of a later build"}]
     one.datagram_received(msgspec.msgpack.encode(later_report), ("127.0.0.9", 1))
     assert reports["h2"].registry_changes is not None
     assert reports["h2"].part_evidence == (EVIDENCE,)
     assert reports["h2"].leaving == (LeavingNotice(("i-4", 5), 0.5),)
+    assert reports["h2"].usage == (USAGE,)
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        attrs.evolve(USAGE, workspace="t" * 300),
+        attrs.evolve(USAGE, workspace="\ud800"),
+        attrs.evolve(USAGE, priority_class=(0, 1 << 60)),
+    ],
+)
+def test_a_tenant_that_does_not_fit_the_message_is_left_out(
+    clock: _Clock, row: WorkspaceTokens
+) -> None:
+    """Guards against a name of the configuration that silences the whole fleet."""
+    network = _Network()
+    large = attrs.evolve(USAGE, tokens=1e12)
+    one, _ = peer("h1", "127.0.0.1", 1, clock, "127.0.0.2", usage=(row, large))
+    two, reports = peer("h2", "127.0.0.2", 1, clock)
+    network.hosts, network.sender = {"127.0.0.2": two}, "127.0.0.1"
+    one.connection_made(network)  # type: ignore[arg-type]
+    one.send()
+    assert reports["h1"].usage == (attrs.evolve(USAGE, tokens=MAX_SHARED_TOKENS),)
 
 
 class _Network:
