--- a/persimmonwell/gateway/_metrics.py
+++ b/persimmonwell/gateway/_metrics.py
@@ -50,6 +50,7 @@
         self._gauge_readers: dict[str, Callable[[], float]] = {}
         self._read_bytes: Callable[[], Mapping[str, float]] = dict
         self._read_descriptors: Callable[[], Mapping[str, float]] = dict
+        self._group_readers: dict[str, Callable[[], Mapping[str, float]]] = {}
 
     def count_event(self, event: str) -> None:
         """Increment the counter of an event."""
@@ -81,6 +82,15 @@
         self._read_bytes = read_bytes
         self._read_descriptors = read_descriptors
 
+    def add_gauge_group(
+        self, prefix: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """Add gauges, named by prefix and key, that are read at each scrape.
+
+        A key that was read once has to be read again, with 0 if need be.
+        """
+        self._group_readers[prefix] = read
+
     def render(self) -> bytes:
         """Read the gauges and return all metrics as text."""
         for name, read in self._gauge_readers.items():
@@ -89,5 +99,8 @@
             self._bytes_in_use.set({"purpose": purpose}, size)
         for use, count in self._read_descriptors().items():
             self._descriptors.set({"use": use}, count)
+        for prefix, read_group in self._group_readers.items():
+            for key, value in read_group().items():
+                self._gauges.set({"name": f"{prefix}{key}"}, value)
         text: bytes = TextFormatter().marshall(self._registry)
         return text
--- a/persimmonwell/gateway/_peer_datagrams.py
+++ b/persimmonwell/gateway/_peer_datagrams.py
@@ -21,6 +21,7 @@
     RegistryChanges,
     ReplicaLoad,
     StoreVersions,
+    WorkspaceTokens,
 )
 from persimmonwell.core.retry import Blame, PartEvidence
 from persimmonwell.gateway._peer_messages import (
@@ -30,9 +31,11 @@
     decode_changes,
     decode_evidence,
     decode_notice,
+    decode_usage,
     encode_changes,
     encode_evidence,
     encode_notice,
+    encode_usage,
 )
 
 SEND_INTERVAL_S = 0.25
@@ -60,6 +63,8 @@
 """Suspected prompt parts that are read from one datagram."""
 MAX_SHARED_LEAVING = 32
 """Leaving replicas in one datagram, the newest ones."""
+MAX_SHARED_USAGE = 16
+"""Workspaces whose usage is read from one datagram."""
 MAX_PEER_ADDRESSES = 64
 """Peer addresses in one datagram, the next ones in turn; with the same ones each time,
 the last hosts of a larger fleet never learned of each other."""
@@ -104,6 +109,7 @@
     """Changes that a host which reads the store relays to its availability zone."""
     part_evidence: tuple[PartEvidence, ...] = ()
     leaving: tuple[LeavingNotice, ...] = ()
+    usage: tuple[WorkspaceTokens, ...] = ()
 
     @property
     def host_id(self) -> str:
@@ -127,6 +133,7 @@
     registry_changes: RegistryChanges | None = None
     part_evidence: tuple[PartEvidence, ...] = ()
     leaving: tuple[LeavingNotice, ...] = ()
+    usage: tuple[WorkspaceTokens, ...] = ()
 
 
 SocketAddress = tuple[str, int]
@@ -252,6 +259,9 @@
                     for message in report.leaving[:MAX_SHARED_LEAVING]
                 ),
                 registry_changes=_read_changes(report.registry_changes),
+                usage=tuple(
+                    decode_usage(message) for message in report.usage[:MAX_SHARED_USAGE]
+                ),
             )
         )
 
@@ -362,6 +372,11 @@
             leaving=[
                 encode_notice(notice) for notice in state.leaving[-MAX_SHARED_LEAVING:]
             ],
+            usage=[
+                message
+                for row in state.usage[:MAX_SHARED_USAGE]
+                if (message := encode_usage(row)) is not None
+            ],
         )
         data = msgspec.msgpack.encode(report)
         for address in addresses:
