Size copies of layers for load surges

Cause: in a surge of three times the usual load, 30 hosts before 98 replicas, 4,387 of 10,521 sends were refused by replicas without KV memory, and requests waited for places. All accelerators reserved KV memory for 48 typical requests; the rest held some 12 copies of the layers. Layers on slow accelerators keep a request longer, so that they need more. Change: the devices beyond the first full set reserve for 100 requests as long as two more full sets remain; the smallest of them become first stages until slots match the memory; the others go where layers have the least memory. Fleets without memory for two further sets keep their reserve.

--- a/persimmonwell/core/forwarding/_placement.py
+++ b/persimmonwell/core/forwarding/_placement.py
@@ -10,6 +10,14 @@
 
 import attrs
 
+from persimmonwell.core.forwarding._devices import (
+    Device,
+    count_copies,
+    layer_capacity,
+    max_kv_tokens,
+    total_layer_capacity,
+)
+from persimmonwell.core.forwarding._layer_copies import add_copies, copy_kv_tokens
 from persimmonwell.core.forwarding._model import EngineSpec, HeldLayers, Replica
 
 REPLICATION_FACTOR = 1.3
@@ -21,7 +29,6 @@
 more of them."""
 MIN_KV_TOKENS = 4_000.0
 """KV memory for a few typical requests; with less a zone cannot serve."""
-BISECTION_STEPS = 24
 
 
 class PlacementScope(Enum):
@@ -49,14 +56,6 @@
     scope: PlacementScope
 
 
-@attrs.frozen
-class _Device:
-    replica: Replica
-    memory_mb: float
-    step_factor: float
-    prefill_factor: float
-
-
 def plan_placement(
     replicas: Iterable[Replica],
     spec: EngineSpec,
@@ -93,26 +92,26 @@
     return tuple(orders)
 
 
-def _scope_of(device: _Device, is_repartition: bool) -> PlacementScope:
+def _scope_of(device: Device, is_repartition: bool) -> PlacementScope:
     held = device.replica.layers
     if held is None or held.count == 0:
         return PlacementScope.FILL
     return PlacementScope.REPARTITION if is_repartition else PlacementScope.MOVE
 
 
-def _group_zones(replicas: Iterable[Replica], spec: EngineSpec) -> list[list[_Device]]:
-    zones: dict[str, list[_Device]] = {}
+def _group_zones(replicas: Iterable[Replica], spec: EngineSpec) -> list[list[Device]]:
+    zones: dict[str, list[Device]] = {}
     for replica in sorted(replicas, key=lambda entry: entry.replica_id):
         kind = spec.accelerator(replica.accelerator)
         if kind is None or replica.is_draining:
             continue
-        device = _Device(replica, kind.memory_mb, kind.step_factor, kind.prefill_factor)
+        device = Device(replica, kind.memory_mb, kind.step_factor, kind.prefill_factor)
         zones.setdefault(replica.availability_zone, []).append(device)
-    groups: list[list[_Device]] = []
-    pending: list[_Device] = []
+    groups: list[list[Device]] = []
+    pending: list[Device] = []
     for zone in sorted(zones):
         pending += zones[zone]
-        if _total_layer_capacity(pending, spec, MIN_KV_TOKENS) >= spec.layers:
+        if total_layer_capacity(pending, spec, MIN_KV_TOKENS) >= spec.layers:
             groups.append(pending)
             pending = []
     if pending and groups:
@@ -120,31 +119,8 @@
     return groups
 
 
-def _layer_capacity(device: _Device, spec: EngineSpec, kv_tokens: float) -> int:
-    per_layer_mb = spec.layer_mb + kv_tokens * spec.kv_mb_per_layer_token
-    return min(spec.layers, int(device.memory_mb / per_layer_mb))
-
-
-def _total_layer_capacity(
-    devices: Iterable[_Device], spec: EngineSpec, kv_tokens: float
-) -> int:
-    return sum(_layer_capacity(device, spec, kv_tokens) for device in devices)
-
-
-def _max_kv_tokens(devices: list[_Device], spec: EngineSpec, layers: float) -> float:
-    """Return the largest KV reserve with which the devices hold that many layers."""
-    low, high = 0.0, 1e7
-    for _ in range(BISECTION_STEPS):
-        middle = (low + high) / 2
-        if _total_layer_capacity(devices, spec, middle) >= layers:
-            low = middle
-        else:
-            high = middle
-    return low
-
-
 def _plan_group(
-    devices: list[_Device], spec: EngineSpec, requests_at: Callable[[str], int]
+    devices: list[Device], spec: EngineSpec, requests_at: Callable[[str], int]
 ) -> tuple[dict[str, HeldLayers], bool]:
     """Return the target layers by replica id, and whether the zone is repartitioned."""
     is_repartition = False
@@ -159,51 +135,56 @@
     kv_tokens = max(
         min(
             reserve_tokens,
-            _max_kv_tokens(devices, spec, spec.layers * REPLICATION_FACTOR),
+            max_kv_tokens(devices, spec, spec.layers * REPLICATION_FACTOR),
         ),
-        min(MIN_KV_TOKENS, _max_kv_tokens(devices, spec, spec.layers)),
+        min(MIN_KV_TOKENS, max_kv_tokens(devices, spec, spec.layers)),
     )
+    fastest = _fastest_devices(devices, spec, kv_tokens)
     if not held:
-        target = _initial_layout(devices, spec, kv_tokens)
+        # The slowest of them is the first stage: it takes the callers' connections, and
+        # layers on a small device can be copied by the remaining ones.
+        target = _assign_ranges(fastest, spec, kv_tokens, from_end=True)
     else:
         target = _fill_gaps(devices, held, spec, kv_tokens, requests_at)
-        if _first_gap(_count_copies(target, spec)) is not None:
+        if _first_gap(count_copies(target, spec)) is not None:
             in_order = sorted(
                 devices, key=lambda device: _held_start(device, held, spec)
             )
-            kv_tokens = _max_kv_tokens(devices, spec, spec.layers)
+            kv_tokens = max_kv_tokens(devices, spec, spec.layers)
             target = _assign_ranges(in_order, spec, kv_tokens)
             is_repartition = True
-    return _add_copies(devices, target, spec, kv_tokens), is_repartition
+    copy_devices = [device for device in devices if device not in fastest]
+    copy_tokens = copy_kv_tokens(copy_devices, spec, kv_tokens)
+    reserves = {
+        device.replica.replica_id: copy_tokens if device in copy_devices else kv_tokens
+        for device in devices
+    }
+    return add_copies(devices, target, spec, reserves), is_repartition
 
 
 def _held_start(
-    device: _Device, held: Mapping[str, HeldLayers], spec: EngineSpec
+    device: Device, held: Mapping[str, HeldLayers], spec: EngineSpec
 ) -> int:
     layers = held.get(device.replica.replica_id)
     return layers.start if layers is not None else spec.layers
 
 
-def _initial_layout(
-    devices: list[_Device], spec: EngineSpec, kv_tokens: float
-) -> dict[str, HeldLayers]:
-    """Lay the model over the fastest devices, the slowest of them as first stage.
-
-    The first stage takes the callers' connections, and layers on a small device can be
-    copied by the remaining ones.
-    """
+def _fastest_devices(
+    devices: list[Device], spec: EngineSpec, kv_tokens: float
+) -> list[Device]:
+    """Return the fastest devices that together hold the whole model."""
     by_speed = sorted(devices, key=lambda device: _layer_ms(device, spec, kv_tokens))
-    chosen: list[_Device] = []
+    chosen: list[Device] = []
     for device in by_speed:
-        if _total_layer_capacity(chosen, spec, kv_tokens) >= spec.layers:
+        if total_layer_capacity(chosen, spec, kv_tokens) >= spec.layers:
             break
         chosen.append(device)
-    return _assign_ranges(chosen, spec, kv_tokens, from_end=True)
+    return chosen
 
 
-def _layer_ms(device: _Device, spec: EngineSpec, kv_tokens: float) -> float:
+def _layer_ms(device: Device, spec: EngineSpec, kv_tokens: float) -> float:
     """Return the time of one layer for one token, with its share of the hop delay."""
-    count = _layer_capacity(device, spec, kv_tokens)
+    count = layer_capacity(device, spec, kv_tokens)
     if count == 0:
         return float("inf")
     prefill_ms = (
@@ -219,7 +200,7 @@
 
 
 def _assign_ranges(
-    devices: list[_Device],
+    devices: list[Device],
     spec: EngineSpec,
     kv_tokens: float,
     *,
@@ -229,7 +210,7 @@
     target: dict[str, HeldLayers] = {}
     assigned = 0
     for device in devices:
-        count = min(_layer_capacity(device, spec, kv_tokens), spec.layers - assigned)
+        count = min(layer_capacity(device, spec, kv_tokens), spec.layers - assigned)
         if count <= 0:
             continue
         start = spec.layers - assigned - count if from_end else assigned
@@ -238,14 +219,6 @@
     return target
 
 
-def _count_copies(target: Mapping[str, HeldLayers], spec: EngineSpec) -> list[int]:
-    copies = [0] * spec.layers
-    for layers in target.values():
-        for layer in range(layers.start, min(layers.stop, spec.layers)):
-            copies[layer] += 1
-    return copies
-
-
 def _first_gap(copies: list[int]) -> tuple[int, int] | None:
     if 0 not in copies:
         return None
@@ -257,7 +230,7 @@
 
 
 def _fill_gaps(
-    devices: list[_Device],
+    devices: list[Device],
     held: Mapping[str, HeldLayers],
     spec: EngineSpec,
     kv_tokens: float,
@@ -270,18 +243,18 @@
     """
     target = dict(held)
     devices = [
-        device for device in devices if _layer_capacity(device, spec, kv_tokens) > 0
+        device for device in devices if layer_capacity(device, spec, kv_tokens) > 0
     ]
     empty_devices = [
         device for device in devices if device.replica.replica_id not in held
     ]
     empty_devices.sort(
         key=lambda device: (
-            -_layer_capacity(device, spec, kv_tokens),
+            -layer_capacity(device, spec, kv_tokens),
             device.step_factor,
         )
     )
-    copies = _count_copies(target, spec)
+    copies = count_copies(target, spec)
     while (gap := _first_gap(copies)) is not None:
         device = (
             empty_devices.pop(0)
@@ -290,20 +263,20 @@
         )
         if device is None:
             break
-        count = _layer_capacity(device, spec, kv_tokens)
+        count = layer_capacity(device, spec, kv_tokens)
         start = gap[0] if gap[1] - gap[0] >= count else max(0, gap[1] - count)
         start = min(start, spec.layers - count)
         target[device.replica.replica_id] = HeldLayers(start, start + count)
-        copies = _count_copies(target, spec)
+        copies = count_copies(target, spec)
     return target
 
 
 def _least_used_redundant(
-    devices: list[_Device],
+    devices: list[Device],
     target: Mapping[str, HeldLayers],
     copies: list[int],
     requests_at: Callable[[str], int],
-) -> _Device | None:
+) -> Device | None:
     """Return the device with the fewest requests whose layers all have other copies."""
     redundant = []
     for device in devices:
@@ -317,28 +290,3 @@
         key=lambda device: (requests_at(device.replica.replica_id), -device.memory_mb),
         default=None,
     )
-
-
-def _add_copies(
-    devices: list[_Device],
-    target: dict[str, HeldLayers],
-    spec: EngineSpec,
-    kv_tokens: float,
-) -> dict[str, HeldLayers]:
-    """Let empty devices copy the layers with the fewest copies."""
-    target = dict(target)
-    for device in devices:
-        if device.replica.replica_id in target:
-            continue
-        count = _layer_capacity(device, spec, kv_tokens)
-        if count <= 0:
-            continue
-        copies = _count_copies(target, spec)
-        # Ties go to the lowest start: copies of the first stage also add slots for
-        # callers.
-        start = min(
-            range(spec.layers - count + 1),
-            key=lambda first: sum(copies[first : first + count]),
-        )
-        target[device.replica.replica_id] = HeldLayers(start, start + count)
-    return target
--- a/tests/core/forwarding/fleets.py
+++ b/tests/core/forwarding/fleets.py
@@ -22,6 +22,11 @@
     "zb": {"a100s": 1, "l4": 8, "t4": 3},
     "zc": {"a100s": 2, "l4": 4, "t4": 7},
 }
+LARGE_ZONES = {
+    "za": {"a100s": 4, "l4": 11, "t4": 18},
+    "zb": {"h100": 1, "a100s": 2, "l4": 13, "t4": 17},
+    "zc": {"h100": 1, "a100s": 2, "l4": 20, "t4": 9},
+}
 SIZE = GenerationSize(prompt_tokens=800, max_output_tokens=172)
 
 
--- a/tests/core/forwarding/test_placement.py
+++ b/tests/core/forwarding/test_placement.py
@@ -12,15 +12,21 @@
     EngineSpec,
     HeldLayers,
     Replica,
+    _layer_copies,
     plan_placement,
 )
-from tests.core.forwarding.fleets import ENGINE, ZONES, empty_replicas
+from tests.core.forwarding.fleets import (
+    ENGINE,
+    LARGE_ZONES,
+    ZONES,
+    empty_replicas,
+)
 
 KINDS = dict(ENGINE.accelerators)
 
 
-def apply_orders(replicas: list[Replica]) -> list[Replica]:
-    orders = {o.replica_id: o.layers for o in plan_placement(replicas, ENGINE)}
+def apply_orders(replicas: list[Replica], spec: EngineSpec = ENGINE) -> list[Replica]:
+    orders = {o.replica_id: o.layers for o in plan_placement(replicas, spec)}
     return [
         attrs.evolve(replica, layers=orders.get(replica.replica_id, replica.layers))
         for replica in replicas
@@ -94,6 +100,72 @@
     assert moved <= {lost.availability_zone}
 
 
+COMPACT_ENGINE = attrs.evolve(ENGINE, kv_token_bytes=786_000.0)
+"""Engine whose copies have memory to spare beside the layers."""
+
+
+def requests_by_layer(replicas: list[Replica], zone: str) -> list[float]:
+    """Return how many typical requests the KV memory of each layer holds."""
+    tokens = (
+        COMPACT_ENGINE.typical_prompt_tokens + COMPACT_ENGINE.typical_output_tokens / 2
+    )
+    room = [0.0] * COMPACT_ENGINE.layers
+    for replica in replicas:
+        if replica.availability_zone != zone or replica.layers is None:
+            continue
+        free_mb = KINDS[replica.accelerator].memory_mb
+        free_mb -= replica.layers.count * COMPACT_ENGINE.layer_mb
+        for layer in range(replica.layers.start, replica.layers.stop):
+            kv_mb = COMPACT_ENGINE.kv_mb_per_layer_token * replica.layers.count * tokens
+            room[layer] += free_mb / kv_mb
+    return room
+
+
+def first_slots(replicas: list[Replica], zone: str) -> int:
+    return sum(
+        COMPACT_ENGINE.slots
+        for replica in replicas
+        if replica.availability_zone == zone
+        and replica.layers is not None
+        and replica.layers.start == 0
+    )
+
+
+@pytest.mark.parametrize("zone", LARGE_ZONES)
+def test_copies_hold_the_requests_of_a_surge(
+    zone: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against memory full of layers when demand triples within a second."""
+    placed = apply_orders(empty_replicas(LARGE_ZONES), COMPACT_ENGINE)
+    monkeypatch.setattr(_layer_copies, "COPY_RESERVE_REQUESTS", 0)
+    without_reserve = apply_orders(empty_replicas(LARGE_ZONES), COMPACT_ENGINE)
+    room = sum(requests_by_layer(placed, zone))
+    assert room >= 1.15 * sum(requests_by_layer(without_reserve, zone))
+    assert min(requests_by_layer(placed, zone)) > min(
+        requests_by_layer(without_reserve, zone)
+    )
+
+
+@pytest.mark.parametrize("zone", LARGE_ZONES)
+def test_first_stages_have_slots_for_all_requests_that_fit(zone: str) -> None:
+    """Guards against requests that wait at a first stage while memory is free."""
+    placed = apply_orders(empty_replicas(LARGE_ZONES), COMPACT_ENGINE)
+    assert first_slots(placed, zone) >= min(requests_by_layer(placed, zone))
+
+
+@pytest.mark.parametrize("zones", FLEETS)
+def test_a_zone_with_copies_has_two_first_stages(
+    zones: dict[str, dict[str, int]],
+) -> None:
+    """Guards against a zone that one lost replica stops."""
+    placed = apply_orders(empty_replicas(zones))
+    for zone in zones:
+        held = [r.layers for r in placed if r.availability_zone == zone and r.layers]
+        layers = sum(layers.count for layers in held)
+        if layers >= 2 * ENGINE.layers:
+            assert first_slots(placed, zone) >= 2 * ENGINE.slots
+
+
 def test_an_empty_replica_fills_a_gap_first() -> None:
     """Guards against moving a serving replica while a restarted one is empty."""
     placed = apply_orders(empty_replicas())
