Refuse in a surge what would be late, and defer its callers past the surge

Refused callers came back after 0.5 to 0.75 s, into the same surge, and took the places of others. Change: while callers are refused, a stream waits for at most half of its objective (up to four times that for large requests, which find room less often); Retry-After grows with the time that the overload has lasted and with the callers that were refused, up to a third of the time that the caller has left, with jitter downwards.

--- a/persimmonwell/core/forwarding/_active.py
+++ b/persimmonwell/core/forwarding/_active.py
@@ -21,6 +21,11 @@
 MAX_WAIT_SHARE = 0.7
 """Part of the caller's timeout that may be spent in the queue; the rest is for the
 answer."""
+TIMELY_WAIT_SHARE = 0.5
+"""Part of the latency objective that a stream may wait in the queue; the rest is for
+its first event. One that waits longer takes the place of another in time."""
+MAX_SIZE_FACTOR = 4.0
+"""Factor on that wait for requests of four times the typical size and more."""
 SERVICE_COST_TOKENS = 100
 """Flat cost of a request to a plain service, which has a queue of its own. The decayed
 sums are exchanged as integers, so it is above 1."""
@@ -146,6 +151,30 @@
         )
         return MAX_WAIT_SHARE * min(limit_s, self.deadline_s - self.arrived_s)
 
+    @property
+    def max_timely_wait_s(self) -> float:
+        """Return the wait after which a stream that has not run is late.
+
+        Plain requests are short, and a returning caller's answer is late already. A
+        large request waits longer, as it finds room less often.
+        """
+        can_be_timely = not (
+            self.may_have_run or self.has_partial_answer or self.is_caller_retry
+        )
+        if self.route.kind is RouteKind.STREAM and can_be_timely:
+            share = TIMELY_WAIT_SHARE * min(MAX_SIZE_FACTOR, max(1.0, self.size_factor))
+            return share * self.route.latency_objective_s
+        return float("inf")
+
+    @property
+    def size_factor(self) -> float:
+        """Return the size of the request relative to a typical one of its service."""
+        engine = self.service.engine
+        if engine is None:
+            return 1.0
+        typical = engine.typical_prompt_tokens + engine.typical_output_tokens
+        return self.cost_tokens / max(1.0, typical)
+
     def waited_s(self, now_s: float) -> float:
         """Return the time since the caller got the last part, or since the arrival."""
         return now_s - (
--- a/persimmonwell/core/forwarding/_queue.py
+++ b/persimmonwell/core/forwarding/_queue.py
@@ -194,7 +194,7 @@
         """
         if not self._waiting:
             return 0.0
-        rate_per_s = max(self._rate_per_s(now_s), MIN_RATE_PER_S)
+        rate_per_s = max(self.send_rate_per_s(now_s), MIN_RATE_PER_S)
         entry = self._entry(active)
         wait_s = self._queues.count_ahead(entry) / rate_per_s
         backlogged = self._queues.backlogged()
@@ -205,7 +205,7 @@
             wait_s = min(wait_s, (in_class + 1) / (floor * rate_per_s))
         return wait_s
 
-    def _rate_per_s(self, now_s: float) -> float:
+    def send_rate_per_s(self, now_s: float) -> float:
         """Return the sends per second, the higher rate of two windows.
 
         The relocation of a stage stops all sends for a second or two; the longer
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -42,6 +42,7 @@
     Route,
     RouteKind,
 )
+from persimmonwell.core.forwarding._overload import MAX_DEFERRAL_SHARE, Overload
 from persimmonwell.core.forwarding._queue import RequestQueue
 from persimmonwell.core.forwarding._rate_limits import ReplicaRateLimits
 from persimmonwell.core.forwarding._registry import ReplicaRegistry
@@ -69,7 +70,6 @@
 NOT_READY_RETRY_AFTER_S = 1.0
 STOPPING_RETRY_AFTER_S = 0.1
 MIN_RETRY_AFTER_S = 0.5
-MAX_RETRY_AFTER_S = 5.0
 QUEUE_SCAN_LIMIT = 6
 """Queued requests without capacity after which a pass over the queue ends."""
 REROUTE_SILENCE_S = 0.1
@@ -92,6 +92,7 @@
 class _ServiceState:
     budget: RetryBudget
     queue: RequestQueue = attrs.field(factory=RequestQueue)
+    overload: Overload = attrs.field(factory=Overload)
 
 
 class ForwardingRouter:
@@ -279,15 +280,26 @@
         return self._finish(active, ending, cause)
 
     def _enqueue(self, active: ActiveRequest, now_s: float) -> tuple[Decision, ...]:
-        queue = self._state_of(active).queue
+        state = self._state_of(active)
+        queue = state.queue
         expected_s = queue.expected_wait_s(active, now_s)
-        if expected_s > active.max_wait_s:
+        limit_s = self._max_wait_s(active, now_s)
+        if expected_s > limit_s:
             if active.may_have_run:
                 return (self._finish(active, Ending.UPSTREAM_FAILED, "queue"),)
             return (self._refuse(active, "queue", expected_s, now_s),)
         queue.add(active)
         return ()
 
+    def _max_wait_s(self, active: ActiveRequest, now_s: float) -> float:
+        """Return how long a request may wait: in an overload, only for a timely answer.
+
+        Waiting longer would take the place of a request that can be answered in time.
+        """
+        if self._state_of(active).overload.is_current(now_s):
+            return min(active.max_wait_s, active.max_timely_wait_s)
+        return active.max_wait_s
+
     def stop_arrivals(self) -> None:
         """Refuse the requests that arrive from now on, since the host will stop."""
         self._is_stopping = True
@@ -754,9 +766,8 @@
     def _expire_request(self, active: ActiveRequest, now_s: float) -> list[Decision]:
         """End a request that exceeds its queueing limit or its deadline."""
         if active.replica_id is None:
-            if (
-                now_s < active.deadline_s
-                and active.waited_s(now_s) <= active.max_wait_s
+            if now_s < active.deadline_s and active.waited_s(now_s) <= self._max_wait_s(
+                active, now_s
             ):
                 return []
             if active.may_have_run:
@@ -851,6 +862,15 @@
         self, active: ActiveRequest, detail: str, wait_s: float, now_s: float
     ) -> Finish:
         """End a request that has not run, and record it for the caller's retry."""
+        if not self._is_stopping:
+            state = self._state_of(active)
+            state.overload.record_refusal(now_s)
+            rate_per_s = state.queue.send_rate_per_s(now_s)
+            end_s = state.overload.expected_end_s(now_s, send_rate_per_s=rate_per_s)
+            limit_s = MAX_DEFERRAL_SHARE * (active.deadline_s - now_s)
+            # Jitter downwards, so that a deferral stays within the caller's time.
+            deferral_s = min(end_s, limit_s) * self._random.uniform(0.75, 1.0)
+            wait_s = max(wait_s, deferral_s)
         finish = self._finish(active, Ending.OVERLOADED, detail, wait_s)
         self.caller_retries.record_refusal(
             active.request.digest, retry_s=finish.retry_after_s, now_s=now_s
@@ -863,9 +883,8 @@
         ahead = self._state_of(active).queue.count_ahead_of(active)
         self._detach(active)
         self._active.pop(active.key, None)
-        retry_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
-        # Jitter of up to half the interval, so that callers do not retry together.
-        retry_s *= self._random.uniform(1.0, 1.5)
+        # Jitter, so that callers do not retry together.
+        retry_s = max(wait_s, MIN_RETRY_AFTER_S * self._random.uniform(1.0, 1.5))
         return Finish(
             active.key,
             ending,
