Remember the callers that peers refused for a whole deferral

Cause: deferrals last up to a third of a caller's time, 6.7 s, but a peer's refusals were remembered for 3 s and 40 of them fitted into a datagram, so that a caller that came back to another host of its zone counted as a new one and was refused again. Change: 10 s, 100 digests in a datagram, 2,000 remembered.

--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -13,8 +13,8 @@
     UpstreamAnswer,
 )
 from persimmonwell.core.forwarding._caller_retries import (
-    CALLER_RETRY_WINDOW_S,
     MAX_SHARED_DIGESTS,
+    PEER_REFUSAL_TTL_S,
 )
 from persimmonwell.core.forwarding._events import (
     AttemptFailure,
@@ -77,7 +77,7 @@
 from persimmonwell.core.forwarding._workspace_usage import WorkspaceTokens
 
 __all__ = [
-    "CALLER_RETRY_WINDOW_S",
+    "PEER_REFUSAL_TTL_S",
     "MAX_SHARED_DIGESTS",
     "AcceleratorKind",
     "AnswerPhase",
--- a/persimmonwell/core/forwarding/_caller_retries.py
+++ b/persimmonwell/core/forwarding/_caller_retries.py
@@ -8,10 +8,14 @@
 
 CALLER_RETRY_WINDOW_S = 3.0
 """Time after Retry-After within which an equal request counts as a retry."""
-MAX_REMEMBERED = 500
-"""Digests kept, the oldest evicted first: a few seconds of refusals at the peak load of
-one host."""
-MAX_SHARED_DIGESTS = 40
+PEER_REFUSAL_TTL_S = 10.0
+"""Time for which a peer's refusal is remembered: a deferral of a third of 20 s, and the
+window after it."""
+MAX_REMEMBERED = 2000
+"""Digests kept, the oldest evicted first: those of a zone of twenty hosts in a surge,
+with ten refusals a second each."""
+MAX_SHARED_DIGESTS = 100
+"""Digests in one datagram, some 2 KB in a surge: the refusals of one deferral."""
 
 
 class CallerRetryTracker:
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -14,7 +14,7 @@
 import attrs
 
 from persimmonwell.core.forwarding import (
-    CALLER_RETRY_WINDOW_S,
+    PEER_REFUSAL_TTL_S,
     ForwardingConfig,
     ForwardingRouter,
     HandoverPolicy,
@@ -555,7 +555,7 @@
         for replica_id, factor in report.slow.items():
             health.record_slowness(replica_id, factor, now_s, is_local=False)
         self._router.caller_retries.record_peer_refusals(
-            report.refused, now_s + CALLER_RETRY_WINDOW_S
+            report.refused, now_s + PEER_REFUSAL_TTL_S
         )
         self._router.record_peer_usage(report.host_id, report.usage, now_s)
         for blame in report.blames:
