Charge what callers take to one memory budget, and bound it

Cause: each connection was bounded by itself and nobody added up. Change: core/resources/_memory.py charges heads, bodies, pipelines, unread and buffered answers to one budget of the process, sized from limits.memory_mb. Uploads wait for room with their reading paused; announced bodies over the limit are refused at the head; without room new bodies are refused with 503, and the largest upload that its client stalls is ended with 408. A refusal is followed by a bounded discard, so that clients can read it. Bodies are kept in one buffer and sent in slices. The connection table of now closes callers with requests that wait, and refuses new ones with 503 where none may be closed. Why it works: whatever grows with what a client sends is charged before more is read, so that the sum is bounded and not each part; a quarter of the budget is kept for small requests.

--- a/persimmonwell/core/resources/__init__.py
+++ b/persimmonwell/core/resources/__init__.py
@@ -1,4 +1,4 @@
-"""Resources that callers use: descriptors of the process."""
+"""Memory and descriptors of one process, and what callers may use of them."""
 
 from persimmonwell.core.resources._connections import (
     CLOSING_CONNECTIONS,
@@ -9,13 +9,32 @@
     ConnectionTable,
     caller_connection_bound,
 )
+from persimmonwell.core.resources._memory import (
+    SMALL_BODY_BYTES,
+    BodyCharge,
+    Charge,
+    MemoryBudget,
+    ProgressCharge,
+    memory_budget_bytes,
+)
+from persimmonwell.core.resources._policy import CallerPolicy, RefusalReason
+from persimmonwell.core.resources._progress import Progress
 
 __all__ = [
     "CLOSING_CONNECTIONS",
     "FILE_DESCRIPTORS",
     "FIXED_DESCRIPTORS",
     "MIN_CALLER_CONNECTIONS",
+    "SMALL_BODY_BYTES",
     "Admission",
+    "BodyCharge",
+    "CallerPolicy",
+    "Charge",
     "ConnectionTable",
+    "MemoryBudget",
+    "Progress",
+    "ProgressCharge",
+    "RefusalReason",
     "caller_connection_bound",
+    "memory_budget_bytes",
 ]
--- a/persimmonwell/gateway/_exchange.py
+++ b/persimmonwell/gateway/_exchange.py
@@ -35,6 +35,10 @@
 MAX_BUFFERED_BYTES = 262_144
 """A plain answer up to this size is buffered until it is complete, so that a truncated
 one can be retried; larger ones are forwarded as they arrive."""
+COVERED_ANSWER_BYTES = 16_384
+"""Held bytes of an answer that are not charged, so that a small one costs nothing."""
+MAX_JOINED_BODY_BYTES = 16_384
+"""A request body up to this size is sent together with its head."""
 MAX_EVENT_BYTES = 262_144
 """Bytes of a stream without a complete event after which it is broken off."""
 MAX_IDLE_S = 60.0
@@ -113,7 +117,7 @@
         self.head: AnswerHead | None = None
         self.headers: RawHeaders = ()
         self.body_use = BodyUse.DISCARD
-        self.body: list[bytes] = []
+        self.body: bytes | bytearray = b""
         self.body_bytes = 0
 
     def on_head(self, status: int, headers: RawHeaders) -> None:
@@ -154,14 +158,25 @@
             return
         self.body_bytes += len(data)
         if self.body_use is not BodyUse.DISCARD:
-            self.body.append(data)
-        if self.body_bytes <= MAX_BUFFERED_BYTES:
+            self._append(data)
+            has_room = self.exchange.hold_answer(len(self.body))
+            if has_room and self.body_bytes <= MAX_BUFFERED_BYTES:
+                return
+        elif self.body_bytes <= MAX_BUFFERED_BYTES:
             return
         if self.body_use is BodyUse.FORWARD_PLAIN:
             self.exchange.forward_large_answer(self)
         else:
             self.exchange.reject_large_answer(self)
 
+    def _append(self, data: bytes) -> None:
+        if not self.body:
+            self.body = data
+            return
+        if not isinstance(self.body, bytearray):
+            self.body = bytearray(self.body)
+        self.body += data
+
 
 class Exchange:
     """One request from its arrival to the end of its answer.
@@ -192,7 +207,8 @@
         self._last_event_s = 0.0
         self._owner = owner
         self._caller = caller
-        self._raw = raw
+        self._raw: RawRequest | None = raw
+        """None after the end, so that no cycle of references keeps a large body."""
         self._is_stream = is_stream
         self._current_attempt: _Attempt | None = None
         self._last_attempt: _Attempt | None = None
@@ -203,6 +219,7 @@
         self._used_connections: list[UpstreamConnection] = []
         """A late second copy of the answer to an attempt bears the same request id as
         the next attempt, which therefore uses another connection."""
+        self._is_held_charged = False
         self._connecting: asyncio.Task[None] | None = None
 
     @property
@@ -238,6 +255,7 @@
         self.attempt = send.attempt
         self._answer.begin_attempt(send.attempt)
         self._event_parser.begin_attempt()
+        self.hold_answer(0)
         current = self._current_attempt = self._last_attempt = _Attempt(self, send)
         max_idle_s = (
             MAX_IDLE_S if send.may_reuse_idle_connection else MAX_IDLE_UNRETRYABLE_S
@@ -271,13 +289,14 @@
             self.fault(error)
 
     def _write(self, attempt: _Attempt, connection: UpstreamConnection) -> None:
-        send = attempt.send
+        send, raw = attempt.send, self._raw
+        assert raw is not None
         remaining_ms = int((send.deadline_s - self._owner.now_s()) * 1000)
         head = encode_request_head(
-            self._raw.method,
-            self._raw.target,
-            self._raw.headers,
-            body_bytes=len(self._raw.body) if self._raw.has_body else None,
+            raw.method,
+            raw.target,
+            raw.headers,
+            body_bytes=len(raw.body) if raw.has_body else None,
             deadline_ms=remaining_ms,
             replica_id=send.replica_id,
             tenant=send.tenant,
@@ -286,7 +305,11 @@
         )
         attempt.connection = connection
         self._used_connections.append(connection)
-        connection.send(head + self._raw.body, self.request.request_id, attempt)
+        body, request_id = raw.body, self.request.request_id
+        if len(body) <= MAX_JOINED_BODY_BYTES:
+            connection.send(head + body, request_id, attempt)
+        else:
+            connection.send(head, request_id, attempt, body)
 
     def cancel(self, attempt: int) -> None:
         """Cancel an attempt by closing its connection."""
@@ -313,12 +336,20 @@
         retry_after_s = finish.retry_after_s if finish.ending.has_not_run else None
         headers = local_answer_headers(self.request.request_id, retry_after_s)
         body = b'{"error":"%b"}' % finish.ending.value.encode()
-        self._answer.end()
+        self._end_answer()
         self._caller.write_answer(status, headers, body)
 
+    def _end_answer(self) -> None:
+        """End the answer and drop the bodies, whose memory is credited back."""
+        self._answer.end()
+        self._raw = None
+        for attempt in (self._current_attempt, self._failed_attempt):
+            if attempt is not None:
+                attempt.body = b""
+
     def abort(self) -> None:
         """Close the caller's connection without a complete answer."""
-        self._answer.end()
+        self._end_answer()
         self._caller.abort_answer()
 
     def fault(self, error: Exception) -> None:
@@ -330,7 +361,7 @@
         if self._answer.is_ended or self._answer.has_begun:
             self.abort()
             return
-        self._answer.end()
+        self._end_answer()
         self._caller.write_answer(STATUS_BY_ENDING[ending], (), b"")
 
     # Callers
@@ -339,7 +370,7 @@
         """Stop all work for the request, since the caller closed its connection."""
         if not self._answer.is_ended:
             self._owner.caller_left(self)
-            self._answer.end()
+            self._end_answer()
 
     def set_upstream_paused(self, paused: bool) -> None:
         """Pause or resume reading from the upstream as the caller's buffer fills."""
@@ -352,6 +383,18 @@
 
     # Answers
 
+    def hold_answer(self, count: int, *, is_forced: bool = False) -> bool:
+        """Charge what an attempt holds back; return False without room for it."""
+        if self._failed_attempt is not None:
+            count += len(self._failed_attempt.body)
+        if count <= COVERED_ANSWER_BYTES:
+            if self._is_held_charged:
+                self._is_held_charged = False
+                self._caller.hold_answer_bytes(0)
+            return True
+        self._is_held_charged = True
+        return self._caller.hold_answer_bytes(count, is_forced=is_forced)
+
     def _is_current(self, attempt: _Attempt) -> bool:
         return attempt is self._current_attempt and not self._answer.is_ended
 
@@ -380,6 +423,8 @@
         if not self._is_current(attempt):
             return
         events = self._event_parser.feed(data)
+        # Without room, an answer in progress is not broken off.
+        self.hold_answer(self._event_parser.held_bytes, is_forced=True)
         if events.data:
             self._write_events(attempt, events.data)
         if not events.is_in_order:
@@ -399,7 +444,10 @@
         self._owner.event_forwarded(self)
 
     def _begin_answer(
-        self, attempt: _Attempt, data: bytes, record_begin: Callable[[], None]
+        self,
+        attempt: _Attempt,
+        data: bytes | bytearray,
+        record_begin: Callable[[], None],
     ) -> None:
         assert attempt.head is not None
         self.first_event_s = self._last_event_s = self._owner.now_s()
@@ -414,7 +462,7 @@
         """Forward the buffered part of an answer that is too large to buffer."""
         if not self._is_current(attempt):
             return
-        data, attempt.body = b"".join(attempt.body), []
+        data, attempt.body = attempt.body, b""
         attempt.body_bytes = MAX_BUFFERED_BYTES
         if self._answer.has_begun:
             self._caller.write_data(data)
@@ -429,7 +477,7 @@
         failure = AttemptFailure.BROKEN
         if isinstance(verdict, FailedAttempt):
             failure = verdict.failure
-        detail = f"status {facts.status} with more than {MAX_BUFFERED_BYTES} bytes"
+        detail = f"status {facts.status} with a body of {attempt.body_bytes} bytes"
         self._abort_attempt(attempt, failure, detail, attempt.head.fault_address)
 
     def _judge_end(
@@ -464,8 +512,8 @@
         if verdict is Completion.WHOLE:
             self._forward_answer(attempt)
         else:
-            rest = self._event_parser.take_comments() or b"".join(attempt.body)
-            self._answer.end()
+            rest = self._event_parser.take_comments() or attempt.body
+            self._end_answer()
             if rest:
                 self._caller.write_data(rest)
             self._caller.end_answer()
@@ -474,8 +522,8 @@
     def _forward_answer(self, attempt: _Attempt) -> None:
         assert attempt.head is not None
         headers = list(forwarded_answer_headers(attempt.headers))
-        body = b"".join(attempt.body)
-        self._answer.end()
+        body = attempt.body
+        self._end_answer()
         self._caller.write_answer(attempt.head.status, headers, body)
 
     def answer_broken(self, attempt: _Attempt, detail: str) -> None:
@@ -503,6 +551,8 @@
         fault_address: str | None = None,
     ) -> None:
         self._current_attempt = None
+        if attempt is not self._failed_attempt:
+            attempt.body = b""
         self._owner.attempt_failed(
             self, failure, fault_address=fault_address, detail=detail
         )
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -30,7 +30,7 @@
     RouteKind,
     Send,
 )
-from persimmonwell.core.resources import ConnectionTable
+from persimmonwell.core.resources import CallerPolicy, ConnectionTable, MemoryBudget
 from persimmonwell.gateway._caller_connection import CallerConnection, RawRequest
 from persimmonwell.gateway._exchange import STATUS_BY_ENDING, Exchange
 from persimmonwell.gateway._http_connection import (
@@ -40,6 +40,7 @@
 )
 from persimmonwell.gateway._metrics import GatewayMetrics
 from persimmonwell.gateway._replica_calls import CallAnswer, call_replica
+from persimmonwell.gateway._request_body import UploadBuffers
 from persimmonwell.observe import DecisionLog, RateLimitedLog
 from persimmonwell.platform import (
     ORDER_PATH,
@@ -56,6 +57,8 @@
 
 TICK_S = 0.05
 """Resolution of time-outs and stall detection: a twelfth of the stall gap."""
+PROGRESS_CHECK_INTERVAL_S = 1.0
+"""Interval at which the progress of all callers' connections is checked."""
 MAX_LOGGED_REQUESTS = 20
 """Requests in the log line of one suspected crash."""
 MAX_LOGGED_PARTS = 20
@@ -82,6 +85,8 @@
         seed: int,
         caller_bound: int,
         on_leaving: Callable[[], None] = lambda: None,
+        budget: MemoryBudget | None = None,
+        caller_policy: CallerPolicy | None = None,
     ) -> None:
         self.router = router
         self.pool = ConnectionPool(
@@ -93,6 +98,10 @@
         self.is_draining = False
         self._log = log
         self._on_leaving = on_leaving
+        self.caller_policy = caller_policy or CallerPolicy()
+        self.budget = budget or MemoryBudget(policy=self.caller_policy)
+        self._buffers = UploadBuffers()
+        self._progress_checked_s = 0.0
         self._random = random.Random(seed)
         self._last_key = 0
         self._exchanges: dict[int, Exchange] = {}
@@ -100,7 +109,7 @@
         self._callers = ConnectionTable[CallerConnection](
             bound=caller_bound,
             is_idle=lambda caller: caller.is_idle,
-            may_be_evicted=lambda caller: caller.is_idle,
+            may_be_evicted=lambda caller: caller.may_be_evicted,
         )
         self._tasks: set[asyncio.Task[None]] = set()
         self._tick_timer: asyncio.TimerHandle | None = None
@@ -143,8 +152,21 @@
             on_request=self._open_exchange,
             is_draining=lambda: self.is_draining,
             on_open_change=self._caller_open_changed,
+            budget=self.budget,
+            policy=self.caller_policy,
+            buffers=self._buffers,
+            on_progress=self._callers.record_progress,
+            on_refused=self._record_refusal,
         )
 
+    def set_caller_policy(self, policy: CallerPolicy) -> None:
+        """Change the limits for new connections and for what waits for memory."""
+        self.caller_policy = policy
+        self.budget.policy = policy
+
+    def _record_refusal(self, reason: str) -> None:
+        self.record_client("refused", reason)
+
     def close_idle_callers(self, *, min_idle_s: float) -> None:
         """Close the callers' connections that are idle.
 
@@ -172,13 +194,13 @@
         admission = self._callers.add(caller, self.now_s())
         if admission.evicted is not None:
             self.record_client("terminated", "callers_full")
-            admission.evicted.close_idle(min_idle_s=0.0)
+            admission.evicted.evict()
         if admission.aborted is not None:
             self.record_client("terminated", "closing_full")
             admission.aborted.abort_answer()
         if not admission.is_admitted:
             self.record_client("refused", "callers_full")
-            caller.abort_answer()
+            caller.refuse_at_accept()
 
     def record_client(self, action: str, reason: str) -> None:
         """Count a client's connection or request that was refused or terminated.
@@ -630,6 +652,12 @@
         loop = asyncio.get_running_loop()
         self._tick_timer = loop.call_later(TICK_S, self._tick)
         self.execute(self.router.tick(self.now_s()))
+        now_s = loop.time()
+        self.budget.tick(now_s)
+        if now_s - self._progress_checked_s >= PROGRESS_CHECK_INTERVAL_S:
+            self._progress_checked_s = now_s
+            for caller in list(self._callers):
+                caller.check_progress(now_s)
 
     def _run_in_background(self, work: "asyncio._CoroutineLike[None]") -> None:
         task = asyncio.get_running_loop().create_task(work)
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -26,7 +26,11 @@
     should_be_reader,
     should_plan_without_store,
 )
-from persimmonwell.core.resources import caller_connection_bound
+from persimmonwell.core.resources import (
+    MemoryBudget,
+    caller_connection_bound,
+    memory_budget_bytes,
+)
 from persimmonwell.gateway._gateway import Gateway
 from persimmonwell.gateway._peer_datagrams import (
     SEND_INTERVAL_S,
@@ -109,6 +113,10 @@
             seed=seed,
             caller_bound=caller_connection_bound(settings.max_fds, _process_limit()),
             on_leaving=lambda: self._peers.send_to_zone(),
+            budget=MemoryBudget(
+                memory_budget_bytes(settings.memory_mb), policy=settings.caller_policy
+            ),
+            caller_policy=settings.caller_policy,
         )
         self._duty = PlacementDuty(
             router=self._router,
@@ -329,8 +337,9 @@
             retry_ratio=settings.retry_ratio,
             retry_slack=settings.retry_slack,
             retry_window_s=settings.retry_window_s,
-            caller_progress=settings.caller_progress,
+            caller_policy=settings.caller_policy,
         )
+        self._gateway.set_caller_policy(settings.caller_policy)
         self._peers.set_seeds(frozenset(seed.host for seed in settings.seeds))
         self._router.set_retry_budget(
             ratio=settings.retry_ratio,
@@ -344,10 +353,10 @@
             grace_s=settings.grace_s,
             retry_ratio=settings.retry_ratio,
             retry_slack=settings.retry_slack,
-            **{
-                f"callers_{name}": value
-                for name, value in attrs.asdict(settings.caller_progress).items()
-            },
+            callers_min_body_bytes_per_s=settings.caller_policy.min_body_bytes_per_s,
+            callers_body_window_s=settings.caller_policy.body_window_s,
+            callers_unread_answer_s=settings.caller_policy.unread_answer_s,
+            callers_upload_wait_s=settings.caller_policy.upload_wait_s,
         )
 
     def reload_failed(self, reason: str) -> None:
@@ -689,7 +698,10 @@
         return encode_state(self._config_document, self._router.registry.snapshot())
 
     def _read_bytes(self) -> Mapping[str, float]:
-        return {"status": sum(each.unsent_bytes for each in self._status_servers)}
+        return {
+            **self._gateway.budget.used_by_purpose,
+            "status": sum(each.unsent_bytes for each in self._status_servers),
+        }
 
     def _read_descriptors(self) -> Mapping[str, float]:
         return {
--- a/persimmonwell/gateway/_http_connection.py
+++ b/persimmonwell/gateway/_http_connection.py
@@ -22,6 +22,12 @@
 """Answers to earlier requests that are skipped while one request waits."""
 MAX_SKIPPED_BYTES = 262_144
 """Body bytes of skipped answers while one request waits."""
+MAX_READ_BYTES = 65_536
+"""Largest read; what is not handled at once of it stays in memory."""
+BODY_SLICE_BYTES = 262_144
+"""Largest part of a request body that is handed to the transport at once."""
+WRITE_HIGH_WATER_BYTES = 65_536
+"""Unsent bytes to one upstream above which no further slice of a body is written."""
 MAX_FRAMING_BYTES = 65_536
 """Bytes without a byte of a body: heads, chunk sizes with their extensions, trailers. A
 faulty replica may send them without end."""
@@ -61,8 +67,17 @@
         """Receive the failure of a connection before the answer was complete."""
 
 
+def set_read_size(transport: asyncio.BaseTransport, size: int) -> None:
+    """Set the size that the selector transport passes to recv, 256 KB by default.
+
+    Other transports ignore it. BufferedProtocol costs more CPU time a read.
+    """
+    transport.max_size = size  # type: ignore[attr-defined]
+
+
 def set_socket_options(transport: asyncio.BaseTransport) -> None:
-    """Disable Nagle's algorithm and detect peers that stopped responding."""
+    """Bound reads, disable Nagle's algorithm, detect peers that stopped responding."""
+    set_read_size(transport, MAX_READ_BYTES)
     sock = transport.get_extra_info("socket")
     if sock is None:
         return
@@ -105,6 +120,8 @@
         self._is_framed = True
         self._is_reusable = True
         self._received_eof = False
+        self._unsent_body: memoryview | None = None
+        self._is_write_paused = False
         self.address = ""
         self.use_count = 0
         self.idle_since_s = 0.0
@@ -121,24 +138,50 @@
         self._transport = transport
         set_socket_options(transport)
 
-    def send(self, data: bytes, request_id: str, handler: AnswerHandler) -> None:
-        """Send one request, whose answer goes to the handler."""
+    def send(
+        self,
+        data: bytes,
+        request_id: str,
+        handler: AnswerHandler,
+        body: bytes | bytearray | memoryview = b"",
+    ) -> None:
+        """Send one request, whose answer goes to the handler.
+
+        The body is written in slices, as fast as the upstream takes them.
+        """
         assert self._transport is not None and self._handler is None
         self._handler = handler
         self._request_id = request_id
         self._skipped_count = self._skipped_bytes = self._framing_bytes = 0
         self.use_count += 1
         self._transport.write(data)
+        if body:
+            self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+            self._unsent_body = memoryview(body)
+            self._write_body()
+
+    def _write_body(self) -> None:
+        """Write slices of the body until the write buffer is full."""
+        while self._unsent_body is not None and not self._is_write_paused:
+            if self._transport is None or self._transport.is_closing():
+                self._unsent_body = None
+                return
+            part = self._unsent_body[:BODY_SLICE_BYTES]
+            rest = self._unsent_body[BODY_SLICE_BYTES:]
+            self._unsent_body = rest if rest else None
+            self._transport.write(part)
 
     def abort(self) -> None:
         """Abort the connection without further calls of the handler."""
         self._handler = None
+        self._unsent_body = None
         if self._transport is not None:
             self._transport.abort()
 
     def close(self) -> None:
         """Close an idle connection."""
         self._handler = None
+        self._unsent_body = None
         if self._transport is not None:
             self._transport.close()
 
@@ -173,6 +216,15 @@
             if self._framing_bytes > MAX_FRAMING_BYTES and self._handler is not None:
                 self._fail(f"{self._framing_bytes} bytes without an answer")
 
+    def pause_writing(self) -> None:
+        """Stop writing the body: the write buffer is full."""
+        self._is_write_paused = True
+
+    def resume_writing(self) -> None:
+        """Continue writing the body."""
+        self._is_write_paused = False
+        self._write_body()
+
     def eof_received(self) -> bool:
         """Record the end of the stream, which completes an answer without a length."""
         self._received_eof = True
@@ -181,6 +233,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end or the failure of the answer in progress."""
         handler, self._handler = self._handler, None
+        self._unsent_body = None
         self._on_lost(self)
         if handler is None:
             return
@@ -269,7 +322,12 @@
             return
         transport = self._transport
         # A replica may answer before it has read the whole request body.
-        has_unsent_data = transport is None or transport.get_write_buffer_size() > 0
+        has_unsent_data = (
+            transport is None
+            or self._unsent_body is not None
+            or transport.get_write_buffer_size() > 0
+        )
+        self._unsent_body = None
         may_reuse = (
             self._parser.should_keep_alive() and self._is_framed and not has_unsent_data
         )
--- a/persimmonwell/platform/_headers.py
+++ b/persimmonwell/platform/_headers.py
@@ -74,7 +74,12 @@
 
 
 def decode_request(
-    method: str, target: str, headers: Headers, *, host: str, body: bytes
+    method: str,
+    target: str,
+    headers: Headers,
+    *,
+    host: str,
+    body: bytes | bytearray | memoryview,
 ) -> CallerRequest:
     """Return the parts of a caller's request that the router needs.
 
@@ -102,9 +107,10 @@
     return dict(headers).get(_REQUEST_ID, b"").decode("latin-1")
 
 
-def _digest(names: Iterable[str], body: bytes) -> str:
+def _digest(names: Iterable[str], body: bytes | bytearray | memoryview) -> str:
     digest = blake2b("\0".join(names).encode(), digest_size=8)
-    digest.update(b"\0\0" + body)
+    digest.update(b"\0\0")
+    digest.update(body)
     return digest.hexdigest()
 
 
--- a/persimmonwell/platform/_node_file.py
+++ b/persimmonwell/platform/_node_file.py
@@ -4,19 +4,20 @@
 
 from persimmonwell._exceptions import DocumentError
 from persimmonwell.core._documents import FaultList
+from persimmonwell.core.resources import CallerPolicy
 from persimmonwell.platform._numbers import (
     MAX_REASON_CHARACTERS,
     parse_count,
     parse_decimal,
 )
-from persimmonwell.settings import CallerProgress, Endpoint, ForwarderSettings
+from persimmonwell.settings import Endpoint, ForwarderSettings
 
 NODE_FILE_VARIABLE = "PERSIMMONWELL_NODE_FILE"
 DEFAULT_NODE_FILE = "/etc/persimmonwell/node.conf"
 MAX_PORT = 65_535
 METRICS_PORT_OFFSET = 1
 """The metrics port is the one after the peer port, which is the first internal port."""
-_PROGRESS = CallerProgress()
+_POLICY = CallerPolicy()
 DEFAULT_NUMBERS = {
     "bounds.grace_s": 8.0,
     "bounds.retry_budget_ratio": 0.2,
@@ -24,10 +25,10 @@
     "bounds.budget_window_s": 10.0,
     "limits.memory_mb": 256.0,
     "limits.max_fds": 1024.0,
-    "callers.min_body_bytes_per_s": _PROGRESS.min_body_bytes_per_s,
-    "callers.body_window_s": _PROGRESS.body_window_s,
-    "callers.unread_answer_s": _PROGRESS.unread_answer_s,
-    "callers.upload_wait_s": _PROGRESS.upload_wait_s,
+    "callers.min_body_bytes_per_s": _POLICY.min_body_bytes_per_s,
+    "callers.body_window_s": _POLICY.body_window_s,
+    "callers.unread_answer_s": _POLICY.unread_answer_s,
+    "callers.upload_wait_s": _POLICY.upload_wait_s,
 }
 """Values of absent fields: those of `bounds` as in the platform's documentation, and
 the limit that processes have by default for `limits.max_fds`."""
@@ -88,7 +89,7 @@
         retry_ratio=number_or_default("bounds.retry_budget_ratio"),
         retry_slack=number_or_default("bounds.retry_budget_slack"),
         retry_window_s=number_or_default("bounds.budget_window_s"),
-        caller_progress=CallerProgress(
+        caller_policy=CallerPolicy(
             min_body_bytes_per_s=number_or_default("callers.min_body_bytes_per_s"),
             body_window_s=positive_or_default("callers.body_window_s"),
             unread_answer_s=positive_or_default("callers.unread_answer_s"),
--- a/persimmonwell/settings/__init__.py
+++ b/persimmonwell/settings/__init__.py
@@ -1,10 +1,6 @@
 """Settings of one daemon: classes, defaults, parsing and validation."""
 
-from persimmonwell.settings._forwarder import (
-    CallerProgress,
-    Endpoint,
-    ForwarderSettings,
-)
+from persimmonwell.settings._forwarder import Endpoint, ForwarderSettings
 from persimmonwell.settings._settings import (
     CallerSettings,
     CurveSettings,
@@ -21,7 +17,6 @@
 )
 
 __all__ = [
-    "CallerProgress",
     "CallerSettings",
     "CurveSettings",
     "Endpoint",
--- a/persimmonwell/settings/_forwarder.py
+++ b/persimmonwell/settings/_forwarder.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from persimmonwell.core.resources import CallerPolicy
+
 
 @attrs.frozen
 class Endpoint:
@@ -15,24 +17,6 @@
         return f"{self.host}:{self.port}"
 
 
-@attrs.frozen
-class CallerProgress:
-    """Time and rate at which callers have to send their requests and read answers.
-
-    The defaults are slower than any client that keeps the limits of the configuration
-    needs: it sends a head within 3 s, and at least a byte every 15 s.
-    """
-
-    min_body_bytes_per_s: float = 64.0
-    """Rate of a body below which its connection may be closed for another one."""
-    body_window_s: float = 60.0
-    """Time over which that rate is measured: four times the idle time-out."""
-    unread_answer_s: float = 30.0
-    """Time for which a caller may leave an answer unread."""
-    upload_wait_s: float = 10.0
-    """Time for which an upload waits for room before it is refused."""
-
-
 @attrs.frozen
 class ForwarderSettings:
     """Settings of one forwarding host, read when it starts."""
@@ -56,4 +40,4 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
-    caller_progress: CallerProgress
+    caller_policy: CallerPolicy
--- a/tests/gateway/test_caller_bound.py
+++ b/tests/gateway/test_caller_bound.py
@@ -25,6 +25,9 @@
     def write(self, data: bytes | bytearray | memoryview) -> None:
         pass
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def pause_reading(self) -> None:
         pass
 
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -25,6 +25,8 @@
 class RecordingCaller:
     """Caller's connection that records what is written to it."""
 
+    has_room = True
+
     def __init__(self) -> None:
         self.status = 0
         self.seal = b""
@@ -60,6 +62,9 @@
     def abort_answer(self) -> None:
         self.is_aborted = True
 
+    def hold_answer_bytes(self, count: int, *, is_forced: bool = False) -> bool:
+        return is_forced or self.has_room
+
 
 class ScriptedConnection:
     """Idle upstream connection on which a test plays the answer."""
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -20,6 +20,7 @@
     find_path,
     plan_placement,
 )
+from persimmonwell.core.resources import CallerPolicy
 from persimmonwell.platform import (
     decode_answer_head,
     decode_config,
@@ -30,7 +31,6 @@
     parse_node_file,
     read_node_file,
 )
-from persimmonwell.settings import CallerProgress
 from standins.platform_config import config as standin_config
 
 NODE = {
@@ -103,11 +103,11 @@
     """Guards against a host that does not start with a file of earlier fields."""
     settings = parse_node_file(node_file())
     assert settings.max_fds == 1024
-    assert settings.caller_progress == CallerProgress()
+    assert settings.caller_policy == CallerPolicy()
     text = node_file(limits__max_fds="4100", callers__unread_answer_s="12.5")
     settings = parse_node_file(text)
     assert settings.max_fds == 4100
-    assert settings.caller_progress == CallerProgress(unread_answer_s=12.5)
+    assert settings.caller_policy == CallerPolicy(unread_answer_s=12.5)
 
 
 def test_settings_file_with_bytes_that_are_no_text_is_read(tmp_path: Path) -> None:
