Probe the stages of a silent stream before its gap objective

Cause: streams behind a lost stage were silent for 0.25 s before their first replica was asked, and its report names a stall only some 200 ms later; so nearly all of them were late. Change: after three usual intervals between events, 0.1 to 0.25 s, the stages that no other stream has passed since are probed; a probe without an answer for 50 ms moves the streams. A second move may follow after 0.25 s instead of 0.5 s, since the next stage may be lost too. Most moved streams are still later than 250 ms: what remains is the silence that shows the stall, one event of the new path, and a second lost stage.

--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -75,8 +75,9 @@
 REROUTE_SILENCE_S = 0.1
 """Silence after which a stream is rerouted; one with an event in the last few steps
 does not wait for a dead stage."""
-MIN_REROUTE_INTERVAL_S = 0.5
-"""Minimum interval between two path changes of a request; each repeats its prefill."""
+MIN_REROUTE_INTERVAL_S = 0.25
+"""Minimum interval between two path changes of a request; each repeats its prefill. The
+next stage may be lost too, which takes the same silence to find out."""
 FULL_KV_SHARE = 0.6
 """Share of used KV memory from which a refusal may mean that the replica is full; the
 margin is for reports that are some 200 ms old."""
@@ -437,6 +438,8 @@
             self._record_answer_part(active, now_s)
 
     def _record_answer_part(self, active: ActiveRequest, now_s: float) -> None:
+        if active.has_answer_part:
+            self._stalls.record_gap(now_s - active.last_event_s)
         active.last_event_s = now_s
         if not active.has_answer_part:
             active.has_answer_part = True
@@ -603,6 +606,13 @@
             self._active.values(), first_replica_id, now_s
         )
 
+    def replica_unresponsive(
+        self, replica_id: str, now_s: float
+    ) -> tuple[Decision, ...]:
+        """Handle a probe whose answer takes unusually long; it may still arrive."""
+        self._upstreams.suspect(replica_id, now_s)
+        return self._reroute_off_suspects(now_s)
+
     def replica_probed(
         self,
         replica_id: str,
@@ -744,12 +754,13 @@
                 decisions += self._expire_request(active, now_s)
             except Exception as error:
                 decisions += self._end_faulted(active, error)
-        streams = (
+        streams = [
             active
             for active in self._active.values()
             if active.replica_id is not None and active.route.kind is RouteKind.STREAM
-        )
+        ]
         decisions += self._stalls.due_queries(streams, now_s)
+        decisions += self._stalls.due_early_probes(streams, now_s)
         for replica_id in self.health.due_probes(now_s):
             replica = self.registry.replicas.get(replica_id)
             if replica is not None:
--- a/persimmonwell/core/forwarding/_stalls.py
+++ b/persimmonwell/core/forwarding/_stalls.py
@@ -2,9 +2,13 @@
 
 A dead or slow stage stalls every stream that passes through it. The platform charges
 for each call, so one report serves all streams with the same first replica.
+
+Load pattern: some replicas are lost at the peak. Reports name a stalled stage only some
+200 ms later, which is too late for streams whose events may be 200 to 250 ms apart. The
+stages of a silent stream that no other stream has passed since are probed before that.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from persimmonwell.core.forwarding._active import ActiveRequest
 from persimmonwell.core.forwarding._events import FetchStallReport, ProbeReplica
@@ -12,6 +16,16 @@
 STALL_THRESHOLD_S = 0.25
 """Silence after which a stream's first replica is asked for the stalled stage. A first
 event 250 ms later still meets the typical objective of 500 ms."""
+MIN_EARLY_SILENCE_S = 0.1
+"""Silence after which the stages of a stream may be probed."""
+EARLY_SILENCE_GAPS = 3.0
+"""That silence in multiples of the mean interval between events."""
+GAP_WEIGHT = 0.02
+"""Weight of the newest interval in that mean, which covers some fifty events."""
+EARLY_PROBE_INTERVAL_S = 0.5
+"""Minimum interval between early probes of one stage."""
+MAX_EARLY_PROBES = 12
+"""Early probes of one tick: the stages of the longest usual path."""
 STALL_QUERY_INTERVAL_S = 0.15
 """Interval between queries: reports are some 200 ms old, so the first one may not show
 the stall yet."""
@@ -27,6 +41,57 @@
     def __init__(self) -> None:
         self._queried_s: dict[str, float] = {}
         self._probed_s: dict[str, float] = {}
+        self._early_probed_s: dict[str, float] = {}
+        self._mean_gap_s = MIN_EARLY_SILENCE_S / EARLY_SILENCE_GAPS
+
+    def record_gap(self, gap_s: float) -> None:
+        """Record the interval between two events of a stream."""
+        self._mean_gap_s += GAP_WEIGHT * (gap_s - self._mean_gap_s)
+
+    @property
+    def early_silence_s(self) -> float:
+        """Return the silence of a running stream that is unusual at present."""
+        usual_s = max(MIN_EARLY_SILENCE_S, EARLY_SILENCE_GAPS * self._mean_gap_s)
+        return min(STALL_THRESHOLD_S, usual_s)
+
+    def due_early_probes(
+        self, streams: Sequence[ActiveRequest], now_s: float
+    ) -> tuple[ProbeReplica, ...]:
+        """Return probes of the stages that may have stalled the silent streams.
+
+        A stage that another stream has passed since the silence began is not among
+        them.
+        """
+        silent = [
+            active
+            for active in streams
+            if active.path is not None
+            and active.has_answer_part
+            and active.silent_s(now_s) >= self.early_silence_s
+        ]
+        if not silent:
+            return ()
+        passed_s: dict[str, float] = {}
+        for active in streams:
+            if active.path is None or not active.has_answer_part:
+                continue
+            for stage in active.path.stages:
+                earlier_s = passed_s.get(stage.replica_id, float("-inf"))
+                passed_s[stage.replica_id] = max(earlier_s, active.last_event_s)
+        probes: list[ProbeReplica] = []
+        for active in sorted(silent, key=lambda stream: stream.last_event_s):
+            assert active.path is not None
+            for stage in active.path.stages:
+                replica_id = stage.replica_id
+                probed_s = self._early_probed_s.get(replica_id, float("-inf"))
+                if (
+                    passed_s[replica_id] <= active.last_event_s
+                    and now_s - probed_s >= EARLY_PROBE_INTERVAL_S
+                    and len(probes) < MAX_EARLY_PROBES
+                ):
+                    self._early_probed_s[replica_id] = now_s
+                    probes.append(ProbeReplica(replica_id, stage.address))
+        return tuple(probes)
 
     def due_queries(
         self, streams: Iterable[ActiveRequest], now_s: float
@@ -46,7 +111,7 @@
 
     def prune(self, registered: set[str]) -> None:
         """Drop the state of replicas that are not registered any more."""
-        for table in (self._queried_s, self._probed_s):
+        for table in (self._queried_s, self._probed_s, self._early_probed_s):
             for replica_id in table.keys() - registered:
                 del table[replica_id]
 
@@ -70,7 +135,7 @@
         if longest is None or longest.silent_s(now_s) < STALL_THRESHOLD_S:
             return ()
         assert longest.path is not None
-        probes = []
+        probes: list[ProbeReplica] = []
         for stage in longest.path.stages:
             if (
                 now_s - self._probed_s.get(stage.replica_id, -10.0)
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -65,6 +65,9 @@
 """Prompt parts in the log line of one counted crash."""
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 """Idle time-out of replicas that do not advertise one in a keep-alive header."""
+UNRESPONSIVE_S = 0.05
+"""Time without an answer to a probe after which streams leave the replica: a live one
+answers within some milliseconds."""
 REPLICA_GONE_STATUSES = (0, 421)
 """Statuses of a failed probe: 0 without an answer in time, 421 when another replica has
 the address now."""
@@ -597,6 +600,9 @@
         )
 
     async def _probe_replica(self, probe: ProbeReplica) -> None:
+        timer = asyncio.get_running_loop().call_later(
+            UNRESPONSIVE_S, self._report_unresponsive, probe.replica_id
+        )
         answer = await call_replica(
             self.pool,
             probe.address,
@@ -604,6 +610,7 @@
             path=REPORT_PATH,
             headers=expected_replica_headers(probe.replica_id),
         )
+        timer.cancel()
         report = decode_report(answer.body) if answer.status == 200 else None
         is_alive = answer.status not in REPLICA_GONE_STATUSES
         self.metrics.count_event("replica_checks")
@@ -624,6 +631,10 @@
             )
         )
 
+    def _report_unresponsive(self, replica_id: str) -> None:
+        self.metrics.count_event("replicas_unresponsive")
+        self.execute(self.router.replica_unresponsive(replica_id, self.now_s()))
+
     async def _send_reroute_order(self, exchange: Exchange, reroute: Reroute) -> None:
         request_id = exchange.request.request_id
         answer = await call_replica(
