Keep the tables of a choice of a path between choices

Cause: each choice filtered all replicas of the registry, rebuilt candidates and boundaries, and after each report added up the loads of all peers. With 217 replicas in a zone that takes several ms. Change: the pool keeps the replicas by service and zone and a StageTable for each set of excluded replicas; the registry counts its changes. The search tries the replicas of a boundary by speed and a slower one only beyond the reach of the faster ones. LoadTable changes its sums with each report and send. The paths are the same; only where two different step times round to the same sum may the tie go to another replica.

--- a/bench/forwarding_cost.py
+++ b/bench/forwarding_cost.py
@@ -18,6 +18,7 @@
     LoadTable,
     RegistryRecord,
     Replica,
+    ReplicaLoad,
     Route,
     RouteKind,
     ServiceSpec,
@@ -31,6 +32,8 @@
 from persimmonwell.gateway._event_stream import EventStreamParser
 
 ZONES = 6
+ZONE_PEERS = 56
+"""Other hosts of a zone at the target size."""
 ROUNDS = 200
 REQUEST_SIZE = GenerationSize(prompt_tokens=800, max_output_tokens=172)
 ACCELERATOR_MIX = ("h100", "a100s", *("l4",) * 9, *("t4",) * 9)
@@ -81,8 +84,11 @@
     return (time.process_time() - start_s) / rounds * 1e6
 
 
-def choose_path_us(count: int) -> tuple[int, float]:
-    """Return the replicas of the zone and the mean CPU time of one choice of a path."""
+def choose_path_us(count: int) -> tuple[int, float, float]:
+    """Return the replicas of the zone and the mean CPU time of one choice of a path.
+
+    The second time is that of a choice after a peer's report.
+    """
     replicas = build_replicas(count)
     pool = UpstreamPool(availability_zone="z0", rng=random.Random(1))
     pool.registry.replace(
@@ -108,8 +114,22 @@
         arrived_s=0.0,
         deadline_s=20.0,
     )
-    in_zone = sum(replica.availability_zone == "z0" for replica in replicas)
-    return in_zone, cpu_time_us(lambda: pool.choose_path(active, 0.0), ROUNDS)
+    in_zone = [replica for replica in replicas if replica.availability_zone == "z0"]
+    alone_us = cpu_time_us(lambda: pool.choose_path(active, 0.0), ROUNDS)
+    reports = [
+        {replica.replica_id: ReplicaLoad(1 + peer % 2, 900) for replica in in_zone}
+        for peer in range(ZONE_PEERS)
+    ]
+    numbers = iter(range(10**9))
+
+    def report_and_choose() -> None:
+        number = next(numbers)
+        loads = reports[number % 7 % ZONE_PEERS]
+        pool.loads.set_peer_loads(f"host-{number % ZONE_PEERS}", loads, 1.0)
+        pool.choose_path(active, 0.0)
+
+    cpu_time_us(report_and_choose, ZONE_PEERS)
+    return len(in_zone), alone_us, cpu_time_us(report_and_choose, ROUNDS)
 
 
 def main() -> None:
@@ -127,8 +147,9 @@
             f"{count} replicas, {len(zone_replicas)} in the zone: "
             f"{path_us:.0f} us a path, {plan_us / 1000:.1f} ms a plan"
         )
-    in_zone, chosen_us = choose_path_us(6 * 217)
+    in_zone, chosen_us, after_report_us = choose_path_us(6 * 217)
     print(f"{in_zone} replicas in the zone: {chosen_us:.0f} us a choice of a path")
+    print(f"  {after_report_us:.0f} us a report of {ZONE_PEERS} peers and a choice")
     cutter = EventStreamParser(StreamPosition())
     event = b"data: " + b"x" * 60 + b"\n\n"
     numbers = iter(range(1, 10**9))
--- a/persimmonwell/core/forwarding/_loads.py
+++ b/persimmonwell/core/forwarding/_loads.py
@@ -1,6 +1,5 @@
 """Load of each replica, counted over this host's and its peers' sends."""
 
-from collections import defaultdict
 from collections.abc import Mapping
 
 import attrs
@@ -31,13 +30,17 @@
 
 
 class LoadTable:
-    """Loads by replica id, from this host's sends and from the peers' reports."""
+    """Loads by replica id, from this host's sends and from the peers' reports.
+
+    The sums change with each report and each send. Adding up the reports of 57 hosts
+    at each choice takes longer than the choice itself.
+    """
 
     def __init__(self) -> None:
         self._local: dict[str, ReplicaLoad] = {}
         self._peers: dict[str, _PeerLoads] = {}
-        self._peer_totals: dict[str, ReplicaLoad] | None = {}
-        """Sums over the peers; None when they have to be recomputed."""
+        self._totals: dict[str, tuple[int, int]] = {}
+        """Requests and layer-tokens over all hosts."""
         self._untracked: dict[str, _Untracked] = {}
 
     @property
@@ -47,24 +50,20 @@
 
     def total(self, replica_id: str) -> ReplicaLoad:
         """Return the load of a replica over all hosts."""
-        local = self._local.get(replica_id)
-        if self._peer_totals is None:
-            self._peer_totals = self._sum_peers()
-        others = self._peer_totals.get(replica_id)
-        if local is None or others is None:
-            return local or others or ReplicaLoad()
-        return ReplicaLoad(
-            local.requests + others.requests, local.layer_tokens + others.layer_tokens
-        )
+        return ReplicaLoad(*self._totals.get(replica_id, (0, 0)))
+
+    def requests(self, replica_id: str) -> int:
+        """Return the requests in flight at a replica over all hosts."""
+        return self._totals.get(replica_id, (0, 0))[0]
 
     def record_report(self, replica_id: str, kv_used: int, now_s: float) -> None:
         """Record the layer-tokens a replica uses beyond what all hosts account for."""
-        extra = max(0, kv_used - self.total(replica_id).layer_tokens)
+        extra = max(0, kv_used - self._totals.get(replica_id, (0, 0))[1])
         self._untracked[replica_id] = _Untracked(extra, now_s + UNTRACKED_USAGE_TTL_S)
 
     def used_layer_tokens(self, replica_id: str, now_s: float) -> int:
         """Return the layer-tokens that are reserved or used without a known request."""
-        taken = self.total(replica_id).layer_tokens
+        taken = self._totals.get(replica_id, (0, 0))[1]
         untracked = self._untracked.get(replica_id)
         if untracked is None:
             return taken
@@ -79,36 +78,49 @@
         self._local[replica_id] = ReplicaLoad(
             load.requests + 1, load.layer_tokens + layer_tokens
         )
+        self._change_total(replica_id, 1, layer_tokens)
 
     def remove(self, replica_id: str, layer_tokens: int) -> None:
         """Remove one request and its reservation."""
-        load = self._local.get(replica_id, ReplicaLoad())
+        load = self._local.get(replica_id)
+        if load is None:
+            return
         if load.requests <= 1:
-            self._local.pop(replica_id, None)
+            del self._local[replica_id]
+            self._change_total(replica_id, -load.requests, -load.layer_tokens)
             return
         self._local[replica_id] = ReplicaLoad(
             load.requests - 1, load.layer_tokens - layer_tokens
         )
+        self._change_total(replica_id, -1, -layer_tokens)
 
     def set_peer_loads(
         self, peer: str, loads: Mapping[str, ReplicaLoad], until_s: float
     ) -> None:
         """Replace the loads that a peer reported, valid until until_s."""
-        self._peers[peer] = _PeerLoads(loads, until_s)
-        self._peer_totals = None
+        self._drop_peer(peer)
+        self._peers[peer] = _PeerLoads(dict(loads), until_s)
+        for replica_id, load in loads.items():
+            self._change_total(replica_id, load.requests, load.layer_tokens)
 
     def expire_peers(self, now_s: float) -> None:
         """Drop the loads of peers whose last report has expired."""
         gone = [peer for peer, state in self._peers.items() if now_s > state.until_s]
         for peer in gone:
-            del self._peers[peer]
-            self._peer_totals = None
+            self._drop_peer(peer)
 
-    def _sum_peers(self) -> dict[str, ReplicaLoad]:
-        requests: dict[str, int] = defaultdict(int)
-        tokens: dict[str, int] = defaultdict(int)
-        for state in self._peers.values():
+    def _drop_peer(self, peer: str) -> None:
+        state = self._peers.pop(peer, None)
+        if state is not None:
             for replica_id, load in state.loads.items():
-                requests[replica_id] += load.requests
-                tokens[replica_id] += load.layer_tokens
-        return {key: ReplicaLoad(requests[key], tokens[key]) for key in requests}
+                self._change_total(replica_id, -load.requests, -load.layer_tokens)
+
+    def _change_total(self, replica_id: str, requests: int, layer_tokens: int) -> None:
+        known = self._totals.get(replica_id)
+        if known is not None:
+            requests += known[0]
+            layer_tokens += known[1]
+        if requests or layer_tokens:
+            self._totals[replica_id] = (requests, layer_tokens)
+        else:
+            self._totals.pop(replica_id, None)
--- a/persimmonwell/core/forwarding/_paths.py
+++ b/persimmonwell/core/forwarding/_paths.py
@@ -4,8 +4,8 @@
 memory for the whole request, so that no engine has to preempt a request.
 """
 
-from collections import defaultdict
-from collections.abc import Callable, Iterable, Mapping
+from bisect import bisect_left
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -44,13 +44,48 @@
         return self.stages[0]
 
 
-@attrs.frozen
-class _Candidate:
-    replica: Replica
-    start: int
-    stop: int
-    per_layer_ms: float
-    free_layer_tokens: float
+class StageTable:
+    """What a search of a path needs of a set of replicas, apart from their loads.
+
+    It is built when the registry or the excluded replicas change and serves any number
+    of searches.
+    """
+
+    def __init__(self, replicas: Iterable[Replica], spec: EngineSpec) -> None:
+        kinds = dict(spec.accelerators)
+        self.spec = spec
+        self.replicas: list[Replica] = []
+        self.starts: list[int] = []
+        self.stops: list[int] = []
+        self.step_factors: list[float] = []
+        self.capacities: list[float] = []
+        """Layer-tokens that may be reserved."""
+        self.slots: list[int] = []
+        for replica in replicas:
+            kind = kinds.get(replica.accelerator)
+            if kind is None or replica.layers is None or replica.layers.count <= 0:
+                continue
+            room_mb = kind.memory_mb - replica.layers.count * spec.layer_mb
+            self.replicas.append(replica)
+            self.starts.append(replica.layers.start)
+            self.stops.append(min(replica.layers.stop, spec.layers))
+            self.step_factors.append(kind.step_factor)
+            self.capacities.append(
+                RESERVABLE_KV_SHARE * room_mb / spec.kv_mb_per_layer_token
+            )
+            self.slots.append(min(spec.slots, replica.slots or spec.slots))
+        context = (spec.typical_prompt_tokens + spec.typical_output_tokens / 2) / 1000
+        self.ms_per_request = (
+            spec.step_ms_per_sequence + spec.step_ms_per_1k_context * context
+        )
+        self.boundaries = sorted({0, *self.starts, *self.stops})
+        """Layers at which a stage may begin or end."""
+        position = {layer: index for index, layer in enumerate(self.boundaries)}
+        self.boundary_ranges = [
+            (position[start], position[stop])
+            for start, stop in zip(self.starts, self.stops, strict=True)
+        ]
+        """Indices of the boundaries at which each replica's layers start and stop."""
 
 
 def find_path(
@@ -67,114 +102,159 @@
 
     A given first_stage is kept. slowness returns the factor on a replica's step times.
     """
-    tokens = size.expected_tokens(spec.typical_output_tokens)
-    candidates = _list_candidates(replicas, spec, loads, now_s, slowness)
-    start = 0
     if first_stage is not None:
-        start = first_stage.stop
-        candidates = [
-            candidate
-            for candidate in candidates
-            if candidate.replica.replica_id != first_stage.replica_id
-        ]
-    by_start: dict[int, list[_Candidate]] = defaultdict(list)
-    boundaries = sorted(
-        {start}
-        | {candidate.start for candidate in candidates}
-        | {candidate.stop for candidate in candidates}
+        replicas = (
+            replica
+            for replica in replicas
+            if replica.replica_id != first_stage.replica_id
+        )
+    table = StageTable(replicas, spec)
+    return search_path(
+        table,
+        size,
+        loads=loads,
+        now_s=now_s,
+        first_stage=first_stage,
+        slowness=slowness,
     )
-    for boundary in boundaries:
-        by_start[boundary] = [
-            candidate
-            for candidate in candidates
-            if candidate.start <= boundary < candidate.stop
-        ]
-    best: dict[int, tuple[float, int, _Candidate | None]] = {start: (0.0, start, None)}
-    for boundary in boundaries:
-        current = best.get(boundary)
-        if current is None:
+
+
+def search_path(
+    table: StageTable,
+    size: GenerationSize,
+    *,
+    loads: LoadTable,
+    now_s: float,
+    first_stage: Stage | None = None,
+    slowness: Callable[[str], float] = lambda replica_id: 1.0,
+) -> PipelinePath | None:
+    """Return the fastest path over the replicas of a table; see find_path.
+
+    The replica of a given first_stage is not in the table.
+    """
+    spec = table.spec
+    tokens = size.expected_tokens(spec.typical_output_tokens)
+    layer_ms, free = _measure_loads(table, loads, now_s, slowness)
+    start = 0 if first_stage is None else first_stage.stop
+    boundaries = table.boundaries
+    if start not in boundaries:
+        # No replica holds layers that end or start there.
+        boundaries = sorted({start, *boundaries})
+    first = boundaries.index(start)
+    is_extended = len(boundaries) > len(table.boundaries)
+    covering = _covering(table, layer_ms, first if is_extended else None)
+    times: list[float] = [float("inf")] * len(boundaries)
+    arrivals: list[tuple[int, int]] = [(-1, -1)] * len(boundaries)
+    """Index of the boundary before and of the replica between."""
+    times[first] = 0.0
+    hop_ms = spec.hop_delay_ms
+    for index in range(first, len(boundaries)):
+        time_ms = times[index]
+        if time_ms == float("inf"):
             continue
-        for candidate in by_start[boundary]:
-            if candidate is current[2] or (
-                boundary == 0 and _is_full(candidate, spec, loads)
-            ):
+        boundary = boundaries[index]
+        arrived_by = arrivals[index][1]
+        # The fastest replica reaches some boundaries, a slower one only matters
+        # beyond them.
+        following = index + 1
+        for number, last in covering[index]:
+            if last < following or number == arrived_by:
                 continue
-            for stop in boundaries:
-                if stop <= boundary or stop > candidate.stop:
-                    continue
-                if (stop - boundary) * tokens > candidate.free_layer_tokens:
-                    continue
-                time_ms = (
-                    current[0]
-                    + (stop - boundary) * candidate.per_layer_ms
-                    + spec.hop_delay_ms
-                )
-                previous = best.get(stop)
-                if previous is None or time_ms < previous[0]:
-                    best[stop] = (time_ms, boundary, candidate)
-    path = _backtrack(best, spec, start)
-    if path is None or first_stage is None:
-        return path
-    return PipelinePath((first_stage, *path.stages), path.step_ms)
-
-
-def _is_full(candidate: _Candidate, spec: EngineSpec, loads: LoadTable) -> bool:
-    slots = min(spec.slots, candidate.replica.slots or spec.slots)
-    return loads.total(candidate.replica.replica_id).requests >= slots
-
-
-def _list_candidates(
-    replicas: Iterable[Replica],
-    spec: EngineSpec,
+            if boundary == 0 and _is_full(table, number, loads):
+                continue
+            per_layer_ms = layer_ms[number]
+            free_tokens = free[number]
+            while following <= last:
+                count = boundaries[following] - boundary
+                if count * tokens > free_tokens:
+                    break
+                reached_ms = time_ms + count * per_layer_ms + hop_ms
+                if reached_ms < times[following]:
+                    times[following] = reached_ms
+                    arrivals[following] = (index, number)
+                following += 1
+    return _backtrack(table, boundaries, times, arrivals, first_stage)
+
+
+def _measure_loads(
+    table: StageTable,
     loads: LoadTable,
     now_s: float,
     slowness: Callable[[str], float],
-) -> list[_Candidate]:
-    kinds = dict(spec.accelerators)
-    candidates = []
-    for replica in replicas:
-        kind = kinds.get(replica.accelerator)
-        if kind is None or replica.layers is None or replica.layers.count <= 0:
-            continue
-        factor = slowness(replica.replica_id)
-        load = loads.total(replica.replica_id)
-        room_mb = kind.memory_mb - replica.layers.count * spec.layer_mb
-        capacity = RESERVABLE_KV_SHARE * room_mb / spec.kv_mb_per_layer_token
-        context = (spec.typical_prompt_tokens + spec.typical_output_tokens / 2) / 1000
-        pass_ms = spec.step_ms + load.requests * (
-            spec.step_ms_per_sequence + spec.step_ms_per_1k_context * context
-        )
-        candidates.append(
-            _Candidate(
-                replica=replica,
-                start=replica.layers.start,
-                stop=min(replica.layers.stop, spec.layers),
-                per_layer_ms=factor * kind.step_factor * pass_ms / spec.layers,
-                free_layer_tokens=capacity
-                - loads.used_layer_tokens(replica.replica_id, now_s),
-            )
-        )
-    return candidates
+) -> tuple[list[float], list[float]]:
+    """Return the time of one layer and the free layer-tokens of each replica."""
+    spec = table.spec
+    step_ms, ms_per_request, layers = spec.step_ms, table.ms_per_request, spec.layers
+    layer_ms = []
+    free = []
+    for replica, step_factor, capacity in zip(
+        table.replicas, table.step_factors, table.capacities, strict=True
+    ):
+        replica_id = replica.replica_id
+        pass_ms = step_ms + loads.requests(replica_id) * ms_per_request
+        layer_ms.append(slowness(replica_id) * step_factor * pass_ms / layers)
+        free.append(capacity - loads.used_layer_tokens(replica_id, now_s))
+    return layer_ms, free
+
+
+def _covering(
+    table: StageTable, layer_ms: list[float], inserted: int | None
+) -> list[list[tuple[int, int]]]:
+    """Return by boundary the replicas that hold the layer after it, fastest first.
+
+    Each comes with the index of the boundary at which its layers end. inserted is the
+    index of a boundary that is not in the table.
+    """
+    size = len(table.boundaries) + (inserted is not None)
+    covering: list[list[tuple[int, int]]] = [[] for _ in range(size)]
+    ranges = table.boundary_ranges
+    for number in sorted(range(len(layer_ms)), key=layer_ms.__getitem__):
+        begin, end = ranges[number]
+        if inserted is not None:
+            begin += begin >= inserted
+            end += end >= inserted
+        entry = (number, end)
+        for index in range(begin, end):
+            covering[index].append(entry)
+    return covering
+
+
+def _is_full(table: StageTable, number: int, loads: LoadTable) -> bool:
+    return loads.requests(table.replicas[number].replica_id) >= table.slots[number]
 
 
 def _backtrack(
-    best: Mapping[int, tuple[float, int, _Candidate | None]],
-    spec: EngineSpec,
-    first_layer: int,
+    table: StageTable,
+    boundaries: list[int],
+    times: list[float],
+    arrivals: list[tuple[int, int]],
+    first_stage: Stage | None,
 ) -> PipelinePath | None:
-    if spec.layers not in best:
+    layers = table.spec.layers
+    index = bisect_left(boundaries, layers)
+    if index == len(boundaries) or boundaries[index] != layers:
+        return None
+    if times[index] == float("inf"):
         return None
+    step_ms = times[index]
     stages: list[Stage] = []
-    position = spec.layers
-    while position > first_layer:
-        _, start, candidate = best[position]
-        assert candidate is not None
-        replica = candidate.replica
-        stages.append(Stage(replica.replica_id, replica.address, start, position))
-        position = start
+    while arrivals[index][1] >= 0:
+        before, number = arrivals[index]
+        replica = table.replicas[number]
+        stages.append(
+            Stage(
+                replica.replica_id,
+                replica.address,
+                boundaries[before],
+                boundaries[index],
+            )
+        )
+        index = before
     stages.reverse()
     if len({stage.replica_id for stage in stages}) != len(stages):
         return None
     if len(stages) > MAX_STAGES:
         return None
-    return PipelinePath(tuple(stages), best[spec.layers][0])
+    if first_stage is not None:
+        stages.insert(0, first_stage)
+    return PipelinePath(tuple(stages), step_ms)
--- a/persimmonwell/core/forwarding/_registry.py
+++ b/persimmonwell/core/forwarding/_registry.py
@@ -67,6 +67,8 @@
         self._withheld: set[str] = set()
         """Removed replicas that the copy still lists."""
         self._entries: dict[str, Replica] = {}
+        self.version = 0
+        """Increases with each change of an entry."""
         self._offsets: dict[str, int] = {}
         self._lapsed_until_s: dict[str, float] = {}
         self._in_outage = False
@@ -256,7 +258,10 @@
         self._lapsed_until_s.pop(record.replica_id, None)
         before = self._entries.get(record.replica_id)
         self._entries[record.replica_id] = record.replica
-        return before != record.replica
+        if before == record.replica:
+            return False
+        self.version += 1
+        return True
 
     def expire(self, now_s: float) -> bool:
         """Drop entries whose replica did not register again; return whether any was."""
@@ -282,6 +287,7 @@
 
     def _delete(self, replica_id: str) -> None:
         started_at_ms = self._entries.pop(replica_id).started_at_ms
+        self.version += 1
         self._removed.pop(replica_id, None)
         self._removed[replica_id] = started_at_ms
         if len(self._removed) > MAX_REMOVED:
--- a/persimmonwell/core/forwarding/_upstreams.py
+++ b/persimmonwell/core/forwarding/_upstreams.py
@@ -1,6 +1,8 @@
 """Selection of upstreams by registry, load and health, with load reservations."""
 
 import random
+from collections import defaultdict
+from collections.abc import Hashable
 
 import attrs
 
@@ -8,12 +10,13 @@
 from persimmonwell.core.forwarding._events import AttemptFailure
 from persimmonwell.core.forwarding._health import ReplicaHealth
 from persimmonwell.core.forwarding._loads import LoadTable
-from persimmonwell.core.forwarding._model import Replica
+from persimmonwell.core.forwarding._model import EngineSpec, Replica
 from persimmonwell.core.forwarding._paths import (
     DEFAULT_SIZE,
     PipelinePath,
     Stage,
-    find_path,
+    StageTable,
+    search_path,
 )
 from persimmonwell.core.forwarding._rate_limits import ReplicaRateLimits
 from persimmonwell.core.forwarding._registry import ReplicaRegistry
@@ -23,6 +26,19 @@
 """Added to the step time of a path in another zone when paths are compared."""
 SLOW_STEP_SHARE = 0.2
 """Share of the gap objective; slower steps make other zones candidates."""
+MAX_KEPT_TABLES = 64
+"""Tables of stages that are kept, one for each zone and set of excluded replicas."""
+
+
+@attrs.define
+class _Index:
+    """Replicas that neither drain nor leave, by service and by zone."""
+
+    version: Hashable
+    by_service: dict[str, tuple[Replica, ...]]
+    by_zone: dict[tuple[str, str], tuple[Replica, ...]]
+    tables: dict[Hashable, StageTable] = attrs.field(factory=dict)
+    """By service, zone and the ids of the excluded replicas."""
 
 
 class UpstreamPool:
@@ -39,17 +55,46 @@
         self.rate_limits = ReplicaRateLimits(
             availability_zone=availability_zone, rng=rng
         )
+        self._index = _Index(None, {}, {})
 
-    def available(self, service: str) -> list[Replica]:
+    def available(self, service: str) -> tuple[Replica, ...]:
         """Return the registered replicas of a service that do not leave."""
-        leaving = self.leaving.incarnations
-        return [
-            replica
-            for replica in self.registry.replicas.values()
-            if replica.service == service
-            and not replica.is_draining
-            and not (leaving and replica.incarnation in leaving)
-        ]
+        return self._current_index().by_service.get(service, ())
+
+    def _current_index(self) -> _Index:
+        """Return the index, built anew if the registry or the leaving ones changed."""
+        leaving = frozenset(self.leaving.incarnations)
+        version = (self.registry.version, leaving)
+        if self._index.version == version:
+            return self._index
+        by_service: dict[str, list[Replica]] = defaultdict(list)
+        by_zone: dict[tuple[str, str], list[Replica]] = defaultdict(list)
+        for replica in self.registry.replicas.values():
+            if replica.is_draining or (leaving and replica.incarnation in leaving):
+                continue
+            by_service[replica.service].append(replica)
+            by_zone[replica.service, replica.availability_zone].append(replica)
+        self._index = _Index(
+            version,
+            {name: tuple(replicas) for name, replicas in by_service.items()},
+            {zone: tuple(replicas) for zone, replicas in by_zone.items()},
+        )
+        return self._index
+
+    def _stage_table(
+        self, service: str, zone: str, excluded: frozenset[str], spec: EngineSpec
+    ) -> StageTable:
+        index = self._current_index()
+        key = (service, zone, excluded)
+        table = index.tables.get(key)
+        if table is not None and table.spec == spec:
+            return table
+        replicas = index.by_zone.get((service, zone), ())
+        table = StageTable((r for r in replicas if r.replica_id not in excluded), spec)
+        if len(index.tables) >= MAX_KEPT_TABLES:
+            del index.tables[next(iter(index.tables))]
+        index.tables[key] = table
+        return table
 
     def due_leaving_checks(self, service: str, now_s: float) -> tuple[Replica, ...]:
         """Return the leaving replicas to ask again, if a service has no other ones."""
@@ -115,29 +160,10 @@
         """
         engine = active.service.engine
         assert engine is not None
-        refusing = self.refusals.replica_ids
-        available = [
-            replica
-            for replica in self.available(active.service.name)
-            if replica.availability_zone == zone
-            and not self.health.is_ejected(replica.replica_id, now_s)
-            and not (
-                replica.replica_id in refusing
-                and self.refusals.hold_off_s(replica, now_s)
-            )
-            and (
-                replica.layers is None
-                or replica.layers.start > 0
-                or first_stage is not None
-                or (
-                    active.may_send_to(replica.replica_id)
-                    and self.rate_limits.may_send(replica, now_s)
-                )
-            )
-        ]
-        return find_path(
-            available,
-            engine,
+        excluded = self._excluded(active, zone, now_s, first_stage)
+        table = self._stage_table(active.service.name, zone, excluded, engine)
+        return search_path(
+            table,
             active.request.size or DEFAULT_SIZE,
             loads=self.loads,
             now_s=now_s,
@@ -145,6 +171,37 @@
             slowness=lambda replica_id: self.health.slowness(replica_id, now_s),
         )
 
+    def _excluded(
+        self,
+        active: ActiveRequest,
+        zone: str,
+        now_s: float,
+        first_stage: Stage | None,
+    ) -> frozenset[str]:
+        """Return the replicas of a zone that a request may not use now."""
+        replicas = self._current_index().by_zone.get((active.service.name, zone), ())
+        refusing = self.refusals.replica_ids
+        excluded = set()
+        for replica in replicas:
+            replica_id = replica.replica_id
+            if (
+                self.health.is_ejected(replica_id, now_s)
+                or (replica_id in refusing and self.refusals.hold_off_s(replica, now_s))
+                or (
+                    first_stage is None
+                    and replica.layers is not None
+                    and replica.layers.start <= 0
+                    and not (
+                        active.may_send_to(replica_id)
+                        and self.rate_limits.may_send(replica, now_s)
+                    )
+                )
+            ):
+                excluded.add(replica_id)
+        if first_stage is not None:
+            excluded.add(first_stage.replica_id)
+        return frozenset(excluded)
+
     def _zones(self, service: str) -> set[str]:
         return {replica.availability_zone for replica in self.available(service)}
 
@@ -158,7 +215,7 @@
             replica
             for replica in self.available(active.service.name)
             if active.may_send_to(replica.replica_id)
-            and self.loads.total(replica.replica_id).requests < max(1, replica.slots)
+            and self.loads.requests(replica.replica_id) < max(1, replica.slots)
             and not self.refusals.hold_off_s(replica, now_s)
             and self.rate_limits.may_send(replica, now_s)
         ]
@@ -192,7 +249,7 @@
         )
 
         def score(replica: Replica) -> tuple[float, bool, float]:
-            load = self.loads.total(replica.replica_id).requests + 1
+            load = self.loads.requests(replica.replica_id) + 1
             factor = self.health.load_penalty(replica.replica_id, reference_s)
             is_remote = replica.availability_zone != self._zone
             return (load * factor, is_remote, self._random.random())
