Count what other hosts send before their reports show it

Cause: hosts of a zone choose from the same load reports, 0 to 3.5 s old, take the same chain and together reserve more KV memory there than it has, while other chains have room. Change: SharedCapacity expects of each other host of the zone what this host's own load grew by since the reports, by replica and by how busy the hosts are; in full in the order of the choice, as used memory and slots by what exceeds chance or after a refusal. Costs differ at random by up to 10% with old reports and many hosts, a replica that joins is ramped up, and old reports of short requests fade. The host passes the time of the reports of its zone.

--- a/bench/forwarding_cost.py
+++ b/bench/forwarding_cost.py
@@ -125,7 +125,8 @@
     def report_and_choose() -> None:
         number = next(numbers)
         loads = reports[number % 7 % ZONE_PEERS]
-        pool.loads.set_peer_loads(f"host-{number % ZONE_PEERS}", loads, 1.0)
+        peer = f"host-{number % ZONE_PEERS}"
+        pool.loads.set_peer_loads(peer, loads, 1.0, zone_reported_s=-1.0)
         pool.choose_path(active, 0.0)
 
     cpu_time_us(report_and_choose, ZONE_PEERS)
--- a/persimmonwell/core/forwarding/_loads.py
+++ b/persimmonwell/core/forwarding/_loads.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from persimmonwell.core.forwarding._shared_capacity import SharedCapacity
+
 UNTRACKED_USAGE_TTL_S = 1.5
 """Time for which KV memory that no host accounts for counts as used: attempts whose
 caller or answer was lost end within about that time."""
@@ -27,6 +29,8 @@
 class _PeerLoads:
     loads: Mapping[str, ReplicaLoad]
     until_s: float
+    zone_requests: int
+    """Requests at all replicas, 0 for a peer of another availability zone."""
 
 
 class LoadTable:
@@ -42,6 +46,10 @@
         self._totals: dict[str, tuple[int, int]] = {}
         """Requests and layer-tokens over all hosts."""
         self._untracked: dict[str, _Untracked] = {}
+        self._own_requests = 0
+        self._zone_requests = 0
+        """Requests of the peers of the availability zone, at all replicas."""
+        self.shared = SharedCapacity()
 
     @property
     def local(self) -> Mapping[str, ReplicaLoad]:
@@ -52,6 +60,14 @@
         """Return the load of a replica over all hosts."""
         return ReplicaLoad(*self._totals.get(replica_id, (0, 0)))
 
+    def update_expected(self, now_s: float) -> None:
+        """Compute what the other hosts send that their reports do not show yet."""
+        self.shared.update(
+            now_s,
+            own_requests=self._own_requests,
+            peer_requests=self._zone_requests,
+        )
+
     def requests(self, replica_id: str) -> int:
         """Return the requests in flight at a replica over all hosts."""
         return self._totals.get(replica_id, (0, 0))[0]
@@ -78,7 +94,7 @@
         self._local[replica_id] = ReplicaLoad(
             load.requests + 1, load.layer_tokens + layer_tokens
         )
-        self._change_total(replica_id, 1, layer_tokens)
+        self._change_own(replica_id, 1, layer_tokens)
 
     def remove(self, replica_id: str, layer_tokens: int) -> None:
         """Remove one request and its reservation."""
@@ -87,19 +103,33 @@
             return
         if load.requests <= 1:
             del self._local[replica_id]
-            self._change_total(replica_id, -load.requests, -load.layer_tokens)
+            self._change_own(replica_id, -load.requests, -load.layer_tokens)
             return
         self._local[replica_id] = ReplicaLoad(
             load.requests - 1, load.layer_tokens - layer_tokens
         )
-        self._change_total(replica_id, -1, -layer_tokens)
+        self._change_own(replica_id, -1, -layer_tokens)
 
     def set_peer_loads(
-        self, peer: str, loads: Mapping[str, ReplicaLoad], until_s: float
+        self,
+        peer: str,
+        loads: Mapping[str, ReplicaLoad],
+        until_s: float,
+        *,
+        zone_reported_s: float | None = None,
     ) -> None:
-        """Replace the loads that a peer reported, valid until until_s."""
+        """Replace the loads that a peer reported, valid until until_s.
+
+        zone_reported_s is the time of the report of a peer of this host's availability
+        zone, None for the other peers.
+        """
         self._drop_peer(peer)
-        self._peers[peer] = _PeerLoads(dict(loads), until_s)
+        zone_requests = 0
+        if zone_reported_s is not None:
+            self.shared.record_report(peer, zone_reported_s)
+            zone_requests = sum(load.requests for load in loads.values())
+        self._peers[peer] = _PeerLoads(dict(loads), until_s, zone_requests)
+        self._zone_requests += zone_requests
         for replica_id, load in loads.items():
             self._change_total(replica_id, load.requests, load.layer_tokens)
 
@@ -108,13 +138,20 @@
         gone = [peer for peer, state in self._peers.items() if now_s > state.until_s]
         for peer in gone:
             self._drop_peer(peer)
+        self.shared.expire(now_s)
 
     def _drop_peer(self, peer: str) -> None:
         state = self._peers.pop(peer, None)
         if state is not None:
+            self._zone_requests -= state.zone_requests
             for replica_id, load in state.loads.items():
                 self._change_total(replica_id, -load.requests, -load.layer_tokens)
 
+    def _change_own(self, replica_id: str, requests: int, layer_tokens: int) -> None:
+        self._own_requests += requests
+        self.shared.add(replica_id, requests, layer_tokens)
+        self._change_total(replica_id, requests, layer_tokens)
+
     def _change_total(self, replica_id: str, requests: int, layer_tokens: int) -> None:
         known = self._totals.get(replica_id)
         if known is not None:
--- a/persimmonwell/core/forwarding/_paths.py
+++ b/persimmonwell/core/forwarding/_paths.py
@@ -134,7 +134,7 @@
     """
     spec = table.spec
     tokens = size.expected_tokens(spec.typical_output_tokens)
-    layer_ms, free = _measure_loads(table, loads, now_s, slowness)
+    used_slots, layer_ms, free = _measure_loads(table, loads, now_s, slowness)
     start = 0 if first_stage is None else first_stage.stop
     boundaries = table.boundaries
     if start not in boundaries:
@@ -160,7 +160,7 @@
         for number, last in covering[index]:
             if last < following or number == arrived_by:
                 continue
-            if boundary == 0 and _is_full(table, number, loads):
+            if boundary == 0 and used_slots[number] >= table.slots[number]:
                 continue
             per_layer_ms = layer_ms[number]
             free_tokens = free[number]
@@ -181,20 +181,41 @@
     loads: LoadTable,
     now_s: float,
     slowness: Callable[[str], float],
-) -> tuple[list[float], list[float]]:
-    """Return the time of one layer and the free layer-tokens of each replica."""
+) -> tuple[list[float], list[float], list[float]]:
+    """Return used slots, the time of one layer and free layer-tokens by replica.
+
+    They count what the other hosts are expected to send.
+    """
     spec = table.spec
     step_ms, ms_per_request, layers = spec.step_ms, table.ms_per_request, spec.layers
+    loads.update_expected(now_s)
+    expected = loads.shared.expected
+    used_slots: list[float] = []
     layer_ms = []
     free = []
     for replica, step_factor, capacity in zip(
         table.replicas, table.step_factors, table.capacities, strict=True
     ):
         replica_id = replica.replica_id
-        pass_ms = step_ms + loads.requests(replica_id) * ms_per_request
+        count: float = loads.requests(replica_id)
+        slots: float = count
+        free_tokens = capacity - loads.used_layer_tokens(replica_id, now_s)
+        if (more := expected.get(replica_id)) is not None:
+            count += more.requests
+            slots += more.used_slots
+            free_tokens -= more.layer_tokens
+        pass_ms = step_ms + count * ms_per_request
+        used_slots.append(slots)
         layer_ms.append(slowness(replica_id) * step_factor * pass_ms / layers)
-        free.append(capacity - loads.used_layer_tokens(replica_id, now_s))
-    return layer_ms, free
+        free.append(free_tokens)
+    if loads.shared.has_joined:
+        mean_ms = sum(used_slots) / max(1, len(used_slots)) * ms_per_request
+        for number, replica in enumerate(table.replicas):
+            share = loads.shared.ramp_share(replica.replica_id, now_s)
+            if share > 0.0:
+                factor = slowness(replica.replica_id) * table.step_factors[number]
+                layer_ms[number] += share * factor * mean_ms / layers
+    return used_slots, layer_ms, free
 
 
 def _covering(
@@ -219,10 +240,6 @@
     return covering
 
 
-def _is_full(table: StageTable, number: int, loads: LoadTable) -> bool:
-    return loads.requests(table.replicas[number].replica_id) >= table.slots[number]
-
-
 def _backtrack(
     table: StageTable,
     boundaries: list[int],
--- a/persimmonwell/core/forwarding/_upstreams.py
+++ b/persimmonwell/core/forwarding/_upstreams.py
@@ -3,6 +3,7 @@
 import random
 from collections import defaultdict
 from collections.abc import Hashable
+from statistics import fmean
 
 import attrs
 
@@ -10,7 +11,7 @@
 from persimmonwell.core.forwarding._events import AttemptFailure
 from persimmonwell.core.forwarding._health import ReplicaHealth
 from persimmonwell.core.forwarding._loads import LoadTable
-from persimmonwell.core.forwarding._model import EngineSpec, Replica
+from persimmonwell.core.forwarding._model import EngineSpec, GenerationSize, Replica
 from persimmonwell.core.forwarding._paths import (
     DEFAULT_SIZE,
     PipelinePath,
@@ -39,6 +40,8 @@
     by_zone: dict[tuple[str, str], tuple[Replica, ...]]
     tables: dict[Hashable, StageTable] = attrs.field(factory=dict)
     """By service, zone and the ids of the excluded replicas."""
+    joined: tuple[str, ...] = ()
+    """Replicas that were not in the index before, or with other layers."""
 
 
 class UpstreamPool:
@@ -67,6 +70,12 @@
         version = (self.registry.version, leaving)
         if self._index.version == version:
             return self._index
+        before = {
+            replica.replica_id: (replica.incarnation, replica.layers)
+            for replicas in self._index.by_service.values()
+            for replica in replicas
+        }
+        joined = list(self._index.joined)
         by_service: dict[str, list[Replica]] = defaultdict(list)
         by_zone: dict[tuple[str, str], list[Replica]] = defaultdict(list)
         for replica in self.registry.replicas.values():
@@ -74,13 +83,24 @@
                 continue
             by_service[replica.service].append(replica)
             by_zone[replica.service, replica.availability_zone].append(replica)
+            known = before.get(replica.replica_id)
+            # When a host starts, all replicas are new to it alone.
+            if before and known != (replica.incarnation, replica.layers):
+                joined.append(replica.replica_id)
         self._index = _Index(
             version,
             {name: tuple(replicas) for name, replicas in by_service.items()},
             {zone: tuple(replicas) for zone, replicas in by_zone.items()},
+            joined=tuple(joined),
         )
         return self._index
 
+    def _record_joins(self, now_s: float) -> None:
+        index = self._current_index()
+        for replica_id in index.joined:
+            self.loads.shared.record_join(replica_id, now_s)
+        index.joined = ()
+
     def _stage_table(
         self, service: str, zone: str, excluded: frozenset[str], spec: EngineSpec
     ) -> StageTable:
@@ -160,17 +180,39 @@
         """
         engine = active.service.engine
         assert engine is not None
+        self._record_joins(now_s)
         excluded = self._excluded(active, zone, now_s, first_stage)
         table = self._stage_table(active.service.name, zone, excluded, engine)
+        size = active.request.size or DEFAULT_SIZE
+        return self._search(table, size, now_s, first_stage)
+
+    def _search(
+        self,
+        table: StageTable,
+        size: GenerationSize,
+        now_s: float,
+        first_stage: Stage | None,
+    ) -> PipelinePath | None:
+        spread = self.loads.shared.cost_spread(now_s)
+
+        def factor(replica_id: str) -> float:
+            slowness = self.health.slowness(replica_id, now_s)
+            return slowness * self._draw_factor(spread)
+
         return search_path(
             table,
-            active.request.size or DEFAULT_SIZE,
+            size,
             loads=self.loads,
             now_s=now_s,
             first_stage=first_stage,
-            slowness=lambda replica_id: self.health.slowness(replica_id, now_s),
+            slowness=factor,
         )
 
+    def _draw_factor(self, spread: float) -> float:
+        if not spread:
+            return 1.0
+        return 1.0 + spread * (self._random.random() - 0.5)
+
     def _excluded(
         self,
         active: ActiveRequest,
@@ -248,14 +290,36 @@
             default=0.0,
         )
 
+        self._record_joins(now_s)
+        self.loads.update_expected(now_s)
+        shared = self.loads.shared
+        spread = shared.cost_spread(now_s)
+        mean_load = sum(
+            self.loads.requests(replica.replica_id) for replica in available
+        ) / len(available)
+        known_s = [latency_s for latency_s in latencies_s if latency_s is not None]
+        valid_share = shared.valid_share(fmean(known_s) if known_s else None, now_s)
+        mean_others = fmean(map(self._requests_of_others, available))
+
         def score(replica: Replica) -> tuple[float, bool, float]:
-            load = self.loads.requests(replica.replica_id) + 1
+            load = self.loads.requests(replica.replica_id) + 1.0
+            others = self._requests_of_others(replica)
+            load += (1.0 - valid_share) * (mean_others - others)
+            if (more := shared.expected.get(replica.replica_id)) is not None:
+                load += more.requests
+            load += mean_load * shared.ramp_share(replica.replica_id, now_s)
+            load *= self._draw_factor(spread)
             factor = self.health.load_penalty(replica.replica_id, reference_s)
             is_remote = replica.availability_zone != self._zone
             return (load * factor, is_remote, self._random.random())
 
         return min(available, key=score)
 
+    def _requests_of_others(self, replica: Replica) -> int:
+        own = self.loads.local.get(replica.replica_id)
+        total = self.loads.requests(replica.replica_id)
+        return total - own.requests if own is not None else total
+
     # Reservations
 
     def reserve(self, active: ActiveRequest) -> None:
@@ -274,9 +338,12 @@
             }
         for replica_id, layer_tokens in active.reserved.items():
             self.loads.add(replica_id, layer_tokens)
+        self.loads.shared.count_request(1)
 
     def release(self, active: ActiveRequest) -> None:
         """Remove a request's load from its replicas."""
+        if active.reserved:
+            self.loads.shared.count_request(-1)
         for replica_id, layer_tokens in active.reserved.items():
             self.loads.remove(replica_id, layer_tokens)
         active.reserved = {}
@@ -314,6 +381,8 @@
                     self.eject(stage.replica_id, now_s)
                 else:
                     self.suspect_address(fault_address, now_s)
+                if failure is AttemptFailure.NOT_RUN:
+                    self.loads.shared.record_refusal(now_s)
             return
         if active.replica_id is None:
             return
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -242,6 +242,8 @@
     ) -> None:
         """Log a failed attempt and execute the router's decisions on it."""
         self.metrics.count_event(f"failed_{failure.value}")
+        if failure is AttemptFailure.NOT_RUN and fault_address is not None:
+            self.metrics.count_event("refused_by_named_replica")
         exchange.may_have_run |= failure.has_run
         self._log.write(
             "request",
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -511,7 +511,13 @@
         now_s = time.monotonic()
         health = self._router.health
         until_s = now_s + report.valid_s
-        self._router.loads.set_peer_loads(report.host_id, report.loads, until_s)
+        is_of_zone = report.status.availability_zone == self._settings.availability_zone
+        self._router.loads.set_peer_loads(
+            report.host_id,
+            report.loads,
+            until_s,
+            zone_reported_s=now_s if is_of_zone else None,
+        )
         health.record_peer_lost(report.lost, until_s)
         for replica_id, factor in report.slow.items():
             health.record_slowness(replica_id, factor, now_s, is_local=False)
@@ -655,6 +661,12 @@
         )
         metrics.add_gauge("replicas", lambda: len(router.registry.replicas))
         metrics.add_gauge("hosts", lambda: router.host_count)
+        shared = router.loads.shared
+        metrics.add_gauge("zone_peers", lambda: shared.peer_count)
+        metrics.add_gauge(
+            "expected_stage_requests",
+            lambda: sum(load.requests for load in shared.expected.values()),
+        )
         metrics.add_gauge(
             "reads_store_often", lambda: float(self._followers.reads_continuously)
         )
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -167,12 +167,17 @@
 
 
 def encoded_report(
-    host_id: str, *, config_version: int, is_reader: bool, interval_s: float
+    host_id: str,
+    *,
+    config_version: int,
+    is_reader: bool,
+    interval_s: float,
+    zone: str = "za",
 ) -> bytes:
-    """Return the datagram of a peer in the host's zone that reads the store."""
+    """Return the datagram of a peer, of the host's zone by default, with the store."""
     report = Report(
         host_id=host_id,
-        availability_zone="za",
+        availability_zone=zone,
         loads=[],
         peers=[],
         lost=[],
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -12,7 +12,7 @@
 
 from standins.platform_config import API_KEY, HOST, config, route
 from tests.fleet import wait_until
-from tests.gateway.harness import GatewayTestbed
+from tests.gateway.harness import GatewayTestbed, encoded_report
 
 
 @pytest.fixture
@@ -486,15 +486,46 @@
     wait_until(lambda: testbed.send("/talk/x")[0] == 200)
 
 
-def test_metrics_are_served(testbed: GatewayTestbed) -> None:
-    """Guards against a host without metrics for its operators."""
-    testbed.send("/look/x")
-    testbed.send("/talk/x")
+def read_metrics(testbed: GatewayTestbed) -> str:
     port = testbed.ports["peers"] + 1
     connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5.0)
     connection.request("GET", "/metrics")
     text = connection.getresponse().read().decode()
     connection.close()
+    return text
+
+
+def test_metrics_are_served(testbed: GatewayTestbed) -> None:
+    """Guards against a host without metrics for its operators."""
+    testbed.send("/look/x")
+    testbed.send("/talk/x")
+    text = read_metrics(testbed)
     assert 'persimmonwell_gateway_events_total{event="requests"} 2' in text
     assert 'persimmonwell_gateway_state{name="config_version"} 3' in text
     assert "persimmonwell_gateway_first_event_seconds_count" in text
+
+
+def test_refusals_that_name_a_replica_are_counted(testbed: GatewayTestbed) -> None:
+    """Guards against overcommitted KV memory that operators don't see."""
+    testbed.replicas["model-1"].faults["raw_answer"] = (
+        b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRequest-Id: %s\r\n"
+        b"At-Server: 127.0.0.1:9\r\nContent-Length: 0\r\n\r\n"
+    )
+    testbed.send("/talk/x")
+    counter = 'persimmonwell_gateway_events_total{event="refused_by_named_replica"}'
+    assert counter in read_metrics(testbed)
+
+
+def test_only_hosts_of_the_zone_count_as_competitors(testbed: GatewayTestbed) -> None:
+    """Guards against a choice that leaves room for hosts which use other replicas."""
+    with socket.socket(type=socket.SOCK_DGRAM) as peer:
+        peer.bind(("127.0.0.9", 0))
+        for host_id, zone in (("h2", "za"), ("h3", "zb")):
+            data = encoded_report(
+                host_id, config_version=3, is_reader=False, interval_s=4.0, zone=zone
+            )
+            peer.sendto(data, ("127.0.0.1", testbed.ports["peers"]))
+        gauge = 'persimmonwell_gateway_state{name="zone_peers"}'
+        wait_until(lambda: f"{gauge} 1" in read_metrics(testbed), timeout_s=2.0)
+    assert testbed.host is not None
+    assert set(testbed.host._router.loads._peers) == {"h2", "h3"}
