Spend less on small requests and events that the budget does not concern

Cause: callers' connections parsed each read by messages and updated the charge of held answers at each event, also where the base charge covers both.

--- a/persimmonwell/gateway/_exchange.py
+++ b/persimmonwell/gateway/_exchange.py
@@ -255,7 +255,8 @@
         self.attempt = send.attempt
         self._answer.begin_attempt(send.attempt)
         self._event_parser.begin_attempt()
-        self.hold_answer(0)
+        if self._is_held_charged:
+            self.hold_answer(0)
         current = self._current_attempt = self._last_attempt = _Attempt(self, send)
         max_idle_s = (
             MAX_IDLE_S if send.may_reuse_idle_connection else MAX_IDLE_UNRETRYABLE_S
@@ -423,13 +424,15 @@
         if not self._is_current(attempt):
             return
         events = self._event_parser.feed(data)
-        # Without room, an answer in progress is not broken off.
-        self.hold_answer(self._event_parser.held_bytes, is_forced=True)
+        held_bytes = self._event_parser.held_bytes
+        if held_bytes > COVERED_ANSWER_BYTES or self._is_held_charged:
+            # Without room, an answer in progress is not broken off.
+            self.hold_answer(held_bytes, is_forced=True)
         if events.data:
             self._write_events(attempt, events.data)
         if not events.is_in_order:
             self._abort_attempt(attempt, AttemptFailure.BROKEN, "events out of order")
-        elif self._event_parser.held_bytes > MAX_EVENT_BYTES:
+        elif held_bytes > MAX_EVENT_BYTES:
             self._abort_attempt(attempt, AttemptFailure.BROKEN, "event without end")
 
     def _write_events(self, attempt: _Attempt, data: bytes) -> None:
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -103,7 +103,7 @@
         self._on_leaving = on_leaving
         self.caller_policy = caller_policy or CallerPolicy()
         self.budget = budget or MemoryBudget(policy=self.caller_policy)
-        self._buffers = UploadBuffers()
+        self._buffers = UploadBuffers(may_keep=lambda: self.budget.waiting_count == 0)
         self._progress_checked_s = 0.0
         self._random = random.Random(seed)
         self._last_key = 0
--- a/persimmonwell/gateway/_http_connection.py
+++ b/persimmonwell/gateway/_http_connection.py
@@ -70,7 +70,7 @@
 def set_read_size(transport: asyncio.BaseTransport, size: int) -> None:
     """Set the size that the selector transport passes to recv, 256 KB by default.
 
-    Other transports ignore it. BufferedProtocol costs more CPU time a read.
+    Other transports ignore it. BufferedProtocol is no cheaper for small reads.
     """
     transport.max_size = size  # type: ignore[attr-defined]
 
--- a/persimmonwell/gateway/_request_body.py
+++ b/persimmonwell/gateway/_request_body.py
@@ -43,7 +43,8 @@
     time of an upload, which the spare one avoids while uploads come one by one.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, may_keep: Callable[[], bool] = lambda: True) -> None:
+        self._may_keep = may_keep
         self._spare: mmap.mmap | None = None
 
     def take(self, size: int) -> mmap.mmap:
@@ -55,7 +56,7 @@
 
     def give_back(self, mapping: mmap.mmap) -> None:
         """Keep a buffer, unless one is kept already or something still refers to it."""
-        if self._spare is not None:
+        if self._spare is not None or not self._may_keep():
             return
         try:
             # Refused while a view of the buffer exists, which may be written yet.
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -286,3 +286,40 @@
     assert caller.is_aborted and not owner.completed
     caller, owner = play([broken, failed, Answer()], is_stream=True)
     assert caller.is_complete and caller.body == WHOLE_STREAM
+
+
+def test_answer_without_room_is_forwarded_as_it_arrives() -> None:
+    """Guards against held answers that exceed the memory of the host together."""
+    caller, owner = RecordingCaller(), ScriptedOwner()
+    caller.has_room = False
+    exchange = new_exchange(caller, owner, is_stream=False)
+    exchange.send(Send(1, 1, "u1", "a:1", None, 9.0, True, None))
+    handler = owner.connection.handler
+    handler.on_head(200, headers_of(Answer(), 1))
+    handler.on_data(b"x" * 20_000)
+    assert len(caller.body) == 20_000 and not caller.is_complete
+    handler.on_data(b"y")
+    handler.on_end(is_framed=True)
+    assert caller.body == b"x" * 20_000 + b"y" and caller.is_complete
+
+
+def test_small_answer_needs_no_room() -> None:
+    """Guards against ordinary answers that can no longer be retried."""
+    caller, owner = RecordingCaller(), ScriptedOwner()
+    caller.has_room = False
+    exchange = new_exchange(caller, owner, is_stream=False)
+    exchange.send(Send(1, 1, "u1", "a:1", None, 9.0, True, None))
+    owner.connection.handler.on_head(200, headers_of(Answer(), 1))
+    owner.connection.handler.on_data(b"x" * 10_000)
+    assert caller.body == b""
+
+
+def test_failure_without_room_fails_its_attempt() -> None:
+    """Guards against the body of an error that is kept with no memory left."""
+    caller, owner = RecordingCaller(), ScriptedOwner()
+    caller.has_room = False
+    exchange = new_exchange(caller, owner, is_stream=False)
+    exchange.send(Send(1, 1, "u1", "a:1", None, 9.0, True, None))
+    owner.connection.handler.on_head(500, headers_of(Answer(status=500), 1))
+    owner.connection.handler.on_data(b"x" * 20_000)
+    assert owner.failures == [AttemptFailure.ERROR] and owner.connection.is_aborted
