Handle path changes that replicas refuse or do not answer

What callers saw: streams behind a lost stage paused for 0.5 s and more although another path had room, and streams at a first replica that was lost without a reset stayed there until their caller gave up, 2 to 4 s later. Cause: the answer to the order that moves a running request was logged and ignored. After 409, which names the stage without room, the request counted as being on the new path; no other path was tried until the next report of a stall, 0.25 s or more later. After 404, or without an answer, nothing followed. No decision covered a first replica that is suspected. Change: reroute_failed. After a refusal the request is back on its path, the named stage is excluded until a probe shows what it has left, as after a refused send, and another path is tried at once, up to four times. A request that its first replica does not know, or whose first replica does not answer, is run again where that is allowed. A suspected first replica is left after 0.25 s of silence. Each tick looks for streams that are silent for longer than usual on suspected stages. The five new tests fail before. Most of these streams are still over 250 ms: the silence that shows a stall takes 160 ms, the probe 50 ms and the first event of the new path 60 ms.

--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -33,6 +33,7 @@
     Report,
     RequestDecision,
     Reroute,
+    RerouteFailure,
     Send,
 )
 from persimmonwell.core.forwarding._handover import HandoverPolicy
@@ -123,6 +124,7 @@
     "Report",
     "RequestDecision",
     "Reroute",
+    "RerouteFailure",
     "Route",
     "RouteKind",
     "Send",
--- a/persimmonwell/core/forwarding/_active.py
+++ b/persimmonwell/core/forwarding/_active.py
@@ -65,6 +65,10 @@
     sent_s: float = 0.0
     last_event_s: float = 0.0
     rerouted_s: float = float("-inf")
+    path_before: PipelinePath | None = None
+    """Path before the last path change, on which the request stays if it fails."""
+    refused_reroutes: int = 0
+    """Path changes that were refused since the last event."""
     not_before_s: float = float("-inf")
     """Earliest moment of the next attempt after a refusal."""
     refusals: int = 0
--- a/persimmonwell/core/forwarding/_events.py
+++ b/persimmonwell/core/forwarding/_events.py
@@ -100,6 +100,17 @@
     path: PipelinePath
 
 
+class RerouteFailure(Enum):
+    """Why a running request was not moved to another path."""
+
+    STAGE_UNAVAILABLE = "stage_unavailable"
+    """A stage of the new path does not hold its layers, or has no room."""
+    REQUEST_UNKNOWN = "request_unknown"
+    """The first replica does not run the request any more."""
+    NO_ANSWER = "no_answer"
+    """The first replica did not answer, and may carry out the change later."""
+
+
 @attrs.frozen
 class CrashSuspected:
     """Report to operators a lost replica with the requests that may have crashed it."""
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -30,6 +30,7 @@
     Quarantined,
     RateLimitChanged,
     Reroute,
+    RerouteFailure,
     Send,
 )
 from persimmonwell.core.forwarding._health import ReplicaHealth
@@ -78,6 +79,12 @@
 MIN_REROUTE_INTERVAL_S = 0.25
 """Minimum interval between two path changes of a request; each repeats its prefill. The
 next stage may be lost too, which takes the same silence to find out."""
+MAX_REFUSED_REROUTES = 4
+"""Refused path changes after which a silent stream waits for MIN_REROUTE_INTERVAL_S.
+Each names another stage without room, and none repeats a prefill."""
+FIRST_STAGE_SILENCE_S = 0.25
+"""Silence after which a stream leaves a suspected first replica. That ends the run, so
+it has to be more than a pause under load."""
 FULL_KV_SHARE = 0.6
 """Share of used KV memory from which a refusal may mean that the replica is full; the
 margin is for reports that are some 200 ms old."""
@@ -441,6 +448,7 @@
         if active.has_answer_part:
             self._stalls.record_gap(now_s - active.last_event_s)
         active.last_event_s = now_s
+        active.refused_reroutes = 0
         if not active.has_answer_part:
             active.has_answer_part = True
             self.crashes.record_answer(active.request, now_s)
@@ -665,24 +673,36 @@
         self._stalls.prune(registered)
         return decisions
 
-    def _reroute_off_suspects(self, now_s: float) -> tuple[Decision, ...]:
+    def _reroute_off_suspects(
+        self, now_s: float, min_silence_s: float = REROUTE_SILENCE_S
+    ) -> tuple[Decision, ...]:
         decisions: list[Decision] = []
         for active in list(self._active.values()):
-            if active.path is None or active.replica_id is None:
-                continue
-            if active.silent_s(now_s) < REROUTE_SILENCE_S:
+            if active.silent_s(now_s) < min_silence_s:
                 continue
-            later_stages = active.path.stages[1:]
-            if any(
-                self.health.is_ejected(stage.replica_id, now_s)
-                for stage in later_stages
-            ):
-                try:
-                    decisions += self._move_off_stage(active, now_s)
-                except Exception as error:
-                    decisions += self._end_faulted(active, error)
+            try:
+                decisions += self._leave_suspects(active, now_s)
+            except Exception as error:
+                decisions += self._end_faulted(active, error)
         return tuple(decisions)
 
+    def _leave_suspects(
+        self, active: ActiveRequest, now_s: float
+    ) -> tuple[Decision, ...]:
+        """Move a silent request off the suspected replicas of its path."""
+        if active.path is None or active.replica_id is None:
+            return ()
+        first_stage, *later_stages = active.path.stages
+        if active.silent_s(now_s) >= FIRST_STAGE_SILENCE_S and self.health.is_ejected(
+            first_stage.replica_id, now_s
+        ):
+            return self._restart(active, now_s)
+        if any(
+            self.health.is_ejected(stage.replica_id, now_s) for stage in later_stages
+        ):
+            return self._move_off_stage(active, now_s)
+        return ()
+
     def _move_off_stage(
         self, active: ActiveRequest, now_s: float
     ) -> tuple[Decision, ...]:
@@ -693,8 +713,10 @@
         if now_s - active.rerouted_s < MIN_REROUTE_INTERVAL_S:
             return ()
         reroute = self._reroute(active, now_s)
-        if reroute is not None:
-            return (reroute,)
+        return (reroute,) if reroute is not None else self._restart(active, now_s)
+
+    def _restart(self, active: ActiveRequest, now_s: float) -> tuple[Decision, ...]:
+        """Run a request that may be repeated at another first replica, if possible."""
         state = self._state_of(active)
         if not active.may_run_again or not active.has_attempts_left:
             return ()
@@ -726,6 +748,7 @@
         path = self._upstreams.find_path_in_zone(
             active, replica.availability_zone, now_s, first_stage=first_stage
         )
+        active.path_before = active.path
         active.path = path or active.path
         self._upstreams.reserve(active)
         if path is None:
@@ -733,6 +756,38 @@
         active.rerouted_s = now_s
         return Reroute(active.key, active.attempt, path.first_stage.address, path)
 
+    def reroute_failed(
+        self,
+        reroute: Reroute,
+        failure: RerouteFailure,
+        fault_address: str | None,
+        now_s: float,
+    ) -> tuple[Decision, ...]:
+        """Handle a path change that was not carried out, fault_address if known.
+
+        The request is still on the path before. If only a stage of the new path had no
+        room, another path is tried at once, since nothing was prefilled again.
+        """
+        active = self._running_attempt(reroute.key, reroute.attempt)
+        if active is None or active.path is not reroute.path:
+            return ()
+        if failure is RerouteFailure.STAGE_UNAVAILABLE:
+            self._upstreams.release(active)
+            active.path = active.path_before
+            self._upstreams.reserve(active)
+            active.refused_reroutes += 1
+            if fault_address is None:
+                return ()
+            self._upstreams.record_refusal_at(fault_address, now_s)
+            if active.refused_reroutes <= MAX_REFUSED_REROUTES:
+                active.rerouted_s = float("-inf")
+            return self._leave_suspects(active, now_s)
+        if failure is RerouteFailure.NO_ANSWER:
+            self._upstreams.suspect(reroute.path.first_stage.replica_id, now_s)
+        if active.silent_s(now_s) < REROUTE_SILENCE_S:
+            return ()
+        return self._restart(active, now_s)
+
     # Timers
 
     def tick(self, now_s: float) -> tuple[Decision, ...]:
@@ -761,6 +816,9 @@
         ]
         decisions += self._stalls.due_queries(streams, now_s)
         decisions += self._stalls.due_early_probes(streams, now_s)
+        if streams:
+            # A pause under load is no reason to leave a replica that is only full.
+            decisions += self._reroute_off_suspects(now_s, self._stalls.early_silence_s)
         for replica_id in self.health.due_probes(now_s):
             replica = self.registry.replicas.get(replica_id)
             if replica is not None:
--- a/persimmonwell/core/forwarding/_upstreams.py
+++ b/persimmonwell/core/forwarding/_upstreams.py
@@ -379,10 +379,10 @@
                 if failure is AttemptFailure.WRONG_REPLICA:
                     # It is alive, but holds other layers than its registry entry says.
                     self.eject(stage.replica_id, now_s)
+                elif failure is AttemptFailure.NOT_RUN:
+                    self.record_refusal_at(fault_address, now_s)
                 else:
                     self.suspect_address(fault_address, now_s)
-                if failure is AttemptFailure.NOT_RUN:
-                    self.loads.shared.record_refusal(now_s)
             return
         if active.replica_id is None:
             return
@@ -398,6 +398,14 @@
         elif failure is not AttemptFailure.ERROR:
             self.eject(replica.replica_id, now_s)
 
+    def record_refusal_at(self, address: str, now_s: float) -> None:
+        """Record that a stage at an address took no request, often for want of memory.
+
+        It is excluded until a probe shows what it has left.
+        """
+        self.suspect_address(address, now_s)
+        self.loads.shared.record_refusal(now_s)
+
     def eject(self, replica_id: str, now_s: float) -> None:
         """Eject a replica for a limited time."""
         replica = self.registry.replicas.get(replica_id)
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -46,9 +46,11 @@
     ORDER_PATH,
     REPORT_PATH,
     decode_answer_head,
+    decode_refusing_stage,
     decode_report,
     decode_request,
     decode_request_id,
+    decode_reroute_failure,
     decode_stalled_stages,
     encode_reroute_order,
     expected_replica_headers,
@@ -657,6 +659,13 @@
             status=answer.status,
             detail=answer.detail or answer.body[:80].decode("latin-1"),
         )
+        failure = decode_reroute_failure(answer.status)
+        if failure is None:
+            return
+        address = decode_refusing_stage(answer.body)
+        self.execute(
+            self.router.reroute_failed(reroute, failure, address, self.now_s())
+        )
 
     # Timer
 
--- a/persimmonwell/platform/_headers.py
+++ b/persimmonwell/platform/_headers.py
@@ -5,6 +5,7 @@
 import re
 from collections.abc import Iterable, Mapping, Sequence
 from hashlib import blake2b
+from http import HTTPStatus
 from typing import Any
 
 import attrs
@@ -16,6 +17,7 @@
     PipelinePath,
     ReplicaReport,
     ReplicaStatement,
+    RerouteFailure,
     UpstreamAnswer,
 )
 from persimmonwell.platform._numbers import (
@@ -317,6 +319,29 @@
     return json.dumps(order).encode()
 
 
+def decode_reroute_failure(status: int) -> RerouteFailure | None:
+    """Return why a path change was not carried out, None if it was.
+
+    The status is 0 if no answer arrived.
+    """
+    if status == 0:
+        return RerouteFailure.NO_ANSWER
+    if status == HTTPStatus.NOT_FOUND:
+        return RerouteFailure.REQUEST_UNKNOWN
+    if 200 <= status < 300:
+        return None
+    return RerouteFailure.STAGE_UNAVAILABLE
+
+
+def decode_refusing_stage(body: bytes) -> str | None:
+    """Return the address of the stage that refused a path change, None if unknown."""
+    try:
+        address = json.loads(body)["address"]
+    except _MALFORMED:
+        return None
+    return address if isinstance(address, str) else None
+
+
 def decode_report(body: bytes) -> ReplicaReport | None:
     """Return a replica's report, None if it is malformed."""
     try:
--- a/tests/core/forwarding/test_stalls.py
+++ b/tests/core/forwarding/test_stalls.py
@@ -1,6 +1,16 @@
 """Tests of the detection of stalled stages, with the loss of some stages at a peak."""
 
-from persimmonwell.core.forwarding import ForwardingRouter, ProbeReplica, Reroute, Send
+import pytest
+
+from persimmonwell.core.forwarding import (
+    Decision,
+    ForwardingRouter,
+    ProbeReplica,
+    Replica,
+    Reroute,
+    RerouteFailure,
+    Send,
+)
 from tests.core.forwarding.fleets import make_router, request, staged_replica
 
 FIRST = staged_replica("a", "za", 0, 30)
@@ -86,3 +96,89 @@
     start_streams(router, 3, 0.0)
     seen = [probed(router, 0.15 + 0.05 * n) for n in range(7)]
     assert sum(bool(replicas) for replicas in seen) == 1
+
+
+def rerouted(decisions: tuple[Decision, ...]) -> list[Reroute]:
+    return [decision for decision in decisions if isinstance(decision, Reroute)]
+
+
+def replica_ids(reroute: Reroute) -> list[str]:
+    return [stage.replica_id for stage in reroute.path.stages]
+
+
+def stalled_router(*more: Replica) -> tuple[ForwardingRouter, Reroute]:
+    """Return a router whose only stream is moved off its second stage."""
+    router = make_router(*CHAIN, *more)
+    start_streams(router, 1, 0.0)
+    (reroute,) = rerouted(router.replica_unresponsive("bb", 0.15))
+    return router, reroute
+
+
+def test_a_refused_path_change_is_followed_by_another_one_at_once() -> None:
+    """Guards against streams that wait until the next report of a stall.
+
+    Of the late streams of a day with lost replicas, half had their path change refused
+    by a full stage, and the next one came 0.3 s later.
+    """
+    router, first = stalled_router(SPARE, staged_replica("eeeeeeee", "za", 30, 60))
+    taken, left = replica_ids(first)[1], {"ccc", "eeeeeeee"}
+    address = first.path.stages[1].address
+    refused = RerouteFailure.STAGE_UNAVAILABLE
+    (second,) = rerouted(router.reroute_failed(first, refused, address, 0.16))
+    assert replica_ids(second)[1] in left - {taken}
+
+
+def test_a_request_stays_on_its_path_when_the_change_is_refused() -> None:
+    """Guards against reservations on a path that the request is not on."""
+    router, reroute = stalled_router(SPARE)
+    assert router.loads.requests("ccc") == 1
+    refused = RerouteFailure.STAGE_UNAVAILABLE
+    assert router.reroute_failed(reroute, refused, None, 0.16) == ()
+    assert [router.loads.requests(name) for name in ("bb", "ccc")] == [1, 0]
+
+
+def test_refused_path_changes_are_limited() -> None:
+    """Guards against orders without end while all stages are full."""
+    spares = [staged_replica("c" * n, "za", 30, 60) for n in range(3, 12)]
+    router, reroute = stalled_router(*spares)
+    refused = RerouteFailure.STAGE_UNAVAILABLE
+    changes = 1
+    while True:
+        address = reroute.path.stages[1].address
+        more = rerouted(router.reroute_failed(reroute, refused, address, 0.16))
+        if not more:
+            break
+        (reroute,) = more
+        changes += 1
+    assert changes == 5
+
+
+@pytest.mark.parametrize(
+    ("failure", "resumed_at"),
+    [
+        (RerouteFailure.NO_ANSWER, {"first2"}),
+        # It has restarted, so it may take the request again.
+        (RerouteFailure.REQUEST_UNKNOWN, {"a", "first2"}),
+    ],
+)
+def test_a_stream_that_its_first_replica_has_lost_is_resumed(
+    failure: RerouteFailure, resumed_at: set[str]
+) -> None:
+    """Guards against streams that stay at a dead first replica until their caller ends.
+
+    A replica that is lost without a reset leaves the connection open for seconds.
+    """
+    router, reroute = stalled_router(SPARE, staged_replica("first2", "za", 0, 30))
+    decisions = router.reroute_failed(reroute, failure, None, 0.3)
+    (send,) = [decision for decision in decisions if isinstance(decision, Send)]
+    assert send.replica_id in resumed_at
+
+
+def test_streams_leave_a_first_replica_that_does_not_answer() -> None:
+    """Guards against a dark first replica, which no stall report can name."""
+    other = staged_replica("first2", "za", 0, 30)
+    router = make_router(*CHAIN, other)
+    start_streams(router, 1, 0.0)
+    assert not router.replica_unresponsive("a", 0.15)
+    decisions = router.tick(0.26)
+    assert {d.replica_id for d in decisions if isinstance(d, Send)} == {"first2"}
