Split the forwarding router by its reasons to change

Change: _open_requests (endings and refusals), _sends (queueing, sends, expiry), _arrivals, _attempts, _reroutes, _crash_reports and _replica_statements hold their state and their functions; ForwardingRouter keeps its interface and has 468 lines. test_faulted_requests names the classes that now own the four private steps in which it raises errors; the steps stay the same.

--- /dev/null
+++ b/persimmonwell/core/forwarding/_crash_reports.py
@@ -0,0 +1,50 @@
+"""Decisions that follow from suspected, confirmed and dismissed crashes."""
+
+from collections.abc import Iterable
+
+from persimmonwell.core.forwarding._active import ActiveRequest
+from persimmonwell.core.forwarding._crashes import CrashTracker, CrashVerdict
+from persimmonwell.core.forwarding._events import (
+    CrashResolved,
+    CrashSuspected,
+    Decision,
+    ProbeReplica,
+    Quarantined,
+)
+from persimmonwell.core.forwarding._model import Replica
+
+
+def record_suspected_crash(
+    crashes: CrashTracker,
+    replica: Replica | None,
+    requests: Iterable[ActiveRequest],
+    now_s: float,
+) -> tuple[Decision, ...]:
+    """Record that a replica may have crashed on one of its requests.
+
+    Returns a report and a probe to confirm the crash, if there are requests to
+    attribute it to.
+    """
+    if replica is None:
+        return ()
+    replica_id = replica.replica_id
+    running = [active for active in requests if replica_id in active.reserved]
+    if not crashes.record_replica_failure(replica, running, now_s):
+        return ()
+    starting = tuple(active.request for active in running if active.is_starting)
+    return (
+        CrashSuspected(replica_id, starting, len(running)),
+        ProbeReplica(replica_id, replica.address),
+    )
+
+
+def quarantine_decisions(digests: tuple[str, ...]) -> tuple[Quarantined, ...]:
+    return tuple(Quarantined(digest) for digest in digests)
+
+
+def verdict_decisions(replica_id: str, verdict: CrashVerdict) -> tuple[Decision, ...]:
+    decisions: tuple[Decision, ...] = quarantine_decisions(verdict.quarantined)
+    if verdict.part_counts or verdict.is_dismissed:
+        resolved = CrashResolved(replica_id, verdict.part_counts, verdict.is_dismissed)
+        decisions = (resolved, *decisions)
+    return decisions
--- a/tests/gateway/test_faulted_requests.py
+++ b/tests/gateway/test_faulted_requests.py
@@ -11,6 +11,8 @@
 
 from persimmonwell.core.forwarding import CallerRequest, ForwardingRouter
 from persimmonwell.core.forwarding._active import ActiveRequest
+from persimmonwell.core.forwarding._open_requests import OpenRequests
+from persimmonwell.core.forwarding._sends import RequestSender
 from persimmonwell.gateway._exchange import Exchange
 from persimmonwell.gateway._http_connection import ConnectionPool
 from persimmonwell.platform import decode_request
@@ -23,11 +25,13 @@
     *(
         (ForwardingRouter, name)
         for name in (
-            *("request_arrived", "_try_send", "limit_stated", "statement_received"),
+            *("request_arrived", "limit_stated", "statement_received"),
             *("answer_opened", "answer_began", "event_received", "answer_completed"),
-            *("attempt_failed", "_expire_request", "_finish", "_enqueue"),
+            "attempt_failed",
         )
     ),
+    *((RequestSender, name) for name in ("try_send", "expire_request", "enqueue")),
+    (OpenRequests, "finish"),
     *(
         (Exchange, name)
         for name in (
