--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -227,7 +227,7 @@
         status_server = StatusServer(
             answer,
             clock=time.monotonic,
-            on_terminated=lambda reason: self._gateway.record_client(
+            on_terminated=lambda reason: self._gateway.admission.record_client(
                 "terminated", reason
             ),
         )
@@ -280,7 +280,7 @@
             if is_ending:
                 self._gateway.refuse_waiting()
             if not is_listening:
-                self._gateway.close_idle_callers(min_idle_s=DRAIN_MIN_IDLE_S)
+                self._gateway.admission.close_idle(min_idle_s=DRAIN_MIN_IDLE_S)
                 if (
                     not self._gateway.open_request_count
                     and not self._gateway.caller_connection_count
@@ -339,7 +339,7 @@
             retry_window_s=settings.retry_window_s,
             caller_policy=settings.caller_policy,
         )
-        self._gateway.set_caller_policy(settings.caller_policy)
+        self._gateway.admission.set_policy(settings.caller_policy)
         self._peers.set_seeds(frozenset(seed.host for seed in settings.seeds))
         self._router.set_retry_budget(
             ratio=settings.retry_ratio,
@@ -685,7 +685,7 @@
         self._router.host_count = max(self._router.host_count, hosts_by_zone.total())
         self._peers.send()
         self._gateway.pool.close_expired()
-        self._gateway.log_suppressed_clients()
+        self._gateway.admission.log_suppressed()
 
     # Readiness and metrics
 
@@ -705,7 +705,7 @@
 
     def _read_bytes(self) -> Mapping[str, float]:
         return {
-            **self._gateway.budget.used_by_purpose,
+            **self._gateway.admission.budget.used_by_purpose,
             "status": sum(each.unsent_bytes for each in self._status_servers),
         }
 
