--- a/standins/replica.py
+++ b/standins/replica.py
@@ -128,6 +128,8 @@
         self.layers: dict[str, int] | None = None
         self.stream_events = STREAM_EVENTS
         self.event_interval_s = EVENT_INTERVAL_S
+        self.work_s = 0.0
+        """Time before each answer, unless the fault delay_s is set."""
         self.serves_reports = True
         """Whether the replica answers report requests; plain services do not."""
         self._socket = socket.create_server(("127.0.0.1", 0), backlog=128)
@@ -319,7 +321,7 @@
             return True
         self.received.append(request)
         self.received_at_s.append(time.monotonic())
-        time.sleep(self.faults.get("delay_s", 0.0))
+        time.sleep(self.faults.get("delay_s", self.work_s))
         if self.faults.get("garbage"):
             connection.sendall(b"this is not HTTP\r\n\r\n")
             return False
