Measure the state of overload control for CAPACITY.md

Cause: memory and CPU time of the state of parts A to C were not known at 340 hosts, 1,300 replicas and 580 workspaces (docs/overload.md, F6).

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -21,6 +21,7 @@
     measure_restart,
     measure_threads,
 )
+from bench.capacity_overload import measure_overload
 from bench.capacity_routing import measure_routing
 from bench.capacity_state import measure_claims, measure_timeline
 from bench.slopes import Slope, format_slope
@@ -43,6 +44,7 @@
     "membership": measure_membership,
     "claims": measure_claims,
     "timeline": measure_timeline,
+    "overload": measure_overload,
 }
 
 
