Tell hosts that a list may hide an entry that came and went

What callers could see: requests of one host reach a replica that has left, until the host reads a list of its own. Cause: a reader of the registry that goes on from a full list relays the differences between the list and what it knew. An entry that was put and removed between is in neither, but a host that read the store at that moment has it, and took the relayed changes for complete. Change: relayed changes name the offsets whose records the sender skipped by a list (RegistryChanges.skipped, a field that earlier builds ignore and leave out). A host whose newest offset is among them applies the records, but asks for a list, and trusts no later changes before it.

--- a/persimmonwell/core/forwarding/_registry.py
+++ b/persimmonwell/core/forwarding/_registry.py
@@ -50,6 +50,10 @@
     records: tuple[RegistryRecord, ...]
     era: int = 0
     """Era of the store in which the offsets count."""
+    skipped: tuple[int, int] = (0, 0)
+    """Offsets, the second one exclusive, whose records the sender did not read but for
+    a list after them. A receiver whose newest offset is among them may know an entry
+    that was removed before that list."""
 
 
 @attrs.frozen
@@ -86,6 +90,8 @@
         """End of the newest full list; what it lacks was removed before that offset."""
         self._changes: deque[_Change] = deque()
         self._changes_after_offset = -1
+        self._skipped = (0, 0)
+        """See RegistryChanges.skipped."""
 
     @property
     def era(self) -> int:
@@ -138,6 +144,7 @@
         if is_restored:
             self._start_era(end_offset or 0)
         self._era = max(era, self._era)
+        known_offset = self._newest_offset
         listed = {record.replica_id for record in records}
         is_stale = end_offset is not None and end_offset <= self._newest_offset
         current = tuple(record for record in records if not self._is_older(record))
@@ -145,6 +152,7 @@
         if is_stale:
             return changed
         if end_offset is not None:
+            self._skip((known_offset + 1, end_offset - 1))
             self._list_end_offset = end_offset
             self._newest_offset = max(self._newest_offset, end_offset - 1)
         for replica_id in self._entries.keys() - listed:
@@ -155,8 +163,19 @@
             # Other hosts need a list of their own; it is no change they could miss.
             self._changes.clear()
             self._changes_after_offset = self._newest_offset
+            self._skipped = (0, 0)
         return changed
 
+    def _skip(self, offsets: tuple[int, int]) -> None:
+        """Add offsets whose records were not read, as one range with those before."""
+        start, stop = offsets
+        if start >= stop:
+            return
+        if self._skipped[1] > self._changes_after_offset:
+            start = min(start, self._skipped[0])
+            stop = max(stop, self._skipped[1])
+        self._skipped = (start, stop)
+
     def _start_era(self, end_offset: int) -> None:
         """Forget all offsets, since those of the new era name other records."""
         self._current_from_offset = min(end_offset, self._newest_offset + 1)
@@ -189,6 +208,7 @@
             self._newest_offset,
             tuple(change.record for change in self._changes),
             self._era,
+            self._skipped,
         )
 
     def snapshot(self) -> RegistryChanges | None:
@@ -204,10 +224,16 @@
     def apply_changes(self, changes: RegistryChanges, now_s: float) -> bool | None:
         """Apply changes that another host has read.
 
-        Returns whether an entry changed, None if changes between were missed.
+        Returns whether an entry changed, None if changes between were missed, or may
+        have been, so that this host needs a list of its own.
         """
         if changes.era != self._era or self._newest_offset < changes.after_offset:
             return None
+        known_offset = self._newest_offset
+        skipped_from, skipped_to = changes.skipped
+        may_miss_removal = skipped_from <= known_offset < skipped_to
+        if known_offset < skipped_to:
+            self._skip(changes.skipped)
         added = sum(
             record.replica is not None and record.replica_id not in self._entries
             for record in changes.records
@@ -215,6 +241,10 @@
         if added and len(self._entries) + added > MAX_RELAYED_ENTRIES:
             return None
         changed = self.apply(changes.records, now_s)
+        if may_miss_removal:
+            # Later changes must not count as complete before the list is read.
+            self._newest_offset = known_offset
+            return None
         self._newest_offset = max(self._newest_offset, changes.end_offset)
         return changed
 
--- a/persimmonwell/gateway/_peer_messages.py
+++ b/persimmonwell/gateway/_peer_messages.py
@@ -78,6 +78,8 @@
     changes: list[Change]
     era: Count = 0
     """Absent from earlier builds."""
+    skipped: tuple[Count, Count] = (0, 0)
+    """Absent from earlier builds."""
 
 
 class SuspectPart(msgspec.Struct, array_like=True):
@@ -207,7 +209,9 @@
         Change(record.replica_id, record.offset, _encode_entry(record.replica))
         for record in changes.records
     ]
-    return Changes(changes.after_offset, changes.end_offset, rows, changes.era)
+    return Changes(
+        changes.after_offset, changes.end_offset, rows, changes.era, changes.skipped
+    )
 
 
 def _encode_entry(replica: Replica | None) -> Entry | None:
@@ -236,7 +240,11 @@
         for row in changes.changes
     )
     return RegistryChanges(
-        changes.after_offset, changes.end_offset, records, changes.era
+        changes.after_offset,
+        changes.end_offset,
+        records,
+        changes.era,
+        changes.skipped,
     )
 
 
--- a/tests/core/forwarding/test_registry.py
+++ b/tests/core/forwarding/test_registry.py
@@ -1,7 +1,7 @@
 """Tests of the registry view: stale reads, removals and outages of the store."""
 
 import attrs
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from persimmonwell.core.forwarding import RegistryRecord, Replica, ReplicaRegistry
@@ -257,6 +257,23 @@
     assert host.replicas["i-1"].is_draining
 
 
+def test_entry_that_came_and_went_before_a_list_does_not_stay_at_a_host() -> None:
+    """Guards against a replica that left and stays in use at a host that saw it.
+
+    The reader's list lacks it, and no record states its removal to that host.
+    """
+    reader, host = ReplicaRegistry(), ReplicaRegistry()
+    reader.replace((record(0, "i-0", ONE),), 0.0, end_offset=1)
+    host.replace((record(0, "i-0", ONE), record(1, "i-1", ONE)), 0.0, end_offset=2)
+    reader.replace((record(0, "i-0", ONE),), 1.0, end_offset=3)
+    for now_s in (1.0, 1.25):
+        changes = reader.changes(now_s, max_age_s=4.0, limit=9)
+        assert host.apply_changes(changes, now_s) is None
+    host.replace((record(0, "i-0", ONE),), 1.5, end_offset=3)
+    assert host.apply_changes(changes, 1.5) is not None
+    assert set(host.replicas) == {"i-0"}
+
+
 steps = st.lists(
     st.one_of(
         st.tuples(st.just("put"), st.integers(0, 4), st.booleans()),
@@ -270,6 +287,12 @@
 
 
 @given(steps)
+@example(
+    [
+        *[("put", 0, False), ("read", 0, True), ("put", 1, False)],
+        *[("relay", 0, True), ("drop", 1, False), ("read", 0, True)],
+    ]
+)
 def test_relayed_changes_lead_to_the_state_of_the_store(
     steps: list[tuple[str, int, bool]],
 ) -> None:
