Share the slots of plain services between hosts, and keep one for unsafe requests

Cause: A plain service has 18 to 42 slots for 30 to 65 hosts, answers take 45 to 90 ms, and load reports are 0.2 to 2 s old. Under three times the load every host filled the replicas' queues from reports that had long been wrong, requests waited at the host for up to 1.4 s in order of arrival so that nearly all answers were late, reads took every slot, and a replica that had died but was still registered got requests because it had no load.

Change: While a service is pressed (reports show three quarters of the slots in use, a replica refused, or answers take 1.5 times as long as in calm times), each host sends at its part of the rate at which slots become free (_slot_shares). Reports count as taken slots by the part of them still in flight. One slot of each replica is left to requests that must not be repeated until one of them is there, and up to a quarter of the sends. A plain request waits only while its answer can be in time; one that would be late is refused on arrival (_plain_waits). The queue's scan limit and its waits for a passed request count by kind of route, so that blocked reads do not hide unsafe requests. Ejected replicas are used only if no healthy one is allowed.

With 65 hosts the first second of the surge still fills the replicas' queues, because a host gets only four answers a second.

--- a/persimmonwell/core/forwarding/_loads.py
+++ b/persimmonwell/core/forwarding/_loads.py
@@ -64,6 +64,11 @@
         """Return the loads that this host's requests cause."""
         return self._local
 
+    @property
+    def host_count(self) -> int:
+        """Return the hosts whose loads are known, with this one."""
+        return 1 + len(self._peers)
+
     def total(self, replica_id: str) -> ReplicaLoad:
         """Return the load of a replica over all hosts."""
         return ReplicaLoad(*self._totals.get(replica_id, (0, 0)))
--- a/persimmonwell/core/forwarding/_queue.py
+++ b/persimmonwell/core/forwarding/_queue.py
@@ -5,13 +5,14 @@
 for the less urgent ones, and fair queueing of the workspaces in a class, by tokens.
 """
 
-from collections import deque
-from collections.abc import Iterator
+from collections import Counter, deque
+from collections.abc import Collection, Iterator
 
 import attrs
 
 from persimmonwell.core.admission import ClassFloors, ClassQueues, QueueEntry
 from persimmonwell.core.forwarding._active import ActiveRequest, PriorityClass
+from persimmonwell.core.forwarding._model import RouteKind
 from persimmonwell.core.forwarding._workspace_usage import USAGE_MEMORY_S
 
 RATE_WINDOW_S = 2.0
@@ -63,6 +64,8 @@
             self._floors, memory_s=USAGE_MEMORY_S
         )
         self._waiting: dict[int, _Waiting] = {}
+        self._kinds = Counter[RouteKind]()
+        """Waiting requests by the kind of their route."""
         self._send_times_s: deque[float] = deque()
         self._passed: list[_Waiting] = []
         """Requests that the current pass over the queue could not place."""
@@ -83,8 +86,17 @@
         """Return the number of queued requests by priority class."""
         return {key: len(queue) for key, queue in self._queues.items()}
 
+    def count_of_kind(self, kind: RouteKind) -> int:
+        """Return how many queued requests are of routes of a kind."""
+        return self._kinds[kind]
+
+    def has_only(self, kinds: Collection[RouteKind]) -> bool:
+        """Return whether all queued requests are of routes of these kinds."""
+        return sum(map(self._kinds.__getitem__, kinds)) == len(self._waiting)
+
     def add(self, active: ActiveRequest) -> None:
         """Add a request."""
+        self._kinds[active.route.kind] += 1
         entry = _entry_of(active)
         self._waiting[active.key] = _Waiting(active, entry)
         self._queues[entry.priority_class].push(entry, 1.0)
@@ -93,6 +105,7 @@
         """Remove a request if it is queued."""
         waiting = self._waiting.pop(active.key, None)
         if waiting is not None:
+            self._kinds[active.route.kind] -= 1
             self._queues[waiting.entry.priority_class].remove(waiting.entry)
             if self._hold is not None and self._hold.key == active.key:
                 self._end_hold(self._hold)
@@ -173,8 +186,13 @@
             )
         if waiting is not None:
             del self._waiting[active.key]
+            self._kinds[active.route.kind] -= 1
             for earlier in self._passed:
-                is_later = entry.priority_class >= earlier.entry.priority_class
+                # Requests that must not be repeated use slots that reads leave.
+                is_later = (
+                    entry.priority_class >= earlier.entry.priority_class
+                    and active.route.kind is earlier.active.route.kind
+                )
                 earlier.passes += is_later
             if self._hold is not None and self._hold.key == active.key:
                 self._hold = None
@@ -187,14 +205,18 @@
         """Charge a workspace for service without a wait, or by another host."""
         self._queues[priority_class].charge(workspace, tokens, now_s)
 
-    def expected_wait_s(self, active: ActiveRequest, now_s: float) -> float:
+    def expected_wait_s(
+        self, active: ActiveRequest, now_s: float, least_rate_per_s: float = 0.0
+    ) -> float:
         """Return how long a request would wait at the measured send rate.
 
-        The floor of a less urgent class bounds the wait behind more urgent ones.
+        The rate is at least least_rate_per_s. The floor of a less urgent class bounds
+        the wait behind more urgent ones.
         """
         if not self._waiting:
             return 0.0
-        rate_per_s = max(self.send_rate_per_s(now_s), MIN_RATE_PER_S)
+        measured_per_s = self.send_rate_per_s(now_s)
+        rate_per_s = max(measured_per_s, least_rate_per_s, MIN_RATE_PER_S)
         entry = self._entry(active)
         wait_s = self._queues.count_ahead(entry) / rate_per_s
         backlogged = self._queues.backlogged()
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -1,7 +1,7 @@
 """Forwarding router: admission, queueing, upstream selection, retries and deadlines."""
 
 import random
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Mapping, Sequence
 from functools import partial
 from itertools import product
@@ -43,6 +43,7 @@
     RouteKind,
 )
 from persimmonwell.core.forwarding._overload import MAX_DEFERRAL_SHARE, Overload
+from persimmonwell.core.forwarding._plain_waits import is_plain, max_plain_wait_s
 from persimmonwell.core.forwarding._queue import RequestQueue
 from persimmonwell.core.forwarding._rate_limits import ReplicaRateLimits
 from persimmonwell.core.forwarding._registry import ReplicaRegistry
@@ -264,7 +265,7 @@
         hold_off_s = self._upstreams.hold_off_s(active.service.name, now_s)
         if hold_off_s > active.max_wait_s:
             return (self._refuse(active, "replicas hold off", hold_off_s, now_s),)
-        if state.queue.count_ahead_of(active) == 0:
+        if state.queue.count_ahead_of(active) == 0 or self._may_precede(active, now_s):
             send = self._try_send(active, now_s)
             if send is not None:
                 return (send,)
@@ -280,11 +281,26 @@
             ending = Ending.UPSTREAM_FAILED
         return self._finish(active, ending, cause)
 
+    def _may_precede(self, active: ActiveRequest, now_s: float) -> bool:
+        """Return whether a request may use a slot that the waiting reads leave."""
+        kind = RouteKind.UNSAFE
+        return (
+            active.route.kind is kind
+            and self._state_of(active).queue.count_of_kind(kind) == 0
+            and self._upstreams.slot_shares(active.service.name).may_use_kept(now_s)
+        )
+
+    def _expected_wait_s(self, active: ActiveRequest, now_s: float) -> float:
+        shares = self._upstreams.slot_shares(active.service.name)
+        return self._state_of(active).queue.expected_wait_s(
+            active, now_s, shares.rate_per_s
+        )
+
     def _enqueue(self, active: ActiveRequest, now_s: float) -> tuple[Decision, ...]:
         state = self._state_of(active)
         queue = state.queue
-        expected_s = queue.expected_wait_s(active, now_s)
-        limit_s = self._max_wait_s(active, now_s)
+        expected_s = self._expected_wait_s(active, now_s)
+        limit_s = self._max_wait_s(active, now_s, is_arrival=True)
         if expected_s > limit_s:
             if active.may_have_run:
                 return (self._finish(active, Ending.UPSTREAM_FAILED, "queue"),)
@@ -292,12 +308,22 @@
         queue.add(active)
         return ()
 
-    def _max_wait_s(self, active: ActiveRequest, now_s: float) -> float:
+    def _max_wait_s(
+        self, active: ActiveRequest, now_s: float, *, is_arrival: bool = False
+    ) -> float:
         """Return how long a request may wait: in an overload, only for a timely answer.
 
         Waiting longer would take the place of a request that can be answered in time.
+        A plain request that would be late is refused on arrival in any case, once the
+        rate at which slots become free is known.
         """
-        if self._state_of(active).overload.is_current(now_s):
+        is_overloaded = self._state_of(active).overload.is_current(now_s)
+        if is_plain(active):
+            shares = self._upstreams.slot_shares(active.service.name)
+            if is_overloaded or (is_arrival and shares.rate_per_s > 0.0):
+                return max_plain_wait_s(active, shares.answer_s)
+            return active.max_wait_s
+        if is_overloaded:
             return min(active.max_wait_s, active.max_timely_wait_s)
         return active.max_wait_s
 
@@ -783,7 +809,7 @@
                 return []
             if active.may_have_run:
                 return [self._finish(active, Ending.TIMED_OUT, "waited")]
-            wait_s = self._state_of(active).queue.expected_wait_s(active, now_s)
+            wait_s = self._expected_wait_s(active, now_s)
             return [self._refuse(active, "waited", wait_s, now_s)]
         if now_s >= active.deadline_s:
             cancel = CancelAttempt(active.key, active.attempt)
@@ -797,8 +823,11 @@
         if not len(queue):
             return ()
         decisions: list[Decision] = []
-        blocked = 0
+        blocked = Counter[RouteKind]()
         for active in queue.candidates(now_s):
+            kind = active.route.kind
+            if blocked[kind] >= QUEUE_SCAN_LIMIT:
+                continue
             if (cause := self._quarantine_cause(active)) is not None:
                 decisions.append(self._end_quarantined(active, cause))
                 continue
@@ -809,8 +838,10 @@
                 decisions += self._end_faulted(active, error, was_sent=False)
                 continue
             if send is None:
-                blocked += 1
-                if blocked >= QUEUE_SCAN_LIMIT:
+                blocked[kind] += 1
+                if queue.has_only(
+                    [k for k, n in blocked.items() if n >= QUEUE_SCAN_LIMIT]
+                ):
                     break
                 continue
             decisions.append(send)
--- a/persimmonwell/core/forwarding/_upstreams.py
+++ b/persimmonwell/core/forwarding/_upstreams.py
@@ -1,5 +1,6 @@
 """Selection of upstreams by registry, load and health, with load reservations."""
 
+import math
 import random
 from collections import defaultdict
 from collections.abc import Hashable
@@ -11,7 +12,12 @@
 from persimmonwell.core.forwarding._events import AttemptFailure
 from persimmonwell.core.forwarding._health import ReplicaHealth
 from persimmonwell.core.forwarding._loads import LoadTable
-from persimmonwell.core.forwarding._model import EngineSpec, GenerationSize, Replica
+from persimmonwell.core.forwarding._model import (
+    EngineSpec,
+    GenerationSize,
+    Replica,
+    RouteKind,
+)
 from persimmonwell.core.forwarding._paths import (
     DEFAULT_SIZE,
     PipelinePath,
@@ -21,6 +27,11 @@
 )
 from persimmonwell.core.forwarding._rate_limits import ReplicaRateLimits
 from persimmonwell.core.forwarding._registry import ReplicaRegistry
+from persimmonwell.core.forwarding._slot_shares import (
+    OTHER_ZONE_AGE_S,
+    ServiceLoad,
+    SlotShares,
+)
 from persimmonwell.core.forwarding._statements import LeavingReplicas, ReplicaRefusals
 
 CROSS_ZONE_PENALTY_MS = 4.0
@@ -58,6 +69,8 @@
         self.rate_limits = ReplicaRateLimits(
             availability_zone=availability_zone, rng=rng
         )
+        self._slot_shares: dict[str, SlotShares] = defaultdict(SlotShares)
+        """Shares by service without a pipeline."""
         self._index = _Index(None, {}, {})
 
     def available(self, service: str) -> tuple[Replica, ...]:
@@ -250,29 +263,43 @@
     def choose_replica(self, active: ActiveRequest, now_s: float) -> Replica | None:
         """Return the least loaded replica of a service without a pipeline, or None.
 
-        Replicas have few slots, so requests queue at the host instead of being refused
-        by a full replica. One that was tried before or is ejected is a last resort.
+        Replicas have few slots, so requests queue at the host instead of at a full
+        replica. One that was tried before or is ejected is a last resort.
         """
-        available = [
+        self._record_joins(now_s)
+        shares = self.slot_shares(active.service.name)
+        is_unsafe = active.route.kind is RouteKind.UNSAFE
+        self._update_shares(shares, active, now_s)
+        if not shares.may_send(is_unsafe=is_unsafe, now_s=now_s):
+            return None
+        allowed = [
             replica
             for replica in self.available(active.service.name)
             if active.may_send_to(replica.replica_id)
-            and self.loads.requests(replica.replica_id) < max(1, replica.slots)
             and not self.refusals.hold_off_s(replica, now_s)
             and self.rate_limits.may_send(replica, now_s)
         ]
-        untried = [
+        # While the healthy ones are full, a request waits: a dead replica has no load.
+        allowed = [
             replica
-            for replica in available
-            if replica.replica_id not in active.tried_replica_ids
-        ]
-        available = untried or available
-        healthy = [
+            for replica in allowed
+            if not self.health.is_ejected(replica.replica_id, now_s)
+        ] or allowed
+        known_share = self._known_share(shares, now_s)
+
+        def has_room(replica: Replica) -> bool:
+            slots = replica.slots
+            if not is_unsafe:
+                slots -= shares.kept_slots(replica.replica_id, now_s)
+            # One with a single slot serves both kinds in the order of the queue.
+            return self._taken_slots(replica, known_share) < max(1, slots)
+
+        available = [replica for replica in allowed if has_room(replica)]
+        available = [
             replica
             for replica in available
-            if not self.health.is_ejected(replica.replica_id, now_s)
-        ]
-        available = healthy or available
+            if replica.replica_id not in active.tried_replica_ids
+        ] or available
         # A replica that refuses may take a request; an ejected one may be dead.
         taking = [
             replica
@@ -290,7 +317,6 @@
             default=0.0,
         )
 
-        self._record_joins(now_s)
         self.loads.update_expected(now_s)
         shared = self.loads.shared
         spread = shared.cost_spread(now_s)
@@ -315,6 +341,48 @@
 
         return min(available, key=score)
 
+    def slot_shares(self, service: str) -> SlotShares:
+        """Return the sends that this host may make to a service without a pipeline."""
+        return self._slot_shares[service]
+
+    def _update_shares(
+        self, shares: SlotShares, active: ActiveRequest, now_s: float
+    ) -> None:
+        """Save up sends at the rate of the replicas that take requests."""
+        if active.route.kind is RouteKind.UNSAFE:
+            shares.record_unsafe(now_s)
+        slots = replicas = own = total = 0
+        for replica in self.available(active.service.name):
+            if self.health.is_ejected(replica.replica_id, now_s):
+                continue
+            replicas += 1
+            slots += max(1, replica.slots)
+            total += self.loads.requests(replica.replica_id)
+            mine = self.loads.local.get(replica.replica_id)
+            own += mine.requests if mine is not None else 0
+        load = ServiceLoad(
+            slots=slots,
+            replicas=replicas,
+            own=own,
+            others=total - own,
+            hosts=self.loads.host_count,
+            report_age_s=self.loads.shared.report_age_s(now_s) or OTHER_ZONE_AGE_S,
+        )
+        shares.update(load, now_s)
+
+    def _known_share(self, shares: SlotShares, now_s: float) -> float:
+        """Return the part of the reported requests that is still in flight."""
+        if shares.answer_s is None:
+            return 1.0
+        if self.loads.shared.report_age_s(now_s) is None:
+            return math.exp(-OTHER_ZONE_AGE_S / shares.answer_s)
+        return self.loads.shared.valid_share(shares.answer_s, now_s)
+
+    def _taken_slots(self, replica: Replica, known_share: float) -> float:
+        others = self._requests_of_others(replica)
+        own = self.loads.requests(replica.replica_id) - others
+        return own + known_share * others
+
     def _requests_of_others(self, replica: Replica) -> int:
         own = self.loads.local.get(replica.replica_id)
         total = self.loads.requests(replica.replica_id)
@@ -328,6 +396,9 @@
         if active.path is None:
             assert active.replica_id is not None
             active.reserved = {active.replica_id: 0}
+            self.slot_shares(active.service.name).record_send(
+                active.replica_id, is_unsafe=active.route.kind is RouteKind.UNSAFE
+            )
         else:
             engine = active.service.engine
             assert engine is not None
@@ -346,6 +417,10 @@
             self.loads.shared.count_request(-1)
         for replica_id, layer_tokens in active.reserved.items():
             self.loads.remove(replica_id, layer_tokens)
+            if active.path is None:
+                self.slot_shares(active.service.name).record_end(
+                    replica_id, is_unsafe=active.route.kind is RouteKind.UNSAFE
+                )
         active.reserved = {}
 
     # Outcomes
@@ -355,6 +430,7 @@
         if active.path is None:
             used = [active.replica_id] if active.replica_id is not None else []
             latency_s = now_s - active.sent_s
+            self.slot_shares(active.service.name).record_answer(latency_s, now_s)
         else:
             used = [stage.replica_id for stage in active.path.stages]
             latency_s = 0.0
@@ -391,6 +467,7 @@
             return
         if failure is AttemptFailure.NOT_RUN:
             self.refusals.record_refusal(replica, now_s)
+            self.slot_shares(replica.service).record_refusal(now_s)
             return
         self.health.record_error(replica.replica_id, replica.incarnation)
         if failure is AttemptFailure.NO_CONNECTION:
