--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -75,6 +75,7 @@
 from persimmonwell.core.forwarding._statements import LeavingNotice, ReplicaStatement
 from persimmonwell.core.forwarding._stream_position import EventPlace, StreamPosition
 from persimmonwell.core.forwarding._workspace_usage import WorkspaceTokens
+from persimmonwell.core.forwarding._zone_choice import ZoneCrossing
 
 __all__ = [
     "PEER_REFUSAL_TTL_S",
@@ -134,6 +135,7 @@
     "UpstreamAnswer",
     "WeightedService",
     "WorkspaceTokens",
+    "ZoneCrossing",
     "count_readers",
     "find_path",
     "plan_placement",
--- a/persimmonwell/core/forwarding/_active.py
+++ b/persimmonwell/core/forwarding/_active.py
@@ -54,6 +54,8 @@
     replica_id: str | None = None
     tried_replica_ids: set[str] = attrs.field(factory=set)
     path: PipelinePath | None = None
+    home_step_ms: float | None = None
+    """Step time of the path in the host's zone when path was chosen, None for none."""
     possible_runs: int = 0
     """Failed or cancelled attempts that an upstream may have run."""
     has_partial_answer: bool = False
--- a/persimmonwell/core/forwarding/_events.py
+++ b/persimmonwell/core/forwarding/_events.py
@@ -7,6 +7,7 @@
 
 from persimmonwell.core.forwarding._model import CallerRequest, Route
 from persimmonwell.core.forwarding._paths import PipelinePath
+from persimmonwell.core.forwarding._zone_choice import ZoneCrossing
 from persimmonwell.core.retry import PartCount
 
 
@@ -46,6 +47,8 @@
     may_reuse_idle_connection: bool
     """Whether a connection that has long been idle may carry the request."""
     tenant: str | None
+    crossing: ZoneCrossing | None = None
+    """Set where the replica is in another availability zone."""
 
 
 @attrs.frozen
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -892,6 +892,7 @@
             deadline_s=active.deadline_s,
             may_reuse_idle_connection=active.route.is_retryable,
             tenant=active.tenant.name if active.tenant is not None else None,
+            crossing=self._upstreams.crossing(active),
         )
 
     def _detach(self, active: ActiveRequest) -> None:
--- a/persimmonwell/core/forwarding/_upstreams.py
+++ b/persimmonwell/core/forwarding/_upstreams.py
@@ -36,6 +36,7 @@
 from persimmonwell.core.forwarding._zone_choice import (
     CROSS_ZONE_PENALTY_MS,
     SPARE_AGE_S,
+    ZoneCrossing,
     ZonePath,
     ZoneSpeeds,
     choose_zone,
@@ -183,6 +184,7 @@
         _zone_choice tells which one.
         """
         local_path = self.find_path_in_zone(active, self._zone, now_s)
+        active.home_step_ms = local_path.step_ms if local_path is not None else None
         gap_s = active.route.gap_objective_s
         if local_path is not None and not may_be_slow(local_path.step_ms, gap_s):
             return local_path
@@ -195,6 +197,19 @@
         )
         return local_path if chosen is None else chosen.path
 
+    def crossing(self, active: ActiveRequest) -> ZoneCrossing | None:
+        """Return the zones of the current attempt, None if they are the same."""
+        replica = self.registry.replicas.get(active.replica_id or "")
+        if replica is None or replica.availability_zone == self._zone:
+            return None
+        path = active.path
+        return ZoneCrossing(
+            source=self._zone,
+            target=replica.availability_zone,
+            home_step_ms=active.home_step_ms if path is not None else None,
+            step_ms=path.step_ms if path is not None else None,
+        )
+
     def _paths_elsewhere(self, active: ActiveRequest, now_s: float) -> list[ZonePath]:
         """Return the fastest path of each other zone that leaves room to its own."""
         found = []
--- a/persimmonwell/core/forwarding/_zone_choice.py
+++ b/persimmonwell/core/forwarding/_zone_choice.py
@@ -58,6 +58,19 @@
     """Share of the zone's memory that the request's zone may use."""
 
 
+@attrs.frozen
+class ZoneCrossing:
+    """Send to a replica in another zone, with the step times that decided."""
+
+    source: str
+    target: str
+    home_step_ms: float | None
+    """Step time of the path in the host's zone, None where no path had room and for
+    services without a pipeline."""
+    step_ms: float | None
+    """That of the path that was taken with the crossing, None without a pipeline."""
+
+
 def is_slow(step_ms: float, gap_objective_s: float | None) -> bool:
     """Return whether a path in the host's zone is slow enough to leave the zone."""
     if not gap_objective_s:
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -41,6 +41,7 @@
 from persimmonwell.gateway._metrics import GatewayMetrics
 from persimmonwell.gateway._replica_calls import CallAnswer, call_replica
 from persimmonwell.gateway._request_body import UploadBuffers
+from persimmonwell.gateway._zone_crossings import crossing_fields
 from persimmonwell.observe import DecisionLog, RateLimitedLog
 from persimmonwell.platform import (
     ORDER_PATH,
@@ -526,6 +527,9 @@
         route = self.router.route_of(exchange.key)
         replica = self.router.registry.replicas.get(send.replica_id)
         is_repeatable = route is not None and route.is_retryable
+        crossing = send.crossing
+        if crossing is not None:
+            self.metrics.count_crossing(crossing.source, crossing.target)
         self._log.write(
             "request",
             "sent",
@@ -544,6 +548,7 @@
             hint=size.expected_output_tokens if size is not None else None,
             step_ms=round(send.path.step_ms, 2) if send.path is not None else None,
             waited_ms=round((self.now_s() - exchange.arrived_s) * 1000, 1),
+            **crossing_fields(crossing),
         )
 
     def _finish(self, exchange: Exchange, finish: Finish) -> None:
--- a/persimmonwell/gateway/_metrics.py
+++ b/persimmonwell/gateway/_metrics.py
@@ -39,6 +39,11 @@
             "Connections and requests refused or terminated, by reason.",
             registry=self._registry,
         )
+        self._crossing_counter = Counter(
+            f"{PREFIX}_zone_crossings_total",
+            "Sends to replicas in another availability zone, by pair of zones.",
+            registry=self._registry,
+        )
         self._bytes_in_use = Gauge(
             f"{PREFIX}_bytes", "Bytes in use by purpose.", registry=self._registry
         )
@@ -60,6 +65,10 @@
         """Count a connection or request that was refused or terminated."""
         self._client_counter.inc({"action": action, "reason": reason})
 
+    def count_crossing(self, source: str, target: str) -> None:
+        """Count a send from this host's availability zone to another one."""
+        self._crossing_counter.inc({"from": source, "to": target})
+
     def observe_first_event(self, seconds: float) -> None:
         """Record the time to the first event of an answer."""
         self._first_event_seconds.observe({}, seconds)
--- a/tests/core/forwarding/test_zone_choice.py
+++ b/tests/core/forwarding/test_zone_choice.py
@@ -7,7 +7,7 @@
 import attrs
 import pytest
 
-from persimmonwell.core.forwarding import PipelinePath
+from persimmonwell.core.forwarding import PipelinePath, Send, ZoneCrossing
 from persimmonwell.core.forwarding._active import ActiveRequest
 from persimmonwell.core.forwarding._upstreams import UpstreamPool
 from persimmonwell.core.forwarding._zone_choice import (
@@ -17,6 +17,12 @@
     ZoneSpeeds,
     choose_zone,
 )
+from tests.core.forwarding.fleets import (
+    desk_replica,
+    make_router,
+    request,
+    staged_replica,
+)
 from tests.core.forwarding.zone_replay import (
     ALIKE,
     EVEN_DEMAND,
@@ -191,3 +197,27 @@
     assert now.log
     assert now.log == ZoneReplay(**values).run().log  # type: ignore[arg-type]
     assert now.crossings == 0
+
+
+@pytest.mark.parametrize("zone", ["za", "zb"])
+def test_a_send_to_another_zone_names_both_zones(zone: str) -> None:
+    """Guards against crossings that operators cannot see."""
+    router = make_router(
+        staged_replica("a", zone, 0, 30),
+        staged_replica("bb", zone, 30, 55),
+        staged_replica("ccc", zone, 55, 80),
+    )
+    (send,) = router.request_arrived(1, request("urgent"), 0.0)
+    assert isinstance(send, Send) and send.path is not None
+    if zone == "za":
+        assert send.crossing is None
+    else:
+        assert send.crossing == ZoneCrossing("za", "zb", None, send.path.step_ms)
+
+
+def test_a_plain_send_to_another_zone_names_both_zones() -> None:
+    """Guards against crossings of services without a pipeline that are not counted."""
+    router = make_router(desk_replica("d", "zb"))
+    (send,) = router.request_arrived(1, request("look"), 0.0)
+    assert isinstance(send, Send)
+    assert send.crossing == ZoneCrossing("za", "zb", None, None)
