Leave the same share of a zone to its own requests however many hosts there are

Cause: The share of memory that overflow leaves to a zone shrank with the number of hosts, to 5% and 7% with 4 hosts in a zone.

Change: The shares are 10% (most urgent) and 15% at any size. A random number is drawn only where there is a choice between zones, so that requests which stay see the same random numbers as before.

--- a/persimmonwell/core/forwarding/_upstreams.py
+++ b/persimmonwell/core/forwarding/_upstreams.py
@@ -193,7 +193,7 @@
             self._spare_share(active, self._zone, now_s),
             self._paths_elsewhere(active, now_s),
             gap_objective_s=gap_s,
-            draw=self._random.random(),
+            draw=self._random.random,
         )
         return local_path if chosen is None else chosen.path
 
@@ -213,7 +213,7 @@
     def _paths_elsewhere(self, active: ActiveRequest, now_s: float) -> list[ZonePath]:
         """Return the fastest path of each other zone that leaves room to its own."""
         found = []
-        kept = kept_share(active.priority_class[0], self.loads.shared.peer_count)
+        kept = kept_share(active.priority_class[0])
         for zone in sorted(self._zones(active.service.name)):
             if zone == self._zone:
                 continue
--- a/persimmonwell/core/forwarding/_zone_choice.py
+++ b/persimmonwell/core/forwarding/_zone_choice.py
@@ -8,7 +8,7 @@
 to their spare memory and speed, and uses only what the zone's own requests leave.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import attrs
 
@@ -24,14 +24,12 @@
 MIN_GAIN = 2.0
 """Factor on the speed for which a crossing is worth its bandwidth before the steps are
 slow. Zones of unlike accelerators differ by less than that in calm times."""
-URGENT_KEPT_SHARE = 0.2
+URGENT_KEPT_SHARE = 0.1
 """Share of a zone's memory that the most urgent requests of other zones leave to its
-own, with very many hosts: all of them send for the 2 s until their reports show it."""
-KEPT_SHARE = 0.3
+own, for the 1 to 2.5 s until their hosts learn that it fills up. With half of that, the
+zone's own urgent requests are in time too rarely, below 0.9 of them."""
+KEPT_SHARE = 0.15
 """The same for less urgent requests, so that they leave first."""
-MANY_HOSTS = 10
-"""Other hosts in the zone with which half of these shares applies. With few hosts the
-reports are newer, and fewer send at once."""
 SPARE_AGE_S = 0.05
 """Time for which a zone's spare share is kept, one tick; the reports are older."""
 MIN_SPARE_SHARE = 0.01
@@ -85,13 +83,12 @@
     return step_ms > SLOWER_STEP_SHARE * gap_objective_s * 1000
 
 
-def kept_share(priority: int, peers: int) -> float:
+def kept_share(priority: int) -> float:
     """Return the share of another zone's memory that a request leaves free.
 
-    peers is the number of other hosts in the host's zone; priority 0 is most urgent.
+    Priority 0 is the most urgent one.
     """
-    share = KEPT_SHARE if priority > 0 else URGENT_KEPT_SHARE
-    return share * peers / (peers + MANY_HOSTS)
+    return KEPT_SHARE if priority > 0 else URGENT_KEPT_SHARE
 
 
 def choose_zone(
@@ -100,11 +97,12 @@
     others: Iterable[ZonePath],
     *,
     gap_objective_s: float | None,
-    draw: float,
+    draw: Callable[[], float],
 ) -> ZonePath | None:
     """Return the path in another zone that a request takes, None to stay.
 
-    draw is a random number from 0 to 1.
+    draw returns a random number from 0 to 1. It is called only where there is a choice,
+    so that calm zones see the same random numbers.
     """
     candidates = [
         other
@@ -115,7 +113,7 @@
         return None
     weights = [_weight(other.step_ms, other.spare_share) for other in candidates]
     stay = 0.0 if local is None else _weight(local.step_ms, local_spare_share)
-    left = draw * (stay + sum(weights)) - stay
+    left = draw() * (stay + sum(weights)) - stay
     if left < 0.0:
         return None
     return _pick(candidates, weights, left)
--- a/tests/core/forwarding/test_zone_choice.py
+++ b/tests/core/forwarding/test_zone_choice.py
@@ -54,9 +54,7 @@
     local = None if local_ms is None else path(local_ms)
     counts: Counter[str] = Counter()
     for _ in range(1000):
-        found = choose_zone(
-            local, 0.1, others, gap_objective_s=gap_s, draw=rng.random()
-        )
+        found = choose_zone(local, 0.1, others, gap_objective_s=gap_s, draw=rng.random)
         counts[found.zone if found is not None else ""] += 1
     return counts
 
