--- a/tests/core/forwarding/test_plain_services.py
+++ b/tests/core/forwarding/test_plain_services.py
@@ -55,14 +55,14 @@
     assert result.refused_late <= 0.01 * sum(result.refused.values())
 
 
-@pytest.mark.parametrize("hosts", [4, 30])
+@pytest.mark.parametrize("hosts", [1, 4, 30])
 def test_requests_that_must_not_be_repeated_get_their_slots(hosts: int) -> None:
     """Guards against reads that take every slot; one of each replica is kept."""
     result = replay(hosts=hosts, unsafe_share=0.1)
     assert result.in_time["book"] / COUNTED_S >= KEPT * 3 / ANSWER_S
 
 
-@pytest.mark.parametrize(("hosts", "unsafe_share"), [(1, 0.9), (30, 0.9)])
+@pytest.mark.parametrize(("hosts", "unsafe_share"), [(1, 0.9), (30, 0.9), (1, 0.3)])
 def test_reads_are_served_beside_requests_that_must_not_be_repeated(
     hosts: int, unsafe_share: float
 ) -> None:
@@ -95,7 +95,7 @@
     assert result.share("look") >= 0.5 * served_share
 
 
-@pytest.mark.parametrize("hosts", [1, 30, 65])
+@pytest.mark.parametrize("hosts", [1, 4, 30, 65])
 def test_calm_times_are_served_at_once(hosts: int) -> None:
     """Guards against slots that are held back while there is room."""
     result = replay(hosts=hosts, rate_per_s=CALM, calm_rate_per_s=None, gone=0)
