--- a/persimmonwell/core/forwarding/_arrivals.py
+++ b/persimmonwell/core/forwarding/_arrivals.py
@@ -135,7 +135,9 @@
             return (
                 self._requests.refuse(active, "replicas hold off", hold_off_s, now_s),
             )
-        if state.queue.count_ahead_of(active) == 0:
+        if state.queue.count_ahead_of(active) == 0 or self._sender.may_precede(
+            active, now_s
+        ):
             send = self._sender.try_send(active, now_s)
             if send is not None:
                 return (send,)
--- a/persimmonwell/core/forwarding/_sends.py
+++ b/persimmonwell/core/forwarding/_sends.py
@@ -1,5 +1,7 @@
 """Sends of requests to upstreams, the wait in the queue, and its end."""
 
+from collections import Counter
+
 from persimmonwell.core.forwarding._active import ActiveRequest
 from persimmonwell.core.forwarding._crashes import CrashTracker
 from persimmonwell.core.forwarding._events import (
@@ -9,7 +11,9 @@
     Finish,
     Send,
 )
+from persimmonwell.core.forwarding._model import RouteKind
 from persimmonwell.core.forwarding._open_requests import OpenRequests
+from persimmonwell.core.forwarding._plain_waits import is_plain, max_plain_wait_s
 from persimmonwell.core.forwarding._upstreams import UpstreamPool
 from persimmonwell.core.forwarding._workspace_usage import WorkspaceUsage
 
@@ -44,12 +48,27 @@
             ending = Ending.UPSTREAM_FAILED
         return self._requests.finish(active, ending, cause)
 
+    def may_precede(self, active: ActiveRequest, now_s: float) -> bool:
+        """Return whether a request may use a slot that the waiting reads leave."""
+        kind = RouteKind.UNSAFE
+        return (
+            active.route.kind is kind
+            and self._requests.state_of(active).queue.count_of_kind(kind) == 0
+            and self._upstreams.slot_shares(active.service.name).may_use_kept(now_s)
+        )
+
+    def _expected_wait_s(self, active: ActiveRequest, now_s: float) -> float:
+        shares = self._upstreams.slot_shares(active.service.name)
+        return self._requests.state_of(active).queue.expected_wait_s(
+            active, now_s, shares.rate_per_s
+        )
+
     def enqueue(self, active: ActiveRequest, now_s: float) -> tuple[Decision, ...]:
         """Queue a request, or end it if it would wait for too long."""
         state = self._requests.state_of(active)
         queue = state.queue
-        expected_s = queue.expected_wait_s(active, now_s)
-        limit_s = self._max_wait_s(active, now_s)
+        expected_s = self._expected_wait_s(active, now_s)
+        limit_s = self._max_wait_s(active, now_s, is_arrival=True)
         if expected_s > limit_s:
             if active.may_have_run:
                 return (self._requests.finish(active, Ending.UPSTREAM_FAILED, "queue"),)
@@ -57,12 +76,22 @@
         queue.add(active)
         return ()
 
-    def _max_wait_s(self, active: ActiveRequest, now_s: float) -> float:
+    def _max_wait_s(
+        self, active: ActiveRequest, now_s: float, *, is_arrival: bool = False
+    ) -> float:
         """Return how long a request may wait: in an overload, only for a timely answer.
 
         Waiting longer would take the place of a request that can be answered in time.
+        A plain request that would be late is refused on arrival in any case, once the
+        rate at which slots become free is known.
         """
-        if self._requests.state_of(active).overload.is_current(now_s):
+        is_overloaded = self._requests.state_of(active).overload.is_current(now_s)
+        if is_plain(active):
+            shares = self._upstreams.slot_shares(active.service.name)
+            if is_overloaded or (is_arrival and shares.rate_per_s > 0.0):
+                return max_plain_wait_s(active, shares.answer_s)
+            return active.max_wait_s
+        if is_overloaded:
             return min(active.max_wait_s, active.max_timely_wait_s)
         return active.max_wait_s
 
@@ -75,9 +104,7 @@
                 return []
             if active.may_have_run:
                 return [self._requests.finish(active, Ending.TIMED_OUT, "waited")]
-            wait_s = self._requests.state_of(active).queue.expected_wait_s(
-                active, now_s
-            )
+            wait_s = self._expected_wait_s(active, now_s)
             return [self._requests.refuse(active, "waited", wait_s, now_s)]
         if now_s >= active.deadline_s:
             cancel = CancelAttempt(active.key, active.attempt)
@@ -93,8 +120,11 @@
         if not len(queue):
             return ()
         decisions: list[Decision] = []
-        blocked = 0
+        blocked = Counter[RouteKind]()
         for active in queue.candidates(now_s):
+            kind = active.route.kind
+            if blocked[kind] >= QUEUE_SCAN_LIMIT:
+                continue
             if (cause := self.quarantine_cause(active)) is not None:
                 decisions.append(self.end_quarantined(active, cause))
                 continue
@@ -105,8 +135,10 @@
                 decisions += self._requests.end_faulted(active, error, was_sent=False)
                 continue
             if send is None:
-                blocked += 1
-                if blocked >= QUEUE_SCAN_LIMIT:
+                blocked[kind] += 1
+                if queue.has_only(
+                    [k for k, n in blocked.items() if n >= QUEUE_SCAN_LIMIT]
+                ):
                     break
                 continue
             decisions.append(send)
@@ -159,4 +191,5 @@
             deadline_s=active.deadline_s,
             may_reuse_idle_connection=active.route.is_retryable,
             tenant=active.tenant.name if active.tenant is not None else None,
+            crossing=self._upstreams.crossing(active),
         )
--- a/persimmonwell/core/forwarding/_upstreams.py
+++ b/persimmonwell/core/forwarding/_upstreams.py
@@ -1,5 +1,6 @@
 """Selection of upstreams by registry, load and health, with load reservations."""
 
+import math
 import random
 from collections import defaultdict
 from collections.abc import Hashable
@@ -11,7 +12,12 @@
 from persimmonwell.core.forwarding._events import AttemptFailure
 from persimmonwell.core.forwarding._health import ReplicaHealth
 from persimmonwell.core.forwarding._loads import LoadTable
-from persimmonwell.core.forwarding._model import EngineSpec, GenerationSize, Replica
+from persimmonwell.core.forwarding._model import (
+    EngineSpec,
+    GenerationSize,
+    Replica,
+    RouteKind,
+)
 from persimmonwell.core.forwarding._paths import (
     DEFAULT_SIZE,
     PipelinePath,
@@ -21,12 +27,23 @@
 )
 from persimmonwell.core.forwarding._rate_limits import ReplicaRateLimits
 from persimmonwell.core.forwarding._registry import ReplicaRegistry
+from persimmonwell.core.forwarding._slot_shares import (
+    OTHER_ZONE_AGE_S,
+    ServiceLoad,
+    SlotShares,
+)
 from persimmonwell.core.forwarding._statements import LeavingReplicas, ReplicaRefusals
+from persimmonwell.core.forwarding._zone_choice import (
+    CROSS_ZONE_PENALTY_MS,
+    SPARE_AGE_S,
+    ZoneCrossing,
+    ZonePath,
+    ZoneSpeeds,
+    choose_zone,
+    kept_share,
+    may_be_slow,
+)
 
-CROSS_ZONE_PENALTY_MS = 4.0
-"""Added to the step time of a path in another zone when paths are compared."""
-SLOW_STEP_SHARE = 0.2
-"""Share of the gap objective; slower steps make other zones candidates."""
 MAX_KEPT_TABLES = 64
 """Tables of stages that are kept, one for each zone and set of excluded replicas."""
 
@@ -39,7 +56,7 @@
     by_service: dict[str, tuple[Replica, ...]]
     by_zone: dict[tuple[str, str], tuple[Replica, ...]]
     tables: dict[Hashable, StageTable] = attrs.field(factory=dict)
-    """By service, zone and the ids of the excluded replicas."""
+    """By service, zone, the ids of the excluded replicas and the share left free."""
     joined: tuple[str, ...] = ()
     """Replicas that were not in the index before, or with other layers."""
 
@@ -50,6 +67,7 @@
     def __init__(self, *, availability_zone: str, rng: random.Random) -> None:
         self._zone = availability_zone
         self._random = rng
+        self.zone_speeds = ZoneSpeeds()
         self.registry = ReplicaRegistry()
         self.loads = LoadTable()
         self.health = ReplicaHealth()
@@ -58,6 +76,10 @@
         self.rate_limits = ReplicaRateLimits(
             availability_zone=availability_zone, rng=rng
         )
+        self._slot_shares: dict[str, SlotShares] = defaultdict(SlotShares)
+        """Shares by service without a pipeline."""
+        self._spare_shares: dict[tuple[str, str], tuple[float, float]] = {}
+        """Time and free share of the memory by service and zone."""
         self._index = _Index(None, {}, {})
 
     def available(self, service: str) -> tuple[Replica, ...]:
@@ -102,15 +124,22 @@
         index.joined = ()
 
     def _stage_table(
-        self, service: str, zone: str, excluded: frozenset[str], spec: EngineSpec
+        self,
+        service: str,
+        zone: str,
+        excluded: frozenset[str],
+        spec: EngineSpec,
+        kept_share: float = 0.0,
     ) -> StageTable:
         index = self._current_index()
-        key = (service, zone, excluded)
+        key = (service, zone, excluded, kept_share)
         table = index.tables.get(key)
         if table is not None and table.spec == spec:
             return table
         replicas = index.by_zone.get((service, zone), ())
         table = StageTable((r for r in replicas if r.replica_id not in excluded), spec)
+        if kept_share:
+            table.capacities = [(1.0 - kept_share) * c for c in table.capacities]
         if len(index.tables) >= MAX_KEPT_TABLES:
             del index.tables[next(iter(index.tables))]
         index.tables[key] = table
@@ -150,22 +179,78 @@
     # Selection
 
     def choose_path(self, active: ActiveRequest, now_s: float) -> PipelinePath | None:
-        """Return a path in the host's zone, or a faster one if it is slow or full."""
+        """Return a path in the host's zone, or in another if it is slow or full there.
+
+        _zone_choice tells which one.
+        """
         local_path = self.find_path_in_zone(active, self._zone, now_s)
+        active.home_step_ms = local_path.step_ms if local_path is not None else None
         gap_s = active.route.gap_objective_s
-        slow_step_ms = SLOW_STEP_SHARE * gap_s * 1000 if gap_s else float("inf")
-        best = local_path
-        if local_path is None or local_path.step_ms > slow_step_ms:
-            for zone in self._zones(active.service.name):
-                if zone == self._zone:
-                    continue
-                path = self.find_path_in_zone(active, zone, now_s)
-                if path is None:
-                    continue
-                path = attrs.evolve(path, step_ms=path.step_ms + CROSS_ZONE_PENALTY_MS)
-                if best is None or path.step_ms < best.step_ms:
-                    best = path
-        return best
+        if local_path is not None and not may_be_slow(local_path.step_ms, gap_s):
+            return local_path
+        chosen = choose_zone(
+            local_path,
+            self._spare_share(active, self._zone, now_s),
+            self._paths_elsewhere(active, now_s),
+            gap_objective_s=gap_s,
+            draw=self._random.random,
+        )
+        return local_path if chosen is None else chosen.path
+
+    def crossing(self, active: ActiveRequest) -> ZoneCrossing | None:
+        """Return the zones of the current attempt, None if they are the same."""
+        replica = self.registry.replicas.get(active.replica_id or "")
+        if replica is None or replica.availability_zone == self._zone:
+            return None
+        path = active.path
+        return ZoneCrossing(
+            source=self._zone,
+            target=replica.availability_zone,
+            home_step_ms=active.home_step_ms if path is not None else None,
+            step_ms=path.step_ms if path is not None else None,
+        )
+
+    def _paths_elsewhere(self, active: ActiveRequest, now_s: float) -> list[ZonePath]:
+        """Return the fastest path of each other zone that leaves room to its own."""
+        found = []
+        kept = kept_share(active.priority_class[0])
+        for zone in sorted(self._zones(active.service.name)):
+            if zone == self._zone:
+                continue
+            path = self.find_path_in_zone(active, zone, now_s, kept_share=kept)
+            if path is None:
+                continue
+            factor = self.zone_speeds.factor(zone, self._zone)
+            found.append(
+                ZonePath(
+                    zone,
+                    attrs.evolve(path, step_ms=path.step_ms + CROSS_ZONE_PENALTY_MS),
+                    step_ms=path.step_ms * factor + CROSS_ZONE_PENALTY_MS,
+                    spare_share=self._spare_share(active, zone, now_s) - kept,
+                )
+            )
+        return found
+
+    def _spare_share(self, active: ActiveRequest, zone: str, now_s: float) -> float:
+        """Return the share of a zone's memory that is free, at most SPARE_AGE_S old."""
+        service, engine = active.service.name, active.service.engine
+        assert engine is not None
+        known = self._spare_shares.get((service, zone))
+        if known is not None and 0.0 <= now_s - known[0] < SPARE_AGE_S:
+            return known[1]
+        table = self._stage_table(service, zone, frozenset(), engine)
+        expected = self.loads.shared.expected
+        capacity = free = 0.0
+        for replica, tokens in zip(table.replicas, table.capacities, strict=True):
+            used = self.loads.used_layer_tokens(replica.replica_id, now_s)
+            more = expected.get(replica.replica_id)
+            capacity += tokens
+            free += max(0.0, tokens - used - (more.layer_tokens if more else 0.0))
+        share = free / capacity if capacity > 0.0 else 0.0
+        if len(self._spare_shares) >= MAX_KEPT_TABLES:
+            self._spare_shares.clear()
+        self._spare_shares[service, zone] = (now_s, share)
+        return share
 
     def find_path_in_zone(
         self,
@@ -173,16 +258,20 @@
         zone: str,
         now_s: float,
         first_stage: Stage | None = None,
+        *,
+        kept_share: float = 0.0,
     ) -> PipelinePath | None:
         """Return the fastest path of a zone with memory for the request, or None.
 
-        A given first_stage is kept.
+        A given first_stage is kept. kept_share of the memory is left free.
         """
         engine = active.service.engine
         assert engine is not None
         self._record_joins(now_s)
         excluded = self._excluded(active, zone, now_s, first_stage)
-        table = self._stage_table(active.service.name, zone, excluded, engine)
+        table = self._stage_table(
+            active.service.name, zone, excluded, engine, kept_share
+        )
         size = active.request.size or DEFAULT_SIZE
         return self._search(table, size, now_s, first_stage)
 
@@ -250,29 +339,43 @@
     def choose_replica(self, active: ActiveRequest, now_s: float) -> Replica | None:
         """Return the least loaded replica of a service without a pipeline, or None.
 
-        Replicas have few slots, so requests queue at the host instead of being refused
-        by a full replica. One that was tried before or is ejected is a last resort.
+        Replicas have few slots, so requests queue at the host instead of at a full
+        replica. One that was tried before or is ejected is a last resort.
         """
-        available = [
+        self._record_joins(now_s)
+        shares = self.slot_shares(active.service.name)
+        is_unsafe = active.route.kind is RouteKind.UNSAFE
+        self._update_shares(shares, active, now_s)
+        if not shares.may_send(is_unsafe=is_unsafe, now_s=now_s):
+            return None
+        allowed = [
             replica
             for replica in self.available(active.service.name)
             if active.may_send_to(replica.replica_id)
-            and self.loads.requests(replica.replica_id) < max(1, replica.slots)
             and not self.refusals.hold_off_s(replica, now_s)
             and self.rate_limits.may_send(replica, now_s)
         ]
-        untried = [
+        # While the healthy ones are full, a request waits: a dead replica has no load.
+        allowed = [
             replica
-            for replica in available
-            if replica.replica_id not in active.tried_replica_ids
-        ]
-        available = untried or available
-        healthy = [
+            for replica in allowed
+            if not self.health.is_ejected(replica.replica_id, now_s)
+        ] or allowed
+        known_share = self._known_share(shares, now_s)
+
+        def has_room(replica: Replica) -> bool:
+            slots = replica.slots
+            if not is_unsafe:
+                slots -= shares.kept_slots(replica.replica_id, now_s)
+            # One with a single slot serves both kinds in the order of the queue.
+            return self._taken_slots(replica, known_share) < max(1, slots)
+
+        available = [replica for replica in allowed if has_room(replica)]
+        available = [
             replica
             for replica in available
-            if not self.health.is_ejected(replica.replica_id, now_s)
-        ]
-        available = healthy or available
+            if replica.replica_id not in active.tried_replica_ids
+        ] or available
         # A replica that refuses may take a request; an ejected one may be dead.
         taking = [
             replica
@@ -290,7 +393,6 @@
             default=0.0,
         )
 
-        self._record_joins(now_s)
         self.loads.update_expected(now_s)
         shared = self.loads.shared
         spread = shared.cost_spread(now_s)
@@ -315,6 +417,48 @@
 
         return min(available, key=score)
 
+    def slot_shares(self, service: str) -> SlotShares:
+        """Return the sends that this host may make to a service without a pipeline."""
+        return self._slot_shares[service]
+
+    def _update_shares(
+        self, shares: SlotShares, active: ActiveRequest, now_s: float
+    ) -> None:
+        """Save up sends at the rate of the replicas that take requests."""
+        if active.route.kind is RouteKind.UNSAFE:
+            shares.record_unsafe(now_s)
+        slots = replicas = own = total = 0
+        for replica in self.available(active.service.name):
+            if self.health.is_ejected(replica.replica_id, now_s):
+                continue
+            replicas += 1
+            slots += max(1, replica.slots)
+            total += self.loads.requests(replica.replica_id)
+            mine = self.loads.local.get(replica.replica_id)
+            own += mine.requests if mine is not None else 0
+        load = ServiceLoad(
+            slots=slots,
+            replicas=replicas,
+            own=own,
+            others=total - own,
+            hosts=self.loads.host_count,
+            report_age_s=self.loads.shared.report_age_s(now_s) or OTHER_ZONE_AGE_S,
+        )
+        shares.update(load, now_s)
+
+    def _known_share(self, shares: SlotShares, now_s: float) -> float:
+        """Return the part of the reported requests that is still in flight."""
+        if shares.answer_s is None:
+            return 1.0
+        if self.loads.shared.report_age_s(now_s) is None:
+            return math.exp(-OTHER_ZONE_AGE_S / shares.answer_s)
+        return self.loads.shared.valid_share(shares.answer_s, now_s)
+
+    def _taken_slots(self, replica: Replica, known_share: float) -> float:
+        others = self._requests_of_others(replica)
+        own = self.loads.requests(replica.replica_id) - others
+        return own + known_share * others
+
     def _requests_of_others(self, replica: Replica) -> int:
         own = self.loads.local.get(replica.replica_id)
         total = self.loads.requests(replica.replica_id)
@@ -328,6 +472,9 @@
         if active.path is None:
             assert active.replica_id is not None
             active.reserved = {active.replica_id: 0}
+            self.slot_shares(active.service.name).record_send(
+                active.replica_id, is_unsafe=active.route.kind is RouteKind.UNSAFE
+            )
         else:
             engine = active.service.engine
             assert engine is not None
@@ -346,6 +493,10 @@
             self.loads.shared.count_request(-1)
         for replica_id, layer_tokens in active.reserved.items():
             self.loads.remove(replica_id, layer_tokens)
+            if active.path is None:
+                self.slot_shares(active.service.name).record_end(
+                    replica_id, is_unsafe=active.route.kind is RouteKind.UNSAFE
+                )
         active.reserved = {}
 
     # Outcomes
@@ -355,15 +506,31 @@
         if active.path is None:
             used = [active.replica_id] if active.replica_id is not None else []
             latency_s = now_s - active.sent_s
+            self.slot_shares(active.service.name).record_answer(latency_s, now_s)
         else:
             used = [stage.replica_id for stage in active.path.stages]
             latency_s = 0.0
+            self._record_speed(active, active.path, now_s)
         for replica_id in used:
             replica = self.registry.replicas.get(replica_id)
             if replica is not None:
                 self.health.record_success(replica_id, replica.incarnation, latency_s)
                 self.refusals.record_answer(replica, now_s)
 
+    def _record_speed(
+        self, active: ActiveRequest, path: PipelinePath, now_s: float
+    ) -> None:
+        """Record how long the answer took beside what its path promised."""
+        replica = self.registry.replicas.get(path.first_stage.replica_id)
+        engine = active.service.engine
+        if replica is None or engine is None:
+            return
+        size = active.request.size or DEFAULT_SIZE
+        output = size.expected_output_tokens or engine.typical_output_tokens
+        predicted_s = min(size.max_output_tokens, output) * path.step_ms / 1000
+        zone = replica.availability_zone
+        self.zone_speeds.record(zone, predicted_s, now_s - active.sent_s)
+
     def record_failure(
         self,
         active: ActiveRequest,
@@ -391,6 +558,7 @@
             return
         if failure is AttemptFailure.NOT_RUN:
             self.refusals.record_refusal(replica, now_s)
+            self.slot_shares(replica.service).record_refusal(now_s)
             return
         self.health.record_error(replica.replica_id, replica.incarnation)
         if failure is AttemptFailure.NO_CONNECTION:
--- a/persimmonwell/gateway/_request_log.py
+++ b/persimmonwell/gateway/_request_log.py
@@ -12,6 +12,7 @@
 )
 from persimmonwell.gateway._exchange import Exchange
 from persimmonwell.gateway._metrics import GatewayMetrics
+from persimmonwell.gateway._zone_crossings import crossing_fields
 from persimmonwell.observe import DecisionLog
 
 
@@ -98,6 +99,9 @@
         route = self._router.route_of(exchange.key)
         replica = self._router.registry.replicas.get(send.replica_id)
         is_repeatable = route is not None and route.is_retryable
+        crossing = send.crossing
+        if crossing is not None:
+            self._metrics.count_crossing(crossing.source, crossing.target)
         self._log.write(
             "request",
             "sent",
@@ -116,6 +120,7 @@
             hint=size.expected_output_tokens if size is not None else None,
             step_ms=round(send.path.step_ms, 2) if send.path is not None else None,
             waited_ms=round((time.monotonic() - exchange.arrived_s) * 1000, 1),
+            **crossing_fields(crossing),
         )
 
     def ended(self, exchange: Exchange, finish: Finish) -> None:
--- a/tests/core/forwarding/fleets.py
+++ b/tests/core/forwarding/fleets.py
@@ -114,11 +114,13 @@
 )
 
 
-def make_router(*replicas: Replica, zone: str = "za") -> ForwardingRouter:
+def make_router(
+    *replicas: Replica, zone: str = "za", seed: int = 7
+) -> ForwardingRouter:
     """Return a router with the configuration and the replicas applied."""
     router = ForwardingRouter(
         availability_zone=zone,
-        seed=7,
+        seed=seed,
         retry_ratio=0.2,
         retry_slack=40.0,
         retry_window_s=10.0,
