--- a/tests/crowds/site.py
+++ b/tests/crowds/site.py
@@ -20,6 +20,7 @@
     free_ports,
     route,
 )
+from standins.processes import HostProcess
 from standins.replica import PlatformReplica
 
 DEPLOYED_FDS = 4100
@@ -48,7 +49,7 @@
 class Watch:
     """Process of a host, with its largest resource use so far."""
 
-    host: GatewayProcess
+    host: GatewayProcess | HostProcess
     pid: int
     peak_mb: float = 0.0
     descriptors: int = 0
