Bound the heads of requests to persimmonwelld

Cause: cheroot reads request lines and headers without a bound unless one is set, so that each client with an endless head takes memory until the process ends.

Change: callers.max_header_bytes (32 KB) bounds a request line with its headers, and a head has at most 256 header lines. Beyond that the client gets 414 or 413 and the connection is closed.

--- a/persimmonwell/daemon/_daemon.py
+++ b/persimmonwell/daemon/_daemon.py
@@ -235,6 +235,7 @@
             address=callers.address,
             threads=callers.threads,
             max_body_bytes=callers.max_body_bytes,
+            max_header_bytes=callers.max_header_bytes,
             io_timeout_s=callers.io_timeout_s,
             handler=handle,
             tls=callers.tls,
--- a/persimmonwell/front/_http_server.py
+++ b/persimmonwell/front/_http_server.py
@@ -12,7 +12,7 @@
 from urllib.parse import unquote_to_bytes
 
 import attrs
-from cheroot import wsgi
+from cheroot import errors, wsgi
 from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 
@@ -29,6 +29,10 @@
 CONNECTION_KEY = "persimmonwell.connection"
 STOP_POLL_S = 0.1
 """Maximum time until the serving loop notices a stop, seconds."""
+MAX_HEADER_BYTES = 32_768
+"""Default bound on a request line and its headers."""
+MAX_HEADER_LINES = 256
+"""Header lines of a request; each takes ten times the memory of a short line."""
 
 
 class _TlsAdapter(BuiltinSSLAdapter):
@@ -58,11 +62,31 @@
         return b"_" not in key_name
 
 
+class _HeaderLines:
+    """Lines of one head, bounded in number."""
+
+    def __init__(self, lines: Any) -> None:
+        self._lines = lines
+        self._count = 0
+
+    def readline(self) -> bytes:
+        """Return the next line; raise MaxSizeExceeded if there are too many."""
+        self._count += 1
+        if self._count > MAX_HEADER_LINES:
+            raise errors.MaxSizeExceeded
+        return bytes(self._lines.readline())
+
+
 class _Request(HTTPRequest):
-    """Request that uses the header reader of this module."""
+    """Request that uses the header reader of this module and bounds its lines."""
 
     header_reader = _HeaderReader()
 
+    def read_request_headers(self) -> bool:
+        """Read the headers; raise MaxSizeExceeded if there are too many."""
+        self.rfile = _HeaderLines(self.rfile)
+        return bool(super().read_request_headers())
+
 
 class _Connection(HTTPConnection):
     """Connection that records whether it has waited for its first bytes."""
@@ -116,6 +140,7 @@
         handler: Handler,
         tls: TlsSettings | None = None,
         drain_timeout_s: float = 5.0,
+        max_header_bytes: int = MAX_HEADER_BYTES,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._server = _Server(
@@ -128,6 +153,7 @@
             server_name="persimmonwell",
         )
         self._server.gateway = _Gateway
+        self._server.max_request_header_size = max_header_bytes
         self._server.expiration_interval = STOP_POLL_S
         if tls is not None:
             self._server.ssl_adapter = _TlsAdapter(tls.certificate, tls.key)
--- a/persimmonwell/settings/_settings.py
+++ b/persimmonwell/settings/_settings.py
@@ -31,6 +31,8 @@
     size a host has 264 in flight at its peak, and a fifth more after the loss of an
     availability zone."""
     max_body_bytes: int = 4 * 1024 * 1024
+    max_header_bytes: int = 32_768
+    """Limit on a request line and its headers."""
     io_timeout_s: float = 30.0
     """Timeout for a caller to send or read data, seconds."""
     tls: TlsSettings | None = None
@@ -210,6 +212,7 @@
         address=_read_address(reader),
         threads=reader.integer("threads", 384, minimum=4, maximum=4096),
         max_body_bytes=reader.integer("max_body_bytes", 4 * 1024 * 1024, minimum=1024),
+        max_header_bytes=reader.integer("max_header_bytes", 32_768, minimum=1024),
         io_timeout_s=reader.number("io_timeout_s", 30.0, minimum=0.1),
         tls=_read_tls(reader),
     )
--- a/tests/front/test_http_server.py
+++ b/tests/front/test_http_server.py
@@ -70,6 +70,9 @@
         (b"GET /x HTTP/9.9\r\nHost: h\r\n\r\n", True, b"505"),
         (POST + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n", True, b"411"),
         (POST + b"Content-Length: 50\r\n\r\nslow", False, b"408"),
+        (b"POST /" + b"x" * 33_000, True, b"414"),
+        (POST + b"X-Long: " + b"x" * 33_000, True, b"413"),
+        (POST + b"".join(b"a%d:b\r\n" % n for n in range(300)), True, b"413"),
     ],
 )
 def test_malformed_request_is_refused_and_server_keeps_serving(
