Bound the connections and slow requests of persimmonwelld

Cause: cheroot accepts connections until no descriptor is left and then tries again without a pause; a client that stalls within a request holds a thread for each read's time-out of 30 s.

Change: front/_caller_connections.py keeps the connections of a port in the table of core/resources that the gateway uses. Their number is bounded from the descriptors of the process (48 at the operators' port). At the bound the one without progress for the longest is closed, idle ones first, never one whose request runs; else the new one gets 503 with the outcome not-run. A request that arrives at less than 64 bytes/s over 60 s gets 408, and one that stalls for 2 s if requests wait for a thread (core/resources/_threads.py). After a refused body up to 1 MB is discarded within 1 s, so that the client can read the refusal; cheroot read the whole rest into memory. A new test runs stalled bodies with the descriptors of a deployment.

--- a/persimmonwell/core/resources/__init__.py
+++ b/persimmonwell/core/resources/__init__.py
@@ -19,6 +19,7 @@
 )
 from persimmonwell.core.resources._policy import CallerPolicy, RefusalReason
 from persimmonwell.core.resources._progress import Progress
+from persimmonwell.core.resources._threads import choose_stalled
 
 __all__ = [
     "CLOSING_CONNECTIONS",
@@ -36,5 +37,6 @@
     "ProgressCharge",
     "RefusalReason",
     "caller_connection_bound",
+    "choose_stalled",
     "memory_budget_bytes",
 ]
--- a/persimmonwell/daemon/_daemon.py
+++ b/persimmonwell/daemon/_daemon.py
@@ -78,6 +78,8 @@
 RETRY_DELAY_S = 0.2
 WORKER_THREADS = 8
 OPERATOR_THREADS = 16
+OPERATOR_CONNECTIONS = 48
+"""Connections of the operators' port: three times as many as its threads."""
 MAX_OPERATOR_BODY_BYTES = 1024 * 1024
 
 
@@ -240,6 +242,7 @@
             handler=handle,
             tls=callers.tls,
             drain_timeout_s=self._settings.drain_timeout_s,
+            count_ended=self._count_ended_client,
         )
 
     def _build_operator_server(self) -> HttpServer:
@@ -266,8 +269,14 @@
             io_timeout_s=self._settings.callers.io_timeout_s,
             handler=service.handle,
             tls=self._settings.operators.tls,
+            max_connections=OPERATOR_CONNECTIONS,
+            count_ended=self._count_ended_client,
         )
 
+    def _count_ended_client(self, reason: str) -> None:
+        self._metrics.count_refusal(reason)
+        part_logger("http").warning("client outside the limits: {}", reason)
+
     def _is_draining(self) -> bool:
         return self._draining.is_set() or self._drain_switch.is_drained
 
--- a/persimmonwell/front/_http_server.py
+++ b/persimmonwell/front/_http_server.py
@@ -2,22 +2,25 @@
 
 import logging
 import math
+import resource
 import select
 import socket
 import ssl
 import threading
+import time
 from collections.abc import Callable, Iterable
 from functools import partial
 from typing import Any
 from urllib.parse import unquote_to_bytes
 
 import attrs
-from cheroot import errors, wsgi
-from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
+from cheroot import wsgi
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 
 from persimmonwell._exceptions import PersimmonwellError, UnframedBodyError
 from persimmonwell.core._types import Outcome
+from persimmonwell.core.resources import CallerPolicy, caller_connection_bound
+from persimmonwell.front._caller_connections import CallerConnection, CallerConnections
 from persimmonwell.front._parsing import HttpRequest, read_body
 from persimmonwell.front._responses import HttpResponse, error_response
 from persimmonwell.observe import part_logger
@@ -27,12 +30,17 @@
 
 ACCEPT_BACKLOG = 1024
 CONNECTION_KEY = "persimmonwell.connection"
+ACCEPT_FAILURE = "Error in HTTPServer.serve"
+"""Message with which cheroot reports that a connection could not be accepted."""
+ACCEPT_PAUSE_S = 0.1
+MAX_DESCRIPTORS = 65_536
+"""Descriptors that are counted on where the system sets no limit."""
+WATCH_INTERVAL_S = 0.25
+"""Time between two looks at slow requests and at bodies that wait for memory."""
 STOP_POLL_S = 0.1
 """Maximum time until the serving loop notices a stop, seconds."""
 MAX_HEADER_BYTES = 32_768
 """Default bound on a request line and its headers."""
-MAX_HEADER_LINES = 256
-"""Header lines of a request; each takes ten times the memory of a short line."""
 
 
 class _TlsAdapter(BuiltinSSLAdapter):
@@ -50,55 +58,11 @@
         return wrapped, {"wsgi.url_scheme": "https", "HTTPS": "on"}
 
 
-class _HeaderReader(HeaderReader):
-    """Header reader that drops header names with underscores.
-
-    WSGI maps underscores and hyphens to the same key, so such a header could pass
-    as another one. cheroot's own reader for this case expects str names and fails
-    on the bytes that it is given.
-    """
-
-    def _allow_header(self, key_name: bytes) -> bool:
-        return b"_" not in key_name
-
-
-class _HeaderLines:
-    """Lines of one head, bounded in number."""
-
-    def __init__(self, lines: Any) -> None:
-        self._lines = lines
-        self._count = 0
-
-    def readline(self) -> bytes:
-        """Return the next line; raise MaxSizeExceeded if there are too many."""
-        self._count += 1
-        if self._count > MAX_HEADER_LINES:
-            raise errors.MaxSizeExceeded
-        return bytes(self._lines.readline())
-
-
-class _Request(HTTPRequest):
-    """Request that uses the header reader of this module and bounds its lines."""
-
-    header_reader = _HeaderReader()
-
-    def read_request_headers(self) -> bool:
-        """Read the headers; raise MaxSizeExceeded if there are too many."""
-        self.rfile = _HeaderLines(self.rfile)
-        return bool(super().read_request_headers())
-
-
-class _Connection(HTTPConnection):
-    """Connection that records whether it has waited for its first bytes."""
-
-    RequestHandlerClass = _Request
-    has_waited_for_data = False
-
-
 class _Server(wsgi.Server):
     """cheroot server that gives threads only to connections with data to read."""
 
-    ConnectionClass = _Connection
+    ConnectionClass = CallerConnection
+    caller_connections: CallerConnections
 
     def process_conn(self, conn: Any) -> None:
         """Queue a readable connection, or wait for its first bytes without a thread.
@@ -106,12 +70,26 @@
         cheroot assigns a thread to each new connection, so idle connections could
         occupy all threads until the timeout.
         """
-        if conn.has_waited_for_data or _is_readable(conn.socket):
+        if not conn.is_counted:
+            conn.is_counted = True
+            if not self.caller_connections.admit(conn):
+                return
+        if conn.is_evicted:
+            conn.close()
+        elif not conn.has_waited_for_data and not _is_readable(conn.socket):
+            conn.has_waited_for_data = True
+            connections: Any = vars(self)["_connections"]
+            connections.put(conn)
+        elif self.caller_connections.queue(conn):
             super().process_conn(conn)
-            return
-        conn.has_waited_for_data = True
-        connections: Any = vars(self)["_connections"]
-        connections.put(conn)
+        else:
+            conn.close()
+
+    @property
+    def waiting_requests(self) -> int:
+        """Return how many requests wait for a thread."""
+        pool: Any = self.requests
+        return 0 if pool.idle else int(pool.qsize)
 
     def error_log(
         self, msg: str = "", level: int = logging.INFO, traceback: bool = False
@@ -122,6 +100,9 @@
         value, which may contain request text.
         """
         is_error = level >= logging.ERROR
+        if traceback and msg == ACCEPT_FAILURE:
+            # Without a free descriptor, cheroot tries to accept again at once.
+            time.sleep(ACCEPT_PAUSE_S)
         log = part_logger("http").opt(exception=traceback and is_error)
         message = "exception in a request thread" if traceback else str(msg)[:200]
         log.log("ERROR" if is_error else "DEBUG", "{}", message)
@@ -141,7 +122,15 @@
         tls: TlsSettings | None = None,
         drain_timeout_s: float = 5.0,
         max_header_bytes: int = MAX_HEADER_BYTES,
+        max_connections: int | None = None,
+        policy: CallerPolicy | None = None,
+        count_ended: Callable[[str], None] = lambda reason: None,
     ) -> None:
+        """Prepare the server.
+
+        `max_connections` defaults to what the descriptors of the process allow.
+        `count_ended` gets the reason for which a connection was refused or ended.
+        """
         host, _, port = address.rpartition(":")
         self._server = _Server(
             (host.strip("[]"), int(port)),
@@ -155,9 +144,17 @@
         self._server.gateway = _Gateway
         self._server.max_request_header_size = max_header_bytes
         self._server.expiration_interval = STOP_POLL_S
+        self._connections = CallerConnections(
+            bound=max_connections or process_connection_bound(),
+            policy=policy or CallerPolicy(),
+            count_ended=count_ended,
+        )
+        self._server.caller_connections = self._connections
         if tls is not None:
             self._server.ssl_adapter = _TlsAdapter(tls.certificate, tls.key)
         self._thread = threading.Thread(target=self._server.serve, daemon=True)
+        self._stopping = threading.Event()
+        self._watch = threading.Thread(target=self._watch_requests, daemon=True)
 
     @property
     def address(self) -> str:
@@ -175,20 +172,36 @@
         """Bind the address and start serving in a background thread."""
         self._server.prepare()
         self._thread.start()
+        self._watch.start()
 
     def close(self) -> None:
         """Stop accepting, finish requests in flight, and release the address."""
         self._server.stop()
         self._thread.join(timeout=5.0)
+        self._stopping.set()
+        if self._watch.ident is not None:
+            self._watch.join()
+
+    def _watch_requests(self) -> None:
+        while not self._stopping.wait(WATCH_INTERVAL_S):
+            self._connections.end_slow(waiting=self._server.waiting_requests)
+
+
+def process_connection_bound() -> int:
+    """Return how many connections the descriptors of the process allow."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if limit == resource.RLIM_INFINITY:
+        limit = MAX_DESCRIPTORS
+    return caller_connection_bound(limit, None)
 
 
 class _Gateway(wsgi.Gateway_10):
-    """WSGI gateway that adds the caller's socket to the environment."""
+    """WSGI gateway that adds the caller's connection to the environment."""
 
     def get_environ(self) -> Any:
-        """Return the WSGI environment with the caller's socket."""
+        """Return the WSGI environment with the caller's connection."""
         environ: Any = super().get_environ()  # type: ignore[no-untyped-call]
-        environ[CONNECTION_KEY] = self.req.conn.socket
+        environ[CONNECTION_KEY] = self.req.conn
         return environ
 
 
@@ -245,18 +258,20 @@
     if "transfer-encoding" in headers:
         # The server would parse the unread chunks as the next request.
         raise UnframedBodyError("Transfer-Encoding")
+    connection: CallerConnection = environ[CONNECTION_KEY]
     body = read_body(
         environ["wsgi.input"].read,
         environ.get("CONTENT_LENGTH", ""),
         limit_bytes=max_body_bytes,
     )
+    connection.run_request()
     return HttpRequest(
         method=environ["REQUEST_METHOD"].upper(),
         path=_decode_path(environ),
         query=environ.get("QUERY_STRING", ""),
         headers=headers,
         body=body,
-        is_caller_connected=partial(_is_connected, environ[CONNECTION_KEY]),
+        is_caller_connected=partial(_is_connected, connection.socket),
     )
 
 
--- a/tests/crowds/test_daemon_crowds.py
+++ b/tests/crowds/test_daemon_crowds.py
@@ -19,6 +19,7 @@
 from standins.crowd import Address, Script, encode_chunk, request_head, running_crowd
 from standins.processes import ProcessGroup, wait_for
 from tests.crowds.site import (
+    DEPLOYED_FDS,
     ORDINARY_ATTEMPTS,
     ORDINARY_PAUSE_S,
     ORDINARY_TIMEOUT_S,
@@ -113,7 +114,8 @@
 class DaemonSite:
     """One entry host as a process, with stand-ins and a record of its resources."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, max_fds: int) -> None:
+        self._max_fds = max_fds
         self._standins = SmallFleet(zones=1)
         self._group = ProcessGroup()
         self._folder = folder
@@ -132,7 +134,7 @@
                 "io_timeout_s": IO_TIMEOUT_S,
             }
         )
-        with _descriptor_limit(MAX_FDS):
+        with _descriptor_limit(self._max_fds):
             self._host = self._group.start_host(settings, self._folder)
         self.watch = Watch(self._host, self._host.process.pid)
         self._sampler.start()
@@ -198,13 +200,13 @@
         watch.sample()
         seen = (
             f"peak {watch.peak_mb:.0f} of {MEMORY_MB} MB, {watch.descriptors} of "
-            f"{MAX_FDS} descriptors, ordinary request {status}, ready {is_ready}"
+            f"{self._max_fds} descriptors, ordinary request {status}, ready {is_ready}"
         )
         print(seen)
         if not watch.is_alive:
             return ["the process has ended"]
         # The process can't pass the limit of the system; at it, it accepts no caller.
-        is_within = watch.peak_mb <= MEMORY_MB and watch.descriptors < MAX_FDS
+        is_within = watch.peak_mb <= MEMORY_MB and watch.descriptors < self._max_fds
         return [] if is_within and status == 200 and is_ready else [seen]
 
 
@@ -220,8 +222,8 @@
 
 
 @contextmanager
-def _running_site(folder: Path) -> Iterator[DaemonSite]:
-    site = DaemonSite(folder)
+def _running_site(folder: Path, max_fds: int = MAX_FDS) -> Iterator[DaemonSite]:
+    site = DaemonSite(folder, max_fds)
     try:
         site.start()
         yield site
@@ -239,6 +241,15 @@
             assert site.faults() == []
 
 
+def test_bodies_without_a_shortage_of_descriptors(tmp_path: Path) -> None:
+    """Guards against memory that only the bound on connections keeps small."""
+    with _running_site(tmp_path, DEPLOYED_FDS) as site:
+        target = site.address("callers")
+        with running_crowd([target], STALLED_UPLOAD, count=UPLOADS) as crowd:
+            crowd.wait()
+            assert site.faults() == []
+
+
 def test_crowd_at_the_operators_port(tmp_path: Path) -> None:
     """Guards against a port without a token that takes memory or descriptors."""
     scripts = (*CROWDS["endless lines"][1], Script(HEAD), STALLED_UPLOAD)
--- a/tests/front/test_http_server.py
+++ b/tests/front/test_http_server.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server with malformed requests and slow callers."""
 
 import socket
+import threading
 import time
 from collections.abc import Iterator
 
@@ -94,6 +95,72 @@
         connection.close()
 
 
+def test_stalled_requests_give_their_threads_to_others(server: HttpServer) -> None:
+    """Guards against clients that hold all threads until the time-out of one read."""
+    stalled = [_connect(server) for _ in range(4)]
+    for connection in stalled:
+        connection.sendall(POST + b"Content-Length: 50\r\n\r\n")
+    assert _serves_requests(server)
+    for connection in stalled:
+        assert connection.recv(65_536).startswith(b"HTTP/1.1 408")
+        connection.close()
+
+
+@pytest.fixture
+def narrow_server() -> Iterator[HttpServer]:
+    running = HttpServer(
+        address="127.0.0.1:0",
+        threads=4,
+        max_body_bytes=LIMIT_BYTES,
+        io_timeout_s=10.0,
+        handler=_wait_and_echo,
+        max_connections=2,
+    )
+    running.start()
+    yield running
+    _may_answer.set()
+    running.close()
+
+
+_may_answer = threading.Event()
+_arrived: list[str] = []
+
+
+def _wait_and_echo(http: HttpRequest) -> HttpResponse:
+    if http.path == "/wait":
+        _arrived.append(http.path)
+        _may_answer.wait(10.0)
+    return _echo(http)
+
+
+def test_an_idle_connection_is_closed_for_a_new_one(narrow_server: HttpServer) -> None:
+    """Guards against a bound on connections that keeps new callers out."""
+    oldest, newer = _connect(narrow_server), _connect(narrow_server)
+    assert _serves_requests(narrow_server)
+    assert oldest.recv(1) == b""
+    newer.close()
+
+
+def test_running_requests_are_not_ended_for_a_new_one(
+    narrow_server: HttpServer,
+) -> None:
+    """Guards against a refusal that is not truthful, or ends a running request."""
+    _may_answer.clear()
+    _arrived.clear()
+    running = [_connect(narrow_server) for _ in range(2)]
+    for connection in running:
+        connection.sendall(b"GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+    while len(_arrived) < 2:
+        time.sleep(0.01)
+    refused = _exchange(narrow_server, b"", half_close=False)
+    assert refused.startswith(b"HTTP/1.1 503")
+    assert b"Persimmonwell-Outcome: not-run" in refused
+    _may_answer.set()
+    for connection in running:
+        assert connection.recv(65_536).startswith(b"HTTP/1.1 200")
+        connection.close()
+
+
 def test_header_with_underscore_does_not_replace_header_with_hyphen(
     server: HttpServer,
 ) -> None:
