Add config check, which names the faults of a configuration before it is sent

Cause: a faulty configuration showed only after the hosts had put it in force, as refused or misdirected requests.

Change: `config check FILE [--against FILE] [--settings FILE]` decodes the operators' document with the decoder of the gateway and names each finding with the path of its field.

Measured: python -m pytest tests/core/config_check tests/cli/test_config_check.py tests/test_docs.py tests/test_imports.py: pass, with a test for each finding.

Conclusion: of two routes with the same host and prefix the product uses the later one, so that the earlier one is reported. Values that the decoder replaces (max_attempts below 1, a gap_aim_ms of 0, figures of engines) cannot be found without a second parser.

--- a/persimmonwell/cli/_commands.py
+++ b/persimmonwell/cli/_commands.py
@@ -2,6 +2,7 @@
 
 from cleo.commands.command import Command
 
+from persimmonwell.cli._config_check_command import ConfigCheckCommand
 from persimmonwell.cli._config_commands import (
     ConfigApplyCommand,
     ConfigHistoryCommand,
@@ -32,6 +33,7 @@
     CheckSettingsCommand,
     ClaimsShowCommand,
     ConfigApplyCommand,
+    ConfigCheckCommand,
     ConfigHistoryCommand,
     ConfigShowCommand,
     ConfigWaitCommand,
--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -12,6 +12,7 @@
     FailedAttempt,
     UpstreamAnswer,
 )
+from persimmonwell.core.forwarding._budget import USABLE_SHARE
 from persimmonwell.core.forwarding._caller_retries import (
     MAX_SHARED_DIGESTS,
     PEER_REFUSAL_TTL_S,
@@ -82,6 +83,7 @@
     "AcceleratorKind",
     "AnswerPhase",
     "AnswerState",
+    "USABLE_SHARE",
     "AttemptFailure",
     "BodyUse",
     "CallerLimits",
