Explain refused and late requests, and count waits, refusals, shares and retries

Cause: the log named the requests ahead and the share of a refused tenant, but neither its priority class nor the waits that were compared, and explain showed only raw fields.

Change: a refusal carries WaitFacts (core/forwarding/_wait_facts.py): priority class, expected and allowed wait, mean age of the zone's load reports, and whether a host had refused the caller before. The lines `ended` and `sent` have them, `sent` also the latency objective. explain prints them in words (core/timeline/_wait_reasons.py) for refused, timed-out and late requests, and names class and share only where requests were ahead.

--- a/persimmonwell/cli/_explain_command.py
+++ b/persimmonwell/cli/_explain_command.py
@@ -14,6 +14,7 @@
 from persimmonwell.cli._output import escape_control_chars
 from persimmonwell.core.timeline import (
     TraceLine,
+    explain_wait,
     summarize_trace,
     trace_request,
 )
@@ -28,8 +29,9 @@
     description = "Show the history of one request from the saved logs of all hosts."
     help = help_text(
         "Read decision log lines from files and print, in order, the events of the\n"
-        "request and the events on its hosts around it. Lines of other programs are\n"
-        "skipped. No running host is contacted.",
+        "request and the events on its hosts around it, and for a refused or late\n"
+        "request what decided that. Lines of other programs are skipped. No running\n"
+        "host is contacted.",
         "explain 9c41d07be2a35f68 host-1.log host-2.log",
         "explain 9c41d07be2a35f68 all.log --margin 3 --json",
     )
@@ -52,13 +54,17 @@
             lines += read_log_file(Path(str(name)))
         trace = trace_request(lines, request_id, margin_s=self._margin_s())
         conclusion = summarize_trace(trace)
+        reasons = explain_wait(trace)
         if self.as_json:
             rows = [attrs.asdict(line) for line in trace]
-            self.printer.json({"request": request_id, "end": conclusion, "lines": rows})
+            document = {"request": request_id, "end": conclusion, "reasons": reasons}
+            self.printer.json({**document, "lines": rows})
         else:
             for line in trace:
                 self.printer.line(_format_line(line, trace[0].wall_s))
             self.printer.line(conclusion)
+            for reason in reasons:
+                self.printer.line(f"  {reason}")
         return EXIT_OK if trace else EXIT_BAD_INPUT
 
     def _margin_s(self) -> float:
--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -4,6 +4,7 @@
 decisions that persimmonwell.gateway carries out.
 """
 
+from persimmonwell.core.forwarding._active import PriorityClass
 from persimmonwell.core.forwarding._answers import (
     AnswerPhase,
     AnswerState,
@@ -75,15 +76,17 @@
 from persimmonwell.core.forwarding._router import ForwardingRouter
 from persimmonwell.core.forwarding._statements import LeavingNotice, ReplicaStatement
 from persimmonwell.core.forwarding._stream_position import EventPlace, StreamPosition
+from persimmonwell.core.forwarding._wait_facts import WaitFacts
 from persimmonwell.core.forwarding._workspace_usage import WorkspaceTokens
 
 __all__ = [
+    "PriorityClass",
     "PEER_REFUSAL_TTL_S",
     "MAX_SHARED_DIGESTS",
+    "USABLE_SHARE",
     "AcceleratorKind",
     "AnswerPhase",
     "AnswerState",
-    "USABLE_SHARE",
     "AttemptFailure",
     "BodyUse",
     "CallerLimits",
@@ -135,6 +138,7 @@
     "Tenant",
     "UpstreamAnswer",
     "WeightedService",
+    "WaitFacts",
     "WorkspaceTokens",
     "count_readers",
     "find_path",
--- a/persimmonwell/core/forwarding/_events.py
+++ b/persimmonwell/core/forwarding/_events.py
@@ -7,6 +7,7 @@
 
 from persimmonwell.core.forwarding._model import CallerRequest, Route
 from persimmonwell.core.forwarding._paths import PipelinePath
+from persimmonwell.core.forwarding._wait_facts import WaitFacts
 from persimmonwell.core.retry import PartCount
 
 
@@ -64,6 +65,8 @@
     tenant: str | None = None
     share: float | None = None
     """Tenant's share of its class's recent tokens on this host, for a refusal."""
+    facts: WaitFacts | None = None
+    """What decided about the wait, for a refusal."""
 
 
 @attrs.frozen
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -59,6 +59,7 @@
     ReplicaStatement,
 )
 from persimmonwell.core.forwarding._upstreams import UpstreamPool
+from persimmonwell.core.forwarding._wait_facts import WaitFacts
 from persimmonwell.core.forwarding._workspace_usage import (
     WorkspaceTokens,
     WorkspaceUsage,
@@ -873,6 +874,8 @@
         self, active: ActiveRequest, detail: str, wait_s: float, now_s: float
     ) -> Finish:
         """End a request that has not run, and record it for the caller's retry."""
+        facts = self._wait_facts(active, now_s)
+        facts = attrs.evolve(facts, expected_wait_s=wait_s or None)
         if not self._is_stopping:
             state = self._state_of(active)
             state.overload.record_refusal(now_s)
@@ -883,6 +886,7 @@
             deferral_s = min(end_s, limit_s) * self._random.uniform(0.75, 1.0)
             wait_s = max(wait_s, deferral_s)
         finish = self._finish(active, Ending.OVERLOADED, detail, wait_s)
+        finish = attrs.evolve(finish, facts=facts)
         self.caller_retries.record_refusal(
             active.request.digest, retry_s=finish.retry_after_s, now_s=now_s
         )
@@ -907,6 +911,19 @@
             share=self._usage_share(active) if ending is Ending.OVERLOADED else None,
         )
 
+    def wait_facts(self, key: int, now_s: float) -> WaitFacts | None:
+        """Return what decides about the wait of a request, None if it has ended."""
+        active = self._active.get(key)
+        return self._wait_facts(active, now_s) if active is not None else None
+
+    def _wait_facts(self, active: ActiveRequest, now_s: float) -> WaitFacts:
+        return WaitFacts(
+            priority_class=active.priority_class,
+            is_caller_retry=active.is_caller_retry,
+            allowed_wait_s=self._max_wait_s(active, now_s),
+            report_age_s=self.loads.shared.report_age_s(now_s),
+        )
+
     def _usage_share(self, active: ActiveRequest) -> float:
         return self.workspace_usage.share(
             active.service.name, active.priority_class, active.workspace
--- a/persimmonwell/core/forwarding/_shared_capacity.py
+++ b/persimmonwell/core/forwarding/_shared_capacity.py
@@ -87,6 +87,10 @@
         """Return the other hosts of the availability zone that are counted."""
         return len(self._reported_s)
 
+    def report_age_s(self, now_s: float) -> float | None:
+        """Return the mean age of the peers' reports, None without any."""
+        return self._mean_age_s(now_s) if self._reported_s else None
+
     def record_report(self, peer: str, now_s: float) -> None:
         """Record that a peer of the availability zone reported its loads."""
         self._reported_s[peer] = now_s
--- a/persimmonwell/core/forwarding/_workspace_usage.py
+++ b/persimmonwell/core/forwarding/_workspace_usage.py
@@ -110,6 +110,18 @@
         )
         return usage.tokens / total
 
+    def top_shares(self, now_s: float, count: int) -> dict[_Key, float]:
+        """Return the shares of the workspaces with the most recent tokens.
+
+        A share is that of the class's recent tokens on this host.
+        """
+        tokens = {key: usage.value(now_s) for key, usage in self._own.items()}
+        totals: dict[tuple[str, PriorityClass], float] = defaultdict(float)
+        for key, value in tokens.items():
+            totals[key[:2]] += value
+        top = sorted(tokens, key=lambda key: tokens[key], reverse=True)[:count]
+        return {key: tokens[key] / totals[key[:2]] for key in top if tokens[key] > 0}
+
     def heaviest(self, now_s: float) -> tuple[WorkspaceTokens, ...]:
         """Return what this host gave the heaviest workspaces, the heaviest first."""
         rows = sorted(
--- a/persimmonwell/core/timeline/__init__.py
+++ b/persimmonwell/core/timeline/__init__.py
@@ -21,6 +21,7 @@
     trace_request,
 )
 from persimmonwell.core.timeline._ring import RingSnapshot, TimelineRing
+from persimmonwell.core.timeline._wait_reasons import explain_wait
 
 __all__ = [
     "EventFilter",
@@ -37,6 +38,7 @@
     "summarize_trace",
     "event_to_document",
     "list_outcomes",
+    "explain_wait",
     "merge_rings",
     "read_decision_lines",
     "ring_from_document",
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -38,7 +38,7 @@
     ConnectionPool,
     RawHeaders,
 )
-from persimmonwell.gateway._metrics import GatewayMetrics
+from persimmonwell.gateway._metrics import GatewayMetrics, describe_wait
 from persimmonwell.gateway._replica_calls import CallAnswer, call_replica
 from persimmonwell.gateway._request_body import UploadBuffers
 from persimmonwell.observe import DecisionLog, RateLimitedLog
@@ -522,6 +522,10 @@
 
     def _log_send(self, exchange: Exchange, send: Send) -> None:
         self.metrics.count_event("sends")
+        now_s = self.now_s()
+        facts = self.router.wait_facts(exchange.key, now_s)
+        if facts is not None and send.attempt == 1:
+            self.metrics.observe_wait(facts, now_s - exchange.arrived_s)
         size = exchange.request.size
         route = self.router.route_of(exchange.key)
         replica = self.router.registry.replicas.get(send.replica_id)
@@ -543,11 +547,25 @@
             most=size.max_output_tokens if size is not None else None,
             hint=size.expected_output_tokens if size is not None else None,
             step_ms=round(send.path.step_ms, 2) if send.path is not None else None,
+            objective_ms=(
+                round(route.latency_objective_s * 1000, 1)
+                if route is not None
+                else None
+            ),
+            **describe_wait(facts),
             waited_ms=round((self.now_s() - exchange.arrived_s) * 1000, 1),
         )
 
     def _finish(self, exchange: Exchange, finish: Finish) -> None:
         self.metrics.count_event(f"ended_{finish.ending.value}")
+        is_overloaded = finish.ending is Ending.OVERLOADED
+        self.metrics.count_refusal(
+            finish.detail if is_overloaded else finish.ending.value
+        )
+        if finish.facts is not None:
+            self.metrics.observe_wait(
+                finish.facts, self.now_s() - exchange.arrived_s, is_refused=True
+            )
         config = self.router.config
         if finish.route is not None and not finish.route.is_retryable:
             outcome = "may_have_run" if exchange.may_have_run else "not_run"
@@ -566,6 +584,7 @@
             tenant=finish.tenant,
             ahead=finish.requests_ahead,
             share=round(finish.share, 3) if finish.share is not None else None,
+            **describe_wait(finish.facts),
             retry_after_s=round(finish.retry_after_s, 2),
             config=config.version if config is not None else None,
             waiting=self.router.queued_request_count,
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -32,6 +32,7 @@
     memory_budget_bytes,
 )
 from persimmonwell.gateway._gateway import Gateway
+from persimmonwell.gateway._metrics import MAX_SHOWN_SHARES
 from persimmonwell.gateway._peer_datagrams import (
     SEND_INTERVAL_S,
     LocalState,
@@ -751,6 +752,11 @@
             "upstream_connections_opened", lambda: self._gateway.pool.opened_count
         )
         metrics.add_gauge("caller_connection_bound", lambda: self._gateway.caller_bound)
+        metrics.set_share_reader(
+            lambda: router.workspace_usage.top_shares(
+                time.monotonic(), MAX_SHOWN_SHARES
+            )
+        )
         metrics.set_resource_readers(
             read_bytes=self._read_bytes, read_descriptors=self._read_descriptors
         )
--- a/persimmonwell/gateway/_metrics.py
+++ b/persimmonwell/gateway/_metrics.py
@@ -1,13 +1,47 @@
 """Metrics of one host in the text exposition format."""
 
 from collections.abc import Callable, Mapping
+from typing import Any
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.formats.text import TextFormatter
 
+from persimmonwell.core.forwarding import PriorityClass, WaitFacts
+from persimmonwell.observe import escape_label
+
+MAX_LABEL_VALUES = 32
+"""Values of one label; further ones are counted as `other`."""
+OTHER_LABEL = "other"
+MAX_SHOWN_SHARES = 16
+"""Workspaces whose share is shown, those with the most tokens."""
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0)
 PREFIX = "persimmonwell_gateway"
 
+WorkspaceKey = tuple[str, PriorityClass, str]
+"""Service, priority class and workspace."""
+
+
+def format_class(priority_class: PriorityClass) -> str:
+    """Return the text of a priority class: its tenant's priority and its route's."""
+    return "/".join(map(str, priority_class))
+
+
+def describe_wait(facts: WaitFacts | None) -> dict[str, Any]:
+    """Return the log fields about what decided a wait."""
+    if facts is None:
+        return {}
+
+    def to_ms(seconds: float | None) -> float | None:
+        return round(seconds * 1000, 1) if seconds is not None else None
+
+    return {
+        "class": format_class(facts.priority_class),
+        "retry": facts.is_caller_retry,
+        "expected_ms": to_ms(facts.expected_wait_s),
+        "allowed_ms": to_ms(facts.allowed_wait_s),
+        "reports_ms": to_ms(facts.report_age_s),
+    }
+
 
 class GatewayMetrics:
     """Event counters, latency histograms, and gauges that are read at each scrape."""
@@ -34,6 +68,29 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self._wait_seconds = Histogram(
+            f"{PREFIX}_wait_seconds",
+            "Time from a request to its first send or its refusal, by priority class.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._refusal_counter = Counter(
+            f"{PREFIX}_refusals_total",
+            "Requests that ended without an upstream's answer, by reason.",
+            registry=self._registry,
+        )
+        self._retry_counter = Counter(
+            f"{PREFIX}_caller_retries_total",
+            "Requests that a host had refused before, by what became of them.",
+            registry=self._registry,
+        )
+        self._shares = Gauge(
+            f"{PREFIX}_workspace_share",
+            "Share of a class's recent tokens on this host, by workspace.",
+            registry=self._registry,
+        )
+        self._label_values: dict[str, set[str]] = {}
+        self._read_shares: Callable[[], Mapping[WorkspaceKey, float]] = dict
         self._client_counter = Counter(
             f"{PREFIX}_clients_total",
             "Connections and requests refused or terminated, by reason.",
@@ -60,6 +117,33 @@
         """Count a connection or request that was refused or terminated."""
         self._client_counter.inc({"action": action, "reason": reason})
 
+    def observe_wait(
+        self, facts: WaitFacts, seconds: float, *, is_refused: bool = False
+    ) -> None:
+        """Record the wait of a request that is sent first or refused."""
+        result = "refused" if is_refused else "sent"
+        priority = self._bounded("class", format_class(facts.priority_class))
+        self._wait_seconds.observe({"class": priority, "result": result}, seconds)
+        if facts.is_caller_retry:
+            self._retry_counter.inc({"result": result})
+
+    def count_refusal(self, reason: str) -> None:
+        """Count a request that ended without an upstream's answer."""
+        self._refusal_counter.inc({"reason": self._bounded("reason", reason)})
+
+    def set_share_reader(
+        self, read: Callable[[], Mapping[WorkspaceKey, float]]
+    ) -> None:
+        """Set the function that returns the shares of the heaviest workspaces."""
+        self._read_shares = read
+
+    def _bounded(self, label: str, value: str) -> str:
+        seen = self._label_values.setdefault(label, set())
+        if value in seen or len(seen) < MAX_LABEL_VALUES:
+            seen.add(value)
+            return value
+        return OTHER_LABEL
+
     def observe_first_event(self, seconds: float) -> None:
         """Record the time to the first event of an answer."""
         self._first_event_seconds.observe({}, seconds)
@@ -99,6 +183,14 @@
             self._bytes_in_use.set({"purpose": purpose}, size)
         for use, count in self._read_descriptors().items():
             self._descriptors.set({"use": use}, count)
+        self._shares.values.clear()
+        for (service, priority_class, workspace), share in self._read_shares().items():
+            labels = {
+                "service": escape_label(service),
+                "class": format_class(priority_class),
+                "workspace": escape_label(workspace),
+            }
+            self._shares.set(labels, share)
         for prefix, read_group in self._group_readers.items():
             for key, value in read_group().items():
                 self._gauges.set({"name": f"{prefix}{key}"}, value)
--- a/persimmonwell/observe/__init__.py
+++ b/persimmonwell/observe/__init__.py
@@ -7,7 +7,12 @@
     log_suppressed,
     part_logger,
 )
-from persimmonwell.observe._metrics import GaugeReadings, Metrics, RenderedMetrics
+from persimmonwell.observe._metrics import (
+    GaugeReadings,
+    Metrics,
+    RenderedMetrics,
+    escape_label,
+)
 from persimmonwell.observe._rate_limited import RateLimitedLog
 from persimmonwell.observe._recorder import Recorder
 from persimmonwell.observe._token_timer import TokenTimer
@@ -22,6 +27,7 @@
     "RepeatLimiter",
     "TokenTimer",
     "configure_logs",
+    "escape_label",
     "log_suppressed",
     "part_logger",
 ]
--- a/tests/core/forwarding/test_shares.py
+++ b/tests/core/forwarding/test_shares.py
@@ -8,6 +8,7 @@
 from collections import Counter
 
 import attrs
+import pytest
 
 from persimmonwell.core.forwarding import (
     Decision,
@@ -20,7 +21,10 @@
     Tenant,
     WorkspaceTokens,
 )
-from persimmonwell.core.forwarding._workspace_usage import USAGE_MEMORY_S
+from persimmonwell.core.forwarding._workspace_usage import (
+    USAGE_MEMORY_S,
+    WorkspaceUsage,
+)
 from tests.core.forwarding.fleets import (
     CONFIG,
     desk_replica,
@@ -344,3 +348,36 @@
     for key, path in enumerate(("look", "look", "batch")):
         router.request_arrived(key, request(path, api_key="t1"), 0.0)
     assert router.queued_by_priority == {0: 1, 2: 1}
+
+
+def test_a_refusal_has_what_decided_about_the_wait() -> None:
+    """Guards against operators who cannot see why a request did not wait."""
+    router = make_host(slots=1)
+    refusals: list[Finish] = []
+    for key in range(40):
+        digest = f"d{key % 39}"
+        caller = attrs.evolve(request("later", api_key="t1"), digest=digest)
+        for decision in router.request_arrived(key, caller, 0.0):
+            if isinstance(decision, Finish):
+                refusals.append(decision)
+    first = refusals[0].facts
+    assert first is not None and first.expected_wait_s is not None
+    assert first.priority_class == (1, 1) and first.report_age_s is None
+    assert first.expected_wait_s > first.allowed_wait_s > 0
+    assert not first.is_caller_retry
+    again = attrs.evolve(request("later", api_key="t1"), digest="d38")
+    assert router.request_arrived(99, again, 0.5) == ()
+    facts = router.wait_facts(99, 0.5)
+    assert facts is not None and facts.is_caller_retry
+
+
+def test_shares_of_the_heaviest_workspaces() -> None:
+    """Guards against a share that counts the tokens of another class."""
+    usage = WorkspaceUsage()
+    for name, tokens, own in (("a", 60, 0), ("b", 20, 0), ("c", 10, 1)):
+        usage.record("desk", (own, own), name, tokens, 0.0)
+    shares = usage.top_shares(1.0, 2)
+    assert shares == {
+        ("desk", (0, 0), "a"): pytest.approx(0.75),
+        ("desk", (0, 0), "b"): pytest.approx(0.25),
+    }
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -249,6 +249,8 @@
     assert testbed.send("/book/x")[0] == 503
     (fields,) = ended
     assert fields["tenant"] and fields["share"] == 1.0
+    assert fields["class"] == "0/0" and fields["retry"] is False
+    assert fields["allowed_ms"] > 0
 
 
 @pytest.mark.parametrize("extra", ["now", "late"])
