Count uploads that the daemon ends for others

Cause: an upload that was ended for the memory that others wait for was neither logged nor counted, although docs/OPERATIONS.md gives its reason.

Change: it is counted as no_memory. A test runs two uploads of 4 MB of which the first stalls: it gets 408 and the second one is served.

--- a/persimmonwell/front/_caller_connections.py
+++ b/persimmonwell/front/_caller_connections.py
@@ -374,8 +374,13 @@
         with self._lock:
             connection.progress.pause(time.monotonic())
         address = connection.remote_addr or ""
+
+        def end() -> None:
+            connection.time_out()
+            self._count_ended(RefusalReason.NO_MEMORY.value)
+
         try:
-            return self.memory.reserve(address, length, connection.time_out)
+            return self.memory.reserve(address, length, end)
         except OverloadedError:
             self._count_ended(RefusalReason.NO_MEMORY.value)
             raise
--- a/tests/front/test_http_server.py
+++ b/tests/front/test_http_server.py
@@ -8,7 +8,15 @@
 import pytest
 import urllib3
 
-from persimmonwell.front import HttpRequest, HttpResponse, HttpServer, json_response
+from persimmonwell.core.resources import CallerPolicy
+from persimmonwell.front import (
+    CallerMemory,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    json_response,
+)
+from tests.fleet import wait_until
 
 LIMIT_BYTES = 1000
 IO_TIMEOUT_S = 1.0
@@ -175,3 +183,30 @@
         half_close=True,
     )
     assert b'"persimmonwell-workspace":"b"' not in answer.replace(b" ", b"")
+
+
+def test_a_stalled_upload_gives_its_memory_to_one_that_waits() -> None:
+    """Guards against uploads that stall and keep others out, and ends not counted."""
+    memory = CallerMemory(64, CallerPolicy(stall_s=0.1, shortage_s=0.1))
+    ended: list[str] = []
+    large = bytes(4 * 1024 * 1024)
+    server = HttpServer(
+        address="127.0.0.1:0",
+        threads=4,
+        max_body_bytes=len(large),
+        io_timeout_s=10.0,
+        handler=_echo,
+        memory=memory,
+        count_ended=ended.append,
+    )
+    server.start()
+    stalled = _connect(server)
+    stalled.sendall(POST + b"Content-Length: %d\r\n\r\nx" % len(large))
+    wait_until(lambda: memory.used_bytes > 0)
+    url = f"http://{server.address}/x"
+    answer = urllib3.request("POST", url, body=large, retries=False, timeout=10.0)
+    assert answer.json()["size"] == len(large)
+    assert stalled.recv(65_536).startswith(b"HTTP/1.1 408")
+    assert ended == ["no_memory"]
+    stalled.close()
+    server.close()
