--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -4,6 +4,7 @@
 decisions that persimmonwell.gateway carries out.
 """
 
+from persimmonwell.core.forwarding._active import PriorityClass
 from persimmonwell.core.forwarding._answers import (
     AnswerPhase,
     AnswerState,
@@ -12,6 +13,7 @@
     FailedAttempt,
     UpstreamAnswer,
 )
+from persimmonwell.core.forwarding._budget import USABLE_SHARE
 from persimmonwell.core.forwarding._caller_retries import (
     MAX_SHARED_DIGESTS,
     PEER_REFUSAL_TTL_S,
@@ -75,12 +77,15 @@
 from persimmonwell.core.forwarding._router import ForwardingRouter
 from persimmonwell.core.forwarding._statements import LeavingNotice, ReplicaStatement
 from persimmonwell.core.forwarding._stream_position import EventPlace, StreamPosition
+from persimmonwell.core.forwarding._wait_facts import WaitFacts
 from persimmonwell.core.forwarding._workspace_usage import WorkspaceTokens
 from persimmonwell.core.forwarding._zone_choice import ZoneCrossing
 
 __all__ = [
+    "PriorityClass",
     "PEER_REFUSAL_TTL_S",
     "MAX_SHARED_DIGESTS",
+    "USABLE_SHARE",
     "AcceleratorKind",
     "AnswerPhase",
     "AnswerState",
@@ -136,6 +141,7 @@
     "Tenant",
     "UpstreamAnswer",
     "WeightedService",
+    "WaitFacts",
     "WorkspaceTokens",
     "ZoneCrossing",
     "count_readers",
--- a/persimmonwell/core/forwarding/_open_requests.py
+++ b/persimmonwell/core/forwarding/_open_requests.py
@@ -14,8 +14,10 @@
     Finish,
 )
 from persimmonwell.core.forwarding._overload import MAX_DEFERRAL_SHARE, Overload
+from persimmonwell.core.forwarding._plain_waits import is_plain, max_plain_wait_s
 from persimmonwell.core.forwarding._queue import RequestQueue
 from persimmonwell.core.forwarding._upstreams import UpstreamPool
+from persimmonwell.core.forwarding._wait_facts import WaitFacts
 from persimmonwell.core.forwarding._workspace_usage import WorkspaceUsage
 
 NOT_READY_RETRY_AFTER_S = 1.0
@@ -124,10 +126,40 @@
         active.replica_id = None
         self.state_of(active).queue.discard(active)
 
+    def max_wait_s(
+        self, active: ActiveRequest, now_s: float, *, is_arrival: bool = False
+    ) -> float:
+        """Return how long a request may wait: in an overload, only for a timely answer.
+
+        Waiting longer would take the place of a request that can be answered in time.
+        A plain request that would be late is refused on arrival in any case, once the
+        rate at which slots become free is known.
+        """
+        is_overloaded = self.state_of(active).overload.is_current(now_s)
+        if is_plain(active):
+            shares = self._upstreams.slot_shares(active.service.name)
+            if is_overloaded or (is_arrival and shares.rate_per_s > 0.0):
+                return max_plain_wait_s(active, shares.answer_s)
+            return active.max_wait_s
+        if is_overloaded:
+            return min(active.max_wait_s, active.max_timely_wait_s)
+        return active.max_wait_s
+
+    def wait_facts(self, active: ActiveRequest, now_s: float) -> WaitFacts:
+        """Return what decides about the wait of a request."""
+        return WaitFacts(
+            priority_class=active.priority_class,
+            is_caller_retry=active.is_caller_retry,
+            allowed_wait_s=self.max_wait_s(active, now_s),
+            report_age_s=self._upstreams.loads.shared.report_age_s(now_s),
+        )
+
     def refuse(
         self, active: ActiveRequest, detail: str, wait_s: float, now_s: float
     ) -> Finish:
         """End a request that has not run, and record it for the caller's retry."""
+        facts = self.wait_facts(active, now_s)
+        facts = attrs.evolve(facts, expected_wait_s=wait_s or None)
         if not self.is_stopping:
             state = self.state_of(active)
             state.overload.record_refusal(now_s)
@@ -138,6 +170,7 @@
             deferral_s = min(end_s, limit_s) * self._random.uniform(0.75, 1.0)
             wait_s = max(wait_s, deferral_s)
         finish = self.finish(active, Ending.OVERLOADED, detail, wait_s)
+        finish = attrs.evolve(finish, facts=facts)
         self._caller_retries.record_refusal(
             active.request.digest, retry_s=finish.retry_after_s, now_s=now_s
         )
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -50,6 +50,7 @@
     ReplicaStatement,
 )
 from persimmonwell.core.forwarding._upstreams import UpstreamPool
+from persimmonwell.core.forwarding._wait_facts import WaitFacts
 from persimmonwell.core.forwarding._workspace_usage import (
     WorkspaceTokens,
     WorkspaceUsage,
@@ -216,6 +217,11 @@
         active = self._active.get(key)
         return active.route if active is not None else None
 
+    def wait_facts(self, key: int, now_s: float) -> WaitFacts | None:
+        """Return what decides about the wait of a request, None if it has ended."""
+        active = self._active.get(key)
+        return self._requests.wait_facts(active, now_s) if active is not None else None
+
     def live_replicas(self, service: str, now_s: float) -> tuple[Replica, ...]:
         """Return the replicas of a service that are neither draining nor lost."""
         return self._upstreams.live(service, now_s)
--- a/persimmonwell/core/forwarding/_sends.py
+++ b/persimmonwell/core/forwarding/_sends.py
@@ -13,7 +13,6 @@
 )
 from persimmonwell.core.forwarding._model import RouteKind
 from persimmonwell.core.forwarding._open_requests import OpenRequests
-from persimmonwell.core.forwarding._plain_waits import is_plain, max_plain_wait_s
 from persimmonwell.core.forwarding._upstreams import UpstreamPool
 from persimmonwell.core.forwarding._workspace_usage import WorkspaceUsage
 
@@ -68,7 +67,7 @@
         state = self._requests.state_of(active)
         queue = state.queue
         expected_s = self._expected_wait_s(active, now_s)
-        limit_s = self._max_wait_s(active, now_s, is_arrival=True)
+        limit_s = self._requests.max_wait_s(active, now_s, is_arrival=True)
         if expected_s > limit_s:
             if active.may_have_run:
                 return (self._requests.finish(active, Ending.UPSTREAM_FAILED, "queue"),)
@@ -76,31 +75,12 @@
         queue.add(active)
         return ()
 
-    def _max_wait_s(
-        self, active: ActiveRequest, now_s: float, *, is_arrival: bool = False
-    ) -> float:
-        """Return how long a request may wait: in an overload, only for a timely answer.
-
-        Waiting longer would take the place of a request that can be answered in time.
-        A plain request that would be late is refused on arrival in any case, once the
-        rate at which slots become free is known.
-        """
-        is_overloaded = self._requests.state_of(active).overload.is_current(now_s)
-        if is_plain(active):
-            shares = self._upstreams.slot_shares(active.service.name)
-            if is_overloaded or (is_arrival and shares.rate_per_s > 0.0):
-                return max_plain_wait_s(active, shares.answer_s)
-            return active.max_wait_s
-        if is_overloaded:
-            return min(active.max_wait_s, active.max_timely_wait_s)
-        return active.max_wait_s
-
     def expire_request(self, active: ActiveRequest, now_s: float) -> list[Decision]:
         """End a request that exceeds its queueing limit or its deadline."""
         if active.replica_id is None:
-            if now_s < active.deadline_s and active.waited_s(now_s) <= self._max_wait_s(
-                active, now_s
-            ):
+            if now_s < active.deadline_s and active.waited_s(
+                now_s
+            ) <= self._requests.max_wait_s(active, now_s):
                 return []
             if active.may_have_run:
                 return [self._requests.finish(active, Ending.TIMED_OUT, "waited")]
--- a/persimmonwell/daemon/_daemon.py
+++ b/persimmonwell/daemon/_daemon.py
@@ -23,6 +23,7 @@
     PutConfigInForce,
     UpdateFleet,
 )
+from persimmonwell.core.resources import CallerPolicy
 from persimmonwell.core.router import (
     AnnounceBlame,
     CancelAttempt,
@@ -59,6 +60,7 @@
 )
 from persimmonwell.daemon._stream_reader import StreamReader
 from persimmonwell.front import (
+    CallerMemory,
     CallerService,
     HttpRequest,
     HttpResponse,
@@ -78,6 +80,8 @@
 RETRY_DELAY_S = 0.2
 WORKER_THREADS = 8
 OPERATOR_THREADS = 16
+OPERATOR_CONNECTIONS = 48
+"""Connections of the operators' port: three times as many as its threads."""
 MAX_OPERATOR_BODY_BYTES = 1024 * 1024
 
 
@@ -176,6 +180,11 @@
             recorder=self._recorder,
             metrics=self._metrics,
         )
+        # Bodies that wait for memory hold a thread.
+        waiting = max(1, settings.callers.threads // 4)
+        self._caller_memory = CallerMemory(
+            settings.limits.memory_mb, CallerPolicy(max_waiting_uploads=waiting)
+        )
         self._caller_server = self._build_caller_server()
         self._operator_server = self._build_operator_server()
         self._threads: list[threading.Thread] = []
@@ -235,10 +244,13 @@
             address=callers.address,
             threads=callers.threads,
             max_body_bytes=callers.max_body_bytes,
+            max_header_bytes=callers.max_header_bytes,
             io_timeout_s=callers.io_timeout_s,
             handler=handle,
             tls=callers.tls,
             drain_timeout_s=self._settings.drain_timeout_s,
+            memory=self._caller_memory,
+            count_ended=self._count_ended_client,
         )
 
     def _build_operator_server(self) -> HttpServer:
@@ -265,8 +277,15 @@
             io_timeout_s=self._settings.callers.io_timeout_s,
             handler=service.handle,
             tls=self._settings.operators.tls,
+            max_connections=OPERATOR_CONNECTIONS,
+            memory=self._caller_memory,
+            count_ended=self._count_ended_client,
         )
 
+    def _count_ended_client(self, reason: str) -> None:
+        self._metrics.count_refusal(reason)
+        part_logger("http").warning("client outside the limits: {}", reason)
+
     def _is_draining(self) -> bool:
         return self._draining.is_set() or self._drain_switch.is_drained
 
--- a/persimmonwell/gateway/_host_gauges.py
+++ b/persimmonwell/gateway/_host_gauges.py
@@ -2,11 +2,13 @@
 
 import os
 import resource
+import time
 from collections.abc import Mapping
 
 from persimmonwell.core.forwarding import ForwardingRouter
 from persimmonwell.gateway._gateway import Gateway
 from persimmonwell.gateway._listeners import Listeners
+from persimmonwell.gateway._metrics import MAX_SHOWN_SHARES
 from persimmonwell.gateway._placement_duty import PlacementDuty
 from persimmonwell.gateway._store_followers import StoreFollowers
 
@@ -61,6 +63,9 @@
     )
     metrics.add_gauge("upstream_connections_opened", lambda: gateway.pool.opened_count)
     metrics.add_gauge("caller_connection_bound", lambda: gateway.caller_bound)
+    metrics.set_share_reader(
+        lambda: router.workspace_usage.top_shares(time.monotonic(), MAX_SHOWN_SHARES)
+    )
     metrics.set_resource_readers(
         read_bytes=read_bytes, read_descriptors=read_descriptors
     )
--- a/persimmonwell/gateway/_request_log.py
+++ b/persimmonwell/gateway/_request_log.py
@@ -11,7 +11,7 @@
     Send,
 )
 from persimmonwell.gateway._exchange import Exchange
-from persimmonwell.gateway._metrics import GatewayMetrics
+from persimmonwell.gateway._metrics import GatewayMetrics, describe_wait
 from persimmonwell.gateway._zone_crossings import crossing_fields
 from persimmonwell.observe import DecisionLog
 
@@ -95,6 +95,10 @@
     def sent(self, exchange: Exchange, send: Send) -> None:
         """Record an attempt and what decided its path."""
         self._metrics.count_event("sends")
+        now_s = time.monotonic()
+        facts = self._router.wait_facts(exchange.key, now_s)
+        if facts is not None and send.attempt == 1:
+            self._metrics.observe_wait(facts, now_s - exchange.arrived_s)
         size = exchange.request.size
         route = self._router.route_of(exchange.key)
         replica = self._router.registry.replicas.get(send.replica_id)
@@ -119,13 +123,27 @@
             most=size.max_output_tokens if size is not None else None,
             hint=size.expected_output_tokens if size is not None else None,
             step_ms=round(send.path.step_ms, 2) if send.path is not None else None,
-            waited_ms=round((time.monotonic() - exchange.arrived_s) * 1000, 1),
+            objective_ms=(
+                round(route.latency_objective_s * 1000, 1)
+                if route is not None
+                else None
+            ),
+            **describe_wait(facts),
+            waited_ms=round((now_s - exchange.arrived_s) * 1000, 1),
             **crossing_fields(crossing),
         )
 
     def ended(self, exchange: Exchange, finish: Finish) -> None:
         """Record the end of a request without an upstream's answer."""
         self._metrics.count_event(f"ended_{finish.ending.value}")
+        is_overloaded = finish.ending is Ending.OVERLOADED
+        self._metrics.count_refusal(
+            finish.detail if is_overloaded else finish.ending.value
+        )
+        if finish.facts is not None:
+            self._metrics.observe_wait(
+                finish.facts, time.monotonic() - exchange.arrived_s, is_refused=True
+            )
         config = self._router.config
         if finish.route is not None and not finish.route.is_retryable:
             outcome = "may_have_run" if exchange.may_have_run else "not_run"
@@ -144,6 +162,7 @@
             tenant=finish.tenant,
             ahead=finish.requests_ahead,
             share=round(finish.share, 3) if finish.share is not None else None,
+            **describe_wait(finish.facts),
             retry_after_s=round(finish.retry_after_s, 2),
             config=config.version if config is not None else None,
             waiting=self._router.queued_request_count,
