Share what replicas short of memory reported, and return to them in turn

The memory that becomes free at a full replica is shared among the busy hosts; each rounds its share with a random phase, so that they return in turn.

--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -35,6 +35,7 @@
     Reroute,
     Send,
 )
+from persimmonwell.core.forwarding._full_stages import MemoryReport
 from persimmonwell.core.forwarding._handover import HandoverPolicy
 from persimmonwell.core.forwarding._loads import LoadTable, ReplicaLoad
 from persimmonwell.core.forwarding._model import (
@@ -107,6 +108,7 @@
     "ReplicaStatement",
     "HeldLayers",
     "LoadTable",
+    "MemoryReport",
     "PeerStatus",
     "PipelinePath",
     "PlacementOrder",
--- a/persimmonwell/core/forwarding/_loads.py
+++ b/persimmonwell/core/forwarding/_loads.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from persimmonwell.core.forwarding._full_stages import FullStages
 from persimmonwell.core.forwarding._shared_capacity import SharedCapacity
 
 UNTRACKED_USAGE_TTL_S = 1.5
@@ -58,6 +59,7 @@
         self._zone_requests = 0
         """Requests of the peers of the availability zone, at all replicas."""
         self.shared = SharedCapacity()
+        self.full_stages = FullStages()
 
     @property
     def local(self) -> Mapping[str, ReplicaLoad]:
@@ -82,6 +84,7 @@
 
     def record_report(self, replica_id: str, kv_used: int, now_s: float) -> None:
         """Record the layer-tokens a replica uses beyond what all hosts account for."""
+        self.full_stages.record(replica_id, kv_used, now_s)
         extra = max(0, kv_used - self._totals.get(replica_id, (0, 0))[1])
         self._untracked[replica_id] = _Untracked(extra, now_s + UNTRACKED_USAGE_TTL_S)
 
@@ -102,6 +105,7 @@
         self._local[replica_id] = ReplicaLoad(
             load.requests + 1, load.layer_tokens + layer_tokens
         )
+        self.full_stages.add_own(replica_id, layer_tokens)
         self._change_own(replica_id, 1, layer_tokens)
 
     def remove(self, replica_id: str, layer_tokens: int) -> None:
@@ -150,6 +154,7 @@
         for peer in gone:
             self._drop_peer(peer)
         self.shared.expire(now_s)
+        self.full_stages.expire(now_s)
 
     def _drop_peer(self, peer: str) -> None:
         state = self._peers.pop(peer, None)
--- a/persimmonwell/core/forwarding/_paths.py
+++ b/persimmonwell/core/forwarding/_paths.py
@@ -134,7 +134,7 @@
     """
     spec = table.spec
     tokens = size.expected_tokens(spec.typical_output_tokens)
-    used_slots, layer_ms, free = _measure_loads(table, loads, now_s, slowness)
+    used_slots, layer_ms, free = _measure_loads(table, loads, now_s, slowness, tokens)
     start = 0 if first_stage is None else first_stage.stop
     boundaries = table.boundaries
     if start not in boundaries:
@@ -181,15 +181,20 @@
     loads: LoadTable,
     now_s: float,
     slowness: Callable[[str], float],
+    tokens: int,
 ) -> tuple[list[float], list[float], list[float]]:
     """Return used slots, the time of one layer and free layer-tokens by replica.
 
-    They count what the other hosts are expected to send.
+    They count what the other hosts are expected to send. tokens are those of the
+    request.
     """
     spec = table.spec
     step_ms, ms_per_request, layers = spec.step_ms, table.ms_per_request, spec.layers
     loads.update_expected(now_s)
     expected = loads.shared.expected
+    full_stages = loads.full_stages
+    reported = full_stages.replica_ids
+    other_hosts = loads.shared.busy_peers
     used_slots: list[float] = []
     layer_ms = []
     free = []
@@ -204,6 +209,16 @@
             count += more.requests
             slots += more.used_slots
             free_tokens -= more.layer_tokens
+        if replica_id in reported:
+            assert replica.layers is not None
+            usable = full_stages.usable_tokens(
+                replica_id,
+                capacity=capacity,
+                request_tokens=replica.layers.count * tokens,
+                other_hosts=other_hosts,
+                now_s=now_s,
+            )
+            free_tokens = min(free_tokens, usable)
         pass_ms = step_ms + count * ms_per_request
         used_slots.append(slots)
         layer_ms.append(slowness(replica_id) * step_factor * pass_ms / layers)
--- a/persimmonwell/core/forwarding/_shared_capacity.py
+++ b/persimmonwell/core/forwarding/_shared_capacity.py
@@ -76,6 +76,7 @@
         self._joined_s: dict[str, float] = {}
         self._updated_s = float("-inf")
         self._expected: dict[str, ExpectedLoad] = {}
+        self._busy_peers = 0.0
 
     @property
     def expected(self) -> Mapping[str, ExpectedLoad]:
@@ -87,6 +88,14 @@
         """Return the other hosts of the availability zone that are counted."""
         return len(self._reported_s)
 
+    @property
+    def busy_peers(self) -> float:
+        """Return the other hosts of the zone, counted by how busy they are.
+
+        It is as of the last update.
+        """
+        return self._busy_peers
+
     def record_report(self, peer: str, now_s: float) -> None:
         """Record that a peer of the availability zone reported its loads."""
         self._reported_s[peer] = now_s
@@ -182,6 +191,7 @@
         for replica_id in faded:
             del self._growth[replica_id]
         others = self._count_others(own_requests - total_growth, peer_requests)
+        self._busy_peers = others
         trust = self._trust(now_s)
         self._expected = {
             replica_id: ExpectedLoad(
--- a/persimmonwell/core/forwarding/_upstreams.py
+++ b/persimmonwell/core/forwarding/_upstreams.py
@@ -99,6 +99,8 @@
         index = self._current_index()
         for replica_id in index.joined:
             self.loads.shared.record_join(replica_id, now_s)
+            # It lost its layers, and with them the requests in its memory.
+            self.loads.full_stages.record(replica_id, 0, now_s)
         index.joined = ()
 
     def _stage_table(
@@ -194,6 +196,7 @@
         first_stage: Stage | None,
     ) -> PipelinePath | None:
         spread = self.loads.shared.cost_spread(now_s)
+        self.loads.full_stages.draw_phases(self._random.random)
 
         def factor(replica_id: str) -> float:
             slowness = self.health.slowness(replica_id, now_s)
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -527,6 +527,7 @@
             part_evidence=self._router.crashes.part_evidence(time.monotonic()),
             leaving=self._router.leaving.notices(time.monotonic()),
             usage=self._router.workspace_usage.heaviest(time.monotonic()),
+            memory=self._router.loads.full_stages.newest(time.monotonic()),
             registry_changes=self._relayed_changes(),
         )
 
@@ -566,6 +567,8 @@
             until_s,
             zone_reported_s=now_s if is_of_zone else None,
         )
+        for row in report.memory:
+            self._router.loads.full_stages.merge(row, now_s)
         health.record_peer_lost(report.lost, until_s)
         for replica_id, factor in report.slow.items():
             health.record_slowness(replica_id, factor, now_s, is_local=False)
--- a/persimmonwell/gateway/_peer_datagrams.py
+++ b/persimmonwell/gateway/_peer_datagrams.py
@@ -17,16 +17,19 @@
 from persimmonwell.core.forwarding import (
     MAX_SHARED_DIGESTS,
     LeavingNotice,
+    MemoryReport,
     PeerStatus,
     RegistryChanges,
     ReplicaLoad,
     StoreVersions,
     WorkspaceTokens,
 )
+from persimmonwell.core.forwarding._full_stages import MAX_SHARED_REPORTS
 from persimmonwell.core.retry import Blame, PartEvidence
 from persimmonwell.gateway._peer_messages import (
     Changes,
     Load,
+    Memory,
     Report,
     decode_changes,
     decode_evidence,
@@ -110,6 +113,7 @@
     part_evidence: tuple[PartEvidence, ...] = ()
     leaving: tuple[LeavingNotice, ...] = ()
     usage: tuple[WorkspaceTokens, ...] = ()
+    memory: tuple[MemoryReport, ...] = ()
 
     @property
     def host_id(self) -> str:
@@ -134,6 +138,7 @@
     part_evidence: tuple[PartEvidence, ...] = ()
     leaving: tuple[LeavingNotice, ...] = ()
     usage: tuple[WorkspaceTokens, ...] = ()
+    memory: tuple[MemoryReport, ...] = ()
 
 
 SocketAddress = tuple[str, int]
@@ -262,6 +267,11 @@
                 usage=tuple(
                     decode_usage(message) for message in report.usage[:MAX_SHARED_USAGE]
                 ),
+                memory=tuple(
+                    MemoryReport(row.replica_id, row.layer_tokens, row.age_s)
+                    for row in report.memory[:MAX_SHARED_REPORTS]
+                    if _is_short(row.replica_id)
+                ),
             )
         )
 
@@ -377,6 +387,10 @@
                 for row in state.usage[:MAX_SHARED_USAGE]
                 if (message := encode_usage(row)) is not None
             ],
+            memory=[
+                Memory(row.replica_id, row.layer_tokens, row.age_s)
+                for row in state.memory[:MAX_SHARED_REPORTS]
+            ],
         )
         data = msgspec.msgpack.encode(report)
         for address in addresses:
--- a/persimmonwell/gateway/_peer_messages.py
+++ b/persimmonwell/gateway/_peer_messages.py
@@ -108,6 +108,14 @@
     age_s: Age
 
 
+class Memory(msgspec.Struct, array_like=True):
+    """KV memory in use at a replica that was probed lately; see MemoryReport."""
+
+    replica_id: str
+    layer_tokens: Count
+    age_s: Age
+
+
 class Report(msgspec.Struct, array_like=True):
     """State of a host; each report replaces the previous one of its sender."""
 
@@ -139,6 +147,8 @@
     """Absent from earlier builds."""
     usage: list[Usage] = []
     """Absent from earlier builds."""
+    memory: list[Memory] = []
+    """Absent from earlier builds."""
 
 
 def encode_evidence(evidence: PartEvidence) -> SuspectPart:
--- a/tests/core/forwarding/load_candidates.py
+++ b/tests/core/forwarding/load_candidates.py
@@ -16,6 +16,7 @@
     Stage,
 )
 from persimmonwell.core.forwarding._active import ActiveRequest
+from persimmonwell.core.forwarding._full_stages import FullStages
 from persimmonwell.core.forwarding._paths import StageTable, search_path
 from persimmonwell.core.forwarding._shared_capacity import ExpectedLoad, SharedCapacity
 from persimmonwell.core.forwarding._upstreams import UpstreamPool
@@ -45,6 +46,13 @@
         return 1.0
 
 
+class _NoMemoryReports(FullStages):
+    """Memory reports that a candidate ignores beyond LoadTable.record_report."""
+
+    def record(self, replica_id: str, layer_tokens: int, now_s: float) -> None:
+        pass
+
+
 class TodaysPool(UpstreamPool):
     """Choice from the last reports and the own sends alone, as on 4f9703c."""
 
@@ -54,6 +62,7 @@
         self.seed = rng.random()
         self.expectation = _FixedExpectation()
         self.loads.shared = self.expectation
+        self.loads.full_stages = _NoMemoryReports()
         self.now_s = 0.0
 
     def choose_path(self, active: ActiveRequest, now_s: float) -> PipelinePath | None:
--- a/tests/core/forwarding/load_replay.py
+++ b/tests/core/forwarding/load_replay.py
@@ -391,6 +391,8 @@
                 now_s + 2.5 * self._interval_s,
                 zone_reported_s=now_s,
             )
+            for report in self._hosts[source].pool.loads.full_stages.newest(now_s):
+                loads.full_stages.merge(report, now_s)
 
     def _sample(self, now_s: float) -> None:
         engine, result = self._engine, self._result
--- a/tests/gateway/test_peer_datagrams.py
+++ b/tests/gateway/test_peer_datagrams.py
@@ -11,6 +11,7 @@
 
 from persimmonwell.core.forwarding import (
     LeavingNotice,
+    MemoryReport,
     PeerStatus,
     RegistryChanges,
     RegistryRecord,
@@ -18,6 +19,7 @@
     StoreVersions,
     WorkspaceTokens,
 )
+from persimmonwell.core.forwarding._full_stages import MAX_SHARED_REPORTS
 from persimmonwell.core.forwarding._workspace_usage import MAX_SHARED_TOKENS
 from persimmonwell.core.retry import Blame, PartEvidence, PromptPartQuarantine
 from persimmonwell.gateway._peer_datagrams import (
@@ -27,6 +29,7 @@
     MAX_READ_CHANGES,
     MAX_READ_DIGESTS,
     MAX_READ_LOADS,
+    MAX_READ_NAME_CHARACTERS,
     MAX_READ_REPLICAS,
     MAX_SHARED_USAGE,
     SEND_INTERVAL_S,
@@ -52,6 +55,7 @@
 EVIDENCE = PartEvidence(
     part_id="p-1", depth=1, answers=0, answer_age_s=None, crash_ages_s=((7, 0.5),)
 )
+MEMORY = MemoryReport("i-6", 5000, 0.5)
 USAGE = WorkspaceTokens("desk", (0, 1), "team 1", 900, 0.25)
 STORE_VERSIONS = StoreVersions(config_version=4, registry_offset=88)
 
@@ -87,6 +91,7 @@
         registry_changes=CHANGES,
         part_evidence=(EVIDENCE,),
         usage=usage,
+        memory=(MEMORY,),
     )
     datagrams = PeerDatagrams(
         host_id=name,
@@ -113,6 +118,7 @@
         *(status, LOADS, ("i-9",), {"i-7": 4.0}, (BLAME,), ("d2",), 0.625, CHANGES),
         part_evidence=(EVIDENCE,),
         usage=(USAGE,),
+        memory=(MEMORY,),
     )
 
 
@@ -189,6 +195,7 @@
         2,
         [["i-4", 5, 0.5]],
         [["desk", [0, 1], "team 1", 900, 0.25]],
+        [["i-6", 5000, 0.5]],
     ]
 
 
@@ -202,7 +209,12 @@
 )
 
 
-@given(st.integers(0, 18), junk)
+@given(st.integers(0, 19), junk)
+@example(19, [["i-6", -1, 0.5]])
+@example(19, [["i-6", 5000, -0.5]])
+@example(19, [["i-6", 5000, float("nan")]])
+@example(19, [["i" * 5000, 5000, 0.5]])
+@example(19, [["i-6", 5000, 0.5]] * 1000)
 @example(2, [["i-1", -1, 900]])
 @example(3, ["desk.example"])
 @example(7, {"i-7": 1e9})
@@ -242,6 +254,10 @@
         assert len(report.usage) <= MAX_SHARED_USAGE
         for row in report.usage:
             assert 0 <= row.tokens <= MAX_SHARED_TOKENS and row.age_s >= 0.0
+        assert len(report.memory) <= MAX_SHARED_REPORTS
+        for memory in report.memory:
+            assert len(memory.replica_id) <= MAX_READ_NAME_CHARACTERS
+            assert memory.layer_tokens >= 0 and memory.age_s >= 0.0
     for address in one._learned_addresses:
         socket.inet_aton(address)
 
@@ -388,13 +404,14 @@
     one.datagram_received(msgspec.msgpack.encode(earlier_report), ("127.0.0.9", 1))
     assert reports["h2"].registry_changes is None
     assert reports["h2"].part_evidence == () and reports["h2"].leaving == ()
-    assert reports["h2"].usage == ()
+    assert reports["h2"].usage == () and reports["h2"].memory == ()
     later_report = [*sample_report(), {"a": "field of a later build"}]
     one.datagram_received(msgspec.msgpack.encode(later_report), ("127.0.0.9", 1))
     assert reports["h2"].registry_changes is not None
     assert reports["h2"].part_evidence == (EVIDENCE,)
     assert reports["h2"].leaving == (LeavingNotice(("i-4", 5), 0.5),)
     assert reports["h2"].usage == (USAGE,)
+    assert reports["h2"].memory == (MEMORY,)
 
 
 @pytest.mark.parametrize(
