Count a replica short of memory as a refusal, whichever host it refused

Cause: expected sends take up memory in full only after a refusal to this host. When a peer is refused, the other hosts know the full replica but still count a part of what all of them send to the replicas beside it.

Change: when a memory report, own or of a peer, limits what a host may reserve, the expected sends count as they do after an own refusal at the time of the report.

--- a/persimmonwell/core/forwarding/_full_stages.py
+++ b/persimmonwell/core/forwarding/_full_stages.py
@@ -82,6 +82,10 @@
         if len(self._known) > MAX_REPORTS:
             del self._known[next(iter(self._known))]
 
+    def reported_s(self, replica_id: str) -> float:
+        """Return the time of a replica's report, which is known."""
+        return self._known[replica_id].reported_s
+
     def merge(self, report: MemoryReport, now_s: float) -> None:
         """Take over a peer's report if it is newer than the known one."""
         reported_s = now_s - report.age_s
--- a/persimmonwell/core/forwarding/_paths.py
+++ b/persimmonwell/core/forwarding/_paths.py
@@ -218,7 +218,10 @@
                 other_hosts=other_hosts,
                 now_s=now_s,
             )
-            free_tokens = min(free_tokens, usable)
+            if usable < free_tokens:
+                free_tokens = usable
+                # The hosts together send too much, whichever of them was refused.
+                loads.shared.record_refusal(full_stages.reported_s(replica_id))
         pass_ms = step_ms + count * ms_per_request
         used_slots.append(slots)
         layer_ms.append(slowness(replica_id) * step_factor * pass_ms / layers)
--- a/persimmonwell/core/forwarding/_shared_capacity.py
+++ b/persimmonwell/core/forwarding/_shared_capacity.py
@@ -145,7 +145,7 @@
         self._sends += max(0, change)
 
     def record_refusal(self, now_s: float) -> None:
-        """Record that a replica refused a request for want of memory."""
+        """Record that a replica was short of memory for a request of any host."""
         self._refused_s = max(now_s, self._refused_s)
 
     def add(self, replica_id: str, requests: int, layer_tokens: int) -> None:
--- a/tests/core/forwarding/test_full_stages.py
+++ b/tests/core/forwarding/test_full_stages.py
@@ -170,3 +170,23 @@
     again = staged_replica("a0", "za", 0, 40, started_at_ms=5)
     make_pool(again, second, pool=pool)
     assert pool.choose_path(make_request(SIZE, key=2), 0.2) is not None
+
+
+def test_a_refusal_of_another_host_makes_the_expected_sends_count() -> None:
+    """Guards against hosts that all have to be refused before they hold back."""
+    chains = [
+        staged_replica(f"{name}{start}", "za", start, stop)
+        for name in ("a", "b")
+        for start, stop in ((0, 40), (40, 80))
+    ]
+    trust = []
+    for is_reported in (False, True):
+        pool = make_pool(*chains)
+        for peer in range(9):
+            pool.loads.set_peer_loads(f"h{peer}", {}, 9.0, zone_reported_s=0.0)
+        if is_reported:
+            pool.loads.full_stages.merge(MemoryReport("a0", 10**9, 0.05), 0.1)
+        for key in range(2):
+            assert pool.choose_path(make_request(SIZE, key=key), 0.1) is not None
+        trust.append(pool.loads.shared._trust(0.1))
+    assert trust[0] < 0.5 < trust[1]
