Show the age of load reports and the replicas short of memory in the metrics

Cause: operators see refusals that name a replica and the expected sends, but neither how old the reports are nor whether a host knows the replicas that other hosts found full.

A test sends a peer's datagram with a memory report to a running host and reads the gauges and what the host passes on.

Measured: `python -m pytest tests/gateway/test_gateway.py tests/gateway/test_peer_datagrams.py`: all pass.

Conclusion: a host that is refused while no replica is known to be short of memory points at lost datagrams.

--- a/persimmonwell/core/forwarding/_shared_capacity.py
+++ b/persimmonwell/core/forwarding/_shared_capacity.py
@@ -96,6 +96,10 @@
         """
         return self._busy_peers
 
+    def mean_report_age_s(self, now_s: float) -> float:
+        """Return the mean age of the peers' reports, 0 for a host without peers."""
+        return self._mean_age_s(now_s) if self._reported_s else 0.0
+
     def record_report(self, peer: str, now_s: float) -> None:
         """Record that a peer of the availability zone reported its loads."""
         self._reported_s[peer] = now_s
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -742,6 +742,15 @@
             "expected_stage_requests",
             lambda: sum(load.requests for load in shared.expected.values()),
         )
+        metrics.add_gauge(
+            "zone_report_age_seconds",
+            lambda: shared.mean_report_age_s(time.monotonic()),
+        )
+        full_stages = router.loads.full_stages
+        metrics.add_gauge(
+            "replicas_probed_lately",
+            lambda: len(full_stages.newest(time.monotonic())),
+        )
         metrics.add_gauge(
             "reads_store_often", lambda: float(self._followers.reads_continuously)
         )
--- a/tests/core/forwarding/test_shared_capacity.py
+++ b/tests/core/forwarding/test_shared_capacity.py
@@ -129,6 +129,14 @@
     assert not loads.shared.expected
 
 
+def test_the_age_of_the_reports_is_that_of_the_peers_heard_of() -> None:
+    """Guards against a gauge that fails on a host that has not heard of any peer."""
+    assert SharedCapacity().mean_report_age_s(5.0) == 0.0
+    shared = reported(3)
+    shared.record_report("host-0", 0.75)
+    assert shared.mean_report_age_s(1.0) == pytest.approx(0.75)
+
+
 def test_idle_peers_are_expected_to_send_little() -> None:
     """Guards against one busy host that leaves its idle zone's replicas unused."""
     shared = reported(9)
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from persimmonwell.gateway import GatewayHost
-from persimmonwell.gateway._peer_messages import Report
+from persimmonwell.gateway._peer_messages import Memory, Report
 from persimmonwell.platform import parse_node_file
 from standins.log import Log
 from standins.platform_config import API_KEY, HOST, LAYERS, free_ports, node_file
@@ -173,6 +173,7 @@
     is_reader: bool,
     interval_s: float,
     zone: str = "za",
+    memory: tuple[Memory, ...] = (),
 ) -> bytes:
     """Return the datagram of a peer, of the host's zone by default, with the store."""
     report = Report(
@@ -190,5 +191,6 @@
         registry_offset=0,
         blames=[],
         refused=[],
+        memory=list(memory),
     )
     return msgspec.msgpack.encode(report)
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from persimmonwell.gateway._peer_messages import Memory
 from standins.platform_config import API_KEY, HOST, config, route
 from tests.fleet import wait_until
 from tests.gateway.harness import GatewayTestbed, encoded_report
@@ -548,3 +549,26 @@
         wait_until(lambda: f"{gauge} 1" in read_metrics(testbed), timeout_s=2.0)
     assert testbed.host is not None
     assert set(testbed.host._router.loads._peers) == {"h2", "h3"}
+
+
+def test_full_replicas_that_peers_report_are_known_and_passed_on(
+    testbed: GatewayTestbed,
+) -> None:
+    """Guards against a host that learns of a full replica from own refusals alone."""
+    with socket.socket(type=socket.SOCK_DGRAM) as peer:
+        peer.bind(("127.0.0.9", 0))
+        data = encoded_report(
+            "h2",
+            config_version=3,
+            is_reader=False,
+            interval_s=4.0,
+            memory=(Memory("i-6", 5000, 0.1),),
+        )
+        peer.sendto(data, ("127.0.0.1", testbed.ports["peers"]))
+        gauge = 'persimmonwell_gateway_state{name="replicas_probed_lately"}'
+        wait_until(lambda: f"{gauge} 1" in read_metrics(testbed), timeout_s=2.0)
+    assert "zone_report_age_seconds" in read_metrics(testbed)
+    assert testbed.host is not None
+    (row,) = testbed.host._local_state().memory
+    assert (row.replica_id, row.layer_tokens) == ("i-6", 5000)
+    assert row.age_s >= 0.1
