--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -38,6 +38,7 @@
     RerouteFailure,
     Send,
 )
+from persimmonwell.core.forwarding._full_stages import MemoryReport
 from persimmonwell.core.forwarding._handover import HandoverPolicy
 from persimmonwell.core.forwarding._loads import LoadTable, ReplicaLoad
 from persimmonwell.core.forwarding._model import (
@@ -114,6 +115,7 @@
     "ReplicaStatement",
     "HeldLayers",
     "LoadTable",
+    "MemoryReport",
     "PeerStatus",
     "PipelinePath",
     "PlacementOrder",
--- a/persimmonwell/core/forwarding/_shared_capacity.py
+++ b/persimmonwell/core/forwarding/_shared_capacity.py
@@ -76,6 +76,7 @@
         self._joined_s: dict[str, float] = {}
         self._updated_s = float("-inf")
         self._expected: dict[str, ExpectedLoad] = {}
+        self._busy_peers = 0.0
 
     @property
     def expected(self) -> Mapping[str, ExpectedLoad]:
@@ -91,6 +92,14 @@
         """Return the mean age of the zone's last reports, None without any."""
         return self._mean_age_s(now_s) if self._reported_s else None
 
+    @property
+    def busy_peers(self) -> float:
+        """Return the other hosts of the zone, counted by how busy they are.
+
+        It is as of the last update.
+        """
+        return self._busy_peers
+
     def record_report(self, peer: str, now_s: float) -> None:
         """Record that a peer of the availability zone reported its loads."""
         self._reported_s[peer] = now_s
@@ -140,7 +149,7 @@
         self._sends += max(0, change)
 
     def record_refusal(self, now_s: float) -> None:
-        """Record that a replica refused a request for want of memory."""
+        """Record that a replica was short of memory for a request of any host."""
         self._refused_s = max(now_s, self._refused_s)
 
     def add(self, replica_id: str, requests: int, layer_tokens: int) -> None:
@@ -186,6 +195,7 @@
         for replica_id in faded:
             del self._growth[replica_id]
         others = self._count_others(own_requests - total_growth, peer_requests)
+        self._busy_peers = others
         trust = self._trust(now_s)
         self._expected = {
             replica_id: ExpectedLoad(
--- a/persimmonwell/gateway/_host_gauges.py
+++ b/persimmonwell/gateway/_host_gauges.py
@@ -55,6 +55,15 @@
         "expected_stage_requests",
         lambda: sum(load.requests for load in shared.expected.values()),
     )
+    metrics.add_gauge(
+        "zone_report_age_seconds",
+        lambda: shared.report_age_s(time.monotonic()) or 0.0,
+    )
+    full_stages = router.loads.full_stages
+    metrics.add_gauge(
+        "replicas_probed_lately",
+        lambda: len(full_stages.newest(time.monotonic())),
+    )
     metrics.add_gauge("reads_store_often", lambda: float(followers.reads_continuously))
     metrics.add_gauge("holds_duty", lambda: float(duty.is_held))
     metrics.add_gauge(
--- a/persimmonwell/gateway/_peer_exchange.py
+++ b/persimmonwell/gateway/_peer_exchange.py
@@ -125,6 +125,7 @@
             part_evidence=self._router.crashes.part_evidence(time.monotonic()),
             leaving=self._router.leaving.notices(time.monotonic()),
             usage=self._router.workspace_usage.heaviest(time.monotonic()),
+            memory=self._router.loads.full_stages.newest(time.monotonic()),
             registry_changes=self._relayed_changes(),
         )
 
@@ -146,6 +147,8 @@
             until_s,
             zone_reported_s=now_s if is_of_zone else None,
         )
+        for row in report.memory:
+            self._router.loads.full_stages.merge(row, now_s)
         health.record_peer_lost(report.lost, until_s)
         for replica_id, factor in report.slow.items():
             health.record_slowness(replica_id, factor, now_s, is_local=False)
