Test a host under further kinds of clients that respect no limits

Cause: docs/overload.md, F1, names kinds of clients without a test, and the bytes that the kernel keeps for a process are not looked at.

--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -42,6 +42,10 @@
     repeats: int = 0
     reads: bool = True
     """Whether the client reads what the host answers."""
+    read_bytes: int = SLICE_BYTES
+    """Bytes of one read; the rest stays in the kernel until the next read."""
+    read_pause_s: float = 0.0
+    """Time between two reads."""
     awaits_answer: bool = False
     """Whether the client waits for an answer after it has sent everything."""
     connections: int = 1
@@ -75,6 +79,9 @@
         self._has_answer = False
         self.reopen_s = 0.0
         """Time from which the client may open its next connection."""
+        self.resume_s = 0.0
+        """Time from which the client may read again."""
+        self.is_paused = False
         self._restart()
 
     def _restart(self) -> None:
@@ -98,7 +105,7 @@
         """Open the next connection; return None if that fails."""
         self._restart()
         self.socket = socket.socket()
-        if not self.script.reads:
+        if not self.script.reads or self.script.read_pause_s:
             self.socket.setsockopt(
                 socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BUFFER_BYTES
             )
@@ -115,6 +122,7 @@
         if self.socket is not None:
             self._used_connections += self._is_connected
             self.reopen_s = time.monotonic() + REOPEN_S
+            self.is_paused = False
             self.socket.close()
             self.socket = None
 
@@ -138,8 +146,10 @@
         Raises BlockingIOError, or another OSError if the connection is closed.
         """
         assert self.socket is not None
-        count = len(self.socket.recv(SLICE_BYTES))
+        count = len(self.socket.recv(self.script.read_bytes))
         self._has_answer |= count > 0
+        if self.script.read_pause_s:
+            self.resume_s = time.monotonic() + self.script.read_pause_s
         return count
 
 
@@ -152,13 +162,17 @@
     """
 
     def __init__(
-        self, targets: Sequence[Address], scripts: Sequence[Script], count: int
+        self,
+        targets: Sequence[Address],
+        scripts: Sequence[Script],
+        count: int,
+        sources: Sequence[str] = SOURCES,
     ) -> None:
-        """Spread count clients over the targets, and over the scripts in turn."""
+        """Spread count clients over targets, addresses, and over scripts in turn."""
         self._clients = [
             _Client(
                 targets[number % len(targets)],
-                SOURCES[number % len(SOURCES)],
+                sources[number % len(sources)],
                 scripts[number // len(targets) % len(scripts)],
             )
             for number in range(count)
@@ -218,7 +232,18 @@
                     events = selectors.EVENT_WRITE | reads
                     self._selector.register(opened, events, client)
 
+    def _resume_readers(self) -> None:
+        """Let the clients read again whose pause is over."""
+        now_s = time.monotonic()
+        for client in self._clients:
+            if client.socket is not None and client.is_paused:
+                if now_s < client.resume_s:
+                    continue
+                client.is_paused = False
+                self._selector.register(client.socket, selectors.EVENT_READ, client)
+
     def _serve(self) -> None:
+        self._resume_readers()
         ready = self._selector.select(POLL_INTERVAL_S)
         if not ready:
             # A selector without descriptors returns at once.
@@ -231,6 +256,14 @@
             except OSError:
                 self._selector.unregister(key.fileobj)
                 key.data.close()
+            else:
+                self._pause_reader(key.data, events)
+
+    def _pause_reader(self, client: _Client, events: int) -> None:
+        """Take a client that has sent everything from the selector until it resumes."""
+        if events == selectors.EVENT_READ and client.script.read_pause_s:
+            client.is_paused = True
+            self._selector.unregister(client.socket)
 
     def _move_bytes(self, client: _Client, events: int) -> None:
         """Read and send; raises OSError if the connection is closed or blocks."""
@@ -254,10 +287,13 @@
 
 @contextmanager
 def running_crowd(
-    targets: Sequence[Address], *scripts: Script, count: int
+    targets: Sequence[Address],
+    *scripts: Script,
+    count: int,
+    sources: Sequence[str] = SOURCES,
 ) -> Iterator[Crowd]:
     """Provide a crowd that sends, and close it afterwards."""
-    crowd = Crowd(targets, scripts, count)
+    crowd = Crowd(targets, scripts, count, sources)
     crowd.start()
     try:
         yield crowd
--- a/tests/crowds/site.py
+++ b/tests/crowds/site.py
@@ -132,6 +132,9 @@
         document = config(self._version, limits=CALLER_LIMITS)
         names = [f"v{version}" for version in range(1, self._version + 1)]
         document["routes"] += [route(name, "safe", "desk") for name in names]
+        # Requests for a service without replicas wait in its queue.
+        document["routes"].append(route("wait", "safe", "absent", timeout_ms=30_000))
+        document["services"].append({"name": "absent", "health_path": "/health"})
         self.store.put_key("keyed.op", "config", document)
         return names[-1]
 
@@ -167,6 +170,19 @@
                 return
             time.sleep(SAMPLE_INTERVAL_S)
 
+    def kernel_bytes(self) -> int:
+        """Return how many bytes the kernel keeps for the hosts, read or written."""
+        lines = Path("/proc/net/tcp").read_text(encoding="ascii").splitlines()[1:]
+        front = {host.ports["front"] for host in self.hosts}
+        replica = int(self.replica.address.rpartition(":")[2])
+        total = 0
+        for line in lines:
+            fields = line.split()
+            local, remote = (int(field.partition(":")[2], 16) for field in fields[1:3])
+            if local in front or remote == replica:
+                total += sum(int(count, 16) for count in fields[4].split(":"))
+        return total
+
     def _unread_bytes(self) -> int:
         """Return how many bytes wait in the kernel for the hosts to read them."""
         lines = Path("/proc/net/tcp").read_text(encoding="ascii").splitlines()[1:]
