Cut long text in the lines of the host's output

Cause: callers saw a host outgrow its memory limit when clients sent requests whose ids fill their heads: each line holds the id, the queue is bounded by lines alone, and the writing thread encoded all queued lines before it wrote any. Conclusion: 4,000 queued lines take at most a few MB whatever clients name themselves.

--- a/persimmonwell/observe/_decision_log.py
+++ b/persimmonwell/observe/_decision_log.py
@@ -11,6 +11,13 @@
 MAX_QUEUED_LINES = 4_000
 """About 1 MB of text, and more than a second of lines at a host's peak load."""
 WRITE_INTERVAL_S = 0.1
+MAX_TEXT_CHARACTERS = 512
+"""Text of one field; callers choose request ids of up to the size of a head, with which
+a full queue would take more than 64 MB."""
+MAX_TRACE_CHARACTERS = 4000
+"""Text of the field `trace`, of which few lines are written."""
+MAX_BATCH_LINES = 500
+"""Lines that are encoded and written at once."""
 
 
 class DecisionLog:
@@ -52,6 +59,11 @@
         if len(self._lines) >= MAX_QUEUED_LINES:
             self._dropped += 1
             return
+        for name, value in fields.items():
+            if type(value) is str and len(value) > MAX_TEXT_CHARACTERS:
+                is_trace = name == "trace"
+                limit = MAX_TRACE_CHARACTERS if is_trace else MAX_TEXT_CHARACTERS
+                fields[name] = value[:limit]
         self._lines.append(
             {
                 "time": round(time.time(), 4),
@@ -75,16 +87,18 @@
         if self._dropped:
             dropped, self._dropped = self._dropped, 0
             self.write("log", "lines_dropped", count=dropped)
-        chunks: list[bytes] = []
         while self._lines:
+            self._write_batch()
+
+    def _write_batch(self) -> None:
+        chunks: list[bytes] = []
+        while self._lines and len(chunks) < MAX_BATCH_LINES:
             line = self._lines.popleft()
             try:
                 chunks.append(msgspec.json.encode(line, enc_hook=str))
             except (ValueError, TypeError, RecursionError):
                 # Text that is not valid Unicode; the thread must go on.
                 chunks.append(msgspec.json.encode({"unreadable": ascii(line)}))
-        if not chunks:
-            return
         try:
             self._stream.write(b"\n".join(chunks) + b"\n")
             self._stream.flush()
--- a/tests/observe/test_decision_log.py
+++ b/tests/observe/test_decision_log.py
@@ -4,6 +4,7 @@
 import json
 
 from persimmonwell.observe import DecisionLog
+from persimmonwell.observe._decision_log import MAX_BATCH_LINES, MAX_TEXT_CHARACTERS
 
 
 def test_text_that_is_not_unicode_does_not_end_the_log() -> None:
@@ -17,3 +18,19 @@
     first, second = stream.getvalue().splitlines()
     assert "ud800" in json.loads(first)["unreadable"]
     assert json.loads(second)["replica"] == "i-2"
+
+
+def test_long_text_is_cut() -> None:
+    """Guards against a queue of lines whose memory clients choose with their ids."""
+    stream = io.BytesIO()
+    log = DecisionLog(host_id="h1", stream=stream)
+    for _ in range(MAX_BATCH_LINES + 1):
+        log.write("request", "sent", id="i" * 16_000, trace="t" * 3000)
+    log.start()
+    log.close()
+    lines = [json.loads(line) for line in stream.getvalue().splitlines()]
+    lengths = {(len(line["id"]), len(line["trace"])) for line in lines}
+    assert (len(lines), lengths) == (
+        MAX_BATCH_LINES + 1,
+        {(MAX_TEXT_CHARACTERS, 3000)},
+    )
