Bound the socket buffers of callers, upstreams and status ports

Cause: callers saw hosts end that were within their own memory: what the kernel holds unread and unsent for a process counts as its memory, and no socket had a bound. Loopback connections held up to 2.6 MB each. Change: core/resources/_socket_buffers.py derives the sizes from limits.memory_mb and the bound on connections, which is itself bounded by the memory for the least sizes. Send buffers, those to upstreams, and what the process keeps unsent share what process, budget, waiting uploads and status ports leave. A caller's receive buffer has 128 KB and is charged to the budget while reading is paused; a connection whose requests are not taken is read until the next request arrives. Uploads with room get 256 KB, which their charge includes. The window that a client is granted during an upload is at least 164 KB on loopback (TCP_INFO, packets of 1.4 KB); 6 ms need 75 KB. Conclusion: the rate at 6 ms follows from the window; it was not measured over such a link.

--- a/persimmonwell/core/resources/__init__.py
+++ b/persimmonwell/core/resources/__init__.py
@@ -19,15 +19,28 @@
 )
 from persimmonwell.core.resources._policy import CallerPolicy, RefusalReason
 from persimmonwell.core.resources._progress import Progress
+from persimmonwell.core.resources._socket_buffers import (
+    RECEIVE_BUFFER_BYTES,
+    STATUS_BUFFER_BYTES,
+    UPLOAD_BUFFER_BYTES,
+    BufferPlan,
+    SocketBuffers,
+    buffer_plan,
+    buffered_connection_bound,
+)
 
 __all__ = [
     "CLOSING_CONNECTIONS",
     "FILE_DESCRIPTORS",
     "FIXED_DESCRIPTORS",
     "MIN_CALLER_CONNECTIONS",
+    "RECEIVE_BUFFER_BYTES",
     "SMALL_BODY_BYTES",
+    "STATUS_BUFFER_BYTES",
+    "UPLOAD_BUFFER_BYTES",
     "Admission",
     "BodyCharge",
+    "BufferPlan",
     "CallerPolicy",
     "Charge",
     "ConnectionTable",
@@ -35,6 +48,9 @@
     "Progress",
     "ProgressCharge",
     "RefusalReason",
+    "SocketBuffers",
+    "buffer_plan",
+    "buffered_connection_bound",
     "caller_connection_bound",
     "memory_budget_bytes",
 ]
--- a/persimmonwell/core/resources/_connections.py
+++ b/persimmonwell/core/resources/_connections.py
@@ -15,6 +15,8 @@
 CLOSING_CONNECTIONS = 64
 """Connections beyond the bound that still send a refusal; with more, the one that has
 been closing for the longest is aborted."""
+UNCOUNTED_CONNECTIONS = 64
+"""Connections that were accepted in the last turns of the event loop."""
 FIXED_DESCRIPTORS = 300
 """Descriptors apart from files, callers and their upstreams: 96 connections of the
 status ports, 64 connections that are closing, 64 that were accepted in the last turns
--- a/persimmonwell/gateway/_caller_connection.py
+++ b/persimmonwell/gateway/_caller_connection.py
@@ -11,15 +11,19 @@
 
 from persimmonwell.core.forwarding import CallerLimits, Ending
 from persimmonwell.core.resources import (
+    RECEIVE_BUFFER_BYTES,
+    UPLOAD_BUFFER_BYTES,
     BodyCharge,
     CallerPolicy,
     Charge,
     MemoryBudget,
     ProgressCharge,
     RefusalReason,
+    SocketBuffers,
 )
 from persimmonwell.gateway._http_connection import (
     MAX_READ_BYTES,
+    set_buffer_sizes,
     set_read_size,
     set_socket_options,
 )
@@ -33,8 +37,6 @@
 )
 from persimmonwell.platform import decode_request_id, local_answer_headers
 
-WRITE_HIGH_WATER_BYTES = 65_536
-"""Unsent bytes to one caller above which reading from its upstream is paused."""
 MAX_PIPELINED_REQUESTS = 4
 """Pipelined requests that wait on one connection before reading is paused."""
 FEED_BYTES = 4096
@@ -113,6 +115,7 @@
         budget: MemoryBudget | None = None,
         policy: CallerPolicy | None = None,
         buffers: UploadBuffers | None = None,
+        socket_buffers: SocketBuffers | None = None,
         on_progress: Callable[["CallerConnection"], None] = lambda caller: None,
         on_refused: Callable[[str], None] = lambda reason: None,
     ) -> None:
@@ -123,12 +126,17 @@
         self._budget = budget or MemoryBudget()
         self._policy = policy or CallerPolicy()
         self._buffers = buffers or UploadBuffers()
+        self._socket_buffers = socket_buffers or SocketBuffers()
+        self._has_upload_buffer = False
+        """Whether the kernel's receive buffer has the size for an upload."""
         self._on_progress = on_progress
         self._on_refused = on_refused
         self._address = ""
         self._base_charge = self._budget.open_charge("connections")
         self._held_charge: Charge | None = None
         """Unparsed bytes and waiting requests above what the base charge covers."""
+        self._kernel_charge: Charge | None = None
+        """Bytes that the kernel may receive while reading is paused."""
         self._answer_charge: Charge | None = None
         """Bytes of the answer that the exchange holds back."""
         self._unread_charge: ProgressCharge | None = None
@@ -240,7 +248,13 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         set_socket_options(transport)
-        transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        sizes = self._socket_buffers
+        set_buffer_sizes(
+            transport.get_extra_info("socket"),
+            receive_bytes=RECEIVE_BUFFER_BYTES,
+            send_bytes=sizes.send_bytes,
+        )
+        transport.set_write_buffer_limits(high=sizes.unsent_bytes)
         peer = transport.get_extra_info("peername")
         self._address = str(peer[0]) if isinstance(peer, tuple) else ""
         self._base_charge.force(BASE_CHARGE_BYTES)
@@ -324,22 +338,29 @@
         """Pause reading while nothing more may be parsed, and charge what is held."""
         if self._transport is None or self._is_lingering:
             return
-        if (
-            self._body is not None
-            and self._body.covers_unparsed
-            and not self._body.is_chunked
-        ):
-            set_read_size(self._transport, UPLOAD_READ_BYTES)
+        covers_unparsed = self._body is not None and self._body.covers_unparsed
+        if covers_unparsed and not self._has_upload_buffer:
+            self._set_upload_buffer(True)
         is_waiting = self._body is not None and self._body.is_waiting
-        is_blocked = bool(self._unparsed) or is_waiting or not self._may_parse
-        held_bytes = len(self._unparsed) - self._parsed_bytes
-        if self._body is not None and self._body.covers_unparsed:
-            held_bytes = 0
+        # A caller that takes no answers is read until it sends another request.
+        is_full = bool(self._pipelined) and not self._may_parse
+        is_blocked = bool(self._unparsed) or is_waiting or is_full
+        held_bytes = 0
+        if not covers_unparsed:
+            held_bytes = len(self._unparsed) - self._parsed_bytes
+        # Bodies that wait are bounded in number, and what is unread of an upload that
+        # has room is charged with it.
+        is_charged = not (covers_unparsed or is_waiting)
+        has_room = self._charge_unread(is_blocked and is_charged)
         if self._pipelined:
             held_bytes += sum(_memory_of(request) for request in self._pipelined)
-        if (
-            held_bytes > COVERED_HELD_BYTES or self._held_charge is not None
-        ) and not self._hold(held_bytes):
+        if not has_room or (
+            (held_bytes > COVERED_HELD_BYTES or self._held_charge is not None)
+            and not self._hold(held_bytes)
+        ):
+            # What still arrives is discarded.
+            is_blocked = False
+        if self._transport is None or self._is_lingering:
             return
         if is_blocked == self._is_reading_paused:
             return
@@ -351,6 +372,17 @@
         else:
             self._transport.resume_reading()
 
+    def _set_upload_buffer(self, is_upload: bool) -> None:
+        """Give the kernel room for an upload that is charged, or take it back."""
+        assert self._transport is not None
+        self._has_upload_buffer = is_upload
+        size = UPLOAD_BUFFER_BYTES if is_upload else RECEIVE_BUFFER_BYTES
+        sock = self._transport.get_extra_info("socket")
+        set_buffer_sizes(sock, receive_bytes=size)
+        is_announced = self._body is not None and not self._body.is_chunked
+        read_bytes = UPLOAD_READ_BYTES if is_upload and is_announced else MAX_READ_BYTES
+        set_read_size(self._transport, read_bytes)
+
     def _hold(self, count: int) -> bool:
         """Charge held bytes; without room, refuse the requests that wait."""
         if self._held_charge is None:
@@ -363,13 +395,32 @@
                 return True
             if self._held_charge.resize(count):
                 return True
-            for request in self._pipelined:
-                _close_all(request.resources)
-            self._pipelined.clear()
-            self._refuse_for_memory()
+            self._refuse_waiting()
         self._close_held_charge()
         return not self._is_lingering and self._rejection is None
 
+    def _charge_unread(self, is_paused: bool) -> bool:
+        """Charge what the kernel may receive meanwhile; without room, refuse."""
+        if not is_paused:
+            if self._kernel_charge is not None:
+                self._kernel_charge.close()
+                self._kernel_charge = None
+            return True
+        if self._kernel_charge is None:
+            self._kernel_charge = self._budget.open_charge("unread")
+            if not self._kernel_charge.grow(RECEIVE_BUFFER_BYTES):
+                self._refuse_waiting()
+                self._charge_unread(False)
+                return False
+        return True
+
+    def _refuse_waiting(self) -> None:
+        """Refuse the requests that wait and the one that is received, as not run."""
+        for request in self._pipelined:
+            _close_all(request.resources)
+        self._pipelined.clear()
+        self._refuse_for_memory()
+
     def _close_held_charge(self) -> None:
         if self._held_charge is not None:
             self._held_charge.close()
@@ -470,6 +521,7 @@
             self._release_request()
             self._close_unread_charge()
             self._close_held_charge()
+            self._charge_unread(False)
             self._base_charge.close()
 
     def _close_unread_charge(self) -> None:
@@ -612,8 +664,8 @@
         content: Content = self._small_body
         resources: tuple[Resource, ...] = ()
         if body is not None:
-            if body.covers_unparsed and self._transport is not None:
-                set_read_size(self._transport, MAX_READ_BYTES)
+            if self._has_upload_buffer and self._transport is not None:
+                self._set_upload_buffer(False)
             content, resources = body.complete()
         if head_charge is not None:
             resources += (head_charge,)
@@ -832,6 +884,7 @@
         self._is_lingering = True
         self._drop_unparsed()
         self._close_held_charge()
+        self._charge_unread(False)
         try:
             self._transport.write_eof()
         except OSError:
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -30,7 +30,12 @@
     RouteKind,
     Send,
 )
-from persimmonwell.core.resources import CallerPolicy, ConnectionTable, MemoryBudget
+from persimmonwell.core.resources import (
+    BufferPlan,
+    CallerPolicy,
+    ConnectionTable,
+    MemoryBudget,
+)
 from persimmonwell.gateway._caller_connection import CallerConnection, RawRequest
 from persimmonwell.gateway._exchange import STATUS_BY_ENDING, Exchange
 from persimmonwell.gateway._http_connection import (
@@ -90,12 +95,15 @@
         on_leaving: Callable[[], None] = lambda: None,
         budget: MemoryBudget | None = None,
         caller_policy: CallerPolicy | None = None,
+        buffer_plan: BufferPlan | None = None,
     ) -> None:
         self.router = router
+        self._buffer_plan = buffer_plan or BufferPlan()
         self.pool = ConnectionPool(
             match_answer=_match_answer,
             clock=time.monotonic,
             default_idle_timeout_s=DEFAULT_IDLE_TIMEOUT_S,
+            buffers=self._buffer_plan.rest,
         )
         self.metrics = GatewayMetrics()
         self.is_draining = False
@@ -158,6 +166,7 @@
             budget=self.budget,
             policy=self.caller_policy,
             buffers=self._buffers,
+            socket_buffers=self._buffer_plan.sizes_for(len(self._callers)),
             on_progress=self._callers.record_progress,
             on_refused=self._record_refusal,
         )
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -27,11 +27,16 @@
     should_plan_without_store,
 )
 from persimmonwell.core.resources import (
+    STATUS_BUFFER_BYTES,
+    UPLOAD_BUFFER_BYTES,
     MemoryBudget,
+    buffer_plan,
+    buffered_connection_bound,
     caller_connection_bound,
     memory_budget_bytes,
 )
 from persimmonwell.gateway._gateway import Gateway
+from persimmonwell.gateway._http_connection import set_buffer_sizes
 from persimmonwell.gateway._peer_datagrams import (
     SEND_INTERVAL_S,
     LocalState,
@@ -107,16 +112,21 @@
             retry_window_s=settings.retry_window_s,
         )
         self._router.host_count = max(1, len(settings.seeds))
+        caller_bound = min(
+            caller_connection_bound(settings.max_fds, _process_limit()),
+            buffered_connection_bound(settings.memory_mb),
+        )
         self._gateway = Gateway(
             router=self._router,
             log=self._log,
             seed=seed,
-            caller_bound=caller_connection_bound(settings.max_fds, _process_limit()),
+            caller_bound=caller_bound,
             on_leaving=lambda: self._peers.send_to_zone(),
             budget=MemoryBudget(
                 memory_budget_bytes(settings.memory_mb), policy=settings.caller_policy
             ),
             caller_policy=settings.caller_policy,
+            buffer_plan=buffer_plan(settings.memory_mb, caller_bound),
         )
         self._duty = PlacementDuty(
             router=self._router,
@@ -216,6 +226,8 @@
             settings.callers,
             self._gateway.create_caller_connection,
             accepts_per_turn=ACCEPTS_PER_TURN,
+            # Their connections set smaller ones; a window's scale is fixed before.
+            buffer_bytes=UPLOAD_BUFFER_BYTES,
         )
         await loop.create_datagram_endpoint(
             lambda: self._peers, local_addr=(settings.ip, settings.peer_port)
@@ -236,6 +248,7 @@
             endpoint,
             status_server.create_connection,
             accepts_per_turn=STATUS_ACCEPTS_PER_TURN,
+            buffer_bytes=STATUS_BUFFER_BYTES,
         )
 
     async def _listen(
@@ -244,9 +257,11 @@
         factory: Callable[[], asyncio.BaseProtocol],
         *,
         accepts_per_turn: int,
+        buffer_bytes: int,
     ) -> socket.socket:
         loop = asyncio.get_running_loop()
         listener = socket.create_server((endpoint.host, endpoint.port), backlog=BACKLOG)
+        set_buffer_sizes(listener, receive_bytes=buffer_bytes, send_bytes=buffer_bytes)
         listener.setblocking(False)
         # The event loop accepts up to `backlog` connections in one turn, and only then
         # counts them; the length of the kernel's queue is set again afterwards.
--- a/persimmonwell/gateway/_http_connection.py
+++ b/persimmonwell/gateway/_http_connection.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client connections to upstreams, and their pool."""
 
 import asyncio
+import contextlib
 import re
 import socket
 from collections.abc import Callable, Collection, Sequence
@@ -9,6 +10,12 @@
 
 import httptools
 
+from persimmonwell.core.resources import (
+    SMALL_BODY_BYTES,
+    UPLOAD_BUFFER_BYTES,
+    SocketBuffers,
+)
+
 CONNECT_TIMEOUT_S = 0.5
 """Far above the round-trip time within a region. A lost SYN is retransmitted only after
 a second, so it is better to try another upstream."""
@@ -75,6 +82,25 @@
     transport.max_size = size  # type: ignore[attr-defined]
 
 
+def set_buffer_sizes(
+    sock: socket.socket | None,
+    *,
+    receive_bytes: int | None = None,
+    send_bytes: int | None = None,
+) -> None:
+    """Set buffer sizes as the kernel counts them; it doubles what it is given.
+
+    A socket without such buffers, or one that is closed, is left as it is.
+    """
+    if sock is None:
+        return
+    sizes = ((socket.SO_RCVBUF, receive_bytes), (socket.SO_SNDBUF, send_bytes))
+    for option, size in sizes:
+        if size is not None:
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, option, size // 2)
+
+
 def set_socket_options(transport: asyncio.BaseTransport) -> None:
     """Bound reads, disable Nagle's algorithm, detect peers that stopped responding."""
     set_read_size(transport, MAX_READ_BYTES)
@@ -157,6 +183,10 @@
         self._transport.write(data)
         if body:
             self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+            if len(body) > SMALL_BODY_BYTES:
+                # Charged with the upload; see RequestBody.
+                sock = self._transport.get_extra_info("socket")
+                set_buffer_sizes(sock, send_bytes=UPLOAD_BUFFER_BYTES)
             self._unsent_body = memoryview(body)
             self._write_body()
 
@@ -361,10 +391,12 @@
         match_answer: MatchAnswer,
         clock: Callable[[], float],
         default_idle_timeout_s: float,
+        buffers: SocketBuffers | None = None,
     ) -> None:
         self._match_answer = match_answer
         self._clock = clock
         self._default_idle_timeout_s = default_idle_timeout_s
+        self._buffers = buffers or SocketBuffers()
         self._idle: dict[str, list[UpstreamConnection]] = {}
         self.opened_count = 0
         """Connection attempts since the start."""
@@ -409,22 +441,41 @@
 
         Raises OSError or TimeoutError.
         """
-        host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         self.opened_count += 1
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            sock = await self._open_socket(address)
             _, connection = await loop.create_connection(
                 lambda: UpstreamConnection(
                     match_answer=self._match_answer,
                     on_idle=self._put_idle,
                     on_lost=self._remove,
                 ),
-                host,
-                int(port),
+                sock=sock,
             )
         connection.address = address
         return connection
 
+    async def _open_socket(self, address: str) -> socket.socket:
+        """Connect a socket whose buffers have their size from the first packet on."""
+        host, _, port = address.rpartition(":")
+        host = host.strip("[]")
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            set_buffer_sizes(
+                sock,
+                receive_bytes=self._buffers.upstream_receive_bytes,
+                send_bytes=self._buffers.upstream_send_bytes,
+            )
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(sock, (host, int(port)))
+        except BaseException:
+            sock.close()
+            raise
+        return sock
+
     def _put_idle(self, connection: UpstreamConnection) -> None:
         connection.idle_since_s = self._clock()
         self._idle.setdefault(connection.address, []).append(connection)
--- a/persimmonwell/gateway/_request_body.py
+++ b/persimmonwell/gateway/_request_body.py
@@ -7,6 +7,7 @@
 
 from persimmonwell.core.resources import (
     SMALL_BODY_BYTES,
+    UPLOAD_BUFFER_BYTES,
     BodyCharge,
     CallerPolicy,
     Progress,
@@ -24,8 +25,9 @@
 UPLOAD_READ_BYTES = 262_144
 """Largest read of an upload of announced length that has room; reads of 64 KB cost a
 tenth more CPU time."""
-UPLOAD_OVERHEAD_BYTES = UPLOAD_READ_BYTES + 65_536
-"""Charged with an upload beside its body: a slice that was read, or is sent."""
+UPLOAD_OVERHEAD_BYTES = UPLOAD_READ_BYTES + 65_536 + UPLOAD_BUFFER_BYTES
+"""Charged with an upload beside its body: a slice that was read, or is sent, and the
+kernel's buffer of the bytes to read, or to send."""
 
 
 class Resource(Protocol):
--- a/tests/gateway/test_caller_overload.py
+++ b/tests/gateway/test_caller_overload.py
@@ -11,12 +11,12 @@
     BASE_CHARGE_BYTES,
     MAX_PARTS_A_TURN,
     MAX_PIPELINED_REQUESTS,
-    WRITE_HIGH_WATER_BYTES,
     CallerConnection,
     RawRequest,
 )
 from persimmonwell.gateway._http_connection import (
     BODY_SLICE_BYTES,
+    WRITE_HIGH_WATER_BYTES,
     AnswerMatch,
     UpstreamConnection,
 )
