Forward whole events with fewer steps, and collect partial ones in one buffer

Change: an event that arrives whole while nothing is held is checked without being split; the calls for each event are written out; an incomplete event is one growing buffer; the budget's tick does nothing without transfers. A test compares whole events with single bytes.

--- a/persimmonwell/core/resources/_memory.py
+++ b/persimmonwell/core/resources/_memory.py
@@ -332,6 +332,8 @@
 
     def tick(self, now_s: float) -> None:
         """Serve waiting bodies, refuse those that waited too long, end transfers."""
+        if not self._waiting and not self._transfers:
+            return
         self._serve_waiting(now_s)
         for body in list(self._waiting):
             since_s = body.waiting_since_s
--- a/persimmonwell/gateway/_caller_connection.py
+++ b/persimmonwell/gateway/_caller_connection.py
@@ -728,7 +728,12 @@
 
     def write_data(self, data: bytes | bytearray) -> None:
         """Write another chunk of the answer that was begun."""
-        self._write(_encode_chunk(data))
+        # Written out, since it is called for each event of a stream.
+        transport = self._transport
+        if transport is not None and not transport.is_closing():
+            chunk = _encode_chunk(data)
+            self._written_bytes += len(chunk)
+            transport.write(chunk)
 
     def end_answer(self) -> None:
         """Write the last chunk of the answer that was begun."""
--- a/persimmonwell/gateway/_event_stream.py
+++ b/persimmonwell/gateway/_event_stream.py
@@ -39,7 +39,7 @@
 
     def __init__(self, position: StreamPosition) -> None:
         self._position = position
-        self._partial_event = b""
+        self._partial_event: bytes | bytearray = b""
         self._held = b""
         """Comments after the last event, with a first event that is held."""
 
@@ -63,6 +63,15 @@
         comments, self._held = self._held, b""
         return comments
 
+    def _add_event(self, event: bytes, event_id: int) -> CompleteEvents:
+        """Add one complete event while nothing is held."""
+        place = self._position.place(event_id)
+        if place is EventPlace.NEXT:
+            return CompleteEvents(event, 1, True)
+        if place is EventPlace.HELD:
+            self._held = event
+        return CompleteEvents(b"", 0, place is EventPlace.HELD)
+
     def feed(self, data: bytes) -> CompleteEvents:
         """Add a piece of the stream and return the events that are complete now.
 
@@ -70,13 +79,29 @@
         and later ones are not: the next attempt resumes after the last event that was
         returned.
         """
+        if (
+            not (self._partial_event or self._held)
+            and data.endswith(b"\n\n")
+            and data.count(b"\n\n") == 1
+        ):
+            # The usual case; a replica sends each event as it is generated.
+            match = _EVENT.fullmatch(data, 0, len(data) - 2)
+            if match is not None:
+                return self._add_event(data, int(match[1]))
         searched = max(0, len(self._partial_event) - 1)
-        data = self._partial_event + data if self._partial_event else data
-        end = data.rfind(b"\n\n", searched)
+        received: bytes | bytearray = data
+        if self._partial_event:
+            # One growing buffer, since the event may arrive byte by byte.
+            received = self._partial_event
+            if not isinstance(received, bytearray):
+                received = bytearray(received)
+            received += data
+        end = received.rfind(b"\n\n", searched)
         if end < 0:
-            self._partial_event = data
+            self._partial_event = received
             return CompleteEvents(b"", 0, True)
-        complete, self._partial_event = data[: end + 2], data[end + 2 :]
+        complete = bytes(received[: end + 2])
+        self._partial_event = bytes(received[end + 2 :])
         count = 0
         in_order = True
         position = end_of_events = 0
--- a/persimmonwell/gateway/_exchange.py
+++ b/persimmonwell/gateway/_exchange.py
@@ -126,7 +126,14 @@
 
     def on_data(self, data: bytes) -> None:
         """Forward a part of a stream, or buffer a part of a plain answer."""
-        self._contain(lambda: self._receive_data(data))
+        # Written out, since it is called for each event of a stream.
+        try:
+            if self.body_use is BodyUse.FORWARD_EVENTS:
+                self.exchange.forward_events(self, data)
+            else:
+                self._receive_data(data)
+        except Exception as error:
+            self.exchange.fault(error)
 
     def on_end(self, *, is_framed: bool) -> None:
         """End the attempt with a complete answer."""
@@ -153,9 +160,6 @@
         self.exchange.head_received(self)
 
     def _receive_data(self, data: bytes) -> None:
-        if self.body_use is BodyUse.FORWARD_EVENTS:
-            self.exchange.forward_events(self, data)
-            return
         self.body_bytes += len(data)
         if self.body_use is not BodyUse.DISCARD:
             self._append(data)
@@ -441,7 +445,9 @@
         else:
             self._answer.add_events()
             now_s = self._owner.now_s()
-            self.max_gap_s = max(self.max_gap_s, now_s - self._last_event_s)
+            gap_s = now_s - self._last_event_s
+            if gap_s > self.max_gap_s:
+                self.max_gap_s = gap_s
             self._last_event_s = now_s
             self._caller.write_data(data)
         self._owner.event_forwarded(self)
--- a/tests/gateway/test_event_stream.py
+++ b/tests/gateway/test_event_stream.py
@@ -134,3 +134,27 @@
     parser = EventStreamParser(StreamPosition())
     assert parser.feed(event(7)).data == b""
     assert parser.ends_within_event
+
+
+def test_an_event_in_many_parts_equals_the_whole() -> None:
+    """Guards against a short way for whole events that decides otherwise."""
+    stream = b": c\n\n" + b"".join(
+        b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 5)
+    )
+    spoiled = stream.replace(b"id: 3", b"id: 9")
+    late = b"id: 7\ndata: x\n\nid: 8\ndata: y\n\nid: 8\ndata: z\n\n"
+    for data in (stream, spoiled, late):
+        outcomes = set()
+        for parts in (
+            [event + b"\n\n" for event in data.split(b"\n\n")[:-1]],
+            [bytes([byte]) for byte in data],
+        ):
+            parser = EventStreamParser(StreamPosition())
+            forwarded, in_order = b"", True
+            for part in parts:
+                if in_order:
+                    events = parser.feed(part)
+                    forwarded += events.data
+                    in_order = events.is_in_order
+            outcomes.add((forwarded, in_order, parser.ends_within_event))
+        assert len(outcomes) == 1
