Split the connection of a caller by reason to change

Cause: gateway/_caller_connection.py had 969 lines; parsing, charging, refusing and writing change for separate reasons. Change: _caller_requests (parsing and limits of one message), _caller_charges, _caller_refusals and _caller_answers; the connection keeps reading, the order of requests and time-outs. tests/gateway/test_caller_overload.py and test_exchange.py change imports of private modules only. Conclusion: no change in behaviour is meant; pausing and resuming of reading stay in the connection.

--- /dev/null
+++ b/persimmonwell/gateway/_caller_answers.py
@@ -0,0 +1,71 @@
+"""Writing of answers to one caller, and how far the caller has taken them."""
+
+import asyncio
+from collections.abc import Iterable
+from http import HTTPStatus
+
+_KNOWN_STATUSES = frozenset(HTTPStatus)
+
+
+class AnswerWriter:
+    """Bytes that were written to one caller."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.is_paused = False
+        """Whether the caller takes no bytes at present."""
+        self._written_bytes = 0
+        self._taken_bytes = 0
+        self.taken_s = 0.0
+        """When the caller last took bytes, as far as was checked."""
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether anything can still be written."""
+        return self.transport is not None and not self.transport.is_closing()
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many written bytes the kernel has not taken."""
+        return self.transport.get_write_buffer_size() if self.transport else 0
+
+    def write(self, data: bytes | bytearray) -> None:
+        """Write bytes, unless the connection is closing."""
+        transport = self.transport
+        if transport is not None and not transport.is_closing():
+            self._written_bytes += len(data)
+            transport.write(data)
+
+    def take_progress(self, now_s: float) -> int | None:
+        """Return how many bytes were taken since the last call.
+
+        None if there are unsent bytes of which the caller took none.
+        """
+        unsent_bytes = self.unsent_bytes
+        taken_bytes = self._written_bytes - unsent_bytes
+        if unsent_bytes and taken_bytes == self._taken_bytes:
+            return None
+        taken_since = max(0, taken_bytes - self._taken_bytes)
+        self._taken_bytes, self.taken_s = taken_bytes, now_s
+        return taken_since
+
+    def is_unread(self, unread_s: float, now_s: float) -> bool:
+        """Return whether the caller took nothing of unsent bytes for a time."""
+        return bool(self.unsent_bytes) and now_s - self.taken_s >= unread_s
+
+
+def encode_answer_head(
+    status: int, headers: Iterable[tuple[bytes, bytes]], *, is_last: bool
+) -> bytes:
+    """Return the lines of a head, without the empty one that ends it."""
+    phrase = HTTPStatus(status).phrase if status in _KNOWN_STATUSES else "Unknown"
+    lines = [f"HTTP/1.1 {status} {phrase}".encode()]
+    lines += [name + b": " + value for name, value in headers]
+    if is_last:
+        lines.append(b"connection: close")
+    return b"\r\n".join(lines) + b"\r\n"
+
+
+def encode_chunk(data: bytes | bytearray) -> bytes:
+    """Return a chunk of an answer with chunked transfer encoding."""
+    return b"%x\r\n%b\r\n" % (len(data), data)  # type: ignore[str-format]
--- a/persimmonwell/gateway/_exchange.py
+++ b/persimmonwell/gateway/_exchange.py
@@ -17,7 +17,8 @@
     Send,
     StreamPosition,
 )
-from persimmonwell.gateway._caller_connection import CallerConnection, RawRequest
+from persimmonwell.gateway._caller_connection import CallerConnection
+from persimmonwell.gateway._caller_requests import RawRequest
 from persimmonwell.gateway._event_stream import EventStreamParser
 from persimmonwell.gateway._http_connection import (
     ConnectionPool,
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -36,7 +36,8 @@
     ConnectionTable,
     MemoryBudget,
 )
-from persimmonwell.gateway._caller_connection import CallerConnection, RawRequest
+from persimmonwell.gateway._caller_connection import CallerConnection
+from persimmonwell.gateway._caller_requests import RawRequest
 from persimmonwell.gateway._exchange import STATUS_BY_ENDING, Exchange
 from persimmonwell.gateway._http_connection import (
     AnswerMatch,
--- a/tests/gateway/test_caller_overload.py
+++ b/tests/gateway/test_caller_overload.py
@@ -7,13 +7,13 @@
 
 from persimmonwell.core.forwarding import CallerLimits
 from persimmonwell.core.resources import CallerPolicy, MemoryBudget
+from persimmonwell.gateway._caller_charges import BASE_CHARGE_BYTES
 from persimmonwell.gateway._caller_connection import (
-    BASE_CHARGE_BYTES,
     MAX_PARTS_A_TURN,
     MAX_PIPELINED_REQUESTS,
     CallerConnection,
-    RawRequest,
 )
+from persimmonwell.gateway._caller_requests import RawRequest
 from persimmonwell.gateway._http_connection import (
     BODY_SLICE_BYTES,
     WRITE_HIGH_WATER_BYTES,
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -15,7 +15,7 @@
     ReplicaStatement,
     Send,
 )
-from persimmonwell.gateway._caller_connection import RawRequest
+from persimmonwell.gateway._caller_requests import RawRequest
 from persimmonwell.gateway._exchange import MAX_BUFFERED_BYTES, Exchange
 
 LAST_EVENT = 6
