Ignore an offered upgrade instead of dropping the body and answering twice

Cause: clients that offer HTTP/2 with `Upgrade: h2c`, as some do with each first request, saw their request run with an empty body, and a 501 after its answer, which they take for the answer to their next request. The parser skips the body of a request with an upgrade, and reports it only after the request was handed on. CONNECT with a path as target was forwarded. Change: such a head is parsed again without the offer, so that the request is served with its body as HTTP/1.1; CONNECT is refused with 501 before it runs. Tests for both, and one of the charge for what the kernel receives while reading is paused. Conclusion: no byte of a body can be taken for a request, since the rest is parsed behind the head.

--- a/persimmonwell/gateway/_caller_requests.py
+++ b/persimmonwell/gateway/_caller_requests.py
@@ -113,6 +113,7 @@
         self._announced_bytes: int | None = 0
         self._head_charge: Charge | None = None
         self._has_body = False
+        self._offers_upgrade = False
         self.expects_continue = False
         """Whether the caller waits for `100 Continue`."""
         self._framing_bytes = 0
@@ -130,8 +131,13 @@
         self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._receiver.reject(HTTPStatus.NOT_IMPLEMENTED)
+        except httptools.HttpParserUpgrade as upgrade:
+            if self._offers_upgrade and self._receiver.accepts_requests:
+                # The parser skips the body of such a request. Its head is parsed again
+                # without the offer, which RFC 9110, section 7.8, allows to ignore.
+                head = self._encode_head_without_upgrade()
+                self.drop_message()
+                self.feed(head + data[upgrade.args[0] :])
         except httptools.HttpParserCallbackError as error:
             # A fault of the host, not of the request; nothing is promised about it.
             self._receiver.fail(error)
@@ -142,6 +148,18 @@
             if self.is_receiving and self._receiver.accepts_requests:
                 self._check_size()
 
+    def _encode_head_without_upgrade(self) -> bytes:
+        version = self._parser.get_http_version().encode()
+        lines = [b"%b %b HTTP/%b" % (self._parser.get_method(), self._url, version)]
+        for name, value in self._headers:
+            if name == b"connection":
+                options = value.split(b",")
+                kept = [o for o in options if o.strip().lower() != b"upgrade"]
+                value = b",".join(kept)
+            if name != b"upgrade":
+                lines.append(name + b": " + value)
+        return b"\r\n".join((*lines, b"", b""))
+
     def _check_size(self) -> None:
         """Reject what exceeds the limits, and charge a head that is not small."""
         limits = self._limits()
@@ -195,6 +213,12 @@
 
     def on_headers_complete(self) -> None:
         """Refuse a body that is too large, or else ask for its room."""
+        if self._parser.should_upgrade():
+            if self._parser.get_method() == b"CONNECT":
+                self._receiver.reject(HTTPStatus.NOT_IMPLEMENTED)
+            else:
+                self._offers_upgrade = True
+            return
         self.in_body = True
         self._framing_bytes = 0
         for name, value in self._headers:
@@ -240,7 +264,7 @@
 
     def on_message_complete(self) -> None:
         """Validate the request and hand it on."""
-        if self._receiver.is_refusing:
+        if self._receiver.is_refusing or self._offers_upgrade:
             return
         host_headers = [value for name, value in self._headers if name == b"host"]
         body, head_charge, has_body = self.body, self._head_charge, self._has_body
--- a/tests/gateway/test_caller_overload.py
+++ b/tests/gateway/test_caller_overload.py
@@ -6,7 +6,11 @@
 import pytest
 
 from persimmonwell.core.forwarding import CallerLimits
-from persimmonwell.core.resources import CallerPolicy, MemoryBudget
+from persimmonwell.core.resources import (
+    RECEIVE_BUFFER_BYTES,
+    CallerPolicy,
+    MemoryBudget,
+)
 from persimmonwell.gateway._caller_charges import BASE_CHARGE_BYTES
 from persimmonwell.gateway._caller_connection import (
     MAX_PARTS_A_TURN,
@@ -600,3 +604,77 @@
         assert caller.budget.used_bytes == BASE_CHARGE_BYTES
 
     on_loop(run)
+
+
+UPGRADES = {
+    "GET": b"GET /x HTTP/1.1\r\nHost: h\r\nConnection: Upgrade, HTTP2-Settings\r\n"
+    b"Upgrade: h2c\r\nHTTP2-Settings: AAMAAABk\r\n\r\n",
+    "POST": b"POST /x HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n"
+    b"Content-Length: 1\r\n\r\nb",
+}
+
+
+@pytest.mark.parametrize("method", UPGRADES)
+def test_an_offered_upgrade_is_ignored(method: str) -> None:
+    """Guards against a second answer to a request, which a client takes for its next.
+
+    Clients that prefer HTTP/2 offer it with each first request.
+    """
+
+    async def run() -> None:
+        caller = Caller()
+        caller.receive(UPGRADES[method])
+        caller.connection.write_answer(200, (), b"")
+        caller.receive(UPGRADES[method] + GET)
+        for _ in range(2):
+            caller.connection.write_answer(200, (), b"")
+            await turns()
+        paths = [(request.method, request.target) for request in caller.requests]
+        assert paths == [(method, "/x"), (method, "/x"), ("POST", "/x")]
+        body = b"b" if method == "POST" else b""
+        assert [request.body for request in caller.requests] == [body, body, b""]
+        connection = dict(caller.requests[0].headers)[b"connection"]
+        assert b"upgrade" not in connection.lower()
+        assert caller.statuses == [200, 200, 200]
+        assert not caller.transport.has_written_eof
+
+    on_loop(run)
+
+
+def test_a_tunnel_is_refused_before_it_runs() -> None:
+    """Guards against CONNECT requests that are forwarded and then refused."""
+
+    async def run() -> None:
+        caller = Caller()
+        caller.receive(b"CONNECT /x HTTP/1.1\r\nHost: h\r\n\r\n" + GET)
+        assert (caller.requests, caller.statuses) == ([], [501])
+
+    on_loop(run)
+
+
+def test_bytes_that_the_kernel_holds_are_charged() -> None:
+    """Guards against paused connections whose socket buffers nothing accounts for.
+
+    Without room the requests behind the current one are refused, and what follows is
+    read and discarded.
+    """
+
+    async def run() -> None:
+        caller = Caller()
+        caller.receive(GET * 20)
+        assert caller.budget.used_by_purpose["unread"] == RECEIVE_BUFFER_BYTES
+        for _ in range(20):
+            caller.connection.write_answer(200, (), b"")
+            await turns()
+        assert caller.budget.used_bytes == BASE_CHARGE_BYTES
+
+        budget = MemoryBudget(100_000, policy=POLICY)
+        caller = Caller(budget=budget)
+        caller.receive(GET * 20)
+        assert caller.transport.is_reading
+        caller.connection.write_answer(200, (), b"")
+        await turns()
+        assert caller.statuses == [200, 503]
+        assert budget.used_bytes == BASE_CHARGE_BYTES
+
+    on_loop(run)
