--- a/persimmonwell/cli/_config_check_command.py
+++ b/persimmonwell/cli/_config_check_command.py
@@ -22,7 +22,7 @@
     list_differences,
 )
 from persimmonwell.core.forwarding import ForwardingConfig
-from persimmonwell.platform import decode_config, parse_node_file
+from persimmonwell.platform import decode_config, document_path, parse_node_file
 
 EXIT_WARNINGS = EXIT_REFUSED
 """Status for warnings without errors; errors end with that for bad input."""
@@ -72,6 +72,14 @@
                 if config is not None:
                     findings += check_replacement(config, old)
                     differences = list_differences(config, old)
+        findings = tuple(
+            attrs.evolve(finding, path=document_path(finding.path))
+            for finding in findings
+        )
+        differences = tuple(
+            attrs.evolve(change, path=document_path(change.path))
+            for change in differences
+        )
         self._print(findings, differences, is_compared=against is not None)
         if any(finding.severity is Severity.ERROR for finding in findings):
             return EXIT_BAD_INPUT
--- a/persimmonwell/core/config_check/_checks.py
+++ b/persimmonwell/core/config_check/_checks.py
@@ -58,7 +58,7 @@
     for route in config.routes:
         other = used[route.host.lower(), route.prefix]
         if other is not route:
-            path = entry_path("routes", route.name, "path_prefix")
+            path = entry_path("routes", route.name, "prefix")
             other_path = entry_path("routes", other.name)
             yield warning(
                 path, f"never matches: {other_path} has the same host and prefix"
@@ -70,7 +70,7 @@
     for route in config.routes:
         prefix = route.prefix
         if not (prefix.startswith("/") and prefix.endswith("/")) or "?" in prefix:
-            path = entry_path("routes", route.name, "path_prefix")
+            path = entry_path("routes", route.name, "prefix")
             yield warning(path, "never matches: must begin and end with a slash")
         if not route.host or ":" in route.host:
             path = entry_path("routes", route.name, "host")
@@ -85,7 +85,7 @@
         for choice in route.services:
             named.add(choice.service)
             if choice.service not in known:
-                path = entry_path("routes", route.name, "service")
+                path = entry_path("routes", route.name, "services")
                 yield error(path, f"no service has the name {choice.service!r}")
     for name in sorted(known - named):
         yield warning(entry_path("services", name), "no route names the service")
@@ -94,7 +94,7 @@
 def check_weights(config: ForwardingConfig) -> Iterator[Finding]:
     """Find parts of a traffic split that get no request."""
     for route in config.routes:
-        path = entry_path("routes", route.name, "traffic_split")
+        path = entry_path("routes", route.name, "weights")
         for choice in route.services:
             if choice.weight < 0:
                 yield error(path, f"the weight of {choice.service!r} is negative")
@@ -109,7 +109,7 @@
     """
     holders: dict[str, str] = {}
     for tenant in config.tenants or ():
-        path = entry_path("tenants", tenant.name, "api_keys")
+        path = entry_path("tenants", tenant.name, "keys")
         if not any(tenant.keys):
             yield warning(path, "the tenant has no key, so that no request is its own")
         for position, key in enumerate(tenant.keys):
@@ -131,24 +131,26 @@
 
         gap_s, timeout_s = route.gap_objective_s, route.timeout_s
         if timeout_s <= 0:
-            yield error(path("timeout_ms"), "must be above 0")
+            yield error(path("timeout_s"), "must be above 0")
         elif timeout_s < route.latency_objective_s:
-            yield warning(path("timeout_ms"), "is below target_latency_ms")
+            yield warning(path("timeout_s"), "is below the latency objective")
         if gap_s is not None and gap_s > timeout_s:
-            yield warning(path("gap_aim_ms"), "is above timeout_ms")
+            yield warning(path("gap_objective_s"), "is above the time-out")
         if gap_s is not None and route.kind is not RouteKind.STREAM:
-            yield warning(path("gap_aim_ms"), "has no effect: the kind is not stream")
+            yield warning(
+                path("gap_objective_s"), "has no effect: the kind is not stream"
+            )
 
 
 def check_caller_times(config: ForwardingConfig) -> Iterator[Finding]:
     """Find time-outs of callers' connections that contradict each other."""
     limits = config.limits
     if limits.header_timeout_s <= 0:
-        yield error("limits.header_timeout_ms", "must be above 0")
+        yield error("limits.header_timeout_s", "must be above 0")
     if limits.idle_timeout_s <= 0:
-        yield error("limits.idle_timeout_ms", "must be above 0")
+        yield error("limits.idle_timeout_s", "must be above 0")
     elif limits.idle_timeout_s < limits.header_timeout_s:
-        yield warning("limits.idle_timeout_ms", "is below header_timeout_ms")
+        yield warning("limits.idle_timeout_s", "is below the time-out of heads")
 
 
 def check_attempts(config: ForwardingConfig, host: HostLimits) -> Iterator[Finding]:
--- a/persimmonwell/core/config_check/_differences.py
+++ b/persimmonwell/core/config_check/_differences.py
@@ -13,19 +13,6 @@
 )
 from persimmonwell.core.forwarding import ForwardingConfig, Tenant
 
-FIELDS = {
-    "prefix": "path_prefix",
-    "services": "service",
-    "timeout_s": "timeout_ms",
-    "latency_objective_s": "target_latency_ms",
-    "gap_objective_s": "gap_aim_ms",
-    "is_public": "auth_exempt",
-    "is_resumable": "stream_resume",
-    "header_timeout_s": "header_timeout_ms",
-    "idle_timeout_s": "idle_timeout_ms",
-}
-"""Names of fields in the document where they differ from those of the model."""
-
 
 @attrs.frozen
 class Difference:
@@ -88,7 +75,7 @@
     for tenant in old.tenants:
         lost = sum(key not in kept for key in tenant.keys)
         if lost:
-            path = entry_path("tenants", tenant.name, "api_keys")
+            path = entry_path("tenants", tenant.name, "keys")
             yield warning(path, f"{lost} of its keys are removed: they are refused")
         elif tenant.name not in names:
             yield warning(entry_path("tenants", tenant.name), "is removed")
@@ -133,20 +120,19 @@
     if isinstance(new, Tenant) and set(new.keys) != set(old.keys):
         added, removed = set(new.keys) - set(old.keys), set(old.keys) - set(new.keys)
         change = f"{len(added)} added, {len(removed)} removed"
-        yield Difference(f"{path}.api_keys", change)
+        yield Difference(f"{path}.keys", change)
 
 
 def _shown_values(entry: Any) -> Mapping[str, Any]:
-    """Return the values of an entry by their names in the document."""
+    """Return the values of an entry, but for its keys, with the unit of times."""
     values = {}
     for field in attrs.fields(type(entry)):
         value = getattr(entry, field.name)
         if field.name == "keys":
             continue
-        name = FIELDS.get(field.name, field.name)
-        if name.endswith("_ms") and value is not None:
-            value = round(value * 1000, 3)
-        values[name] = value
+        if field.name.endswith("_s") and value is not None:
+            value = f"{value:g} s"
+        values[field.name] = value
     return values
 
 
--- a/persimmonwell/core/config_check/_findings.py
+++ b/persimmonwell/core/config_check/_findings.py
@@ -21,7 +21,7 @@
 
     severity: Severity
     path: str
-    """Path of the field in the document, such as routes["name"].timeout_ms."""
+    """Path of the field in the configuration, such as routes["name"].timeout_s."""
     reason: str
 
 
--- a/persimmonwell/core/resources/__init__.py
+++ b/persimmonwell/core/resources/__init__.py
@@ -19,6 +19,15 @@
 )
 from persimmonwell.core.resources._policy import CallerPolicy, RefusalReason
 from persimmonwell.core.resources._progress import Progress
+from persimmonwell.core.resources._socket_buffers import (
+    RECEIVE_BUFFER_BYTES,
+    STATUS_BUFFER_BYTES,
+    UPLOAD_BUFFER_BYTES,
+    BufferPlan,
+    SocketBuffers,
+    buffer_plan,
+    buffered_connection_bound,
+)
 from persimmonwell.core.resources._threads import choose_stalled
 
 __all__ = [
@@ -26,9 +35,13 @@
     "FILE_DESCRIPTORS",
     "FIXED_DESCRIPTORS",
     "MIN_CALLER_CONNECTIONS",
+    "RECEIVE_BUFFER_BYTES",
     "SMALL_BODY_BYTES",
+    "STATUS_BUFFER_BYTES",
+    "UPLOAD_BUFFER_BYTES",
     "Admission",
     "BodyCharge",
+    "BufferPlan",
     "CallerPolicy",
     "Charge",
     "ConnectionTable",
@@ -36,6 +49,9 @@
     "Progress",
     "ProgressCharge",
     "RefusalReason",
+    "SocketBuffers",
+    "buffer_plan",
+    "buffered_connection_bound",
     "caller_connection_bound",
     "choose_stalled",
     "memory_budget_bytes",
--- a/persimmonwell/gateway/_caller_admission.py
+++ b/persimmonwell/gateway/_caller_admission.py
@@ -5,8 +5,14 @@
 from collections.abc import Callable
 
 from persimmonwell.core.forwarding import CallerLimits
-from persimmonwell.core.resources import CallerPolicy, ConnectionTable, MemoryBudget
-from persimmonwell.gateway._caller_connection import CallerConnection, RawRequest
+from persimmonwell.core.resources import (
+    BufferPlan,
+    CallerPolicy,
+    ConnectionTable,
+    MemoryBudget,
+)
+from persimmonwell.gateway._caller_connection import CallerConnection
+from persimmonwell.gateway._caller_requests import RawRequest
 from persimmonwell.gateway._exchange import Exchange
 from persimmonwell.gateway._metrics import GatewayMetrics
 from persimmonwell.gateway._request_body import UploadBuffers
@@ -25,6 +31,7 @@
         bound: int,
         budget: MemoryBudget | None,
         policy: CallerPolicy | None,
+        buffer_plan: BufferPlan,
         log: DecisionLog,
         metrics: GatewayMetrics,
         read_limits: Callable[[], CallerLimits],
@@ -34,6 +41,7 @@
         self.policy = policy or CallerPolicy()
         self.budget = budget or MemoryBudget(policy=self.policy)
         self._buffers = UploadBuffers(may_keep=lambda: self.budget.waiting_count == 0)
+        self._buffer_plan = buffer_plan
         self._progress_checked_s = 0.0
         self._metrics = metrics
         self._client_log = RateLimitedLog(log, clock=time.monotonic)
@@ -56,6 +64,7 @@
             budget=self.budget,
             policy=self.policy,
             buffers=self._buffers,
+            socket_buffers=self._buffer_plan.sizes_for(len(self.callers)),
             on_progress=self.callers.record_progress,
             on_refused=self._record_refusal,
         )
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -23,9 +23,10 @@
     RouteKind,
     Send,
 )
-from persimmonwell.core.resources import CallerPolicy, MemoryBudget
+from persimmonwell.core.resources import BufferPlan, CallerPolicy, MemoryBudget
 from persimmonwell.gateway._caller_admission import CallerAdmission
-from persimmonwell.gateway._caller_connection import CallerConnection, RawRequest
+from persimmonwell.gateway._caller_connection import CallerConnection
+from persimmonwell.gateway._caller_requests import RawRequest
 from persimmonwell.gateway._control_calls import ControlCalls
 from persimmonwell.gateway._exchange import STATUS_BY_ENDING, Exchange
 from persimmonwell.gateway._http_connection import (
@@ -67,12 +68,15 @@
         on_leaving: Callable[[], None] = lambda: None,
         budget: MemoryBudget | None = None,
         caller_policy: CallerPolicy | None = None,
+        buffer_plan: BufferPlan | None = None,
     ) -> None:
         self.router = router
+        plan = buffer_plan or BufferPlan()
         self.pool = ConnectionPool(
             match_answer=_match_answer,
             clock=time.monotonic,
             default_idle_timeout_s=DEFAULT_IDLE_TIMEOUT_S,
+            buffers=plan.rest,
         )
         self.metrics = GatewayMetrics()
         self.is_draining = False
@@ -83,6 +87,7 @@
             bound=caller_bound,
             budget=budget,
             policy=caller_policy,
+            buffer_plan=plan,
             log=log,
             metrics=self.metrics,
             read_limits=self._caller_limits,
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -10,6 +10,8 @@
 from persimmonwell.core.forwarding import ForwardingRouter
 from persimmonwell.core.resources import (
     MemoryBudget,
+    buffer_plan,
+    buffered_connection_bound,
     caller_connection_bound,
     memory_budget_bytes,
 )
@@ -57,16 +59,21 @@
             retry_window_s=settings.retry_window_s,
         )
         self._router.host_count = max(1, len(settings.seeds))
+        caller_bound = min(
+            caller_connection_bound(settings.max_fds, process_limit()),
+            buffered_connection_bound(settings.memory_mb),
+        )
         self._gateway = Gateway(
             router=self._router,
             log=self._log,
             seed=seed,
-            caller_bound=caller_connection_bound(settings.max_fds, process_limit()),
+            caller_bound=caller_bound,
             on_leaving=lambda: self._peers.send_to_zone(),
             budget=MemoryBudget(
                 memory_budget_bytes(settings.memory_mb), policy=settings.caller_policy
             ),
             caller_policy=settings.caller_policy,
+            buffer_plan=buffer_plan(settings.memory_mb, caller_bound),
         )
         self._duty = PlacementDuty(
             router=self._router,
--- a/persimmonwell/gateway/_listeners.py
+++ b/persimmonwell/gateway/_listeners.py
@@ -5,6 +5,8 @@
 import time
 from collections.abc import Callable
 
+from persimmonwell.core.resources import STATUS_BUFFER_BYTES, UPLOAD_BUFFER_BYTES
+from persimmonwell.gateway._http_connection import set_buffer_sizes
 from persimmonwell.gateway._status_server import (
     ACCEPTS_PER_TURN as STATUS_ACCEPTS_PER_TURN,
 )
@@ -62,6 +64,8 @@
             settings.callers,
             self._create_caller_connection,
             accepts_per_turn=ACCEPTS_PER_TURN,
+            # Their connections set smaller ones; a window's scale is fixed before.
+            buffer_bytes=UPLOAD_BUFFER_BYTES,
         )
         await loop.create_datagram_endpoint(
             lambda: datagrams, local_addr=(settings.ip, settings.peer_port)
@@ -80,6 +84,7 @@
             endpoint,
             status_server.create_connection,
             accepts_per_turn=STATUS_ACCEPTS_PER_TURN,
+            buffer_bytes=STATUS_BUFFER_BYTES,
         )
 
     async def _listen(
@@ -88,9 +93,11 @@
         factory: Callable[[], asyncio.BaseProtocol],
         *,
         accepts_per_turn: int,
+        buffer_bytes: int,
     ) -> socket.socket:
         loop = asyncio.get_running_loop()
         listener = socket.create_server((endpoint.host, endpoint.port), backlog=BACKLOG)
+        set_buffer_sizes(listener, receive_bytes=buffer_bytes, send_bytes=buffer_bytes)
         listener.setblocking(False)
         # The event loop accepts up to `backlog` connections in one turn, and only then
         # counts them; the length of the kernel's queue is set again afterwards.
--- a/persimmonwell/platform/__init__.py
+++ b/persimmonwell/platform/__init__.py
@@ -35,6 +35,7 @@
     REPLICA_TOPIC,
     decode_config,
     decode_replica,
+    document_path,
 )
 from persimmonwell.platform._store_client import (
     AppendConflictError,
@@ -65,6 +66,7 @@
     "StreamSlice",
     "decode_answer_head",
     "decode_config",
+    "document_path",
     "decode_replica",
     "decode_refusing_stage",
     "decode_report",
--- a/persimmonwell/platform/_operator_records.py
+++ b/persimmonwell/platform/_operator_records.py
@@ -28,6 +28,20 @@
 
 CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
+DOCUMENT_FIELDS = {
+    "prefix": "path_prefix",
+    "services": "service",
+    "weights": "traffic_split",
+    "timeout_s": "timeout_ms",
+    "latency_objective_s": "target_latency_ms",
+    "gap_objective_s": "gap_aim_ms",
+    "is_public": "auth_exempt",
+    "is_resumable": "stream_resume",
+    "header_timeout_s": "header_timeout_ms",
+    "idle_timeout_s": "idle_timeout_ms",
+    "keys": "api_keys",
+}
+"""Names of fields in the document where they differ from those of the model."""
 REPLICA_TOPIC = "keyed.servers"
 DEFAULT_HOP_DELAY_MS = 0.2
 MAX_ENTRY_BYTES = 64 * 1024
@@ -342,3 +356,15 @@
         int(number) <= largest
         for number, largest in zip(match.groups(), _ADDRESS_LIMITS, strict=True)
     )
+
+
+def document_path(path: str) -> str:
+    """Return the path in the document of a field of the model.
+
+    The last name after the entry is translated: `routes["a"].prefix`.
+    """
+    entry, dot, field = path.rpartition(".")
+    name, bracket, position = field.partition("[")
+    if not dot or '"' in field:
+        return path
+    return f"{entry}.{DOCUMENT_FIELDS.get(name, name)}{bracket}{position}"
--- a/tests/core/config_check/test_config_check.py
+++ b/tests/core/config_check/test_config_check.py
@@ -13,7 +13,7 @@
     list_differences,
 )
 from persimmonwell.core.forwarding import ForwardingConfig
-from persimmonwell.platform import decode_config
+from persimmonwell.platform import decode_config, document_path
 from standins.platform_config import config, route
 
 Change = Callable[[dict[str, Any]], object]
@@ -148,14 +148,14 @@
 def test_each_finding_names_its_field(change: Change, severity: str, path: str) -> None:
     """Guards against a fault that is not found, or one that has another path."""
     (finding,) = check_config(_changed(change))
-    assert (finding.severity.value, finding.path) == (severity, path)
+    assert (finding.severity.value, document_path(finding.path)) == (severity, path)
 
 
 @pytest.mark.parametrize(("change", "severity", "path"), REPLACEMENTS)
 def test_what_a_new_version_stops(change: Change, severity: str, path: str) -> None:
     """Guards against a loss that shows only when the version is in force."""
     (finding,) = check_replacement(_changed(change), _decode(_sound(1)))
-    assert (finding.severity.value, finding.path) == (severity, path)
+    assert (finding.severity.value, document_path(finding.path)) == (severity, path)
 
 
 def test_keys_that_become_required_are_found() -> None:
@@ -194,13 +194,13 @@
         _add("routes", route("new", "safe", "desk"))(document)
 
     found = list_differences(_changed(change), _decode(_sound(1)))
-    assert {(item.path, item.change) for item in found} == {
+    assert {(document_path(item.path), item.change) for item in found} == {
         ("version", "from 1 to 2"),
-        ('routes["look"].timeout_ms', "from 5000.0 to 9000.0"),
+        ('routes["look"].timeout_ms', "from 5 s to 9 s"),
         ('routes["book"]', "is removed"),
         ('routes["new"]', "is added"),
         ('tenants["range"].priority', "from None to 1"),
         ('tenants["range"].api_keys', "1 added, 1 removed"),
-        ("limits.idle_timeout_ms", "from 2000.0 to 3000.0"),
+        ("limits.idle_timeout_ms", "from 2 s to 3 s"),
     }
     assert not any("key-" in item.change for item in found)
