Follow the response times of probes, so that a busy link is no lost replica

Probes took 70 to 150 ms, more than the fixed 30 ms, so that hosts sent some 20 probes a second, most of them late, and moved streams off live replicas: of 3,115 probes that were late in four seconds, all but 262 were answered. Each late one also restored the limit on probes in vain. Change: the time-out of a probe is the mean response time and four mean deviations, between 30 and 300 ms (IntervalEstimate, also used for the gaps of streams).

--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -40,6 +40,7 @@
 )
 from persimmonwell.core.forwarding._full_stages import MemoryReport
 from persimmonwell.core.forwarding._handover import HandoverPolicy
+from persimmonwell.core.forwarding._intervals import IntervalEstimate
 from persimmonwell.core.forwarding._loads import LoadTable, ReplicaLoad
 from persimmonwell.core.forwarding._model import (
     AcceleratorKind,
@@ -114,6 +115,7 @@
     "LeavingNotice",
     "ReplicaStatement",
     "HeldLayers",
+    "IntervalEstimate",
     "LoadTable",
     "MemoryReport",
     "PeerStatus",
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -391,7 +391,7 @@
         """Handle a probe whose answer takes unusually long; it may still arrive."""
         self._upstreams.suspect(replica_id, now_s)
         self.health.record_unresponsive(replica_id)
-        self._stalls.record_lost(replica_id, now_s)
+        self._stalls.record_lost()
         return self._rerouter.reroute_off_suspects(now_s)
 
     def replica_probed(
--- a/persimmonwell/core/forwarding/_sends.py
+++ b/persimmonwell/core/forwarding/_sends.py
@@ -11,6 +11,7 @@
     Finish,
     Send,
 )
+from persimmonwell.core.forwarding._intervals import IntervalEstimate
 from persimmonwell.core.forwarding._model import RouteKind
 from persimmonwell.core.forwarding._open_requests import OpenRequests
 from persimmonwell.core.forwarding._upstreams import UpstreamPool
@@ -151,7 +152,7 @@
         active.tried_replica_ids.add(replica_id)
         active.has_answer_head = active.has_answer_part = False
         active.sent_s = active.last_event_s = now_s
-        active.mean_gap_s, active.gap_deviation_s = None, 0.0
+        active.gaps = IntervalEstimate()
         self._upstreams.reserve(active)
         self._requests.state_of(active).queue.record_send(active, now_s)
         self._workspace_usage.record(
--- a/persimmonwell/gateway/_control_calls.py
+++ b/persimmonwell/gateway/_control_calls.py
@@ -8,6 +8,7 @@
     Decision,
     FetchStallReport,
     ForwardingRouter,
+    IntervalEstimate,
     ProbeReplica,
     Reroute,
 )
@@ -27,9 +28,12 @@
     expected_replica_headers,
 )
 
-UNRESPONSIVE_S = 0.03
+MIN_UNRESPONSIVE_S = 0.03
 """Time without an answer to a probe after which streams leave the replica: a live one
 answers within some milliseconds."""
+MAX_UNRESPONSIVE_S = 0.3
+"""Bound on that time where probes take longer. While a configuration of 1 MB comes over
+the link of 10 Mbit/s of a host, its probes take 70 to 150 ms."""
 REPLICA_GONE_STATUSES = (0, 421)
 """Statuses of a failed probe: 0 without an answer in time, 421 when another replica has
 the address now."""
@@ -53,6 +57,12 @@
         self._metrics = metrics
         self._execute = execute
         self._tasks: set[asyncio.Task[None]] = set()
+        self._probe_times = IntervalEstimate()
+
+    @property
+    def _unresponsive_s(self) -> float:
+        unusual_s = self._probe_times.unusual_s
+        return min(MAX_UNRESPONSIVE_S, max(MIN_UNRESPONSIVE_S, unusual_s))
 
     def fetch_stall_report(self, decision: FetchStallReport) -> None:
         """Ask the first replica of silent streams for the stalled stages."""
@@ -87,8 +97,9 @@
         )
 
     async def _probe_replica(self, probe: ProbeReplica) -> None:
+        sent_s = time.monotonic()
         timer = asyncio.get_running_loop().call_later(
-            UNRESPONSIVE_S, self._report_unresponsive, probe.replica_id
+            self._unresponsive_s, self._report_unresponsive, probe.replica_id
         )
         answer = await call_replica(
             self._pool,
@@ -100,6 +111,8 @@
             on_arrival=timer.cancel,
         )
         timer.cancel()
+        if answer.status:
+            self._probe_times.record(time.monotonic() - sent_s)
         report = decode_report(answer.body) if answer.status == 200 else None
         is_alive = answer.status not in REPLICA_GONE_STATUSES
         self._metrics.count_event("replica_checks")
