Compare a late probe with those to other replicas

Change: a probe is overdue when probes sent at about the same time have been answered 30 ms before; while none of them is answered, the link may be the cause, for up to 0.3 s. A probe without others is compared with the usual time.

--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -71,6 +71,7 @@
     PlacementScope,
     plan_placement,
 )
+from persimmonwell.core.forwarding._probe_times import MIN_OVERDUE_S, ProbeTimes
 from persimmonwell.core.forwarding._registry import (
     RegistryChanges,
     RegistryRecord,
@@ -115,7 +116,9 @@
     "LeavingNotice",
     "ReplicaStatement",
     "HeldLayers",
+    "MIN_OVERDUE_S",
     "IntervalEstimate",
+    "ProbeTimes",
     "LoadTable",
     "MemoryReport",
     "PeerStatus",
--- a/persimmonwell/gateway/_control_calls.py
+++ b/persimmonwell/gateway/_control_calls.py
@@ -5,11 +5,12 @@
 from collections.abc import Callable, Iterable
 
 from persimmonwell.core.forwarding import (
+    MIN_OVERDUE_S,
     Decision,
     FetchStallReport,
     ForwardingRouter,
-    IntervalEstimate,
     ProbeReplica,
+    ProbeTimes,
     Reroute,
 )
 from persimmonwell.gateway._exchange import Exchange
@@ -28,12 +29,8 @@
     expected_replica_headers,
 )
 
-MIN_UNRESPONSIVE_S = 0.03
-"""Time without an answer to a probe after which streams leave the replica: a live one
-answers within some milliseconds."""
-MAX_UNRESPONSIVE_S = 0.3
-"""Bound on that time where probes take longer. While a configuration of 1 MB comes over
-the link of 10 Mbit/s of a host, its probes take 70 to 150 ms."""
+OVERDUE_CHECK_S = 0.01
+"""Interval at which a probe without an answer is compared with the others."""
 REPLICA_GONE_STATUSES = (0, 421)
 """Statuses of a failed probe: 0 without an answer in time, 421 when another replica has
 the address now."""
@@ -57,12 +54,7 @@
         self._metrics = metrics
         self._execute = execute
         self._tasks: set[asyncio.Task[None]] = set()
-        self._probe_times = IntervalEstimate()
-
-    @property
-    def _unresponsive_s(self) -> float:
-        unusual_s = self._probe_times.unusual_s
-        return min(MAX_UNRESPONSIVE_S, max(MIN_UNRESPONSIVE_S, unusual_s))
+        self._probe_times = ProbeTimes()
 
     def fetch_stall_report(self, decision: FetchStallReport) -> None:
         """Ask the first replica of silent streams for the stalled stages."""
@@ -97,9 +89,10 @@
         )
 
     async def _probe_replica(self, probe: ProbeReplica) -> None:
-        sent_s = time.monotonic()
-        timer = asyncio.get_running_loop().call_later(
-            self._unresponsive_s, self._report_unresponsive, probe.replica_id
+        replica_id = probe.replica_id
+        self._probe_times.record_sent(replica_id, time.monotonic())
+        asyncio.get_running_loop().call_later(
+            MIN_OVERDUE_S, self._check_overdue, replica_id
         )
         answer = await call_replica(
             self._pool,
@@ -108,11 +101,11 @@
             path=REPORT_PATH,
             headers=expected_replica_headers(probe.replica_id),
             # This task goes on only after the timers that are due with the answer.
-            on_arrival=timer.cancel,
+            on_arrival=lambda: self._probe_times.record_answered(
+                replica_id, time.monotonic()
+            ),
         )
-        timer.cancel()
-        if answer.status:
-            self._probe_times.record(time.monotonic() - sent_s)
+        self._probe_times.record_failed(replica_id)
         report = decode_report(answer.body) if answer.status == 200 else None
         is_alive = answer.status not in REPLICA_GONE_STATUSES
         self._metrics.count_event("replica_checks")
@@ -133,10 +126,16 @@
             )
         )
 
-    def _report_unresponsive(self, replica_id: str) -> None:
-        self._metrics.count_event("replicas_unresponsive")
-        self._log.write("upstream", "unresponsive", replica=replica_id)
-        self._execute(self._router.replica_unresponsive(replica_id, time.monotonic()))
+    def _check_overdue(self, replica_id: str) -> None:
+        now_s = time.monotonic()
+        if self._probe_times.is_overdue(replica_id, now_s):
+            self._metrics.count_event("replicas_unresponsive")
+            self._log.write("upstream", "unresponsive", replica=replica_id)
+            self._execute(self._router.replica_unresponsive(replica_id, now_s))
+        elif self._probe_times.is_in_flight(replica_id):
+            asyncio.get_running_loop().call_later(
+                OVERDUE_CHECK_S, self._check_overdue, replica_id
+            )
 
     async def _send_reroute_order(self, exchange: Exchange, reroute: Reroute) -> None:
         request_id = exchange.request.request_id
