Find models that can't be placed, priorities without effect and short grace times

Cause: config check accepted a model whose layers fit into no accelerator, a tenant's priority while all requests have the same one, and settings of a host whose grace time is shorter than what the document and the platform need. Change: three checks. Placement's own arithmetic decides about memory (layers_in_memory, split from layer_capacity). The times of a stop move to the settings, where the gateway and the check read them. Not expressed: body limits of routes or services and shares of tenants, which the model does not have, and the number of accelerators, which only the registry has.

--- a/persimmonwell/cli/_config_check_command.py
+++ b/persimmonwell/cli/_config_check_command.py
@@ -23,6 +23,7 @@
 )
 from persimmonwell.core.forwarding import ForwardingConfig
 from persimmonwell.platform import decode_config, document_path, parse_node_file
+from persimmonwell.settings import DEREGISTRATION_S
 
 EXIT_WARNINGS = EXIT_REFUSED
 """Status for warnings without errors; errors end with that for bad input."""
@@ -127,7 +128,12 @@
         settings = parse_node_file(_read_bytes(name).decode())
     except (DocumentError, ValueError) as error:
         raise UsageError(f"settings {name!r} are not valid: {error}") from error
-    return HostLimits(memory_mb=settings.memory_mb, retry_slack=settings.retry_slack)
+    return HostLimits(
+        memory_mb=settings.memory_mb,
+        retry_slack=settings.retry_slack,
+        stop_s=settings.stop_s,
+        deregistration_s=DEREGISTRATION_S,
+    )
 
 
 def _as_findings(error: DocumentError, name: str) -> tuple[Finding, ...]:
--- a/persimmonwell/core/config_check/_checks.py
+++ b/persimmonwell/core/config_check/_checks.py
@@ -11,7 +11,13 @@
     error,
     warning,
 )
-from persimmonwell.core.forwarding import USABLE_SHARE, ForwardingConfig, RouteKind
+from persimmonwell.core.forwarding import (
+    MIN_KV_TOKENS,
+    USABLE_SHARE,
+    ForwardingConfig,
+    RouteKind,
+    layers_in_memory,
+)
 from persimmonwell.core.resources import memory_budget_bytes
 
 
@@ -22,6 +28,10 @@
     memory_mb: float = 256.0
     retry_slack: float = 20.0
     """Retries that the fleet may send in a window beyond the ratio of its requests."""
+    stop_s: float | None = None
+    """Time from the signal to stop at which open requests end; None if unknown."""
+    deregistration_s: float = 0.0
+    """Time from that signal in which new connections arrive."""
 
     @property
     def retries_at_rest(self) -> int:
@@ -36,6 +46,7 @@
     findings = [found for check in CHECKS for found in check(config)]
     findings += check_attempts(config, host or HostLimits())
     findings += check_sizes(config, host or HostLimits())
+    findings += check_stop(config, host or HostLimits())
     return tuple(sorted(findings, key=lambda finding: finding.severity.value))
 
 
@@ -177,6 +188,60 @@
             yield warning(path, reason)
 
 
+def check_stop(config: ForwardingConfig, host: HostLimits) -> Iterator[Finding]:
+    """Find a grace time that is too short for connections or answers.
+
+    An answer that may be repeated is no loss, since another host can give it.
+    """
+    if host.stop_s is None:
+        return
+    if host.stop_s < host.deregistration_s:
+        reason = f"a host closes before the {host.deregistration_s:g} s are over in "
+        yield warning("bounds.grace_s", reason + "which it gets new connections")
+    for route in config.routes:
+        if not route.is_retryable and route.timeout_s > host.stop_s:
+            path = entry_path("routes", route.name, "timeout_s")
+            reason = f"a stop ends answers after {host.stop_s:g} s, and the route's "
+            yield warning(path, reason + "can't be repeated")
+
+
+def check_placement(config: ForwardingConfig) -> Iterator[Finding]:
+    """Find models with routes for which no kind of accelerator has the memory."""
+    named = {choice.service for route in config.routes for choice in route.services}
+    for service in config.services:
+        engine = service.engine
+        if engine is None or engine.layers <= 0 or service.name not in named:
+            continue
+        path = entry_path("services", service.name) + ".engine.kinds"
+        fitting = [
+            layers_in_memory(kind.memory_mb, engine, MIN_KV_TOKENS) > 0
+            for _, kind in engine.accelerators
+        ]
+        if not any(fitting):
+            reason = "none can hold a layer of the model with the KV cache of "
+            yield error(path, f"{reason}{MIN_KV_TOKENS:g} tokens: it is not placed")
+            continue
+        for position, fits in enumerate(fitting):
+            if not fits:
+                reason = "too small for a layer of the model: it is not placed there"
+                yield warning(f"{path}[{position}]", reason)
+
+
+def check_priorities(config: ForwardingConfig) -> Iterator[Finding]:
+    """Find priorities of tenants without effect, as all requests have the same one."""
+    tenants = [tenant for tenant in config.tenants or () if any(tenant.keys)]
+    used = {tenant.priority for tenant in tenants}
+    if None in used or any(route.is_public for route in config.routes):
+        used |= {route.priority for route in config.routes}
+    if len(used - {None}) > 1:
+        return
+    for tenant in tenants:
+        if tenant.priority is not None:
+            path = entry_path("tenants", tenant.name, "priority")
+            reason = f"orders nothing: all requests have priority {tenant.priority}"
+            yield warning(path, reason)
+
+
 CHECKS: tuple[Callable[[ForwardingConfig], Iterator[Finding]], ...] = (
     check_names,
     check_shadowed_routes,
@@ -186,5 +251,7 @@
     check_keys,
     check_route_times,
     check_caller_times,
+    check_placement,
+    check_priorities,
 )
 """Checks that need nothing but the configuration."""
--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -18,6 +18,7 @@
     MAX_SHARED_DIGESTS,
     PEER_REFUSAL_TTL_S,
 )
+from persimmonwell.core.forwarding._devices import layers_in_memory
 from persimmonwell.core.forwarding._events import (
     AttemptFailure,
     CancelAttempt,
@@ -67,6 +68,7 @@
     should_plan_without_store,
 )
 from persimmonwell.core.forwarding._placement import (
+    MIN_KV_TOKENS,
     PlacementOrder,
     PlacementScope,
     plan_placement,
@@ -116,6 +118,7 @@
     "LeavingNotice",
     "ReplicaStatement",
     "HeldLayers",
+    "MIN_KV_TOKENS",
     "MIN_OVERDUE_S",
     "IntervalEstimate",
     "ProbeTimes",
@@ -153,6 +156,7 @@
     "ZoneCrossing",
     "count_readers",
     "find_path",
+    "layers_in_memory",
     "plan_placement",
     "should_be_reader",
     "should_plan_without_store",
--- a/persimmonwell/core/forwarding/_devices.py
+++ b/persimmonwell/core/forwarding/_devices.py
@@ -26,8 +26,13 @@
 
 def layer_capacity(device: Device, spec: EngineSpec, kv_tokens: float) -> int:
     """Return the layers that fit, each with the KV cache of that many tokens."""
+    return layers_in_memory(device.memory_mb, spec, kv_tokens)
+
+
+def layers_in_memory(memory_mb: float, spec: EngineSpec, kv_tokens: float) -> int:
+    """Return the layers that fit into the memory of one accelerator."""
     per_layer_mb = spec.layer_mb + kv_tokens * spec.kv_mb_per_layer_token
-    return min(spec.layers, int(device.memory_mb / per_layer_mb))
+    return min(spec.layers, int(memory_mb / per_layer_mb))
 
 
 def total_layer_capacity(
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -26,15 +26,11 @@
 from persimmonwell.gateway._store_followers import StoreCallbacks, StoreFollowers
 from persimmonwell.gateway._store_updates import StoreUpdates
 from persimmonwell.observe import DecisionLog
-from persimmonwell.settings import ForwarderSettings
+from persimmonwell.settings import DEREGISTRATION_S, ForwarderSettings
 
-DEREGISTRATION_S = 2.2
-"""Time in which the platform stops sending new connections: it probes readiness each
-second and deregisters a host after two failed probes."""
-GRACE_MARGIN_S = 0.4
-"""Part of the grace time that is left for closing."""
 LAST_ANSWERS_S = 0.1
-"""Part of GRACE_MARGIN_S in which the callers' connections take their last answers."""
+"""Part of the margin before the end of the grace time in which the callers'
+connections take their last answers."""
 DRAIN_CHECK_INTERVAL_S = 0.1
 DRAIN_MIN_IDLE_S = 0.5
 """Time that a stopping host gives a new connection to send its first request."""
@@ -174,7 +170,7 @@
         self._log.write(
             "host", "stopping", open_requests=self._gateway.open_request_count
         )
-        end_s = start_s + self._settings.grace_s - GRACE_MARGIN_S
+        end_s = start_s + self._settings.stop_s
         is_listening = True
         while (now_s := time.monotonic()) < end_s:
             if is_listening and now_s - start_s > DEREGISTRATION_S:
--- a/persimmonwell/settings/__init__.py
+++ b/persimmonwell/settings/__init__.py
@@ -1,6 +1,10 @@
 """Settings of one daemon: classes, defaults, parsing and validation."""
 
-from persimmonwell.settings._forwarder import Endpoint, ForwarderSettings
+from persimmonwell.settings._forwarder import (
+    DEREGISTRATION_S,
+    Endpoint,
+    ForwarderSettings,
+)
 from persimmonwell.settings._settings import (
     CallerSettings,
     CurveSettings,
@@ -17,6 +21,7 @@
 )
 
 __all__ = [
+    "DEREGISTRATION_S",
     "CallerSettings",
     "CurveSettings",
     "Endpoint",
--- a/persimmonwell/settings/_forwarder.py
+++ b/persimmonwell/settings/_forwarder.py
@@ -4,6 +4,12 @@
 
 from persimmonwell.core.resources import CallerPolicy
 
+DEREGISTRATION_S = 2.2
+"""Time in which the platform stops sending new connections: it probes readiness each
+second and deregisters a host after two failed probes."""
+GRACE_MARGIN_S = 0.4
+"""Part of the grace time that is left for closing."""
+
 
 @attrs.frozen
 class Endpoint:
@@ -41,3 +47,8 @@
     retry_slack: float
     retry_window_s: float
     caller_policy: CallerPolicy
+
+    @property
+    def stop_s(self) -> float:
+        """Return the time from SIGTERM at which open requests are ended."""
+        return self.grace_s - GRACE_MARGIN_S
--- a/tests/cli/test_config_check.py
+++ b/tests/cli/test_config_check.py
@@ -78,4 +78,7 @@
     settings.write_text(text, encoding="utf-8")
     assert tool("config", "check", name).code == 0
     assert tool("config", "check", name, "--settings", str(settings)).code == 1
+    settings.write_text(f"{text}\nbounds.grace_s=2.5", encoding="utf-8")
+    run = tool("config", "check", name, "--settings", str(settings))
+    assert "bounds.grace_s: " in run.out
     assert tool("config", "check", name, "--settings", name).code == 2
--- a/tests/core/config_check/test_config_check.py
+++ b/tests/core/config_check/test_config_check.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import attrs
 import pytest
 
 from persimmonwell.core.config_check import (
@@ -60,6 +61,16 @@
     return change
 
 
+def _set_kinds(*kinds: dict[str, Any]) -> Change:
+    def change(document: dict[str, Any]) -> None:
+        document["services"][0]["engine"]["kinds"] = kinds
+
+    return change
+
+
+BIG = {"name": "big", "mb": 2000.0, "pace": 1.0, "read_x": 1.0}
+TINY = {"name": "tiny", "mb": 100.0, "pace": 1.0, "read_x": 1.0}
+"""It holds a layer of 100 MB, but no KV cache beside it."""
 SPLIT = [{"service": "desk", "weight": 1.0}]
 LOOK = 'routes["look"].'
 FINDINGS: list[tuple[Change, str, str]] = [
@@ -119,6 +130,29 @@
     (_set("limits", "", header_timeout_ms=0), "error", "limits.header_timeout_ms"),
     (_set("limits", "", idle_timeout_ms=0), "error", "limits.idle_timeout_ms"),
     (_set("limits", "", idle_timeout_ms=499), "warning", "limits.idle_timeout_ms"),
+    (_set_kinds(TINY), "error", 'services["model"].engine.kinds'),
+    (_set_kinds(), "error", 'services["model"].engine.kinds'),
+    (_set_kinds(BIG, TINY), "warning", 'services["model"].engine.kinds[1]'),
+    (
+        _set("tenants", "range", priority=1),
+        "warning",
+        'tenants["range"].priority',
+    ),
+]
+STOP = HostLimits(stop_s=5.0, deregistration_s=2.2)
+HOST_FINDINGS: list[tuple[Change, str, str, HostLimits]] = [
+    (
+        _set("routes", "book", timeout_ms=5001),
+        "warning",
+        'routes["book"].timeout_ms',
+        STOP,
+    ),
+    (
+        lambda document: None,
+        "warning",
+        "bounds.grace_s",
+        attrs.evolve(STOP, deregistration_s=5.1),
+    ),
 ]
 REPLACEMENTS: list[tuple[Change, str, str]] = [
     (lambda document: document.update(version=1), "error", "version"),
@@ -141,13 +175,21 @@
 def test_a_sound_configuration_has_no_finding() -> None:
     """Guards against findings that scripts learn to ignore."""
     assert check_config(_decode(_sound(1))) == ()
+    assert check_config(_decode(_sound(1)), STOP) == ()
+    tenants = _add("tenants", {"name": "b", "api_keys": ["key-2"], "priority": 1})
+    assert check_config(_changed(tenants)) == ()
     assert check_replacement(_decode(_sound(2)), _decode(_sound(1))) == ()
 
 
-@pytest.mark.parametrize(("change", "severity", "path"), FINDINGS)
-def test_each_finding_names_its_field(change: Change, severity: str, path: str) -> None:
+@pytest.mark.parametrize(
+    ("change", "severity", "path", "host"),
+    [*((*row, None) for row in FINDINGS), *HOST_FINDINGS],
+)
+def test_each_finding_names_its_field(
+    change: Change, severity: str, path: str, host: HostLimits | None
+) -> None:
     """Guards against a fault that is not found, or one that has another path."""
-    (finding,) = check_config(_changed(change))
+    (finding,) = check_config(_changed(change), host)
     assert (finding.severity.value, document_path(finding.path)) == (severity, path)
 
 
