Compare a configuration with the version that a host has in force

The control port answered readiness only; /state of the internal port holds the API keys in clear text. A host that cannot be read ends with 2. Conclusion: a configuration can be checked against a running host without its keys leaving it.

--- a/persimmonwell/cli/_config_check_command.py
+++ b/persimmonwell/cli/_config_check_command.py
@@ -1,5 +1,7 @@
 """Command that checks an operators' configuration before it is sent."""
 
+import json
+import time
 from pathlib import Path
 from typing import Any, ClassVar
 
@@ -10,8 +12,9 @@
 
 from persimmonwell._exceptions import DocumentError
 from persimmonwell.cli._base import ToolCommand, help_text
+from persimmonwell.cli._client import OperatorClient, RefusedError, UnreachableError
 from persimmonwell.cli._exits import EXIT_BAD_INPUT, EXIT_OK, EXIT_REFUSED
-from persimmonwell.cli._options import UsageError
+from persimmonwell.cli._options import UsageError, is_address
 from persimmonwell.core.config_check import (
     Difference,
     Finding,
@@ -22,11 +25,19 @@
     list_differences,
 )
 from persimmonwell.core.forwarding import ForwardingConfig
-from persimmonwell.platform import decode_config, document_path, parse_node_file
+from persimmonwell.platform import (
+    CONFIG_PATH,
+    decode_config,
+    document_path,
+    mask_keys,
+    parse_node_file,
+)
 from persimmonwell.settings import DEREGISTRATION_S
 
 EXIT_WARNINGS = EXIT_REFUSED
 """Status for warnings without errors; errors end with that for bad input."""
+FETCH_TIMEOUT_S = 5.0
+"""Time for a host to return the version in force, at most 1 MB."""
 
 
 class ConfigCheckCommand(ToolCommand):
@@ -38,16 +49,22 @@
         "Read the document with the decoder of the gateway and name each finding\n"
         "with the path of its field. --against lists the changes from the version in\n"
         "force and what would stop being served. Status 1 means warnings only, 2\n"
-        "errors or an unreadable file. No running host is contacted.",
+        "errors or an unreadable version. Only a host that --against names is called.",
         "config check config.json",
         "config check config.json --against in-force.json --json",
+        "config check config.json --against 10.0.0.1:8002",
         "config check config.json --settings host-1.conf",
     )
     arguments: ClassVar[list[Argument]] = [
         argument("config", "File with the operators' configuration.")
     ]
     options: ClassVar[list[Option]] = [
-        option("against", None, "File with the version in force.", flag=False),
+        option(
+            "against",
+            None,
+            "File with the version in force, or HOST:PORT of a host's control port.",
+            flag=False,
+        ),
         option(
             "settings", None, "Settings file of a host, for its limits.", flag=False
         ),
@@ -59,18 +76,21 @@
         host = _read_host_limits(self.option("settings"))
         against = self.option("against")
         differences: tuple[Difference, ...] = ()
+        document = _read_bytes(str(self.argument("config")))
         try:
-            config = _read_config(str(self.argument("config")))
+            config = decode_config(document)
             findings = check_config(config, host)
         except DocumentError as error:
             config, findings = None, _as_findings(error, str(self.argument("config")))
         if against is not None:
             try:
-                old = _read_config(str(against))
+                old, is_masked = _read_in_force(str(against))
             except DocumentError as error:
                 findings += _as_findings(error, str(against))
             else:
                 if config is not None:
+                    if is_masked:
+                        config = decode_config(mask_keys(document))
                     findings += check_replacement(config, old)
                     differences = list_differences(config, old)
         findings = tuple(
@@ -109,9 +129,26 @@
             self.printer.line("nothing found")
 
 
-def _read_config(name: str) -> ForwardingConfig:
-    """Return the configuration in a file; raise DocumentError if it is unreadable."""
-    return decode_config(_read_bytes(name))
+def _read_in_force(source: str) -> tuple[ForwardingConfig, bool]:
+    """Return the version in a file or of a host, and whether its keys are digests.
+
+    Raises DocumentError or UsageError.
+    """
+    if Path(source).exists() or not is_address(source):
+        return decode_config(_read_bytes(source)), False
+    client = OperatorClient(
+        token=None,
+        ca_file=None,
+        timeout_s=FETCH_TIMEOUT_S,
+        deadline_s=time.monotonic() + FETCH_TIMEOUT_S,
+    )
+    try:
+        answer = client.request_document(source, "GET", CONFIG_PATH)
+    except (UnreachableError, RefusedError) as error:
+        # Their statuses would mean warnings, or nothing, to scripts.
+        reason = error.reason if isinstance(error, UnreachableError) else str(error)
+        raise UsageError(f"cannot read {source!r}: {reason}") from error
+    return decode_config(json.dumps(answer).encode()), True
 
 
 def _read_bytes(name: str) -> bytes:
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -22,10 +22,11 @@
 from persimmonwell.gateway._peer_exchange import PeerExchange
 from persimmonwell.gateway._placement_duty import PlacementDuty
 from persimmonwell.gateway._state_handover import STATE_PATH, encode_state
-from persimmonwell.gateway._status_server import RecentAnswer
+from persimmonwell.gateway._status_server import Answer, RecentAnswer, answer_config
 from persimmonwell.gateway._store_followers import StoreCallbacks, StoreFollowers
 from persimmonwell.gateway._store_updates import StoreUpdates
 from persimmonwell.observe import DecisionLog
+from persimmonwell.platform import CONFIG_PATH
 from persimmonwell.settings import DEREGISTRATION_S, ForwarderSettings
 
 LAST_ANSWERS_S = 0.1
@@ -87,6 +88,7 @@
             settings,
             create_caller_connection=self._gateway.create_caller_connection,
             answer_readiness=self._answer_readiness,
+            answer_control=self._answer_control,
             answer_peers_and_metrics=self._answer_peers_and_metrics,
             record_client=self._gateway.admission.record_client,
         )
@@ -265,6 +267,11 @@
     def _answer_readiness(self, target: str) -> tuple[int, bytes]:
         return (200, b"ready\n") if self._is_ready() else (503, b"not ready\n")
 
+    def _answer_control(self, target: str) -> Answer:
+        if target == CONFIG_PATH:
+            return answer_config(self._store.config_document)
+        return self._answer_readiness(target)
+
     def _answer_peers_and_metrics(self, target: str) -> tuple[int, bytes]:
         if target == STATE_PATH:
             return 200, self._state_answer.read()
--- a/persimmonwell/gateway/_listeners.py
+++ b/persimmonwell/gateway/_listeners.py
@@ -29,12 +29,14 @@
         *,
         create_caller_connection: Callable[[], asyncio.BaseProtocol],
         answer_readiness: Callable[[str], Answer],
+        answer_control: Callable[[str], Answer],
         answer_peers_and_metrics: Callable[[str], Answer],
         record_client: Callable[[str, str], None],
     ) -> None:
         self._settings = settings
         self._create_caller_connection = create_caller_connection
         self._answer_readiness = answer_readiness
+        self._answer_control = answer_control
         self._answer_peers_and_metrics = answer_peers_and_metrics
         self._record_client = record_client
         self._servers: list[asyncio.Server] = []
@@ -59,7 +61,7 @@
         metrics = Endpoint(settings.ip, settings.metrics_port)
         await self._listen_for_status(metrics, self._answer_peers_and_metrics)
         if settings.control is not None:
-            await self._listen_for_status(settings.control, self._answer_readiness)
+            await self._listen_for_status(settings.control, self._answer_control)
         self._callers_socket = await self._listen(
             settings.callers,
             self._create_caller_connection,
--- a/persimmonwell/gateway/_status_server.py
+++ b/persimmonwell/gateway/_status_server.py
@@ -6,10 +6,12 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import lru_cache
 
 import httptools
 
 from persimmonwell.core.resources import ConnectionTable
+from persimmonwell.platform import mask_keys
 
 MAX_HEAD_BYTES = 8192
 """Bytes of one request, empty lines before it included. Probes send some 100."""
@@ -32,9 +34,25 @@
 ANSWER_VALIDITY_S = 0.1
 """Time for which an answer that is costly to build is used again."""
 
+MAX_CONFIG_BYTES = 1024 * 1024
+"""Size of a configuration that is shown, some 3,000 routes. The event loop builds the
+answer, once for each version."""
+
 Answer = tuple[int, bytes]
 
 
+@lru_cache(maxsize=1)
+def answer_config(document: bytes) -> Answer:
+    """Return the answer with the configuration in force, without its API keys."""
+    if not document:
+        return 503, b'{"error": {"message": "no configuration is in force"}}'
+    if len(document) <= MAX_CONFIG_BYTES:
+        masked = mask_keys(document)
+        if len(masked) <= MAX_CONFIG_BYTES:
+            return 200, masked
+    return 503, b'{"error": {"message": "the configuration is too large to be shown"}}'
+
+
 class RecentAnswer:
     """Answer that is built again only after ANSWER_VALIDITY_S."""
 
--- a/persimmonwell/platform/__init__.py
+++ b/persimmonwell/platform/__init__.py
@@ -31,11 +31,13 @@
 )
 from persimmonwell.platform._operator_records import (
     CONFIG_KEY,
+    CONFIG_PATH,
     CONFIG_TOPIC,
     REPLICA_TOPIC,
     decode_config,
     decode_replica,
     document_path,
+    mask_keys,
 )
 from persimmonwell.platform._store_client import (
     AppendConflictError,
@@ -48,6 +50,7 @@
 
 __all__ = [
     "CONFIG_KEY",
+    "CONFIG_PATH",
     "CONFIG_TOPIC",
     "DEFAULT_NODE_FILE",
     "NODE_FILE_VARIABLE",
@@ -80,6 +83,7 @@
     "expected_replica_headers",
     "forwarded_answer_headers",
     "local_answer_headers",
+    "mask_keys",
     "parse_node_file",
     "read_node_file",
 ]
--- a/persimmonwell/platform/_operator_records.py
+++ b/persimmonwell/platform/_operator_records.py
@@ -3,6 +3,7 @@
 The structs have the field names of the wire; the decoders return types of core.
 """
 
+import hashlib
 import json
 import re
 from collections.abc import Callable
@@ -28,6 +29,8 @@
 
 CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
+CONFIG_PATH = "/config"
+"""Target on a host's control port that returns the document in force."""
 DOCUMENT_FIELDS = {
     "prefix": "path_prefix",
     "services": "service",
@@ -166,6 +169,20 @@
         raise DocumentError(faults=(Fault(path="/", reason=str(error)),)) from error
 
 
+def mask_keys(data: bytes) -> bytes:
+    """Return a valid document with the digest of each API key in place of the key.
+
+    Fields that the decoder does not know are left out, since they may hold secrets.
+    """
+    document = msgspec.json.decode(data, type=_Config)
+    if not isinstance(document.tenants, msgspec.UnsetType):
+        for tenant in document.tenants:
+            tenant.api_keys = [
+                hashlib.sha256(key.encode()).hexdigest() for key in tenant.api_keys
+            ]
+    return msgspec.json.encode(document)
+
+
 def _build_tenants(
     tenants: list[_Tenant] | msgspec.UnsetType,
 ) -> tuple[Tenant, ...] | None:
--- a/tests/cli/test_config_check.py
+++ b/tests/cli/test_config_check.py
@@ -5,9 +5,12 @@
 from typing import Any
 
 import pytest
+import urllib3
 
-from standins.platform_config import config, free_ports, node_file
+from persimmonwell.platform import CONFIG_PATH
+from standins.platform_config import config, free_port, free_ports, node_file
 from tests.cli.tool import Tool
+from tests.gateway.harness import GatewayTestbed
 
 
 def _sound(version: int) -> dict[str, Any]:
@@ -67,6 +70,31 @@
     assert tool("config", "check", names[0], "--against", unreadable).code == 2
 
 
+def test_against_a_host_compares_keys_without_sending_them(
+    tool: Tool, tmp_path: Path
+) -> None:
+    """Guards against keys that the control port gives away, or that seem changed."""
+    testbed = GatewayTestbed()
+    testbed.ports["control"] = free_port()
+    testbed.store.put_key("keyed.op", "config", _sound(1))
+    testbed.add_replica("desk-1", "desk")
+    testbed.start()
+    host = f"127.0.0.1:{testbed.ports['control']}"
+    try:
+        answer = urllib3.request("GET", f"http://{host}{CONFIG_PATH}").data
+        new = _sound(2)
+        run = tool("config", "check", _write(tmp_path, "c", new), "--against", host)
+        new["tenants"][0]["api_keys"] = ["key-2"]
+        changed = tool("config", "check", _write(tmp_path, "c", new), "--against", host)
+    finally:
+        testbed.close()
+    assert b"key-1" not in answer and b'"api_keys":["' in answer
+    assert run.code == 0 and run.out == "change: version: from 1 to 2\nnothing found\n"
+    assert changed.code == 1 and "1 of its keys are removed" in changed.out
+    gone = tool("config", "check", _write(tmp_path, "c", new), "--against", host)
+    assert gone.code == 2 and "cannot read" in gone.err
+
+
 def test_settings_of_the_host_give_its_limits(tool: Tool, tmp_path: Path) -> None:
     """Guards against a body limit that the hosts of a deployment can't hold."""
     document = _sound(1)
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -70,6 +70,8 @@
         """Return the content of the settings file."""
         values = {"seeds": "", "unknown.field": "1"}
         values["bounds.grace_s"] = str(self.grace_s)
+        if "control" in self.ports:
+            values["listen.control"] = f"127.0.0.1:{self.ports['control']}"
         return node_file(
             ip="127.0.0.1",
             ports=self.ports,
--- a/tests/gateway/test_status_server.py
+++ b/tests/gateway/test_status_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import http.client
+import json
 import socket
 import time
 from collections.abc import Callable
@@ -11,6 +12,7 @@
 from persimmonwell.gateway._status_server import (
     ANSWER_VALIDITY_S,
     IDLE_TIMEOUT_S,
+    MAX_CONFIG_BYTES,
     MAX_CONNECTIONS,
     MAX_HEAD_BYTES,
     MAX_UNSENT_BYTES,
@@ -20,6 +22,7 @@
     RecentAnswer,
     StatusServer,
     StatusServerConnection,
+    answer_config,
 )
 from tests.fleet import wait_until
 from tests.gateway.harness import GatewayTestbed
@@ -27,6 +30,19 @@
 REQUEST = b"GET /persimmonwell/ready HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
+def test_a_configuration_that_cannot_be_shown_is_answered_in_json() -> None:
+    """Guards against an answer without a bound, and one before a version is read."""
+    key = '"k",' * (MAX_CONFIG_BYTES // 8)
+    many = '{"version":1,"routes":[],"services":[],"tenants":[{"name":"t","api_keys":['
+    for document in (
+        b"",
+        b" " * (MAX_CONFIG_BYTES + 1),
+        f'{many}{key}"k"]}}]}}'.encode(),
+    ):
+        status, body = answer_config(document)
+        assert status == 503 and json.loads(body)["error"]["message"]
+
+
 class _Transport(asyncio.Transport):
     """Transport in memory, whose client reads only while `is_read`."""
 
