Bound and escape the zones in the metric of zone crossings

Cause: the zone of a replica comes from its registry entry, which other hosts relay in datagrams that nobody authenticates. It went into the labels as it was: a quote in it made the whole metrics page unreadable, and each further name added a time series for good. Usual names are written as before.

--- a/persimmonwell/gateway/_metrics.py
+++ b/persimmonwell/gateway/_metrics.py
@@ -124,7 +124,12 @@
 
     def count_crossing(self, source: str, target: str) -> None:
         """Count a send from this host's availability zone to another one."""
-        self._crossing_counter.inc({"from": source, "to": target})
+        self._crossing_counter.inc(
+            {
+                "from": self._bounded("zone", escape_label(source)),
+                "to": self._bounded("zone", escape_label(target)),
+            }
+        )
 
     def observe_wait(
         self, facts: WaitFacts, seconds: float, *, is_refused: bool = False
