Bound the tables of workspace usage and of zone peers

Cause: peers' reports are not authenticated, and the loads are bounded for that reason (MAX_PEERS), but two tables that the same reports feed were not. WorkspaceUsage kept up to all configured rows for each host id, each for over a minute. SharedCapacity kept the time of the last report of each host id for 20 s, and each choice adds these times up. LoadTable kept the memory report of a replica until the replica was looked up again, which a removed one never is. Change: at most 32,768 entries of usage, dropped by the peer that reported first; at most 1,024 peers of the zone, those that reported last; expired memory reports are dropped with the others.

--- a/persimmonwell/core/forwarding/_loads.py
+++ b/persimmonwell/core/forwarding/_loads.py
@@ -154,10 +154,13 @@
             self._drop_peer(next(iter(self._peers)))
 
     def expire_peers(self, now_s: float) -> None:
-        """Drop the loads of peers whose last report has expired."""
+        """Drop what peers and replicas reported and what has expired since."""
         gone = [peer for peer, state in self._peers.items() if now_s > state.until_s]
         for peer in gone:
             self._drop_peer(peer)
+        for replica_id, untracked in list(self._untracked.items()):
+            if now_s >= untracked.until_s:
+                del self._untracked[replica_id]
         self.shared.expire(now_s)
         self.full_stages.expire(now_s)
 
--- a/persimmonwell/core/forwarding/_shared_capacity.py
+++ b/persimmonwell/core/forwarding/_shared_capacity.py
@@ -16,6 +16,9 @@
 PEER_EXPIRY_S = 20.0
 """Time without a report after which a host no longer counts. A host behind a partition
 or with lost datagrams still sends to the replicas of the zone."""
+MAX_ZONE_PEERS = 1024
+"""Peers of the availability zone that are counted, those that reported last. Anyone can
+send reports in the names of any number of hosts."""
 PRIOR_REQUESTS = 8
 """Requests at replicas, about the stages of one path, by which each host is taken for
 as busy as this one before the reports show it."""
@@ -103,6 +106,10 @@
     def record_report(self, peer: str, now_s: float) -> None:
         """Record that a peer of the availability zone reported its loads."""
         self._reported_s[peer] = now_s
+        if len(self._reported_s) > MAX_ZONE_PEERS:
+            del self._reported_s[
+                min(self._reported_s, key=self._reported_s.__getitem__)
+            ]
 
     def cost_spread(self, now_s: float) -> float:
         """Return the range of the random factor on costs, 0 for a host without peers.
--- a/persimmonwell/core/forwarding/_workspace_usage.py
+++ b/persimmonwell/core/forwarding/_workspace_usage.py
@@ -24,6 +24,9 @@
 MAX_TRACKED = 512
 """Workspaces whose usage is kept, over all services; beyond it the lightest are
 dropped."""
+MAX_PEER_ENTRIES = 32_768
+"""Entries that are kept over all peers, some 8 MB: twice the 16 in a report of each of
+1,000 hosts. Anyone can send reports in the names of any number of hosts."""
 MIN_TOKENS = 1.0
 """Usage below which a workspace is dropped."""
 EXPIRY_INTERVAL_S = 5.0
@@ -76,6 +79,8 @@
     def __init__(self) -> None:
         self._own: dict[_Key, _Decayed] = {}
         self._peers: dict[str, dict[_Key, _Decayed]] = {}
+        """Usage by peer, the one that reported first at the beginning."""
+        self._peer_entry_count = 0
         self._expired_s = float("-inf")
 
     def record(
@@ -162,7 +167,9 @@
         """
         if not rows:
             return ()
-        known = self._peers.setdefault(peer, {})
+        known = self._peers.pop(peer, {})
+        self._peers[peer] = known
+        self._peer_entry_count -= len(known)
         added = []
         for row in rows:
             tokens = min(row.tokens, MAX_SHARED_TOKENS)
@@ -172,6 +179,10 @@
             if new_tokens > 0:
                 usage.add(new_tokens, now_s)
                 added.append(attrs.evolve(row, tokens=new_tokens, age_s=0.0))
+        self._peer_entry_count += len(known)
+        while self._peer_entry_count > MAX_PEER_ENTRIES:
+            dropped = self._peers.pop(next(iter(self._peers)))
+            self._peer_entry_count -= len(dropped)
         return tuple(added)
 
     def expire(self, now_s: float) -> None:
@@ -185,6 +196,7 @@
             for peer, known in self._peers.items()
             if (left := _without_decayed(known, now_s))
         }
+        self._peer_entry_count = sum(map(len, self._peers.values()))
 
     def _drop_lightest(self, now_s: float) -> None:
         keys = sorted(self._own, key=lambda key: self._own[key].value(now_s))
--- a/tests/core/forwarding/test_peer_tables.py
+++ b/tests/core/forwarding/test_peer_tables.py
@@ -7,9 +7,11 @@
     RegistryRecord,
     Replica,
     ReplicaLoad,
+    WorkspaceTokens,
 )
 from persimmonwell.core.forwarding import _loads as loads_module
 from persimmonwell.core.forwarding import _registry as registry_module
+from persimmonwell.core.forwarding import _workspace_usage as usage_module
 from persimmonwell.core.forwarding._caller_retries import (
     MAX_REMEMBERED,
     CallerRetryTracker,
@@ -17,6 +19,11 @@
 from persimmonwell.core.forwarding._health import MAX_PEER_REPORTED, ReplicaHealth
 from persimmonwell.core.forwarding._loads import MAX_PEERS, LoadTable
 from persimmonwell.core.forwarding._registry import ReplicaRegistry
+from persimmonwell.core.forwarding._shared_capacity import (
+    MAX_ZONE_PEERS,
+    SharedCapacity,
+)
+from persimmonwell.core.forwarding._workspace_usage import WorkspaceUsage
 from tests.core.forwarding.fleets import desk_replica
 
 
@@ -45,6 +52,45 @@
     assert table._peer_load_count == 0 == len(table._peers)
 
 
+def test_usage_of_forged_hosts_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against usage per forged host id, of which each is kept for a minute."""
+    monkeypatch.setattr(usage_module, "MAX_PEER_ENTRIES", 100)
+    usage = WorkspaceUsage()
+    rows = tuple(
+        WorkspaceTokens("desk", (0, 0), f"w{number}", 1000.0, 0.0) for number in (1, 2)
+    )
+    for number in range(500):
+        if number % 40 == 0:
+            # A peer that goes on reporting is not displaced, nor charged again.
+            assert len(usage.merge_peer("real", rows, 0.0)) == (0 if number else 2)
+        usage.merge_peer(f"h-{number}", rows, 0.0)
+        kept = sum(len(known) for known in usage._peers.values())
+        assert kept == usage._peer_entry_count <= 100
+    usage.expire(1000.0)
+    assert usage._peer_entry_count == 0 == len(usage._peers)
+
+
+def test_forged_hosts_of_the_zone_are_bounded() -> None:
+    """Guards against a choice that gets slower with each forged host id for 20 s."""
+    shared = SharedCapacity()
+    for number in range(2 * MAX_ZONE_PEERS):
+        if number % 500 == 0:
+            shared.record_report("real", 1e-6 * number)
+        shared.record_report(f"h-{number}", 1e-6 * number)
+    assert shared.peer_count == MAX_ZONE_PEERS
+    assert "real" in shared._reported_s
+
+
+def test_memory_reports_of_removed_replicas_are_dropped() -> None:
+    """Guards against an entry for each replica that was ever probed."""
+    table = LoadTable()
+    table.record_report("i-1", 100, 0.0)
+    table.expire_peers(loads_module.UNTRACKED_USAGE_TTL_S - 0.1)
+    assert table.used_layer_tokens("i-1", 0.1) == 100
+    table.expire_peers(loads_module.UNTRACKED_USAGE_TTL_S)
+    assert not table._untracked
+
+
 def test_replicas_that_peers_report_are_bounded() -> None:
     """Guards against replica ids that no entry of the registry ever removes."""
     health = ReplicaHealth()
