Skip fields of other types in the explanations of waits

Cause: `explain` reads saved logs, and one edited or foreign line of the same form ended it with a trace: a time that is no number, an ending that is a list, a share or a duration that is a text. Change: a line without a number as its time is skipped, like lines of other programs; a field of another type counts as absent. Lines as the hosts write them are explained as before. Measured: tests/cli, tests/core/timeline; the five new cases of test_explain.py fail on the code before.

--- a/persimmonwell/core/timeline/_request_trace.py
+++ b/persimmonwell/core/timeline/_request_trace.py
@@ -37,7 +37,9 @@
             document = json.loads(line[start:])
         except ValueError:
             continue
-        if isinstance(document, dict) and "event" in document:
+        if not (isinstance(document, dict) and "event" in document):
+            continue
+        if isinstance(document["time"], int | float):
             decision_lines.append(document)
     return decision_lines
 
--- a/persimmonwell/core/timeline/_wait_reasons.py
+++ b/persimmonwell/core/timeline/_wait_reasons.py
@@ -5,7 +5,7 @@
 
 from persimmonwell.core.timeline._request_trace import TraceLine
 
-LATE_ENDINGS = frozenset({"overloaded", "timed_out"})
+LATE_ENDINGS = ("overloaded", "timed_out")
 
 
 def explain_wait(trace: Iterable[TraceLine]) -> tuple[str, ...]:
@@ -31,12 +31,19 @@
 
 
 def _is_late(sent: Mapping[str, Any], answered: Mapping[str, Any]) -> bool:
-    objective_ms = sent.get("objective_ms")
+    objective_ms = _number(sent, "objective_ms")
     # The objective of a stream is that of its first event.
-    took_ms = answered.get("first_ms" if sent.get("kind") == "stream" else "ms")
+    took_ms = _number(answered, "first_ms" if sent.get("kind") == "stream" else "ms")
     return objective_ms is not None and took_ms is not None and took_ms > objective_ms
 
 
+def _number(fields: Mapping[str, Any], name: str) -> float | None:
+    """Return a number of a line, None for none: anyone can edit a saved log."""
+    value = fields.get(name)
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return value if is_number else None
+
+
 def _sentences(fields: Mapping[str, Any]) -> Iterator[str]:
     def known(*names: str) -> bool:
         return all(fields.get(name) is not None for name in names)
@@ -44,8 +51,8 @@
     if known("class") and fields.get("ahead"):
         text = f"{fields['ahead']} requests went first in or above its class"
         yield f"priority class {fields['class']} decided: {text}"
-        if known("share"):
-            part = f"{100 * fields['share']:.1f}%"
+        if (share := _number(fields, "share")) is not None:
+            part = f"{100 * share:.1f}%"
             yield f"its workspace had {part} of the recent tokens of the class"
     elif known("class", "ahead"):
         text = "no request was ahead of it, so that neither it nor the share decided"
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -4,6 +4,8 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
+
 from tests.cli.tool import Tool
 
 
@@ -66,6 +68,23 @@
     assert "no load reports" in text and "had not been refused before" in text
 
 
+@pytest.mark.parametrize(
+    "rows",
+    [
+        [{**REFUSED, "ending": ["overloaded"]}],
+        [{"event": "sent", "time": "noon"}, {**REFUSED, **FACTS}],
+        [{**REFUSED, **FACTS, "ahead": 1, "share": "much"}],
+        [{"event": "sent", "objective_ms": "500"}, {"event": "answered", "ms": 501.0}],
+        [{"event": "sent", "objective_ms": 500.0}, {"event": "answered", "ms": [1]}],
+    ],
+)
+def test_explain_reads_lines_with_fields_of_other_types(
+    tool: Tool, tmp_path: Path, rows: list[dict[str, Any]]
+) -> None:
+    """Guards against a trace that one edited line of a saved log ends with an error."""
+    assert not any("%" in reason for reason in _explain(tool, tmp_path, *rows))
+
+
 def test_explain_gives_reasons_only_for_late_answers(
     tool: Tool, tmp_path: Path
 ) -> None:
