Use the usual terms for the rate of sends to plain services

Cause: "drift", "depth", "calm" and "saved up" stood for a baseline and a token bucket, which core/admission calls a burst; "returning callers" are callers' retries in the glossary; the "emptiest range" was one of the smallest sum. Change: names within _slot_shares.py, _plain_waits.py, _layer_copies.py and the docs of their constants. Names that _upstreams.py uses too (is_pressed, kept_slots, slot_shares) stay.

--- a/persimmonwell/core/forwarding/_active.py
+++ b/persimmonwell/core/forwarding/_active.py
@@ -164,7 +164,7 @@
     def max_timely_wait_s(self) -> float:
         """Return the wait after which a stream that has not run is late.
 
-        Plain requests are short, and a returning caller's answer is late already. A
+        Plain requests are short, and the answer to a caller's retry is late already. A
         large request waits longer, as it finds room less often.
         """
         can_be_timely = not (
--- a/persimmonwell/core/forwarding/_layer_copies.py
+++ b/persimmonwell/core/forwarding/_layer_copies.py
@@ -61,7 +61,7 @@
             continue
         # Ties go to the lowest start: copies of the first stage also add slots for
         # callers.
-        start = _emptiest_range(count_copies(target, spec), count)
+        start = _min_sum_start(count_copies(target, spec), count)
         target[device.replica.replica_id] = HeldLayers(start, start + count)
     return target
 
@@ -116,14 +116,14 @@
         count = counts[device.replica.replica_id]
         start = 0
         if device not in first_stages:
-            start = _emptiest_range(room_tokens, count)
+            start = _min_sum_start(room_tokens, count)
         layers = HeldLayers(start, start + count)
         target[device.replica.replica_id] = layers
         add_room(device, layers)
     return target
 
 
-def _emptiest_range(amounts: Sequence[int], count: int) -> int:
+def _min_sum_start(amounts: Sequence[int], count: int) -> int:
     """Return the first start of the range whose layers have the smallest sum."""
     sums = [0, *accumulate(amounts)]
     return min(
--- a/persimmonwell/core/forwarding/_plain_waits.py
+++ b/persimmonwell/core/forwarding/_plain_waits.py
@@ -10,9 +10,9 @@
 UNKNOWN_ANSWER_SHARE = 0.5
 """Part of the latency objective that is left for the answer while no answer has shown
 how long one takes."""
-RETURN_WAIT_OBJECTIVES = 1.0
-"""Objectives that a caller which was refused before may wait: its answer is late
-already, and one that is refused twice gives up."""
+CALLER_RETRY_OBJECTIVES = 1.0
+"""Longest wait of a caller's retry in latency objectives: its answer is late already,
+and a caller that is refused twice gives up."""
 
 
 def is_plain(active: ActiveRequest) -> bool:
@@ -31,7 +31,7 @@
         return active.max_wait_s
     objective_s = active.route.latency_objective_s
     if active.is_caller_retry:
-        return min(active.max_wait_s, RETURN_WAIT_OBJECTIVES * objective_s)
+        return min(active.max_wait_s, CALLER_RETRY_OBJECTIVES * objective_s)
     if answer_s is None:
         answer_s = UNKNOWN_ANSWER_SHARE * objective_s
     return min(active.max_wait_s, max(0.0, objective_s - answer_s))
--- a/persimmonwell/core/forwarding/_slot_shares.py
+++ b/persimmonwell/core/forwarding/_slot_shares.py
@@ -13,11 +13,11 @@
 import attrs
 
 PRESSED_SHARE = 0.75
-"""Share of the slots in use, as reported, from which the service counts as pressed. In
-calm times requests go out at once, up to the slots of each replica."""
+"""Share of the slots in use, as reported, from which the service counts as pressed.
+Below it requests go out at once, up to the slots of each replica."""
 SLOW_FACTOR = 1.5
-"""Factor on the calm duration of an answer from which requests queue at the replicas:
-half an answer more is half of the slots' number waiting there."""
+"""Factor on the baseline duration of an answer from which requests count as queued at
+the replicas: with half an answer more, half as many requests as slots wait there."""
 PRESSED_S = 2.0
 """Time for which a sign of pressure holds, as long as the oldest reports."""
 OVERBOOKING = 1.1
@@ -29,21 +29,22 @@
 ANSWER_WEIGHT = 0.7
 """Weight of the newest answer in the mean duration. A host gets a few answers a second,
 and a surge fills the replicas' queues within half a second."""
-CALM_WEIGHT = 0.05
-"""Weight of an answer in the calm duration."""
-DRIFT = 0.005
-"""Weight of an answer in the calm duration while the service is pressed, so that a
-service whose answers have become slower for good is not pressed for ever."""
-MIN_DEPTH = 2.0
-"""Sends that can be saved up; arrivals at one host are bursts of two or three."""
-DEPTH_S = 0.1
-"""Time over which sends are saved up, two intervals of the tick that sends them."""
+BASELINE_WEIGHT = 0.05
+"""Weight of an answer in the baseline, the duration without pressure."""
+PRESSED_BASELINE_WEIGHT = 0.005
+"""Weight of an answer in the baseline under pressure, so that a service whose answers
+have become slower for good does not count as pressed for ever."""
+MIN_BURST = 2.0
+"""Least size of the token bucket, in sends; two or three requests arrive together."""
+BURST_S = 0.1
+"""Size of the token bucket, as seconds of the rate: two intervals of the tick that
+sends queued requests."""
 MAX_KEPT_SHARE = 0.25
-"""Bound on the part that is kept for requests that must not be repeated. Of a replica
-with one slot, a whole slot would be everything."""
-MIN_KEPT_DEPTH = 1.0
-"""Sends that are kept at least for such requests, otherwise this host's part of one for
-each replica. What they leave is for all requests."""
+"""Bound on the part of the sends that is kept for requests that must not be repeated.
+One slot of each replica is kept, which would be all of them at one slot each."""
+MIN_KEPT_BURST = 1.0
+"""Least size of the bucket of the kept sends; it is this host's part of one send for
+each replica. What exceeds it is for all requests."""
 UNSAFE_MEMORY_S = 4.0
 """Time after such a request for which slots are kept, the longest deadline of
 callers."""
@@ -74,16 +75,16 @@
     def __init__(self) -> None:
         self._answers = 0
         self._answer_s: float | None = None
-        self._calm_answer_s: float | None = None
+        self._baseline_answer_s: float | None = None
         self._pressed_s = float("-inf")
         self._unsafe_s = float("-inf")
         self._updated_s: float | None = None
         self._own_mean = 0.0
         """Own requests in flight over about the age of the reports."""
         self._rate_per_s = 0.0
-        self._shared = MIN_DEPTH
+        self._shared = MIN_BURST
         """Sends that are left for requests of any kind."""
-        self._kept = MIN_KEPT_DEPTH
+        self._kept = MIN_KEPT_BURST
         """Sends that are left for requests that must not be repeated."""
         self._unsafe_counts: dict[str, int] = {}
         """Own requests in flight that must not be repeated, by replica."""
@@ -120,15 +121,15 @@
     def record_answer(self, duration_s: float, now_s: float) -> None:
         """Record the time from a send to the end of its answer."""
         self._answers += 1
-        if self._answer_s is None or self._calm_answer_s is None:
-            self._answer_s = self._calm_answer_s = duration_s
+        if self._answer_s is None or self._baseline_answer_s is None:
+            self._answer_s = self._baseline_answer_s = duration_s
             return
         self._answer_s += ANSWER_WEIGHT * (duration_s - self._answer_s)
-        weight = max(CALM_WEIGHT, 1.0 / self._answers)
+        weight = max(BASELINE_WEIGHT, 1.0 / self._answers)
         if self.is_pressed(now_s):
-            weight = DRIFT
-        self._calm_answer_s += weight * (duration_s - self._calm_answer_s)
-        if self._answer_s > SLOW_FACTOR * self._calm_answer_s:
+            weight = PRESSED_BASELINE_WEIGHT
+        self._baseline_answer_s += weight * (duration_s - self._baseline_answer_s)
+        if self._answer_s > SLOW_FACTOR * self._baseline_answer_s:
             self._pressed_s = now_s
 
     def record_refusal(self, now_s: float) -> None:
@@ -136,7 +137,7 @@
         self._pressed_s = max(now_s, self._pressed_s)
 
     def update(self, load: ServiceLoad, now_s: float) -> None:
-        """Save up sends since the last update, at this host's part of the rate."""
+        """Add the sends since the last update, at this host's part of the rate."""
         elapsed_s = 0.0
         if self._updated_s is not None:
             elapsed_s = max(0.0, now_s - self._updated_s)
@@ -145,22 +146,22 @@
         self._own_mean = kept_share * self._own_mean + (1.0 - kept_share) * load.own
         if load.own + load.others >= PRESSED_SHARE * load.slots:
             self._pressed_s = max(now_s, self._pressed_s)
-        if self._answer_s is None or self._calm_answer_s is None or not load.slots:
+        if self._answer_s is None or self._baseline_answer_s is None or not load.slots:
             return
         share = own_share(self._own_mean, load)
         # The mean of both: the queues at the replicas slow the sends down, and a single
         # slow answer does not stop them.
-        duration_s = math.sqrt(self._calm_answer_s * self._answer_s)
+        duration_s = math.sqrt(self._baseline_answer_s * self._answer_s)
         self._rate_per_s = rate = share * load.slots / duration_s
         sends = OVERBOOKING * rate * elapsed_s
         kept = kept_part(load.slots, load.replicas) * sends
-        depth = max(MIN_DEPTH, DEPTH_S * rate)
+        burst = max(MIN_BURST, BURST_S * rate)
         # What the kept sends cannot hold is for requests of any kind.
-        kept_depth = max(MIN_KEPT_DEPTH, share * load.replicas)
-        kept_sends = max(self._kept, min(kept_depth, self._kept + kept))
+        kept_burst = max(MIN_KEPT_BURST, share * load.replicas)
+        kept_sends = max(self._kept, min(kept_burst, self._kept + kept))
         more = sends - (kept_sends - self._kept)
         self._kept = kept_sends
-        self._shared = min(depth, self._shared + more)
+        self._shared = min(burst, self._shared + more)
 
     def may_send(self, *, is_unsafe: bool, now_s: float) -> bool:
         """Return whether a request may be sent now, as of the last update."""
@@ -179,7 +180,7 @@
         return int(not self._unsafe_counts.get(replica_id))
 
     def record_send(self, replica_id: str, *, is_unsafe: bool) -> None:
-        """Count a send; without pressure more are sent than are saved up."""
+        """Count a send; without pressure there may be more than were added."""
         unsafe_count = self._unsafe_counts.get(replica_id, 0)
         if is_unsafe:
             self._unsafe_counts[replica_id] = unsafe_count + 1
