Keep each bound of the datagrams in one place

Cause: the number of workspaces in a datagram stood in two modules, MAX_SHARED and MAX_SHARED_USAGE, and had to be changed in both; MAX_SHARED did not say of what. The gateway took two other bounds from private modules of core/forwarding. Change: MAX_SHARED_WORKSPACES, with the other two in the public names of core/forwarding. Measured: tests/gateway/test_peer_datagrams.py, tests/core/forwarding/test_workspace_usage.py, test_full_stages.py, tests/test_imports.py.

--- a/bench/capacity_overload.py
+++ b/bench/capacity_overload.py
@@ -27,7 +27,10 @@
 from persimmonwell.core.forwarding._active import ActiveRequest
 from persimmonwell.core.forwarding._caller_retries import CallerRetryTracker
 from persimmonwell.core.forwarding._queue import RequestQueue
-from persimmonwell.core.forwarding._workspace_usage import MAX_SHARED, WorkspaceUsage
+from persimmonwell.core.forwarding._workspace_usage import (
+    MAX_SHARED_WORKSPACES,
+    WorkspaceUsage,
+)
 from persimmonwell.gateway._gateway import Gateway
 from persimmonwell.observe import DecisionLog
 
@@ -175,7 +178,7 @@
         WorkspaceTokens(
             "model", PRIORITY_CLASS, f"workspace-{(host + n) % 580:03}", 5000.0, 0.1
         )
-        for n in range(MAX_SHARED)
+        for n in range(MAX_SHARED_WORKSPACES)
     ]
 
 
--- a/persimmonwell/core/forwarding/__init__.py
+++ b/persimmonwell/core/forwarding/__init__.py
@@ -38,7 +38,10 @@
     RerouteFailure,
     Send,
 )
-from persimmonwell.core.forwarding._full_stages import MemoryReport
+from persimmonwell.core.forwarding._full_stages import (
+    MAX_SHARED_REPORTS,
+    MemoryReport,
+)
 from persimmonwell.core.forwarding._handover import HandoverPolicy
 from persimmonwell.core.forwarding._intervals import IntervalEstimate
 from persimmonwell.core.forwarding._loads import LoadTable, ReplicaLoad
@@ -81,13 +84,20 @@
 from persimmonwell.core.forwarding._statements import LeavingNotice, ReplicaStatement
 from persimmonwell.core.forwarding._stream_position import EventPlace, StreamPosition
 from persimmonwell.core.forwarding._wait_facts import WaitFacts
-from persimmonwell.core.forwarding._workspace_usage import WorkspaceTokens
+from persimmonwell.core.forwarding._workspace_usage import (
+    MAX_SHARED_TOKENS,
+    MAX_SHARED_WORKSPACES,
+    WorkspaceTokens,
+)
 from persimmonwell.core.forwarding._zone_choice import ZoneCrossing
 
 __all__ = [
     "PriorityClass",
     "PEER_REFUSAL_TTL_S",
     "MAX_SHARED_DIGESTS",
+    "MAX_SHARED_REPORTS",
+    "MAX_SHARED_TOKENS",
+    "MAX_SHARED_WORKSPACES",
     "USABLE_SHARE",
     "AcceleratorKind",
     "AnswerPhase",
--- a/persimmonwell/core/forwarding/_workspace_usage.py
+++ b/persimmonwell/core/forwarding/_workspace_usage.py
@@ -16,7 +16,8 @@
 """Time constant with which usage is forgotten, here and in the queue. It spans two
 reports of a host in another zone, which come up to 2.5 s apart."""
 MAX_SHARED_PER_SERVICE = 8
-MAX_SHARED = 16
+"""Workspaces of one service in one datagram."""
+MAX_SHARED_WORKSPACES = 16
 """Workspaces in one datagram, some 40 bytes each."""
 MAX_SHARED_TOKENS = 1 << 24
 """Bound on the tokens of one entry. A host gives less in USAGE_MEMORY_S, and a wrong
@@ -141,7 +142,7 @@
         for tokens, key in rows:
             service, priority_class, _ = key
             if (
-                len(listed) < MAX_SHARED
+                len(listed) < MAX_SHARED_WORKSPACES
                 and listed_by_service[service] < MAX_SHARED_PER_SERVICE
             ):
                 listed_by_service[service] += 1
--- a/persimmonwell/gateway/_peer_datagrams.py
+++ b/persimmonwell/gateway/_peer_datagrams.py
@@ -16,6 +16,8 @@
 
 from persimmonwell.core.forwarding import (
     MAX_SHARED_DIGESTS,
+    MAX_SHARED_REPORTS,
+    MAX_SHARED_WORKSPACES,
     LeavingNotice,
     MemoryReport,
     PeerStatus,
@@ -24,7 +26,6 @@
     StoreVersions,
     WorkspaceTokens,
 )
-from persimmonwell.core.forwarding._full_stages import MAX_SHARED_REPORTS
 from persimmonwell.core.retry import Blame, PartEvidence
 from persimmonwell.gateway._peer_messages import (
     Changes,
@@ -66,13 +67,9 @@
 """Suspected prompt parts that are read from one datagram."""
 MAX_SHARED_LEAVING = 32
 """Leaving replicas in one datagram, the newest ones."""
-MAX_SHARED_USAGE = 16
-"""Workspaces whose usage is read from one datagram."""
 MAX_PEER_ADDRESSES = 64
 """Peer addresses in one datagram, the next ones in turn; with the same ones each time,
-the last hosts of a larger fleet never learned of each other."""
-
-
+the last hosts of a larger fleet would never learn of each other."""
 MAX_PEERS = 4096
 """Peers and learned addresses that are kept, those heard of last: four times 1,000
 hosts. Datagrams are not authenticated, so that anyone can name any number of hosts."""
@@ -265,7 +262,8 @@
                 ),
                 registry_changes=_read_changes(report.registry_changes),
                 usage=tuple(
-                    decode_usage(message) for message in report.usage[:MAX_SHARED_USAGE]
+                    decode_usage(message)
+                    for message in report.usage[:MAX_SHARED_WORKSPACES]
                 ),
                 memory=tuple(
                     MemoryReport(row.replica_id, row.layer_tokens, row.age_s)
@@ -384,7 +382,7 @@
             ],
             usage=[
                 message
-                for row in state.usage[:MAX_SHARED_USAGE]
+                for row in state.usage[:MAX_SHARED_WORKSPACES]
                 if (message := encode_usage(row)) is not None
             ],
             memory=[
--- a/persimmonwell/gateway/_peer_messages.py
+++ b/persimmonwell/gateway/_peer_messages.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from persimmonwell.core.forwarding import (
+    MAX_SHARED_TOKENS,
     HeldLayers,
     LeavingNotice,
     RegistryChanges,
@@ -15,7 +16,6 @@
     Replica,
     WorkspaceTokens,
 )
-from persimmonwell.core.forwarding._workspace_usage import MAX_SHARED_TOKENS
 from persimmonwell.core.retry import MAX_CRASHES, PartEvidence
 
 MAX_INTERVAL_S = 120.0
--- a/tests/core/forwarding/test_workspace_usage.py
+++ b/tests/core/forwarding/test_workspace_usage.py
@@ -7,9 +7,9 @@
 
 from persimmonwell.core.forwarding import WorkspaceTokens
 from persimmonwell.core.forwarding._workspace_usage import (
-    MAX_SHARED,
     MAX_SHARED_PER_SERVICE,
     MAX_SHARED_TOKENS,
+    MAX_SHARED_WORKSPACES,
     MAX_TRACKED,
     USAGE_MEMORY_S,
     WorkspaceUsage,
@@ -47,7 +47,7 @@
             tokens = 1000 + number * 10
             usage.record(service, CLASS, f"w{number}", tokens, 0.0)
     rows = usage.heaviest(0.0)
-    assert len(rows) <= MAX_SHARED
+    assert len(rows) <= MAX_SHARED_WORKSPACES
     assert max(sum(r.service == f"s{n}" for r in rows) for n in (1, 2, 3)) <= (
         MAX_SHARED_PER_SERVICE
     )
--- a/tests/gateway/test_peer_datagrams.py
+++ b/tests/gateway/test_peer_datagrams.py
@@ -10,6 +10,9 @@
 from hypothesis import strategies as st
 
 from persimmonwell.core.forwarding import (
+    MAX_SHARED_REPORTS,
+    MAX_SHARED_TOKENS,
+    MAX_SHARED_WORKSPACES,
     LeavingNotice,
     MemoryReport,
     PeerStatus,
@@ -19,8 +22,6 @@
     StoreVersions,
     WorkspaceTokens,
 )
-from persimmonwell.core.forwarding._full_stages import MAX_SHARED_REPORTS
-from persimmonwell.core.forwarding._workspace_usage import MAX_SHARED_TOKENS
 from persimmonwell.core.retry import Blame, PartEvidence, PromptPartQuarantine
 from persimmonwell.gateway._peer_datagrams import (
     MAX_BLAMES,
@@ -31,7 +32,6 @@
     MAX_READ_LOADS,
     MAX_READ_NAME_CHARACTERS,
     MAX_READ_REPLICAS,
-    MAX_SHARED_USAGE,
     SEND_INTERVAL_S,
     LocalState,
     PeerDatagrams,
@@ -251,7 +251,7 @@
         changes = report.registry_changes
         for record in changes.records if changes is not None else ():
             assert record.replica_id.isprintable() and record.offset >= 0
-        assert len(report.usage) <= MAX_SHARED_USAGE
+        assert len(report.usage) <= MAX_SHARED_WORKSPACES
         for row in report.usage:
             assert 0 <= row.tokens <= MAX_SHARED_TOKENS and row.age_s >= 0.0
         assert len(report.memory) <= MAX_SHARED_REPORTS
