--- a/persimmonwell/core/forwarding/_arrivals.py
+++ b/persimmonwell/core/forwarding/_arrivals.py
@@ -30,6 +30,7 @@
 DEFAULT_CALLER_TIMEOUT_S = 30.0
 """Timeout of a caller that does not state one."""
 STOPPING_RETRY_AFTER_S = 0.1
+"""Retry-After of a host that stops; the other hosts are ready."""
 
 
 class RequestArrivals:
@@ -102,7 +103,6 @@
         """Send, queue or refuse a new request."""
         if self._route_table is None or self._requests.is_stopping:
             if self._requests.is_stopping:
-                # The other hosts are ready, so the caller may come back at once.
                 return (Finish(key, Ending.NOT_READY, STOPPING_RETRY_AFTER_S, "stop"),)
             return (
                 Finish(key, Ending.NOT_READY, NOT_READY_RETRY_AFTER_S, "no config"),
--- a/persimmonwell/core/forwarding/_crash_reports.py
+++ b/persimmonwell/core/forwarding/_crash_reports.py
@@ -39,10 +39,12 @@
 
 
 def quarantine_decisions(digests: tuple[str, ...]) -> tuple[Quarantined, ...]:
+    """Return the reports about newly quarantined digests and prompt parts."""
     return tuple(Quarantined(digest) for digest in digests)
 
 
 def verdict_decisions(replica_id: str, verdict: CrashVerdict) -> tuple[Decision, ...]:
+    """Return the reports about a suspected crash that was confirmed or dismissed."""
     decisions: tuple[Decision, ...] = quarantine_decisions(verdict.quarantined)
     if verdict.part_counts or verdict.is_dismissed:
         resolved = CrashResolved(replica_id, verdict.part_counts, verdict.is_dismissed)
--- a/persimmonwell/core/forwarding/_devices.py
+++ b/persimmonwell/core/forwarding/_devices.py
@@ -7,6 +7,7 @@
 from persimmonwell.core.forwarding._model import EngineSpec, HeldLayers, Replica
 
 BISECTION_STEPS = 24
+"""Steps that narrow the KV reserve down to less than a token."""
 
 
 @attrs.frozen
--- a/persimmonwell/core/forwarding/_full_stages.py
+++ b/persimmonwell/core/forwarding/_full_stages.py
@@ -26,8 +26,8 @@
 time of a request."""
 OVERBOOKING = 5.0
 """Factor on this host's share of the memory that became free, since not every host has
-a request for it at that moment. From 3 to 5 the replays differ little; with 8, some 2
-points more of the sends are refused with 340 hosts."""
+a request for it at that moment. With 8 and 340 hosts, some 2 points more of the sends
+are refused."""
 MAX_REPORTS = 256
 """Reports that are kept, the newest ones."""
 MAX_SHARED_REPORTS = 32
--- a/persimmonwell/core/forwarding/_loads.py
+++ b/persimmonwell/core/forwarding/_loads.py
@@ -43,8 +43,8 @@
 class LoadTable:
     """Loads by replica id, from this host's sends and from the peers' reports.
 
-    The sums change with each report and each send. Adding up the reports of 57 hosts
-    at each choice takes longer than the choice itself.
+    The sums are updated with each report and send: adding up the reports of 57 hosts at
+    each choice would take longer than the choice itself.
     """
 
     def __init__(self) -> None:
--- a/persimmonwell/core/forwarding/_open_requests.py
+++ b/persimmonwell/core/forwarding/_open_requests.py
@@ -21,7 +21,9 @@
 from persimmonwell.core.forwarding._workspace_usage import WorkspaceUsage
 
 NOT_READY_RETRY_AFTER_S = 1.0
+"""Retry-After of a host that lacks its configuration, an upstream, or has failed."""
 MIN_RETRY_AFTER_S = 0.5
+"""Least Retry-After, before the jitter of up to a half."""
 
 
 @attrs.define
--- a/persimmonwell/core/forwarding/_overload.py
+++ b/persimmonwell/core/forwarding/_overload.py
@@ -1,7 +1,7 @@
-"""Times at which callers that were refused may come back.
+"""Times at which refused callers may retry.
 
 Load pattern: for some seconds demand is a multiple of what the replicas can serve.
-Callers that come back at once meet the same load, and are refused again or take the
+Callers that retry at once meet the same load, and are refused again or take the
 capacity of others that could still be answered in time.
 """
 
@@ -12,6 +12,7 @@
 MAX_DEFERRAL_SHARE = 1 / 3
 """Part of a caller's remaining time for which it can be asked to wait."""
 MIN_RATE_PER_S = 1.0
+"""Lower bound of the rate at which refused callers are served."""
 
 
 class Overload:
@@ -23,7 +24,7 @@
         self._refused_count = 0
 
     def is_current(self, now_s: float) -> bool:
-        """Return whether a caller was refused a moment ago."""
+        """Return whether a caller was refused within QUIET_S."""
         return now_s - self._last_refusal_s <= QUIET_S
 
     def record_refusal(self, now_s: float) -> None:
--- a/persimmonwell/core/forwarding/_queue.py
+++ b/persimmonwell/core/forwarding/_queue.py
@@ -18,6 +18,7 @@
 RATE_WINDOW_S = 2.0
 """Interval over which the service's send rate is measured."""
 LONG_RATE_WINDOW_S = 8.0
+"""Second interval, longer than the pause of all sends while a stage is relocated."""
 MIN_RATE_PER_S = 1.0
 """Lower bound, used while too few sends have been measured."""
 CLASS_FLOOR = 0.05
@@ -27,8 +28,8 @@
 """Bound on the sum of the floors, since the most urgent class is to keep 0.9 of its
 answers under overload."""
 MAX_PASSES = 6
-"""Sends of later requests after which one without room is waited for, as many as are
-tried in one pass over the queue. Small requests alone would always fit before it."""
+"""Sends of later requests after which one without room is waited for; as many requests
+without room are tried in one pass. Otherwise small ones would always fit before it."""
 MAX_HOLD_S = 0.4
 """Time for which later requests wait for one without room. With a hundred places and
 answers of 2 s, some twenty places become free in it."""
@@ -230,8 +231,8 @@
     def send_rate_per_s(self, now_s: float) -> float:
         """Return the sends per second, the higher rate of two windows.
 
-        The relocation of a stage stops all sends for a second or two; the longer
-        window prevents refusals because of that.
+        The longer window prevents refusals because of a relocation, which stops all
+        sends for a second or two.
         """
         self._drop_old_sends(now_s)
         recent = sum(
--- a/persimmonwell/core/forwarding/_shared_capacity.py
+++ b/persimmonwell/core/forwarding/_shared_capacity.py
@@ -20,12 +20,12 @@
 """Peers of the availability zone that are counted, those that reported last. Anyone can
 send reports in the names of any number of hosts."""
 PRIOR_REQUESTS = 8
-"""Requests at replicas, about the stages of one path, by which each host is taken for
-as busy as this one before the reports show it."""
+"""Requests that are added to those of each host when hosts are compared, about the
+stages of one path: before the reports show more, each host counts as equally busy."""
 COST_SPREAD = 0.2
 """Range of the random factor on the costs of a choice, with many hosts and old reports.
-Without it, hosts with the same reports take the same one of equal paths; from 0.1 on
-the load is no more even."""
+Without it, hosts with the same reports take the same one of equal paths; a larger one
+does not make the load more even."""
 OLD_REPORT_S = 2.0
 """Mean age of the reports from which COST_SPREAD applies in full."""
 MANY_HOSTS = 10
@@ -40,7 +40,7 @@
 REFUSAL_MEMORY_S = 3.0
 """Time over which a refusal for want of memory shows that the hosts send too much."""
 MIN_GROWTH = 0.02
-"""Change in requests below which it is dropped."""
+"""Net growth in requests below which the entry of a replica is dropped."""
 
 
 @attrs.define
@@ -63,9 +63,9 @@
 class SharedCapacity:
     """Expected sends of the zone's other hosts since their last reports.
 
-    They are the net growth of this host's own load at a replica over the mean age of
-    the reports, times the other hosts by how busy they are. A host that gets no reports
-    sees their age grow, so that its own sends count for longer and it spreads more.
+    What is expected at a replica is the net growth of this host's own load there over
+    the mean age of the reports, times the number of other hosts, each weighted by how
+    busy it is. Without reports their age grows, so that own sends count for longer.
     """
 
     def __init__(self) -> None:
