Merge tests of waits and of full replicas into tables

Change: two tables with the same assertions; the test moved to test_workspace_usage.py; the pools share _mark_full and with_shared. Conclusion: none.

--- a/tests/core/forwarding/load_candidates.py
+++ b/tests/core/forwarding/load_candidates.py
@@ -20,6 +20,7 @@
 from persimmonwell.core.forwarding._paths import StageTable, search_path
 from persimmonwell.core.forwarding._shared_capacity import ExpectedLoad, SharedCapacity
 from persimmonwell.core.forwarding._upstreams import UpstreamPool
+from tests.core.forwarding.load_replay import new_pool
 
 OVERBOOKING = 2.0
 FULL_S = 0.3
@@ -234,6 +235,19 @@
         self.expectation.set(expected)
 
 
+def _mark_full(
+    full_until_s: dict[str, float],
+    active: ActiveRequest,
+    fault_address: str | None,
+    now_s: float,
+) -> None:
+    """Let the replica that refused a request count as full for a time."""
+    assert active.path is not None
+    for stage in active.path.stages:
+        if stage.address == fault_address:
+            full_until_s[stage.replica_id] = now_s + FULL_S
+
+
 class LearningPool(TodaysPool):
     """A replica that refused counts as full for this host for 0.3 s."""
 
@@ -249,10 +263,7 @@
         now_s: float,
     ) -> None:
         super().record_failure(active, failure, fault_address, now_s)
-        assert active.path is not None
-        for stage in active.path.stages:
-            if stage.address == fault_address:
-                self.full_until_s[stage.replica_id] = now_s + FULL_S
+        _mark_full(self.full_until_s, active, fault_address, now_s)
 
     def prepare(self, table: StageTable, size: GenerationSize, now_s: float) -> None:
         self.expectation.set(
@@ -264,11 +275,6 @@
         )
 
 
-def product_pool(rng: random.Random, hosts: int) -> UpstreamPool:
-    """Return the pool of the product: own net growth at each replica times peers."""
-    return UpstreamPool(availability_zone="za", rng=rng)
-
-
 class MemoryOnlyPool(UpstreamPool):
     """The product's expected sends in the memory, not in slots and step times."""
 
@@ -286,32 +292,33 @@
         }
 
 
-class FullTrustPool(UpstreamPool):
+class _FullTrust(SharedCapacity):
     """The product's expected sends at full strength without a refusal."""
 
-    def __init__(self, rng: random.Random, hosts: int) -> None:
-        super().__init__(availability_zone="za", rng=rng)
-        self.loads.shared = _FullTrust()
-
-
-class _FullTrust(SharedCapacity):
     def _trust(self, now_s: float) -> float:
         return 1.0
 
 
-class SameCostsPool(UpstreamPool):
+class _SameCosts(SharedCapacity):
     """The product's choice without its random factor on costs."""
 
-    def __init__(self, rng: random.Random, hosts: int) -> None:
-        super().__init__(availability_zone="za", rng=rng)
-        self.loads.shared = _SameCosts()
-
-
-class _SameCosts(SharedCapacity):
     def cost_spread(self, now_s: float) -> float:
         return 0.0
 
 
+def with_shared(
+    shared: type[SharedCapacity],
+) -> Callable[[random.Random, int], UpstreamPool]:
+    """Return a function that makes the product's pool with other expected loads."""
+
+    def make(rng: random.Random, hosts: int) -> UpstreamPool:
+        pool = new_pool(rng, hosts)
+        pool.loads.shared = shared()
+        return pool
+
+    return make
+
+
 class LearningProductPool(UpstreamPool):
     """The product's choice; a replica that refused counts as full for 0.3 s."""
 
@@ -327,10 +334,7 @@
         now_s: float,
     ) -> None:
         super().record_failure(active, failure, fault_address, now_s)
-        assert active.path is not None
-        for stage in active.path.stages:
-            if stage.address == fault_address:
-                self.loads.full_until_s[stage.replica_id] = now_s + FULL_S
+        _mark_full(self.loads.full_until_s, active, fault_address, now_s)
 
 
 class _LearningLoads(LoadTable):
@@ -353,9 +357,9 @@
     "random costs": NoisePool,
     "fair share": FairSharePool,
     "learn refusals": LearningPool,
-    "product": product_pool,
-    " at full strength": FullTrustPool,
+    "product": new_pool,
+    " at full strength": with_shared(_FullTrust),
     " in memory only": MemoryOnlyPool,
-    " without random costs": SameCostsPool,
+    " without random costs": with_shared(_SameCosts),
     " and learn refusals": LearningProductPool,
 }
--- a/tests/core/forwarding/test_full_stages.py
+++ b/tests/core/forwarding/test_full_stages.py
@@ -44,15 +44,24 @@
     assert usable(stages, MEMORY_S) == float("inf")
 
 
-def test_a_replica_with_room_and_an_unknown_one_are_not_held_back() -> None:
-    """Guards against a probe of a replica with room that makes it look full."""
-    assert usable(full(used=500), 0.0) == float("inf")
-    assert usable(FullStages(), 0.0) == float("inf")
-
+@pytest.mark.parametrize(
+    ("stages", "others", "expected"),
+    [
+        (full(used=500), 9.0, float("inf")),
+        (FullStages(), 9.0, float("inf")),
+        (full(), 0.0, float("inf")),
+        (full(phase=0.9), 9.0, 0.0),
+    ],
+    ids=["room", "no report", "lone host", "rounding alone"],
+)
+def test_a_host_is_held_back_only_by_a_full_replica_that_others_use(
+    stages: FullStages, others: float, expected: float
+) -> None:
+    """Guards against memory that stays free, and a replica that has just refused.
 
-def test_a_lone_host_is_not_held_back() -> None:
-    """Guards against memory that stays free although no other host needs it."""
-    assert usable(full(), 0.0, others=0.0) == float("inf")
+    Paths over few of its layers must not pass by the rounding of a share alone.
+    """
+    assert usable(stages, 0.0, others) == expected
 
 
 def test_own_sends_use_up_the_share() -> None:
@@ -76,11 +85,6 @@
     assert len(set(first_s)) == 10
 
 
-def test_part_of_a_request_does_not_pass_by_the_rounding_alone() -> None:
-    """Guards against paths over few layers of a replica that has just refused."""
-    assert usable(full(phase=0.9), 0.0) == 0.0
-
-
 def test_a_wrong_report_holds_a_replica_back_for_no_longer_than_a_full_one() -> None:
     """Guards against a host or a replica that reports more memory than there is."""
     assert usable(full(used=10**15), 0.5 * DRAIN_S) > NEED
--- a/tests/core/forwarding/test_overload.py
+++ b/tests/core/forwarding/test_overload.py
@@ -30,39 +30,41 @@
     return router
 
 
-def test_a_stream_that_would_be_late_is_refused_in_an_overload() -> None:
-    """Guards against surges in which all answers are late, since all callers wait."""
-    router = make_full_router()
-    router._services["model"].overload.record_refusal(0.0)
-    assert router.request_arrived(1, request("urgent"), 0.0) == ()
-    assert refusals(router.tick(OBJECTIVE_S / 2 - 0.05)) == []
-    (refused,) = refusals(router.tick(OBJECTIVE_S / 2 + 0.05))
-    assert refused.ending is Ending.OVERLOADED
-
-
-def test_a_stream_waits_longer_while_nobody_is_refused() -> None:
-    """Guards against refusals because of a pause of a second, such as a relocation."""
-    router = make_full_router()
-    assert router.request_arrived(1, request("urgent"), 0.0) == ()
-    assert refusals(router.tick(1.0)) == []
-
-
-def test_a_large_stream_waits_longer_in_an_overload() -> None:
-    """Guards against refusing the largest requests, which find room less often."""
-    router = make_full_router()
-    router._services["model"].overload.record_refusal(0.0)
-    large = request("urgent", size=GenerationSize(4000, 1000))
-    assert router.request_arrived(1, large, 0.0) == ()
-    assert refusals(router.tick(0.9)) == []
-
+@pytest.mark.parametrize(
+    ("is_overloaded", "size", "is_caller_retry", "waits_s", "refused_s"),
+    [
+        (True, None, False, OBJECTIVE_S / 2 - 0.05, OBJECTIVE_S / 2 + 0.05),
+        (False, None, False, 1.0, None),
+        (True, GenerationSize(4000, 1000), False, 0.9, None),
+        (True, None, True, 1.0, None),
+    ],
+    ids=["late", "without refusals", "large", "caller retry"],
+)
+def test_a_stream_waits_in_an_overload_only_for_a_timely_answer(
+    is_overloaded: bool,
+    size: GenerationSize | None,
+    is_caller_retry: bool,
+    waits_s: float,
+    refused_s: float | None,
+) -> None:
+    """Guards against surges in which all answers are late, since all callers wait.
 
-def test_a_returning_caller_waits_longer_in_an_overload() -> None:
-    """Guards against callers that are refused again as soon as they come back."""
+    Without refusals a pause of a second, such as a relocation, refuses nobody. The
+    largest requests find room less often, and a retry is not refused at once again.
+    """
     router = make_full_router()
-    router.caller_retries.record_refusal("d", retry_s=0.0, now_s=0.0)
-    router._services["model"].overload.record_refusal(0.0)
-    assert router.request_arrived(1, request("urgent", digest="d"), 0.0) == ()
-    assert refusals(router.tick(1.0)) == []
+    if is_caller_retry:
+        router.caller_retries.record_refusal("d", retry_s=0.0, now_s=0.0)
+    if is_overloaded:
+        router._services["model"].overload.record_refusal(0.0)
+    caller = request("urgent", digest="d") if is_caller_retry else request("urgent")
+    if size is not None:
+        caller = request("urgent", size=size)
+    assert router.request_arrived(1, caller, 0.0) == ()
+    assert refusals(router.tick(waits_s)) == []
+    if refused_s is not None:
+        (refused,) = refusals(router.tick(refused_s))
+        assert refused.ending is Ending.OVERLOADED
 
 
 def test_callers_of_a_surge_are_spread_over_the_time_after_it() -> None:
--- a/tests/core/forwarding/test_shares.py
+++ b/tests/core/forwarding/test_shares.py
@@ -8,7 +8,6 @@
 from collections import Counter
 
 import attrs
-import pytest
 
 from persimmonwell.core.forwarding import (
     Decision,
@@ -21,10 +20,7 @@
     Tenant,
     WorkspaceTokens,
 )
-from persimmonwell.core.forwarding._workspace_usage import (
-    USAGE_MEMORY_S,
-    WorkspaceUsage,
-)
+from persimmonwell.core.forwarding._workspace_usage import USAGE_MEMORY_S
 from tests.core.forwarding.fleets import (
     CONFIG,
     desk_replica,
@@ -369,15 +365,3 @@
     assert router.request_arrived(99, again, 0.5) == ()
     facts = router.wait_facts(99, 0.5)
     assert facts is not None and facts.is_caller_retry
-
-
-def test_shares_of_the_heaviest_workspaces() -> None:
-    """Guards against a share that counts the tokens of another class."""
-    usage = WorkspaceUsage()
-    for name, tokens, own in (("a", 60, 0), ("b", 20, 0), ("c", 10, 1)):
-        usage.record("desk", (own, own), name, tokens, 0.0)
-    shares = usage.top_shares(1.0, 2)
-    assert shares == {
-        ("desk", (0, 0), "a"): pytest.approx(0.75),
-        ("desk", (0, 0), "b"): pytest.approx(0.25),
-    }
--- a/tests/core/forwarding/test_workspace_usage.py
+++ b/tests/core/forwarding/test_workspace_usage.py
@@ -2,6 +2,7 @@
 
 import math
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -78,6 +79,18 @@
     assert usage.share("model", CLASS, "c") == 0.0
 
 
+def test_shares_of_the_heaviest_workspaces() -> None:
+    """Guards against a share that counts the tokens of another class."""
+    usage = WorkspaceUsage()
+    for name, tokens, own in (("a", 60, 0), ("b", 20, 0), ("c", 10, 1)):
+        usage.record("desk", (own, own), name, tokens, 0.0)
+    shares = usage.top_shares(1.0, 2)
+    assert shares == {
+        ("desk", (0, 0), "a"): pytest.approx(0.75),
+        ("desk", (0, 0), "b"): pytest.approx(0.25),
+    }
+
+
 sends = st.lists(
     st.tuples(st.floats(0.01, 1.0), st.integers(100, 5000), st.booleans()),
     min_size=5,
