Use one route and service in the benches of forwarding

Cause: bench/capacity_overload.py and bench/forwarding_cost.py each defined the same route and service; a caller of the soak closed its connections with a copy of _close; "patient" callers are those that obey Retry-After. Change: ROUTE and SERVICE in forwarding_cost.py, _close in all callers, names. The order of random draws is the same. The soak was not run. Conclusion: none.

--- a/bench/capacity_overload.py
+++ b/bench/capacity_overload.py
@@ -10,18 +10,14 @@
 from collections.abc import Callable
 from typing import Any
 
-from bench.forwarding_cost import ENGINE, REQUEST_SIZE
+from bench.forwarding_cost import REQUEST_SIZE, ROUTE, SERVICE
 from bench.slopes import Slope, fit_line, time_us
 from persimmonwell.core.forwarding import (
     CallerRequest,
     ForwardingRouter,
     LoadTable,
     ReplicaLoad,
-    Route,
-    RouteKind,
-    ServiceSpec,
     Tenant,
-    WeightedService,
     WorkspaceTokens,
 )
 from persimmonwell.core.forwarding._active import ActiveRequest
@@ -47,18 +43,6 @@
 LOADS_PER_REPORT = 128
 """The most in one datagram."""
 PRIORITY_CLASS = (0, 0)
-ROUTE = Route(
-    name="r",
-    host="h",
-    prefix="/",
-    kind=RouteKind.STREAM,
-    services=(WeightedService("model", 1.0),),
-    timeout_s=20.0,
-    latency_objective_s=0.5,
-    priority=0,
-    max_attempts=2,
-)
-SERVICE = ServiceSpec("model", "/health", 100, ENGINE)
 
 
 def memory_bytes(build: Callable[[], Any]) -> float:
--- a/bench/forwarding_cost.py
+++ b/bench/forwarding_cost.py
@@ -57,6 +57,18 @@
         ("t4", AcceleratorKind(14_400.0, 15.0, 15.0)),
     ),
 )
+ROUTE = Route(
+    name="r",
+    host="h",
+    prefix="/",
+    kind=RouteKind.STREAM,
+    services=(WeightedService("model", 1.0),),
+    timeout_s=20.0,
+    latency_objective_s=0.5,
+    priority=0,
+    max_attempts=2,
+)
+SERVICE = ServiceSpec("model", "/health", 100, ENGINE)
 
 
 def build_replicas(count: int) -> list[Replica]:
@@ -94,22 +106,11 @@
     pool.registry.replace(
         tuple(RegistryRecord(r.replica_id, n, r) for n, r in enumerate(replicas)), 0.0
     )
-    route = Route(
-        name="r",
-        host="h",
-        prefix="/",
-        kind=RouteKind.STREAM,
-        services=(WeightedService("model", 1.0),),
-        timeout_s=20.0,
-        latency_objective_s=0.5,
-        priority=0,
-        max_attempts=2,
-    )
     active = ActiveRequest(
         key=1,
         request=CallerRequest("r", "h", "/", "POST", size=REQUEST_SIZE),
-        route=route,
-        service=ServiceSpec("model", "/health", 100, ENGINE),
+        route=ROUTE,
+        service=SERVICE,
         tenant=None,
         arrived_s=0.0,
         deadline_s=20.0,
--- a/standins/soak_load.py
+++ b/standins/soak_load.py
@@ -23,7 +23,7 @@
 HEAVY_TIMEOUTS_S = (0.4, 1.5, 3.0)
 """Time limits that callers of the workspace that sends most state."""
 MAX_RETRIES = 2
-PATIENT_SHARE = 0.7
+OBEYING_SHARE = 0.7
 """Share of the refused callers that obey Retry-After; the others retry at once."""
 MAX_OBEYED_SHARE = 1 / 3
 """Part of the time left up to which callers obey Retry-After."""
@@ -116,8 +116,7 @@
             if number == 0:
                 self._check_version(host, f"version-{count}")
             time.sleep(0.01)
-        for connection, _ in connections.values():
-            connection.close()
+        _close(connections)
 
     def _run_steady_caller(self) -> None:
         rng = random.Random(f"{self._seed} steady")
@@ -156,7 +155,7 @@
         """
         name = rng.choice(("book", "look", "talk"))
         end_s = time.monotonic() + rng.choice(HEAVY_TIMEOUTS_S)
-        is_patient = rng.random() < PATIENT_SHARE
+        obeys_retry_after = rng.random() < OBEYING_SHARE
         for attempt in range(1 + MAX_RETRIES):
             left_s = end_s - time.monotonic()
             if left_s <= 0.0 or self._stop.is_set():
@@ -177,7 +176,7 @@
             self.retry_count += attempt > 0
             if answer.status not in REFUSALS:
                 return
-            if is_patient:
+            if obeys_retry_after:
                 wait_s = float(answer.headers.get("retry-after", "0"))
                 if wait_s > MAX_OBEYED_SHARE * (end_s - time.monotonic()):
                     return
