End the hand-over of state from a peer that sends single bytes

Cause: the time-out of a fetch is one of the socket, so that a peer that sends a byte a second held the only fetch without end, and a host that starts without the store never asked another peer. Anyone can be taken for a peer, as datagrams are not authenticated. Change: at most 10 s from the head of an answer to its end; the body is taken as it is, without content coding, which no host uses.

--- a/persimmonwell/gateway/_state_handover.py
+++ b/persimmonwell/gateway/_state_handover.py
@@ -1,6 +1,7 @@
 """Hand-over of the configuration and the registry from one host to another."""
 
 import threading
+import time
 from collections.abc import Callable
 
 import attrs
@@ -16,6 +17,10 @@
 FETCH_TIMEOUT_S = 1.0
 MAX_STATE_BYTES = 8 * 1024 * 1024
 """Several times a configuration of thousands of routes; a longer answer is dropped."""
+MAX_TRANSFER_S = 10.0
+"""Time from the head of an answer to its end. The time-out of the socket alone would
+let one peer that sends single bytes hold the only fetch without end."""
+_READ_BYTES = 65_536
 
 
 class _State(msgspec.Struct, array_like=True):
@@ -96,13 +101,18 @@
 
 def _get(url: str) -> bytes:
     with urllib3.PoolManager(retries=False, timeout=FETCH_TIMEOUT_S) as pool:
-        response = pool.request("GET", url, preload_content=False)
+        response = pool.request("GET", url, preload_content=False, decode_content=False)
         try:
             if response.status != 200:
                 raise ValueError(f"status {response.status}")
-            data = response.read(MAX_STATE_BYTES + 1)
-            if len(data) > MAX_STATE_BYTES:
-                raise ValueError(f"more than {MAX_STATE_BYTES} bytes")
-            return data
+            until_s = time.monotonic() + MAX_TRANSFER_S
+            data = bytearray()
+            while part := response.read1(_READ_BYTES):
+                data += part
+                if len(data) > MAX_STATE_BYTES:
+                    raise ValueError(f"more than {MAX_STATE_BYTES} bytes")
+                if time.monotonic() > until_s:
+                    raise ValueError("the answer does not end")
+            return bytes(data)
         finally:
             response.release_conn()
--- a/tests/gateway/test_state_handover.py
+++ b/tests/gateway/test_state_handover.py
@@ -2,12 +2,12 @@
 
 import http.client
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import pytest
 
 from persimmonwell.core.forwarding import RegistryChanges
-from persimmonwell.gateway import GatewayHost
+from persimmonwell.gateway import GatewayHost, _state_handover
 from persimmonwell.gateway._state_handover import (
     HandoverCallbacks,
     StateFetcher,
@@ -109,20 +109,10 @@
     wait_until(lambda: send_to_second(testbed, "/added/1") == 200, timeout_s=5.0)
 
 
-@pytest.mark.parametrize(
-    "answer",
-    [
-        b"",
-        b"# TYPE persimmonwell_gateway_state gauge",
-        encode_state(b"{}", None)[:-1],
-        encode_state(b"not a document", None),
-        encode_state(b'{"version": "x"}', RegistryChanges(-1, 3, (), 1)),
-    ],
-)
-def test_malformed_state_is_reported_and_another_fetch_follows(answer: bytes) -> None:
-    """Guards against a build, or a damaged answer, that ends the hand-over for good."""
+def fetch_twice(answer: Callable[[], object]) -> list[str]:
+    """Return the peers of two fetches that failed, one after the other."""
     server = StandinServer()
-    server.route("GET", "/state", lambda _body, _query: (200, answer))
+    server.route("GET", "/state", lambda _body, _query: answer())
     server.start()
     failures: list[str] = []
     fetcher = StateFetcher(
@@ -137,6 +127,33 @@
             wait_until(lambda: not fetcher._is_fetching.locked())
             fetcher.fetch("127.0.0.1")
             wait_until(lambda count=count: len(failures) == count)
-        assert failures == ["127.0.0.1", "127.0.0.1"]
+        return failures
     finally:
         server.close()
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"",
+        b"# TYPE persimmonwell_gateway_state gauge",
+        encode_state(b"{}", None)[:-1],
+        encode_state(b"not a document", None),
+        encode_state(b'{"version": "x"}', RegistryChanges(-1, 3, (), 1)),
+    ],
+)
+def test_malformed_state_is_reported_and_another_fetch_follows(answer: bytes) -> None:
+    """Guards against a build, or a damaged answer, that ends the hand-over for good."""
+    assert fetch_twice(lambda: (200, answer)) == ["127.0.0.1", "127.0.0.1"]
+
+
+def test_state_that_trickles_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a peer whose single bytes hold the only fetch without end."""
+    monkeypatch.setattr(_state_handover, "MAX_TRANSFER_S", 0.1)
+
+    def trickle() -> Iterator[bytes]:
+        for _ in range(400):
+            time.sleep(0.05)
+            yield b"x"
+
+    assert fetch_twice(trickle) == ["127.0.0.1", "127.0.0.1"]
