Flatten the first steps of an arrival and the end of a wait

Cause: nested conditions, one of them tested twice, and one broken over three lines. Change: _arrivals.py and _sends.py, without a change of behaviour. Measured: test_router.py, test_queue.py, test_overload.py, test_shares.py; mypy. Conclusion: none.

--- a/persimmonwell/core/forwarding/_arrivals.py
+++ b/persimmonwell/core/forwarding/_arrivals.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Sequence
+from functools import partial
 from itertools import product
 
 from persimmonwell.core.forwarding._active import (
@@ -101,20 +102,17 @@
         self, key: int, request: CallerRequest, now_s: float
     ) -> tuple[Decision, ...]:
         """Send, queue or refuse a new request."""
-        if self._route_table is None or self._requests.is_stopping:
-            if self._requests.is_stopping:
-                return (Finish(key, Ending.NOT_READY, STOPPING_RETRY_AFTER_S, "stop"),)
-            return (
-                Finish(key, Ending.NOT_READY, NOT_READY_RETRY_AFTER_S, "no config"),
-            )
+        not_ready = partial(Finish, key, Ending.NOT_READY)
+        if self._requests.is_stopping:
+            return (not_ready(STOPPING_RETRY_AFTER_S, "stop"),)
+        if self._route_table is None:
+            return (not_ready(NOT_READY_RETRY_AFTER_S, "no config"),)
         try:
             resolved = self._route_table.resolve(request, draw=self._random.random())
         except (UnknownRouteError, UnknownKeyError) as error:
             if self._is_behind_peers:
                 # A newer configuration may have the route or the key.
-                detail = "configuration is behind"
-                retry_after_s = NOT_READY_RETRY_AFTER_S
-                return (Finish(key, Ending.NOT_READY, retry_after_s, detail),)
+                return (not_ready(NOT_READY_RETRY_AFTER_S, "configuration is behind"),)
             if isinstance(error, UnknownKeyError):
                 return (Finish(key, Ending.UNKNOWN_KEY),)
             return (Finish(key, Ending.UNKNOWN_ROUTE, detail=request.path),)
--- a/persimmonwell/core/forwarding/_sends.py
+++ b/persimmonwell/core/forwarding/_sends.py
@@ -79,21 +79,17 @@
     def expire_request(self, active: ActiveRequest, now_s: float) -> list[Decision]:
         """End a request that exceeds its queueing limit or its deadline."""
         if active.replica_id is None:
-            if now_s < active.deadline_s and active.waited_s(
-                now_s
-            ) <= self._requests.max_wait_s(active, now_s):
+            max_wait_s = self._requests.max_wait_s(active, now_s)
+            if now_s < active.deadline_s and active.waited_s(now_s) <= max_wait_s:
                 return []
             if active.may_have_run:
                 return [self._requests.finish(active, Ending.TIMED_OUT, "waited")]
             wait_s = self._expected_wait_s(active, now_s)
             return [self._requests.refuse(active, "waited", wait_s, now_s)]
-        if now_s >= active.deadline_s:
-            cancel = CancelAttempt(active.key, active.attempt)
-            return [
-                cancel,
-                self._requests.finish(active, Ending.TIMED_OUT, "time is over"),
-            ]
-        return []
+        if now_s < active.deadline_s:
+            return []
+        cancel = CancelAttempt(active.key, active.attempt)
+        return [cancel, self._requests.finish(active, Ending.TIMED_OUT, "time is over")]
 
     def dispatch_queue(self, name: str, now_s: float) -> tuple[Decision, ...]:
         """Send the queued requests of a service for which there is capacity."""
