--- a/bench/capacity_overload.py
+++ b/bench/capacity_overload.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import gc
+import itertools
 import tracemalloc
 from collections.abc import Callable
 from typing import Any
@@ -87,7 +88,7 @@
         pass
 
 
-def _connect(count: int) -> tuple[Gateway, list[Any]]:
+def _connect(size: int) -> tuple[Gateway, list[Any]]:
     router = ForwardingRouter(
         availability_zone="z0",
         seed=1,
@@ -96,38 +97,60 @@
         retry_window_s=10.0,
     )
     gateway = Gateway(
-        router=router, log=DecisionLog(host_id="h"), seed=1, caller_bound=count
+        router=router, log=DecisionLog(host_id="h"), seed=1, caller_bound=size
     )
-    connections = [gateway.create_caller_connection() for _ in range(count)]
+    connections = [gateway.create_caller_connection() for _ in range(size)]
     for connection in connections:
         connection.connection_made(_Transport())
     return gateway, connections
 
 
+def _memory_slope(
+    name: str, sizes: tuple[int, ...], size_unit: str, build: Callable[[int], Any]
+) -> Slope:
+    points = [(size, memory_bytes(lambda n=size: build(n))) for size in sizes]
+    return fit_line(name, points, size_unit=size_unit, cost_unit="bytes")
+
+
+def _time_slope(
+    name: str,
+    sizes: tuple[int, ...],
+    size_unit: str,
+    prepare: Callable[[int], Callable[[], object]],
+    *,
+    repeats: int,
+) -> Slope:
+    """Return the slope of the CPU time of what prepare returns for each size."""
+    points = [(size, time_us(prepare(size), repeats=repeats)) for size in sizes]
+    return fit_line(name, points, size_unit=size_unit, cost_unit="us")
+
+
 async def _measure_connections() -> list[Slope]:
-    memory, checks, progress = [], [], []
-    for count in CONNECTION_SIZES:
-        memory.append((count, memory_bytes(lambda n=count: _connect(n))))
-        gateway, connections = _connect(count)
-        now_s = asyncio.get_running_loop().time()
+    now_s = asyncio.get_running_loop().time()
+
+    def prepare_check(count: int) -> Callable[[], None]:
+        _, connections = _connect(count)
 
-        def check(kept: list[Any] = connections, now_s: float = now_s) -> None:
-            for connection in kept:
+        def check() -> None:
+            for connection in connections:
                 connection.check_progress(now_s)
 
-        checks.append((count, time_us(check, repeats=20)))
-        table = gateway.admission.callers
+        return check
 
-        def record(kept: list[Any] = connections, table: Any = table) -> None:
-            for connection in kept:
-                table.record_progress(connection)
+    def prepare_record(count: int) -> Callable[[], None]:
+        gateway, connections = _connect(count)
+
+        def record() -> None:
+            for connection in connections:
+                gateway.admission.callers.record_progress(connection)
+
+        return record
 
-        progress.append((count, time_us(record, repeats=20)))
-    unit = "connection"
+    sizes, unit = CONNECTION_SIZES, "connection"
     return [
-        fit_line("memory of idle callers", memory, size_unit=unit, cost_unit="bytes"),
-        fit_line("check of progress", checks, size_unit=unit, cost_unit="us"),
-        fit_line("record of progress", progress, size_unit=unit, cost_unit="us"),
+        _memory_slope("memory of idle callers", sizes, unit, _connect),
+        _time_slope("check of progress", sizes, unit, prepare_check, repeats=20),
+        _time_slope("record of progress", sizes, unit, prepare_record, repeats=20),
     ]
 
 
@@ -181,80 +204,67 @@
 
 
 def _measure_shares() -> list[Slope]:
-    queued = [(n, memory_bytes(lambda n=n: _build_queue(n, 580))) for n in QUEUE_SIZES]
-    enqueue, heaviest, share, merge = [], [], [], []
-    for workspaces in WORKSPACE_SIZES:
+    def prepare_arrival(workspaces: int) -> Callable[[], None]:
         queue = _build_queue(1600, workspaces)
         new = _build_request(10**6, workspaces)
 
-        def add(queue: RequestQueue = queue, new: ActiveRequest = new) -> None:
+        def arrive() -> None:
             queue.count_ahead_of(new)
             queue.add(new)
             queue.discard(new)
 
-        enqueue.append((workspaces, time_us(add, repeats=200)))
-    for tracked in TRACKED_SIZES:
+        return arrive
+
+    def prepare_heaviest(tracked: int) -> Callable[[], object]:
         usage = _build_usage(tracked)
-        heaviest.append((tracked, time_us(lambda u=usage: u.heaviest(1.0), repeats=20)))
-        share.append(
-            (
-                tracked,
-                time_us(
-                    lambda u=usage: u.share("model", PRIORITY_CLASS, "workspace-007"),
-                    repeats=100,
-                ),
-            )
-        )
-    for hosts in HOST_SIZES:
-        usage = _merge_hosts(hosts)
-        rows = _build_rows(7)
-        merge.append(
-            (
-                hosts,
-                time_us(
-                    lambda u=usage, r=rows: u.merge_peer("host-7", r, 0.1), repeats=200
-                ),
-            )
-        )
-    own_memory = [(n, memory_bytes(lambda n=n: _build_usage(n))) for n in TRACKED_SIZES]
-    peer_memory = [(n, memory_bytes(lambda n=n: _merge_hosts(n))) for n in HOST_SIZES]
-    digests = [(n, memory_bytes(lambda n=n: _refuse(n))) for n in DIGEST_SIZES]
+        return lambda: usage.heaviest(1.0)
+
+    def prepare_share(tracked: int) -> Callable[[], object]:
+        usage = _build_usage(tracked)
+        return lambda: usage.share("model", PRIORITY_CLASS, "workspace-007")
+
+    def prepare_merge(hosts: int) -> Callable[[], object]:
+        usage, rows = _merge_hosts(hosts), _build_rows(7)
+        return lambda: usage.merge_peer("host-7", rows, 0.1)
+
     return [
-        fit_line(
+        _memory_slope(
             "memory of the queue, 580 workspaces",
-            queued,
-            size_unit="waiting request",
-            cost_unit="bytes",
+            QUEUE_SIZES,
+            "waiting request",
+            lambda count: _build_queue(count, 580),
         ),
-        fit_line(
+        _time_slope(
             "arrival in a queue of 1,600",
-            enqueue,
-            size_unit="workspace",
-            cost_unit="us",
+            WORKSPACE_SIZES,
+            "workspace",
+            prepare_arrival,
+            repeats=200,
+        ),
+        _memory_slope(
+            "memory of the own usage", TRACKED_SIZES, "workspace", _build_usage
         ),
-        fit_line(
-            "memory of the own usage",
-            own_memory,
-            size_unit="workspace",
-            cost_unit="bytes",
+        _time_slope(
+            "choice of the heaviest",
+            TRACKED_SIZES,
+            "workspace",
+            prepare_heaviest,
+            repeats=20,
         ),
-        fit_line(
-            "choice of the heaviest", heaviest, size_unit="workspace", cost_unit="us"
+        _time_slope(
+            "share for a refusal",
+            TRACKED_SIZES,
+            "workspace",
+            prepare_share,
+            repeats=100,
         ),
-        fit_line("share for a refusal", share, size_unit="workspace", cost_unit="us"),
-        fit_line(
-            "memory of the peers' usage, 16 rows each",
-            peer_memory,
-            size_unit="host",
-            cost_unit="bytes",
+        _memory_slope(
+            "memory of the peers' usage, 16 rows each", HOST_SIZES, "host", _merge_hosts
         ),
-        fit_line("merge of a report", merge, size_unit="host", cost_unit="us"),
-        fit_line(
-            "memory of refused requests",
-            digests,
-            size_unit="request",
-            cost_unit="bytes",
+        _time_slope(
+            "merge of a report", HOST_SIZES, "host", prepare_merge, repeats=200
         ),
+        _memory_slope("memory of refused requests", DIGEST_SIZES, "request", _refuse),
     ]
 
 
@@ -287,55 +297,38 @@
 
 
 def _measure_loads() -> list[Slope]:
-    by_hosts = [
-        (n, memory_bytes(lambda n=n: _build_loads(n, 1300))) for n in HOST_SIZES
-    ]
-    by_replicas = [
-        (n, memory_bytes(lambda n=n: _build_expected(n))) for n in REPLICA_SIZES
-    ]
-    reports, updates = [], []
-    for hosts in HOST_SIZES:
-        loads = _build_loads(hosts, 1300)
-        report = _report(7, 1300)
-        reports.append(
-            (
-                hosts,
-                time_us(
-                    lambda t=loads, r=report: t.set_peer_loads(
-                        "host-7", r, 100.0, zone_reported_s=0.0
-                    ),
-                    repeats=200,
-                ),
-            )
-        )
-    for replicas in REPLICA_SIZES:
-        loads = _build_expected(replicas)
-        times = iter(range(1, 10**9))
-        updates.append(
-            (
-                replicas,
-                time_us(
-                    lambda t=loads, at=times: t.update_expected(1.0 + next(at) * 1e-6),
-                    repeats=20,
-                ),
-            )
+    def prepare_report(hosts: int) -> Callable[[], None]:
+        loads, report = _build_loads(hosts, 1300), _report(7, 1300)
+        return lambda: loads.set_peer_loads(
+            "host-7", report, 100.0, zone_reported_s=0.0
         )
+
+    def prepare_update(replicas: int) -> Callable[[], None]:
+        loads, steps = _build_expected(replicas), itertools.count(1)
+        return lambda: loads.update_expected(1.0 + next(steps) * 1e-6)
+
     return [
-        fit_line(
+        _memory_slope(
             "memory of the peers' loads, 128 each",
-            by_hosts,
-            size_unit="host",
-            cost_unit="bytes",
+            HOST_SIZES,
+            "host",
+            lambda hosts: _build_loads(hosts, 1300),
         ),
-        fit_line(
+        _memory_slope(
             "memory of own and expected loads",
-            by_replicas,
-            size_unit="replica",
-            cost_unit="bytes",
+            REPLICA_SIZES,
+            "replica",
+            _build_expected,
+        ),
+        _time_slope(
+            "report of 128 loads", HOST_SIZES, "host", prepare_report, repeats=200
         ),
-        fit_line("report of 128 loads", reports, size_unit="host", cost_unit="us"),
-        fit_line(
-            "update of the expected loads", updates, size_unit="replica", cost_unit="us"
+        _time_slope(
+            "update of the expected loads",
+            REPLICA_SIZES,
+            "replica",
+            prepare_update,
+            repeats=20,
         ),
     ]
 
