Serve the callers' time-outs when the router's timer raises

Cause: an unexpected error in ForwardingRouter.tick left out CallerAdmission.tick of that turn. An error at every turn would let uploads wait for memory without end, and keep callers that take no bytes. Change: both run in each turn; the error is reported as before. Measured: tests/gateway/test_faulted_requests.py, timer and trace; the new test fails on the code before.

--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -354,8 +354,11 @@
         # Scheduled first, so that an unexpected error does not end all time-outs.
         loop = asyncio.get_running_loop()
         self._tick_timer = loop.call_later(TICK_S, self._tick)
-        self.execute(self.router.tick(self.now_s()))
-        self.admission.tick()
+        try:
+            self.execute(self.router.tick(self.now_s()))
+        finally:
+            # Uploads that wait for memory and callers without progress have no other.
+            self.admission.tick()
 
 
 def _cancel_attempt(exchange: Exchange, decision: CancelAttempt) -> None:
--- a/tests/gateway/test_faulted_requests.py
+++ b/tests/gateway/test_faulted_requests.py
@@ -200,3 +200,22 @@
         assert status_of(testbed, "/look/x", "odd") == 503
     assert [bool(trace) for trace in traces] == [True, False, False]
     assert "always the same cause" in str(traces[0])
+
+
+def test_error_in_the_timer_of_the_router_leaves_that_of_the_callers(
+    testbed: GatewayTestbed, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against uploads that wait for memory without end."""
+    assert testbed.host is not None
+    ticks: list[None] = []
+
+    def fail(*arguments: Any) -> Any:
+        raise OddError("tick")
+
+    monkeypatch.setattr(
+        testbed.host._gateway.admission, "tick", lambda: ticks.append(None)
+    )
+    monkeypatch.setattr(ForwardingRouter, "tick", fail)
+    time.sleep(0.1)
+    ticks.clear()
+    wait_until(lambda: len(ticks) >= 2, timeout_s=2.0)
