--- a/persimmonwell/core/forwarding/_workspace_usage.py
+++ b/persimmonwell/core/forwarding/_workspace_usage.py
@@ -16,7 +16,8 @@
 """Time constant with which usage is forgotten, here and in the queue. It spans two
 reports of a host in another zone, which come up to 2.5 s apart."""
 MAX_SHARED_PER_SERVICE = 8
-MAX_SHARED = 16
+"""Workspaces of one service in one datagram."""
+MAX_SHARED_WORKSPACES = 16
 """Workspaces in one datagram, some 40 bytes each."""
 MAX_SHARED_TOKENS = 1 << 24
 """Bound on the tokens of one entry. A host gives less in USAGE_MEMORY_S, and a wrong
@@ -24,6 +25,9 @@
 MAX_TRACKED = 512
 """Workspaces whose usage is kept, over all services; beyond it the lightest are
 dropped."""
+MAX_PEER_ENTRIES = 32_768
+"""Entries that are kept over all peers, some 8 MB: twice the 16 in a report of each of
+1,000 hosts. Anyone can send reports in the names of any number of hosts."""
 MIN_TOKENS = 1.0
 """Usage below which a workspace is dropped."""
 EXPIRY_INTERVAL_S = 5.0
@@ -76,6 +80,8 @@
     def __init__(self) -> None:
         self._own: dict[_Key, _Decayed] = {}
         self._peers: dict[str, dict[_Key, _Decayed]] = {}
+        """Usage by peer, the one that reported first at the beginning."""
+        self._peer_entry_count = 0
         self._expired_s = float("-inf")
 
     def record(
@@ -136,7 +142,7 @@
         for tokens, key in rows:
             service, priority_class, _ = key
             if (
-                len(listed) < MAX_SHARED
+                len(listed) < MAX_SHARED_WORKSPACES
                 and listed_by_service[service] < MAX_SHARED_PER_SERVICE
             ):
                 listed_by_service[service] += 1
@@ -162,7 +168,9 @@
         """
         if not rows:
             return ()
-        known = self._peers.setdefault(peer, {})
+        known = self._peers.pop(peer, {})
+        self._peers[peer] = known
+        self._peer_entry_count -= len(known)
         added = []
         for row in rows:
             tokens = min(row.tokens, MAX_SHARED_TOKENS)
@@ -172,6 +180,10 @@
             if new_tokens > 0:
                 usage.add(new_tokens, now_s)
                 added.append(attrs.evolve(row, tokens=new_tokens, age_s=0.0))
+        self._peer_entry_count += len(known)
+        while self._peer_entry_count > MAX_PEER_ENTRIES:
+            dropped = self._peers.pop(next(iter(self._peers)))
+            self._peer_entry_count -= len(dropped)
         return tuple(added)
 
     def expire(self, now_s: float) -> None:
@@ -185,6 +197,7 @@
             for peer, known in self._peers.items()
             if (left := _without_decayed(known, now_s))
         }
+        self._peer_entry_count = sum(map(len, self._peers.values()))
 
     def _drop_lightest(self, now_s: float) -> None:
         keys = sorted(self._own, key=lambda key: self._own[key].value(now_s))
--- a/tests/core/forwarding/test_workspace_usage.py
+++ b/tests/core/forwarding/test_workspace_usage.py
@@ -2,14 +2,15 @@
 
 import math
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from persimmonwell.core.forwarding import WorkspaceTokens
 from persimmonwell.core.forwarding._workspace_usage import (
-    MAX_SHARED,
     MAX_SHARED_PER_SERVICE,
     MAX_SHARED_TOKENS,
+    MAX_SHARED_WORKSPACES,
     MAX_TRACKED,
     USAGE_MEMORY_S,
     WorkspaceUsage,
@@ -47,7 +48,7 @@
             tokens = 1000 + number * 10
             usage.record(service, CLASS, f"w{number}", tokens, 0.0)
     rows = usage.heaviest(0.0)
-    assert len(rows) <= MAX_SHARED
+    assert len(rows) <= MAX_SHARED_WORKSPACES
     assert max(sum(r.service == f"s{n}" for r in rows) for n in (1, 2, 3)) <= (
         MAX_SHARED_PER_SERVICE
     )
@@ -78,6 +79,18 @@
     assert usage.share("model", CLASS, "c") == 0.0
 
 
+def test_shares_of_the_heaviest_workspaces() -> None:
+    """Guards against a share that counts the tokens of another class."""
+    usage = WorkspaceUsage()
+    for name, tokens, own in (("a", 60, 0), ("b", 20, 0), ("c", 10, 1)):
+        usage.record("desk", (own, own), name, tokens, 0.0)
+    shares = usage.top_shares(1.0, 2)
+    assert shares == {
+        ("desk", (0, 0), "a"): pytest.approx(0.75),
+        ("desk", (0, 0), "b"): pytest.approx(0.25),
+    }
+
+
 sends = st.lists(
     st.tuples(st.floats(0.01, 1.0), st.integers(100, 5000), st.booleans()),
     min_size=5,
