Find a probe overdue without waiting for the next check

Cause: a probe is overdue 30 ms after the slowest answer to the others, some 33 ms after it was sent, but it is compared at 30 ms and then every 10 ms, so that a lost replica is found at 40 ms. The streams behind it have used up some 160 ms of their gap objective by then. Change: the next comparison is at the time from which the probe is overdue by what is known, at the latest after 10 ms as before. What counts as overdue is unchanged, and there are no more probes. Conclusion: expected: streams move some 6 ms earlier.

--- a/persimmonwell/core/forwarding/_probe_times.py
+++ b/persimmonwell/core/forwarding/_probe_times.py
@@ -16,6 +16,10 @@
 """Time after which a probe is overdue in any case."""
 COMPARED_S = 0.05
 """Difference in the time of sending up to which probes are compared."""
+CHECK_INTERVAL_S = 0.01
+"""Longest interval at which a probe without an answer is compared with the others."""
+MIN_CHECK_INTERVAL_S = 0.001
+"""Shortest such interval, about that of the event loop's timers."""
 MIN_COMPARED = 2
 """Unanswered probes of about the same time from which the link may be the cause."""
 
@@ -59,23 +63,36 @@
     def is_overdue(self, replica_id: str, now_s: float) -> bool:
         """Return whether the answer to a probe in flight takes unusually long."""
         sent_s = self._sent_s.get(replica_id)
+        return sent_s is not None and now_s - sent_s >= self._limit_s(
+            replica_id, sent_s
+        )
+
+    def next_check_s(self, replica_id: str, now_s: float) -> float:
+        """Return the time until a probe in flight is to be compared again.
+
+        It is that until the probe is overdue, if that is sooner than the next check:
+        streams wait for it with their gap objective nearly used up.
+        """
+        sent_s = self._sent_s.get(replica_id)
         if sent_s is None:
-            return False
-        elapsed_s = now_s - sent_s
-        if elapsed_s >= MAX_OVERDUE_S:
-            return True
+            return CHECK_INTERVAL_S
+        left_s = sent_s + self._limit_s(replica_id, sent_s) - now_s
+        return max(MIN_CHECK_INTERVAL_S, min(CHECK_INTERVAL_S, left_s))
+
+    def _limit_s(self, replica_id: str, sent_s: float) -> float:
+        """Return the time from which an answer to a probe takes unusually long."""
         response_times_s = [
             each.response_s
             for each in self._answered
             if each.sent_s >= sent_s - COMPARED_S
         ]
         if response_times_s:
-            return elapsed_s >= max(response_times_s) + MIN_OVERDUE_S
+            return min(MAX_OVERDUE_S, max(response_times_s) + MIN_OVERDUE_S)
         waiting = sum(
             abs(other_s - sent_s) <= COMPARED_S
             for other_id, other_s in self._sent_s.items()
             if other_id != replica_id
         )
         if waiting >= MIN_COMPARED:
-            return False
-        return elapsed_s >= max(MIN_OVERDUE_S, self._usual.unusual_s)
+            return MAX_OVERDUE_S
+        return min(MAX_OVERDUE_S, max(MIN_OVERDUE_S, self._usual.unusual_s))
--- a/persimmonwell/gateway/_control_calls.py
+++ b/persimmonwell/gateway/_control_calls.py
@@ -29,8 +29,6 @@
     expected_replica_headers,
 )
 
-OVERDUE_CHECK_S = 0.01
-"""Interval at which a probe without an answer is compared with the others."""
 REPLICA_GONE_STATUSES = (0, 421)
 """Statuses of a failed probe: 0 without an answer in time, 421 when another replica has
 the address now."""
@@ -134,7 +132,9 @@
             self._execute(self._router.replica_unresponsive(replica_id, now_s))
         elif self._probe_times.is_in_flight(replica_id):
             asyncio.get_running_loop().call_later(
-                OVERDUE_CHECK_S, self._check_overdue, replica_id
+                self._probe_times.next_check_s(replica_id, now_s),
+                self._check_overdue,
+                replica_id,
             )
 
     async def _send_reroute_order(self, exchange: Exchange, reroute: Reroute) -> None:
--- a/tests/core/forwarding/test_probe_times.py
+++ b/tests/core/forwarding/test_probe_times.py
@@ -19,6 +19,15 @@
     assert times.is_overdue("lost", 0.034)
 
 
+def test_a_probe_is_checked_as_soon_as_it_is_overdue() -> None:
+    """Guards against streams that wait up to 10 ms more behind a lost replica."""
+    times = sent_to("a", "lost")
+    times.record_answered("a", 0.003)
+    check_s = 0.03 + times.next_check_s("lost", 0.03)
+    assert check_s < 0.034
+    assert times.is_overdue("lost", check_s + 1e-9)
+
+
 def test_no_probe_is_overdue_while_all_are_late() -> None:
     """Guards against live replicas that a busy link of the host makes look lost."""
     times = sent_to("a", "b", "c", "d")
