Use a first replica again whose probe shows that it has not failed

Cause: an answer that breaks off ejects its first replica for 0.6 s. A probe shows within some milliseconds that it is alive, but does not end the ejection. Change: the probe that dismisses the suspected crash ends the ejection, once until the replica completes an answer. A replica that breaks off a second answer before that stays ejected as before. There are no more probes. Conclusion: expected: these streams wait for 0.1 s at most, and new ones do not wait while both are ejected.

--- a/persimmonwell/core/forwarding/_health.py
+++ b/persimmonwell/core/forwarding/_health.py
@@ -42,6 +42,8 @@
     samples: int = 0
     ejections: int = 0
     ejected_until_s: float = float("-inf")
+    is_readmitted: bool = False
+    """Whether an ejection was ended early since the last complete answer."""
 
 
 @attrs.define
@@ -222,6 +224,7 @@
         evidence.failure_rate *= 1 - EWMA_WEIGHT
         self._refusing_since.pop(replica_id, None)
         evidence.ejections = 0
+        evidence.is_readmitted = False
         evidence.samples += 1
         weight = max(EWMA_WEIGHT, 1 / evidence.samples)
         evidence.latency_s += weight * (latency_s - evidence.latency_s)
@@ -242,6 +245,18 @@
         evidence.ejected_until_s = now_s + min(MAX_EJECTION_S, pause_s)
         evidence.ejections += 1
 
+    def readmit(self, replica_id: str) -> None:
+        """End the first ejection of a replica whose probe shows that it has not failed.
+
+        One that breaks off another answer before it completes one stays ejected.
+        """
+        evidence = self._evidence.get(replica_id)
+        if evidence is None or evidence.ejections != 1 or evidence.is_readmitted:
+            return
+        evidence.ejected_until_s = float("-inf")
+        evidence.ejections = 0
+        evidence.is_readmitted = True
+
     def is_ejected(self, replica_id: str, now_s: float) -> bool:
         """Return whether a replica is excluded now: ejected, suspected or lost."""
         if replica_id in self._suspicions:
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -416,6 +416,10 @@
             return resolved + self._rerouter.reroute_off_suspects(now_s)
         if report is None:
             return resolved
+        if verdict.is_dismissed:
+            # An availability zone has only a few first stages. With all of them
+            # ejected, its streams would wait longer than their latency objective.
+            self.health.readmit(replica_id)
         self.loads.record_report(replica_id, report.kv_used, now_s)
         self.health.record_slowness(replica_id, report.slowness, now_s)
         if was_suspected and report.kv_used < FULL_KV_SHARE * report.kv_total:
--- a/tests/core/forwarding/test_stalls.py
+++ b/tests/core/forwarding/test_stalls.py
@@ -9,6 +9,7 @@
     GenerationSize,
     ProbeReplica,
     Replica,
+    ReplicaReport,
     Reroute,
     RerouteFailure,
     Send,
@@ -244,6 +245,31 @@
     assert not rerouted(router.tick(0.15))
 
 
+BROKEN = AttemptFailure.BROKEN
+ALIVE = ReplicaReport(orders_accepted=0, kv_used=0, kv_total=100_000)
+
+
+@pytest.mark.parametrize(("breaks", "is_sent"), [(1, True), (2, False)])
+def test_a_first_replica_that_broke_off_one_answer_and_is_alive_is_used_again(
+    breaks: int, is_sent: bool
+) -> None:
+    """Guards against streams that wait for the end of an ejection of 0.6 s.
+
+    Their objective is 0.5 s, and an availability zone has two first replicas.
+    """
+    router = make_router(*CHAIN)
+    for key in range(breaks):
+        (send,) = router.request_arrived(key, request("urgent", digest=f"d{key}"), 0.0)
+        assert isinstance(send, Send)
+        router.answer_opened(key, 1)
+    for key in range(breaks):
+        decisions = router.attempt_failed(key, 1, BROKEN, 0.01)
+        assert ProbeReplica("a", FIRST.address) in decisions
+        router.replica_probed("a", ALIVE, 0.02, is_alive=True)
+    sent = {d.key for d in router.tick(0.2) if isinstance(d, Send)}
+    assert bool(sent) == is_sent
+
+
 LONG_CHAIN = tuple(
     staged_replica(f"stage{n}", "za", 10 * n, 10 * (n + 1)) for n in range(8)
 )
