Order only the silent streams at each tick

Cause: since each tick sorts all streams, and since it builds a list of them, though hardly any is silent. Change: streams that have events are left out first.

--- a/persimmonwell/core/forwarding/_reroutes.py
+++ b/persimmonwell/core/forwarding/_reroutes.py
@@ -93,13 +93,14 @@
         """
         health = self._upstreams.health
         is_suspect = health.seems_dead if is_tick else health.is_ejected
+        silent = [
+            active
+            for active in self._requests.active.values()
+            if active.silent_s(now_s)
+            >= (self._stalls.early_silence_s(active) if is_tick else REROUTE_SILENCE_S)
+        ]
         decisions: list[Decision] = []
-        for active in sorted(self._requests.active.values(), key=_prompt_tokens):
-            limit_s = REROUTE_SILENCE_S
-            if is_tick:
-                limit_s = self._stalls.early_silence_s(active)
-            if active.silent_s(now_s) < limit_s:
-                continue
+        for active in sorted(silent, key=_prompt_tokens):
             try:
                 decisions += self._leave_suspects(active, now_s, is_suspect)
             except Exception as error:
@@ -113,24 +114,20 @@
         later has events, the answer to the earlier one will not come. A backlog delays
         both.
         """
-        streams = [
-            active
-            for active in self._requests.active.values()
-            if active.path is not None
-            and active.replica_id is not None
-            and active.route.kind is RouteKind.STREAM
-        ]
         waiting = [
             active
-            for active in streams
+            for active in self._requests.active.values()
             if not active.has_answer_part
             and active.silent_s(now_s) >= LOST_ANSWER_SILENCE_S
             and now_s - active.rerouted_s >= LOST_ANSWER_SILENCE_S
+            and active.path is not None
+            and active.replica_id is not None
+            and active.route.kind is RouteKind.STREAM
         ]
         if not waiting:
             return ()
         answered_s: dict[str | None, float] = {}
-        for active in streams:
+        for active in self._requests.active.values():
             if active.has_answer_part:
                 earlier_s = answered_s.get(active.replica_id, float("-inf"))
                 answered_s[active.replica_id] = max(earlier_s, active.sent_s)
