Bound the doublings of an ejection

Cause: the time of an ejection is the first one times two to the number of ejections since the last complete answer. The 1,025th one raised OverflowError in record_failure, so that from then on each failed attempt at that replica ended with an unexpected error. With one ejection in 5 s that takes 85 minutes. Change: eight doublings count, far beyond the longest ejection. Conclusion: a replica that fails for hours is ejected like one that fails for minutes.

--- a/persimmonwell/core/forwarding/_health.py
+++ b/persimmonwell/core/forwarding/_health.py
@@ -9,6 +9,9 @@
 """First ejection, about half a heartbeat interval: a restarted replica registers its
 new state within one interval."""
 MAX_EJECTION_S = 4.0
+MAX_DOUBLINGS = 8
+"""Repetitions that count; the time exceeds MAX_EJECTION_S long before. Without a bound,
+the 1,025th ejection of a replica overflowed the float."""
 EWMA_WEIGHT = 0.2
 """Weight of the newest sample in the moving averages of failures and latency."""
 FAILURE_PENALTY = 6.0
@@ -241,7 +244,7 @@
         evidence = self._evidence_for(replica_id, incarnation)
         if now_s < evidence.ejected_until_s:
             return
-        pause_s = BASE_EJECTION_S * 2.0**evidence.ejections
+        pause_s = BASE_EJECTION_S * 2.0 ** min(evidence.ejections, MAX_DOUBLINGS)
         evidence.ejected_until_s = now_s + min(MAX_EJECTION_S, pause_s)
         evidence.ejections += 1
 
