Leave more memory to a zone of which less is known

Cause: requests of an overloaded zone leave a fixed share of another zone's memory to its own requests, however old the reports of that zone's hosts are; without any reports its replicas seem idle. Change: ZoneReports keeps the time of the last report of each host of another zone. The share that is left to the zone grows by 5% for each second of the mean age, which is 4 s for a zone without a known host. Tables of stages are kept without the share, since it changes all the time.

--- a/persimmonwell/core/forwarding/_loads.py
+++ b/persimmonwell/core/forwarding/_loads.py
@@ -6,6 +6,7 @@
 
 from persimmonwell.core.forwarding._full_stages import FullStages
 from persimmonwell.core.forwarding._shared_capacity import SharedCapacity
+from persimmonwell.core.forwarding._zone_reports import ZoneReports
 
 UNTRACKED_USAGE_TTL_S = 1.5
 """Time for which KV memory that no host accounts for counts as used: attempts whose
@@ -60,6 +61,7 @@
         """Requests of the peers of the availability zone, at all replicas."""
         self.shared = SharedCapacity()
         self.full_stages = FullStages()
+        self.zone_reports = ZoneReports()
 
     @property
     def local(self) -> Mapping[str, ReplicaLoad]:
@@ -160,6 +162,7 @@
             self._drop_peer(peer)
         self.shared.expire(now_s)
         self.full_stages.expire(now_s)
+        self.zone_reports.expire(now_s)
 
     def _drop_peer(self, peer: str) -> None:
         state = self._peers.pop(peer, None)
--- a/persimmonwell/core/forwarding/_paths.py
+++ b/persimmonwell/core/forwarding/_paths.py
@@ -6,6 +6,7 @@
 
 from bisect import bisect_left
 from collections.abc import Callable, Iterable
+from copy import copy
 
 import attrs
 
@@ -87,6 +88,12 @@
         ]
         """Indices of the boundaries at which each replica's layers start and stop."""
 
+    def with_kept_share(self, share: float) -> "StageTable":
+        """Return a table that shares all but the capacities, of which share is left."""
+        table = copy(self)
+        table.capacities = [(1.0 - share) * tokens for tokens in self.capacities]
+        return table
+
 
 def find_path(
     replicas: Iterable[Replica],
--- a/persimmonwell/core/forwarding/_upstreams.py
+++ b/persimmonwell/core/forwarding/_upstreams.py
@@ -55,7 +55,7 @@
     by_service: dict[str, tuple[Replica, ...]]
     by_zone: dict[tuple[str, str], tuple[Replica, ...]]
     tables: dict[Hashable, StageTable] = attrs.field(factory=dict)
-    """By service, zone, the ids of the excluded replicas and the share left free."""
+    """By service, zone and the ids of the excluded replicas."""
     joined: tuple[str, ...] = ()
     """Replicas that were not in the index before, or with other layers."""
 
@@ -140,17 +140,14 @@
         zone: str,
         excluded: frozenset[str],
         spec: EngineSpec,
-        kept_share: float = 0.0,
     ) -> StageTable:
         index = self._current_index()
-        key = (service, zone, excluded, kept_share)
+        key = (service, zone, excluded)
         table = index.tables.get(key)
         if table is not None and table.spec == spec:
             return table
         replicas = index.by_zone.get((service, zone), ())
         table = StageTable((r for r in replicas if r.replica_id not in excluded), spec)
-        if kept_share:
-            table.capacities = [(1.0 - kept_share) * c for c in table.capacities]
         if len(index.tables) >= MAX_KEPT_TABLES:
             del index.tables[next(iter(index.tables))]
         index.tables[key] = table
@@ -224,10 +221,11 @@
     def _paths_elsewhere(self, active: ActiveRequest, now_s: float) -> list[ZonePath]:
         """Return the fastest path of each other zone that leaves room to its own."""
         found = []
-        kept = kept_share(active.priority_class[0])
+        priority, reports = active.priority_class[0], self.loads.zone_reports
         for zone in sorted(self._zones(active.service.name)):
             if zone == self._zone:
                 continue
+            kept = kept_share(priority, reports.mean_age_s(zone, now_s))
             path = self.find_path_in_zone(active, zone, now_s, kept_share=kept)
             if path is None:
                 continue
@@ -280,9 +278,9 @@
         assert engine is not None
         self._record_joins(now_s)
         excluded = self._excluded(active, zone, now_s, first_stage)
-        table = self._stage_table(
-            active.service.name, zone, excluded, engine, kept_share
-        )
+        table = self._stage_table(active.service.name, zone, excluded, engine)
+        if kept_share:
+            table = table.with_kept_share(kept_share)
         size = active.request.size or DEFAULT_SIZE
         return self._search(table, size, now_s, first_stage)
 
@@ -346,7 +344,8 @@
         return frozenset(excluded)
 
     def _zones(self, service: str) -> set[str]:
-        return {replica.availability_zone for replica in self.available(service)}
+        by_zone = self._current_index().by_zone
+        return {zone for name, zone in by_zone if name == service}
 
     def choose_replica(self, active: ActiveRequest, now_s: float) -> Replica | None:
         """Return the least loaded replica of a service without a pipeline, or None.
--- a/persimmonwell/core/forwarding/_zone_choice.py
+++ b/persimmonwell/core/forwarding/_zone_choice.py
@@ -26,10 +26,15 @@
 slow. Zones of unlike accelerators differ by less than that in calm times."""
 URGENT_KEPT_SHARE = 0.1
 """Share of a zone's memory that the most urgent requests of other zones leave to its
-own, for the 1 to 2.5 s until their hosts learn that it fills up. With half of that, the
-zone's own urgent requests are in time too rarely, below 0.9 of them."""
+own, with reports that were just received. With half of that, the zone's own urgent
+requests are in time too rarely, below 0.9 of them."""
 KEPT_SHARE = 0.15
 """The same for less urgent requests, so that they leave first."""
+KEPT_SHARE_PER_S = 0.05
+"""Added for each second of the age of the reports of the zone's hosts, since those send
+more in the meantime. With MAX_AGE_S, 0.3 stays free of urgent requests of other zones,
+about what a zone with ordinary load uses itself. With 0.1, a tenth fewer requests are
+in time if a zone cannot exchange reports."""
 SPARE_AGE_S = 0.05
 """Time for which a zone's spare share is kept, one tick; the reports are older."""
 MIN_SPARE_SHARE = 0.01
@@ -83,12 +88,13 @@
     return step_ms > SLOWER_STEP_SHARE * gap_objective_s * 1000
 
 
-def kept_share(priority: int) -> float:
+def kept_share(priority: int, report_age_s: float) -> float:
     """Return the share of another zone's memory that a request leaves free.
 
-    Priority 0 is the most urgent one.
+    Priority 0 is the most urgent one. report_age_s is that of the zone's hosts.
     """
-    return KEPT_SHARE if priority > 0 else URGENT_KEPT_SHARE
+    fresh_share = KEPT_SHARE if priority > 0 else URGENT_KEPT_SHARE
+    return fresh_share + KEPT_SHARE_PER_S * report_age_s
 
 
 def choose_zone(
--- a/persimmonwell/gateway/_peer_exchange.py
+++ b/persimmonwell/gateway/_peer_exchange.py
@@ -140,13 +140,16 @@
         now_s = time.monotonic()
         health = self._router.health
         until_s = now_s + report.valid_s
-        is_of_zone = report.status.availability_zone == self._settings.availability_zone
+        zone = report.status.availability_zone
+        is_of_zone = zone == self._settings.availability_zone
         self._router.loads.set_peer_loads(
             report.host_id,
             report.loads,
             until_s,
             zone_reported_s=now_s if is_of_zone else None,
         )
+        if not is_of_zone:
+            self._router.loads.zone_reports.record(report.host_id, zone, now_s)
         for row in report.memory:
             self._router.loads.full_stages.merge(row, now_s)
         health.record_peer_lost(report.lost, until_s)
--- a/tests/core/forwarding/test_peer_tables.py
+++ b/tests/core/forwarding/test_peer_tables.py
@@ -17,6 +17,8 @@
 from persimmonwell.core.forwarding._health import MAX_PEER_REPORTED, ReplicaHealth
 from persimmonwell.core.forwarding._loads import MAX_PEERS, LoadTable
 from persimmonwell.core.forwarding._registry import ReplicaRegistry
+from persimmonwell.core.forwarding._zone_reports import MAX_PEERS as MAX_ZONE_PEERS
+from persimmonwell.core.forwarding._zone_reports import ZoneReports
 from tests.core.forwarding.fleets import desk_replica
 
 
@@ -32,6 +34,17 @@
     assert table.total("i-1").requests == 3
 
 
+def test_times_of_forged_hosts_are_bounded() -> None:
+    """Guards against a time per forged host id and zone."""
+    reports = ZoneReports()
+    for number in range(2 * MAX_ZONE_PEERS):
+        reports.record(f"h-{number}", f"z-{number % 7000}", float(number) / 1000)
+    kept = sum(len(peers) for peers in reports._reported_s.values())
+    assert kept == len(reports._zones) == MAX_ZONE_PEERS
+    reports.expire(1000.0)
+    assert not reports._zones and not reports._reported_s
+
+
 def test_loads_over_all_hosts_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against the loads of many hosts, of which each is within its bound."""
     monkeypatch.setattr(loads_module, "MAX_PEER_LOADS", 100)
--- a/tests/core/forwarding/test_zone_choice.py
+++ b/tests/core/forwarding/test_zone_choice.py
@@ -16,7 +16,9 @@
     ZonePath,
     ZoneSpeeds,
     choose_zone,
+    kept_share,
 )
+from persimmonwell.core.forwarding._zone_reports import ZoneReports
 from tests.core.forwarding.fleets import (
     desk_replica,
     make_router,
@@ -102,6 +104,23 @@
     assert speeds.factor("zb", "za") == pytest.approx(expected)
 
 
+@pytest.mark.parametrize(
+    ("reported_s", "age_s"),
+    [({"h1": 10.0, "h2": 9.0}, 0.5), ({"h1": 10.0, "h2": 0.0}, 2.0), ({}, 4.0)],
+    ids=["heard", "one silent", "unknown"],
+)
+def test_more_is_left_to_a_zone_of_which_less_is_known(
+    reported_s: dict[str, float], age_s: float
+) -> None:
+    """Guards against a zone that looks idle to hosts which get no reports from it."""
+    reports = ZoneReports()
+    reports.record("h3", "zc", 10.0)
+    for peer, at_s in reported_s.items():
+        reports.record(peer, "zb", at_s)
+    assert reports.mean_age_s("zb", 10.0) == pytest.approx(age_s)
+    assert kept_share(0, age_s) > kept_share(0, 0.0)
+
+
 def todays_choice(
     self: UpstreamPool, active: ActiveRequest, now_s: float
 ) -> PipelinePath | None:
--- a/tests/core/forwarding/zone_replay.py
+++ b/tests/core/forwarding/zone_replay.py
@@ -286,6 +286,9 @@
             now_s + 2.5 * interval_s,
             zone_reported_s=now_s if zones[0] == zones[1] else None,
         )
+        if zones[0] != zones[1]:
+            reports = self._routers[target].loads.zone_reports
+            reports.record(f"host-{source}", zones[0], now_s)
 
 
 def _placed(zones: Mapping[str, Mapping[str, int]]) -> dict[str, Replica]:
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -550,7 +550,9 @@
         gauge = 'persimmonwell_gateway_state{name="zone_peers"}'
         wait_until(lambda: f"{gauge} 1" in read_metrics(testbed), timeout_s=2.0)
     assert testbed.host is not None
-    assert set(testbed.host._router.loads._peers) == {"h2", "h3"}
+    loads = testbed.host._router.loads
+    assert set(loads._peers) == {"h2", "h3"}
+    assert loads.zone_reports._zones == {"h3": "zb"}
 
 
 def test_full_replicas_that_peers_report_are_known_and_passed_on(
