Let less urgent requests leave room for urgent ones that found none

Cause: memory becomes free in parts that are often less than an urgent request needs, and less urgent requests of the zone itself and of other zones take each part. Without overload there is no such request.

--- a/persimmonwell/core/forwarding/_upstreams.py
+++ b/persimmonwell/core/forwarding/_upstreams.py
@@ -26,6 +26,7 @@
 )
 from persimmonwell.core.forwarding._rate_limits import ReplicaRateLimits
 from persimmonwell.core.forwarding._registry import ReplicaRegistry
+from persimmonwell.core.forwarding._room_shortages import RoomShortages
 from persimmonwell.core.forwarding._slot_shares import (
     OTHER_ZONE_AGE_S,
     ServiceLoad,
@@ -34,6 +35,7 @@
 from persimmonwell.core.forwarding._statements import LeavingReplicas, ReplicaRefusals
 from persimmonwell.core.forwarding._zone_choice import (
     CROSS_ZONE_PENALTY_MS,
+    SHORTAGE_KEPT_SHARE,
     SPARE_AGE_S,
     ZoneCrossing,
     ZonePath,
@@ -89,6 +91,7 @@
         """Shares by service without a pipeline."""
         self._spare_shares: dict[tuple[str, str], tuple[float, float]] = {}
         """Time and free share of the memory by service and zone."""
+        self._shortages = RoomShortages()
         self._index = _Index(None, {}, {})
 
     def available(self, service: str) -> tuple[Replica, ...]:
@@ -191,7 +194,11 @@
 
         _zone_choice tells which one.
         """
-        local_path = self.find_path_in_zone(active, self._zone, now_s)
+        is_preceded = self._shortages.precedes(
+            active.service.name, active.priority_class[0], now_s
+        )
+        kept = SHORTAGE_KEPT_SHARE if is_preceded else 0.0
+        local_path = self.find_path_in_zone(active, self._zone, now_s, kept_share=kept)
         active.home_step_ms = local_path.step_ms if local_path is not None else None
         gap_s = active.route.gap_objective_s
         if local_path is not None and not may_be_slow(local_path.step_ms, gap_s):
@@ -199,11 +206,15 @@
         chosen = choose_zone(
             local_path,
             self._spare_share(active, self._zone, now_s),
-            self._paths_elsewhere(active, now_s),
+            self._paths_elsewhere(active, now_s, is_preceded=is_preceded),
             gap_objective_s=gap_s,
             draw=self._random.random,
         )
-        return local_path if chosen is None else chosen.path
+        path = local_path if chosen is None else chosen.path
+        # One that may use only the upstreams it tried says nothing about the others.
+        if path is None and active.may_use_another_upstream:
+            self._shortages.record(active.service.name, active.priority_class[0], now_s)
+        return path
 
     def crossing(self, active: ActiveRequest) -> ZoneCrossing | None:
         """Return the zones of the current attempt, None if they are the same."""
@@ -218,14 +229,17 @@
             step_ms=path.step_ms if path is not None else None,
         )
 
-    def _paths_elsewhere(self, active: ActiveRequest, now_s: float) -> list[ZonePath]:
+    def _paths_elsewhere(
+        self, active: ActiveRequest, now_s: float, *, is_preceded: bool
+    ) -> list[ZonePath]:
         """Return the fastest path of each other zone that leaves room to its own."""
         found = []
         priority, reports = active.priority_class[0], self.loads.zone_reports
         for zone in sorted(self._zones(active.service.name)):
             if zone == self._zone:
                 continue
-            kept = kept_share(priority, reports.mean_age_s(zone, now_s))
+            age_s = reports.mean_age_s(zone, now_s)
+            kept = kept_share(priority, age_s, is_preceded=is_preceded)
             path = self.find_path_in_zone(active, zone, now_s, kept_share=kept)
             if path is None:
                 continue
--- a/persimmonwell/core/forwarding/_zone_choice.py
+++ b/persimmonwell/core/forwarding/_zone_choice.py
@@ -35,6 +35,11 @@
 more in the meantime. With MAX_AGE_S, 0.3 stays free of urgent requests of other zones,
 about what a zone with ordinary load uses itself. With 0.1, a tenth fewer requests are
 in time if a zone cannot exchange reports."""
+SHORTAGE_KEPT_SHARE = 0.1
+"""Share of the own zone's memory that a request leaves free for more urgent ones that
+lately found no room."""
+SHORTAGE_KEPT_SHARE_ELSEWHERE = 0.25
+"""Added in other zones, so that more urgent requests find a path there as well."""
 SPARE_AGE_S = 0.05
 """Time for which a zone's spare share is kept, one tick; the reports are older."""
 MIN_SPARE_SHARE = 0.01
@@ -88,13 +93,18 @@
     return step_ms > SLOWER_STEP_SHARE * gap_objective_s * 1000
 
 
-def kept_share(priority: int, report_age_s: float) -> float:
+def kept_share(
+    priority: int, report_age_s: float, *, is_preceded: bool = False
+) -> float:
     """Return the share of another zone's memory that a request leaves free.
 
-    Priority 0 is the most urgent one. report_age_s is that of the zone's hosts.
+    Priority 0 is the most urgent one. report_age_s is that of the zone's hosts;
+    is_preceded tells whether a more urgent request found no room a moment ago.
     """
-    fresh_share = KEPT_SHARE if priority > 0 else URGENT_KEPT_SHARE
-    return fresh_share + KEPT_SHARE_PER_S * report_age_s
+    share = KEPT_SHARE if priority > 0 else URGENT_KEPT_SHARE
+    if is_preceded:
+        share += SHORTAGE_KEPT_SHARE_ELSEWHERE
+    return share + KEPT_SHARE_PER_S * report_age_s
 
 
 def choose_zone(
--- a/tests/core/forwarding/test_zone_choice.py
+++ b/tests/core/forwarding/test_zone_choice.py
@@ -9,6 +9,7 @@
 
 from persimmonwell.core.forwarding import PipelinePath, Send, ZoneCrossing
 from persimmonwell.core.forwarding._active import ActiveRequest
+from persimmonwell.core.forwarding._room_shortages import SHORTAGE_S, RoomShortages
 from persimmonwell.core.forwarding._upstreams import UpstreamPool
 from persimmonwell.core.forwarding._zone_choice import (
     CROSS_ZONE_PENALTY_MS,
@@ -121,6 +122,26 @@
     assert kept_share(0, age_s) > kept_share(0, 0.0)
 
 
+@pytest.mark.parametrize(
+    ("service", "priority", "after_s", "leaves_room"),
+    [
+        ("model", 2, 0.0, True),
+        ("model", 1, 0.0, False),
+        ("model", 2, SHORTAGE_S, False),
+        ("other", 2, 0.0, False),
+    ],
+    ids=["less urgent", "as urgent", "later", "other service"],
+)
+def test_less_urgent_requests_leave_room_for_one_that_found_none(
+    service: str, priority: int, after_s: float, leaves_room: bool
+) -> None:
+    """Guards against less urgent requests that take all memory that becomes free."""
+    shortages = RoomShortages()
+    shortages.record("model", 1, 5.0)
+    assert shortages.precedes(service, priority, 5.0 + after_s) == leaves_room
+    assert kept_share(2, 0.0, is_preceded=True) > kept_share(2, 0.0)
+
+
 def todays_choice(
     self: UpstreamPool, active: ActiveRequest, now_s: float
 ) -> PipelinePath | None:
@@ -172,6 +193,24 @@
     assert urgent_share(result, "zc") >= 0.9
 
 
+@pytest.mark.parametrize(
+    "settings",
+    [{}, {"loss": 0.3}, {"unreachable_zone": "za"}],
+    ids=["no fault", "lost datagrams", "partitioned zone"],
+)
+def test_urgent_requests_of_a_zone_are_in_time_on_average(
+    settings: dict[str, float],
+) -> None:
+    """Guards against a rule that holds for a few seeds only.
+
+    0.9 is the share that section F1 of docs/overload.md asks for, over these seeds.
+    """
+    results = [overloaded(**settings, seed=seed) for seed in range(1, 13)]
+    for zone in ("zb", "zc"):
+        shares = [urgent_share(result, zone) for result in results]
+        assert sum(shares) / len(shares) >= 0.9
+
+
 def test_half_of_the_refusals_in_other_zones_are_avoided(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
