Split the choice of paths and of plain replicas from the pool of upstreams

Cause: _upstreams.py had 631 lines and several reasons to change: the index of the registry, paths, and services without a pipeline. Change: ReplicaIndex and the tables of stages are in _replica_index.py, the replicas that a path may not use and the free memory of a zone in _path_candidates.py, the choice among plain replicas in _plain_choice.py, the random factor on costs in _shared_capacity.py. _upstreams.py (416 lines) keeps the state, the reservations, the outcomes and the choice of the zone. No change of behaviour.

--- a/persimmonwell/core/forwarding/_shared_capacity.py
+++ b/persimmonwell/core/forwarding/_shared_capacity.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import attrs
 
@@ -40,6 +40,14 @@
 """Change in requests below which it is dropped."""
 
 
+def cost_factor(spread: float, draw: Callable[[], float]) -> float:
+    """Return a random factor on a cost, in a range of spread around 1.
+
+    draw returns a random number from 0 to 1; it is not called without a spread.
+    """
+    return 1.0 + spread * (draw() - 0.5) if spread else 1.0
+
+
 @attrs.define
 class _Growth:
     requests: float = 0.0
--- a/persimmonwell/core/forwarding/_upstreams.py
+++ b/persimmonwell/core/forwarding/_upstreams.py
@@ -1,9 +1,7 @@
 """Selection of upstreams by registry, load and health, with load reservations."""
 
-import math
 import random
 from collections import defaultdict
-from collections.abc import Hashable
 
 import attrs
 
@@ -11,11 +9,10 @@
 from persimmonwell.core.forwarding._events import AttemptFailure
 from persimmonwell.core.forwarding._health import ReplicaHealth
 from persimmonwell.core.forwarding._loads import LoadTable
-from persimmonwell.core.forwarding._model import (
-    EngineSpec,
-    GenerationSize,
-    Replica,
-    RouteKind,
+from persimmonwell.core.forwarding._model import GenerationSize, Replica, RouteKind
+from persimmonwell.core.forwarding._path_candidates import (
+    excluded_replicas,
+    spare_share,
 )
 from persimmonwell.core.forwarding._paths import (
     DEFAULT_SIZE,
@@ -24,14 +21,19 @@
     StageTable,
     search_path,
 )
+from persimmonwell.core.forwarding._plain_choice import (
+    PlainView,
+    least_loaded,
+    plain_loads,
+    replicas_with_room,
+    update_shares,
+)
 from persimmonwell.core.forwarding._rate_limits import ReplicaRateLimits
 from persimmonwell.core.forwarding._registry import ReplicaRegistry
+from persimmonwell.core.forwarding._replica_index import MAX_KEPT_TABLES, ReplicaIndex
 from persimmonwell.core.forwarding._room_shortages import RoomShortages
-from persimmonwell.core.forwarding._slot_shares import (
-    OTHER_ZONE_AGE_S,
-    ServiceLoad,
-    SlotShares,
-)
+from persimmonwell.core.forwarding._shared_capacity import cost_factor
+from persimmonwell.core.forwarding._slot_shares import SlotShares
 from persimmonwell.core.forwarding._statements import LeavingReplicas, ReplicaRefusals
 from persimmonwell.core.forwarding._zone_choice import (
     CROSS_ZONE_PENALTY_MS,
@@ -45,32 +47,6 @@
     may_be_slow,
 )
 
-MAX_KEPT_TABLES = 64
-"""Tables of stages that are kept, one for each zone and set of excluded replicas."""
-
-
-@attrs.define
-class _Index:
-    """Replicas that neither drain nor leave, by service and by zone."""
-
-    version: Hashable
-    by_service: dict[str, tuple[Replica, ...]]
-    by_zone: dict[tuple[str, str], tuple[Replica, ...]]
-    tables: dict[Hashable, StageTable] = attrs.field(factory=dict)
-    """By service, zone and the ids of the excluded replicas."""
-    joined: tuple[str, ...] = ()
-    """Replicas that were not in the index before, or with other layers."""
-
-
-@attrs.define(eq=False)
-class _PlainLoad:
-    """Requests in flight at a replica of a service without a pipeline."""
-
-    replica: Replica
-    own: int
-    others: int
-    is_ejected: bool
-
 
 class UpstreamPool:
     """Registry, loads and health of all replicas, as one host knows them."""
@@ -92,69 +68,11 @@
         self._spare_shares: dict[tuple[str, str], tuple[float, float]] = {}
         """Time and free share of the memory by service and zone."""
         self._shortages = RoomShortages()
-        self._index = _Index(None, {}, {})
+        self._index = ReplicaIndex(self.registry, self.leaving)
 
     def available(self, service: str) -> tuple[Replica, ...]:
         """Return the registered replicas of a service that do not leave."""
-        return self._current_index().by_service.get(service, ())
-
-    def _current_index(self) -> _Index:
-        """Return the index, built anew if the registry or the leaving ones changed."""
-        leaving = frozenset(self.leaving.incarnations)
-        version = (self.registry.version, leaving)
-        if self._index.version == version:
-            return self._index
-        before = {
-            replica.replica_id: (replica.incarnation, replica.layers)
-            for replicas in self._index.by_service.values()
-            for replica in replicas
-        }
-        joined = list(self._index.joined)
-        by_service: dict[str, list[Replica]] = defaultdict(list)
-        by_zone: dict[tuple[str, str], list[Replica]] = defaultdict(list)
-        for replica in self.registry.replicas.values():
-            if replica.is_draining or (leaving and replica.incarnation in leaving):
-                continue
-            by_service[replica.service].append(replica)
-            by_zone[replica.service, replica.availability_zone].append(replica)
-            known = before.get(replica.replica_id)
-            # When a host starts, all replicas are new to it alone.
-            if before and known != (replica.incarnation, replica.layers):
-                joined.append(replica.replica_id)
-        self._index = _Index(
-            version,
-            {name: tuple(replicas) for name, replicas in by_service.items()},
-            {zone: tuple(replicas) for zone, replicas in by_zone.items()},
-            joined=tuple(joined),
-        )
-        return self._index
-
-    def _record_joins(self, now_s: float) -> None:
-        index = self._current_index()
-        for replica_id in index.joined:
-            self.loads.shared.record_join(replica_id, now_s)
-            # It lost its layers, and with them the requests in its memory.
-            self.loads.full_stages.record(replica_id, 0, now_s)
-        index.joined = ()
-
-    def _stage_table(
-        self,
-        service: str,
-        zone: str,
-        excluded: frozenset[str],
-        spec: EngineSpec,
-    ) -> StageTable:
-        index = self._current_index()
-        key = (service, zone, excluded)
-        table = index.tables.get(key)
-        if table is not None and table.spec == spec:
-            return table
-        replicas = index.by_zone.get((service, zone), ())
-        table = StageTable((r for r in replicas if r.replica_id not in excluded), spec)
-        if len(index.tables) >= MAX_KEPT_TABLES:
-            del index.tables[next(iter(index.tables))]
-        index.tables[key] = table
-        return table
+        return self._index.available(service)
 
     def due_leaving_checks(self, service: str, now_s: float) -> tuple[Replica, ...]:
         """Return the leaving replicas to ask again, if a service has no other ones."""
@@ -187,6 +105,12 @@
             if not self.health.is_lost(replica.replica_id, now_s)
         )
 
+    def _record_joins(self, now_s: float) -> None:
+        for replica_id in self._index.pop_joined():
+            self.loads.shared.record_join(replica_id, now_s)
+            # It lost its layers, and with them the requests in its memory.
+            self.loads.full_stages.record(replica_id, 0, now_s)
+
     # Selection
 
     def choose_path(self, active: ActiveRequest, now_s: float) -> PipelinePath | None:
@@ -261,15 +185,8 @@
         known = self._spare_shares.get((service, zone))
         if known is not None and 0.0 <= now_s - known[0] < SPARE_AGE_S:
             return known[1]
-        table = self._stage_table(service, zone, frozenset(), engine)
-        expected = self.loads.shared.expected
-        capacity = free = 0.0
-        for replica, tokens in zip(table.replicas, table.capacities, strict=True):
-            used = self.loads.used_layer_tokens(replica.replica_id, now_s)
-            more = expected.get(replica.replica_id)
-            capacity += tokens
-            free += max(0.0, tokens - used - (more.layer_tokens if more else 0.0))
-        share = free / capacity if capacity > 0.0 else 0.0
+        table = self._index.stage_table(service, zone, frozenset(), engine)
+        share = spare_share(table, self.loads, now_s)
         if len(self._spare_shares) >= MAX_KEPT_TABLES:
             self._spare_shares.clear()
         self._spare_shares[service, zone] = (now_s, share)
@@ -291,8 +208,17 @@
         engine = active.service.engine
         assert engine is not None
         self._record_joins(now_s)
-        excluded = self._excluded(active, zone, now_s, first_stage)
-        table = self._stage_table(active.service.name, zone, excluded, engine)
+        service = active.service.name
+        excluded = excluded_replicas(
+            self._index.in_zone(service, zone),
+            active,
+            first_stage,
+            health=self.health,
+            refusals=self.refusals,
+            rate_limits=self.rate_limits,
+            now_s=now_s,
+        )
+        table = self._index.stage_table(service, zone, excluded, engine)
         if kept_share:
             table = table.with_kept_share(kept_share)
         size = active.request.size or DEFAULT_SIZE
@@ -310,7 +236,7 @@
 
         def factor(replica_id: str) -> float:
             slowness = self.health.slowness(replica_id, now_s)
-            return slowness * self._draw_factor(spread)
+            return slowness * cost_factor(spread, self._random.random)
 
         return search_path(
             table,
@@ -321,45 +247,8 @@
             slowness=factor,
         )
 
-    def _draw_factor(self, spread: float) -> float:
-        if not spread:
-            return 1.0
-        return 1.0 + spread * (self._random.random() - 0.5)
-
-    def _excluded(
-        self,
-        active: ActiveRequest,
-        zone: str,
-        now_s: float,
-        first_stage: Stage | None,
-    ) -> frozenset[str]:
-        """Return the replicas of a zone that a request may not use now."""
-        replicas = self._current_index().by_zone.get((active.service.name, zone), ())
-        refusing = self.refusals.replica_ids
-        excluded = set()
-        for replica in replicas:
-            replica_id = replica.replica_id
-            if (
-                self.health.is_ejected(replica_id, now_s)
-                or (replica_id in refusing and self.refusals.hold_off_s(replica, now_s))
-                or (
-                    first_stage is None
-                    and replica.layers is not None
-                    and replica.layers.start <= 0
-                    and not (
-                        active.may_send_to(replica_id)
-                        and self.rate_limits.may_send(replica, now_s)
-                    )
-                )
-            ):
-                excluded.add(replica_id)
-        if first_stage is not None:
-            excluded.add(first_stage.replica_id)
-        return frozenset(excluded)
-
     def _zones(self, service: str) -> set[str]:
-        by_zone = self._current_index().by_zone
-        return {zone for name, zone in by_zone if name == service}
+        return self._index.zones(service)
 
     def choose_replica(self, active: ActiveRequest, now_s: float) -> Replica | None:
         """Return the least loaded replica of a service without a pipeline, or None.
@@ -370,133 +259,29 @@
         self._record_joins(now_s)
         shares = self.slot_shares(active.service.name)
         is_unsafe = active.route.kind is RouteKind.UNSAFE
-        rows = self._plain_loads(active.service.name, now_s)
+        view = PlainView(
+            zone=self._zone,
+            loads=self.loads,
+            health=self.health,
+            refusals=self.refusals,
+            rate_limits=self.rate_limits,
+            draw=self._random.random,
+        )
+        rows = plain_loads(self.available(active.service.name), view, now_s)
         if is_unsafe:
             shares.record_unsafe(now_s)
-        self._update_shares(shares, rows, now_s)
+        update_shares(shares, rows, view, now_s)
         if not shares.may_send(is_unsafe=is_unsafe, now_s=now_s):
             return None
-        available = self._replicas_with_room(
-            rows, active, self._known_share(shares, now_s), now_s
-        )
+        available = replicas_with_room(rows, active, shares, view, now_s)
         if len(available) <= 1:
             return available[0].replica if available else None
-        return self._least_loaded(available, now_s)
-
-    def _plain_loads(self, service: str, now_s: float) -> list[_PlainLoad]:
-        """Return the loads of the replicas that take requests of a service."""
-        local, totals = self.loads.local, self.loads
-        rows = []
-        for replica in self.available(service):
-            replica_id = replica.replica_id
-            mine = local.get(replica_id)
-            own = mine.requests if mine is not None else 0
-            others = totals.requests(replica_id) - own
-            is_ejected = self.health.is_ejected(replica_id, now_s)
-            rows.append(_PlainLoad(replica, own, others, is_ejected))
-        return rows
-
-    def _replicas_with_room(
-        self,
-        rows: list[_PlainLoad],
-        active: ActiveRequest,
-        known_share: float,
-        now_s: float,
-    ) -> list[_PlainLoad]:
-        """Return the replicas with a slot for a request, but for the last resorts."""
-        shares = self.slot_shares(active.service.name)
-        is_unsafe = active.route.kind is RouteKind.UNSAFE
-        allowed = [
-            row
-            for row in rows
-            if active.may_send_to(row.replica.replica_id)
-            and not self.refusals.hold_off_s(row.replica, now_s)
-            and self.rate_limits.may_send(row.replica, now_s)
-        ]
-        # While the healthy ones are full, a request waits: a dead replica has no load.
-        allowed = [row for row in allowed if not row.is_ejected] or allowed
-        available = []
-        for row in allowed:
-            slots = row.replica.slots
-            if not is_unsafe:
-                slots -= shares.kept_slots(row.replica.replica_id, now_s)
-            # One with a single slot serves both kinds in the order of the queue.
-            if row.own + known_share * row.others < max(1, slots):
-                available.append(row)
-        if active.tried_replica_ids:
-            available = [
-                row
-                for row in available
-                if row.replica.replica_id not in active.tried_replica_ids
-            ] or available
-        # A replica that refuses may take a request; an ejected one may be dead.
-        return [
-            row for row in available if not self.refusals.is_paused(row.replica, now_s)
-        ] or available
-
-    def _least_loaded(self, available: list[_PlainLoad], now_s: float) -> Replica:
-        latencies_s = [
-            self.health.mean_latency_s(row.replica.replica_id) for row in available
-        ]
-        known_s = [latency_s for latency_s in latencies_s if latency_s is not None]
-        reference_s = min(known_s, default=0.0)
-
-        self.loads.update_expected(now_s)
-        shared = self.loads.shared
-        spread = shared.cost_spread(now_s)
-        mean_load = sum(row.own + row.others for row in available) / len(available)
-        mean_known_s = sum(known_s) / len(known_s) if known_s else None
-        valid_share = shared.valid_share(mean_known_s, now_s)
-        mean_others = sum(row.others for row in available) / len(available)
-
-        def score(row: _PlainLoad) -> tuple[float, bool, float]:
-            replica_id = row.replica.replica_id
-            load = row.own + row.others + 1.0
-            load += (1.0 - valid_share) * (mean_others - row.others)
-            if (more := shared.expected.get(replica_id)) is not None:
-                load += more.requests
-            load += mean_load * shared.ramp_share(replica_id, now_s)
-            load *= self._draw_factor(spread)
-            factor = self.health.load_penalty(replica_id, reference_s)
-            is_remote = row.replica.availability_zone != self._zone
-            return (load * factor, is_remote, self._random.random())
-
-        return min(available, key=score).replica
+        return least_loaded(available, view, now_s)
 
     def slot_shares(self, service: str) -> SlotShares:
         """Return the sends that this host may make to a service without a pipeline."""
         return self._slot_shares[service]
 
-    def _update_shares(
-        self, shares: SlotShares, rows: list[_PlainLoad], now_s: float
-    ) -> None:
-        """Save up sends at the rate of the replicas that take requests."""
-        slots = replicas = own = others = 0
-        for row in rows:
-            if row.is_ejected:
-                continue
-            replicas += 1
-            slots += max(1, row.replica.slots)
-            own += row.own
-            others += row.others
-        load = ServiceLoad(
-            slots=slots,
-            replicas=replicas,
-            own=own,
-            others=others,
-            hosts=self.loads.host_count,
-            report_age_s=self.loads.shared.report_age_s(now_s) or OTHER_ZONE_AGE_S,
-        )
-        shares.update(load, now_s)
-
-    def _known_share(self, shares: SlotShares, now_s: float) -> float:
-        """Return the part of the reported requests that is still in flight."""
-        if shares.answer_s is None:
-            return 1.0
-        if self.loads.shared.report_age_s(now_s) is None:
-            return math.exp(-OTHER_ZONE_AGE_S / shares.answer_s)
-        return self.loads.shared.valid_share(shares.answer_s, now_s)
-
     # Reservations
 
     def reserve(self, active: ActiveRequest) -> None:
