--- a/tests/core/forwarding/test_peer_tables.py
+++ b/tests/core/forwarding/test_peer_tables.py
@@ -24,6 +24,8 @@
     SharedCapacity,
 )
 from persimmonwell.core.forwarding._workspace_usage import WorkspaceUsage
+from persimmonwell.core.forwarding._zone_reports import MAX_PEERS as MAX_OTHER_PEERS
+from persimmonwell.core.forwarding._zone_reports import ZoneReports
 from tests.core.forwarding.fleets import desk_replica
 
 
@@ -39,6 +41,17 @@
     assert table.total("i-1").requests == 3
 
 
+def test_times_of_forged_hosts_are_bounded() -> None:
+    """Guards against a time per forged host id and zone."""
+    reports = ZoneReports()
+    for number in range(2 * MAX_OTHER_PEERS):
+        reports.record(f"h-{number}", f"z-{number % 7000}", float(number) / 1000)
+    kept = sum(len(peers) for peers in reports._reported_s.values())
+    assert kept == len(reports._zones) == MAX_OTHER_PEERS
+    reports.expire(1000.0)
+    assert not reports._zones and not reports._reported_s
+
+
 def test_loads_over_all_hosts_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against the loads of many hosts, of which each is within its bound."""
     monkeypatch.setattr(loads_module, "MAX_PEER_LOADS", 100)
