Pace one-byte chunks by their CPU time instead of a fixed delay

Cause: a connection whose chunks are small waited 50 ms after each 4 KB that were parsed, with or without load, so a body of 4 MB in chunks of one byte took about five minutes. With many such clients the delay did not bound their share of the event loop. Change: Pacer gives all such connections together half of the event loop; a client is not taken as silent while it is not its turn.

--- a/persimmonwell/core/resources/__init__.py
+++ b/persimmonwell/core/resources/__init__.py
@@ -17,6 +17,7 @@
     ProgressCharge,
     memory_budget_bytes,
 )
+from persimmonwell.core.resources._pacing import Pacer
 from persimmonwell.core.resources._policy import CallerPolicy, RefusalReason
 from persimmonwell.core.resources._progress import Progress
 from persimmonwell.core.resources._socket_buffers import (
@@ -46,6 +47,7 @@
     "Charge",
     "ConnectionTable",
     "MemoryBudget",
+    "Pacer",
     "Progress",
     "ProgressCharge",
     "RefusalReason",
--- a/persimmonwell/gateway/_caller_admission.py
+++ b/persimmonwell/gateway/_caller_admission.py
@@ -10,6 +10,7 @@
     CallerPolicy,
     ConnectionTable,
     MemoryBudget,
+    Pacer,
 )
 from persimmonwell.gateway._caller_connection import CallerConnection
 from persimmonwell.gateway._caller_requests import RawRequest
@@ -42,6 +43,7 @@
         self.budget = budget or MemoryBudget(policy=self.policy)
         self._buffers = UploadBuffers(may_keep=lambda: self.budget.waiting_count == 0)
         self._buffer_plan = buffer_plan
+        self._pacer = Pacer()
         self._progress_checked_s = 0.0
         self._metrics = metrics
         self._client_log = RateLimitedLog(log, clock=time.monotonic)
@@ -65,6 +67,7 @@
             policy=self.policy,
             buffers=self._buffers,
             socket_buffers=self._buffer_plan.sizes_for(len(self.callers)),
+            pacer=self._pacer,
             on_progress=self.callers.record_progress,
             on_refused=self._record_refusal,
         )
--- a/persimmonwell/gateway/_caller_connection.py
+++ b/persimmonwell/gateway/_caller_connection.py
@@ -13,6 +13,7 @@
     BodyCharge,
     CallerPolicy,
     MemoryBudget,
+    Pacer,
     RefusalReason,
     SocketBuffers,
 )
@@ -49,12 +50,12 @@
 FEED_BYTES = 4096
 """Largest part that is parsed at once, so that few requests are parsed too many."""
 MAX_PARTS_A_TURN = 256
-"""Body parts that are parsed before other connections have their turn. 120 clients with
-chunks of one byte held the event loop for a second a turn."""
+"""Parts that are parsed before other connections have their turn. 120 clients with
+chunks of one byte held the event loop for a second a turn, and 60 clients with
+pipelined requests for unknown routes for more than ten seconds."""
 SMALL_PART_BYTES = 64
-SMALL_PARTS_DELAY_S = 0.05
-"""Delay of a connection whose chunks are smaller than SMALL_PART_BYTES in the mean; a
-byte in them costs a thousand times the CPU time of one in large chunks."""
+"""Mean size of parts below which a connection is paced; a byte in chunks of one byte
+costs a thousand times the CPU time of one in large chunks."""
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 END_OF_HEAD = b"\r\n\r\n"
 
@@ -88,6 +89,7 @@
         policy: CallerPolicy | None = None,
         buffers: UploadBuffers | None = None,
         socket_buffers: SocketBuffers | None = None,
+        pacer: Pacer | None = None,
         on_progress: Callable[["CallerConnection"], None] = lambda caller: None,
         on_refused: Callable[[str], None] = lambda reason: None,
     ) -> None:
@@ -98,6 +100,9 @@
         self._budget = budget or MemoryBudget()
         self._policy = policy or CallerPolicy()
         self._socket_buffers = socket_buffers or SocketBuffers()
+        self._pacer = pacer or Pacer()
+        self._is_paced = False
+        """Whether parsing goes on only when the pacer permits it."""
         self._has_upload_buffer = False
         """Whether the kernel's receive buffer has the size for an upload."""
         self._on_progress = on_progress
@@ -245,8 +250,11 @@
     def _parse(self) -> None:
         """Feed the parser up to the end of one message at a time."""
         turn_start = self._parsed_bytes
+        start_s = asyncio.get_running_loop().time()
         self._parser.parts = 0
         while self._unparsed and self.accepts_requests and self._may_parse:
+            if self._is_paced:
+                break
             end = self._end_of_slice()
             if end == self._parsed_bytes:
                 break
@@ -262,14 +270,27 @@
             if parts > MAX_PARTS_A_TURN and self._unparsed:
                 parsed_bytes = self._parsed_bytes - turn_start
                 is_small = parsed_bytes < parts * SMALL_PART_BYTES
-                delay_s = SMALL_PARTS_DELAY_S if is_small else 0.0
-                asyncio.get_running_loop().call_later(delay_s, self._continue)
+                self._end_turn(start_s, is_small=is_small)
                 break
         if self._unparsed and not self.accepts_requests:
             self._drop_unparsed()
         if self._may_hold or self._is_reading_paused:
             self._update_reading()
 
+    def _end_turn(self, start_s: float, *, is_small: bool) -> None:
+        """Let other connections have their turn before the rest is parsed."""
+        loop = asyncio.get_running_loop()
+        now_s = loop.time()
+        delay_s = self._pacer.delay_s(now_s - start_s, now_s) if is_small else 0.0
+        self._is_paced = True
+        loop.call_later(delay_s, self._begin_turn)
+
+    def _begin_turn(self) -> None:
+        """Parse on; the client has not been silent while it was not its turn."""
+        self._is_paced = False
+        self._last_data_s = asyncio.get_running_loop().time()
+        self._continue()
+
     def _end_of_slice(self) -> int:
         """Return up to where the parser is fed next; where it stands without room."""
         start, size = self._parsed_bytes, len(self._unparsed)
--- a/tests/gateway/test_caller_overload.py
+++ b/tests/gateway/test_caller_overload.py
@@ -108,11 +108,13 @@
     ) -> None:
         self.budget = budget or MemoryBudget(16 * MB, policy=policy)
         self.requests: list[RawRequest] = []
+        self.answers_at_once = False
+        """Whether a request is answered before the next byte is parsed."""
         self.refusals: list[str] = []
         self.transport = MemoryTransport()
         self.connection = CallerConnection(
             limits=lambda: LIMITS,
-            on_request=lambda caller, request: self.requests.append(request),
+            on_request=self._take_request,
             is_draining=lambda: False,
             on_open_change=lambda caller, is_open: None,
             budget=self.budget,
@@ -122,6 +124,11 @@
         self.transport.protocol = self.connection
         self.connection.connection_made(self.transport)
 
+    def _take_request(self, caller: CallerConnection, request: RawRequest) -> None:
+        self.requests.append(request)
+        if self.answers_at_once:
+            caller.write_answer(404, (), b"")
+
     def receive(self, data: bytes, piece: int = 65_536) -> None:
         """Hand bytes over as a transport does, while it is not paused."""
         for start in range(0, len(data), piece):
@@ -477,6 +484,26 @@
     on_loop(run)
 
 
+def test_tiny_chunks_of_one_client_are_not_delayed_much() -> None:
+    """Guards against a body that took five minutes without any load."""
+
+    async def run() -> None:
+        caller = Caller()
+        body = b"1\r\nx\r\n" * 100_000 + b"0\r\n\r\n"
+        start_s = asyncio.get_running_loop().time()
+        for start in range(0, len(CHUNKED + body), 65_536):
+            while not caller.transport.is_reading:
+                await asyncio.sleep(0.001)
+            caller.receive((CHUNKED + body)[start : start + 65_536])
+        while not caller.requests:
+            await asyncio.sleep(0.001)
+        assert len(caller.requests[0].body) == 100_000
+        # With a fixed delay of 50 ms a turn it took 7 s.
+        assert asyncio.get_running_loop().time() - start_s < 5.0
+
+    on_loop(run)
+
+
 def test_many_headers_are_charged() -> None:
     """Guards against heads whose objects take far more memory than their bytes."""
 
