Bound the small pipelined requests that one connection gets parsed in a turn

Cause: a read of 64 KB holds up to 2,100 requests for an unknown route or without an API key. They were all answered in one turn of the event loop, and empty lines before a request were parsed four bytes at a time without a bound. 60 such clients held the event loop for more than 10 s, and an ordinary caller got no response. Change: a request counts as 32 parts and each slice as one, so that a turn ends after about 8 small requests, and the pacer decides when the connection goes on. `pytest tests/gateway/test_caller_overload.py -k at_once`: 4 failed before, 4 pass after. Conclusion: pipelines that are answered at once no longer hold up other callers.

--- a/persimmonwell/gateway/_caller_requests.py
+++ b/persimmonwell/gateway/_caller_requests.py
@@ -24,6 +24,8 @@
 )
 from persimmonwell.platform import decode_request_id
 
+REQUEST_PARTS = 32
+"""Parts as which a request counts: parsing and answering it costs as much time."""
 COVERED_HEAD_BYTES = 4096
 """Memory of a head that the base charge covers."""
 HEADER_OBJECT_BYTES = 160
@@ -100,7 +102,7 @@
         self._open_body_charge = open_body_charge
         self._parser = httptools.HttpRequestParser(self)
         self.parts = 0
-        """Body parts that were parsed; set back by the reader."""
+        """Slices, body parts and requests that were parsed; set back by the reader."""
         self.is_last_request = False
         """Whether the caller asked to close after the last request it sent."""
         self._reset()
@@ -129,6 +131,7 @@
     def feed(self, data: bytes) -> None:
         """Parse bytes; reject malformed requests and oversized heads."""
         self._framing_bytes += len(data)
+        self.parts += 1
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as upgrade:
@@ -264,6 +267,7 @@
 
     def on_message_complete(self) -> None:
         """Validate the request and hand it on."""
+        self.parts += REQUEST_PARTS
         if self._receiver.is_refusing or self._offers_upgrade:
             return
         host_headers = [value for name, value in self._headers if name == b"host"]
--- a/tests/gateway/test_caller_overload.py
+++ b/tests/gateway/test_caller_overload.py
@@ -17,7 +17,7 @@
     MAX_PIPELINED_REQUESTS,
     CallerConnection,
 )
-from persimmonwell.gateway._caller_requests import RawRequest
+from persimmonwell.gateway._caller_requests import REQUEST_PARTS, RawRequest
 from persimmonwell.gateway._http_connection import (
     BODY_SLICE_BYTES,
     WRITE_HIGH_WATER_BYTES,
@@ -484,6 +484,36 @@
     on_loop(run)
 
 
+@pytest.mark.parametrize(
+    "request_bytes",
+    [GET, b"\r\n" * 2048 + GET, CHUNKED + b"0\r\n\r\n", CHUNKED + b"0\r\na:b\r\n\r\n"],
+    ids=["plain", "empty lines", "empty body", "trailer"],
+)
+def test_requests_that_are_answered_at_once_give_others_their_turn(
+    request_bytes: bytes,
+) -> None:
+    """Guards against pipelined requests for unknown routes; no ordinary one ended."""
+
+    async def run() -> None:
+        caller = Caller()
+        caller.answers_at_once = True
+        count = 65_536 // len(request_bytes) + 1
+        caller.receive(request_bytes * count, len(request_bytes) * count)
+        most = MAX_PARTS_A_TURN // REQUEST_PARTS + 1
+        assert len(caller.requests) <= most
+        # Answers that are completed do not start further requests early.
+        await turns()
+        assert len(caller.requests) <= 4 * most
+        while len(caller.requests) < count:
+            await asyncio.sleep(0.001)
+        await turns()
+        assert caller.transport.is_reading
+        assert caller.statuses == [404] * count
+        assert caller.budget.used_bytes == BASE_CHARGE_BYTES
+
+    on_loop(run)
+
+
 def test_tiny_chunks_of_one_client_are_not_delayed_much() -> None:
     """Guards against a body that took five minutes without any load."""
 
