Read the length of a body without its leading zeros

Cause: int() refuses numbers of more than 4,300 digits. A Content-Length with thousands of leading zeros within max_header_bytes was logged as an unexpected error of the host for each request, and the connection was aborted without an answer. Change: leading zeros are dropped before the number is read; the parser already refuses lengths above 64 bits with 400. Measured: `pytest tests/gateway/test_caller_overload.py -k leading_zeros`: the row with 5,000 zeros failed before, all three pass after. Conclusion: such a request is served, and clients cannot write unexpected errors.

--- a/persimmonwell/gateway/_caller_requests.py
+++ b/persimmonwell/gateway/_caller_requests.py
@@ -226,7 +226,8 @@
         self._framing_bytes = 0
         for name, value in self._headers:
             if name == b"content-length":
-                self._announced_bytes = int(value)
+                # int() refuses thousands of digits, also if most are zeros.
+                self._announced_bytes = int(value.lstrip(b"0 ") or b"0")
                 self._has_body = True
             elif name == b"transfer-encoding":
                 self._announced_bytes = None
--- a/tests/gateway/test_caller_overload.py
+++ b/tests/gateway/test_caller_overload.py
@@ -428,6 +428,22 @@
     on_loop(run)
 
 
+@pytest.mark.parametrize("zeros", [0, 1, 5000])
+def test_leading_zeros_of_a_length_are_ignored(zeros: int) -> None:
+    """Guards against a length that counts as a fault of the host."""
+
+    async def run() -> None:
+        caller = Caller()
+        for length in (4, 0):
+            caller.receive(head(f"Content-Length: {'0' * zeros}{length}") + b"body")
+            assert bytes(caller.requests[-1].body) == b"body"[:length]
+            caller.connection.write_answer(200, (), b"")
+            await turns()
+        assert caller.statuses[:2] == [200, 200]
+
+    on_loop(run)
+
+
 def test_small_requests_are_served_while_uploads_fill_the_budget() -> None:
     """Guards against ordinary callers that fail because of uploads."""
 
