Answer a few pipelined requests of a status connection in a turn

Cause: a full buffer of one connection holds some 400 small requests, which were all answered in one turn of the event loop, on up to 96 connections of the three ports. Change: after four answers the connection waits for its turn, and all connections of the status ports together get half of the event loop. `pytest tests/gateway/test_status_server.py -k pipelined_requests`: failed before (300 answers in one turn), passes after. Two tests that fed the protocol outside of the loop now wait for the further turns; their assertions are unchanged.

--- a/persimmonwell/gateway/_listeners.py
+++ b/persimmonwell/gateway/_listeners.py
@@ -5,7 +5,11 @@
 import time
 from collections.abc import Callable
 
-from persimmonwell.core.resources import STATUS_BUFFER_BYTES, UPLOAD_BUFFER_BYTES
+from persimmonwell.core.resources import (
+    STATUS_BUFFER_BYTES,
+    UPLOAD_BUFFER_BYTES,
+    Pacer,
+)
 from persimmonwell.gateway._http_connection import set_buffer_sizes
 from persimmonwell.gateway._status_server import (
     ACCEPTS_PER_TURN as STATUS_ACCEPTS_PER_TURN,
@@ -37,6 +41,7 @@
         self._answer_readiness = answer_readiness
         self._answer_peers_and_metrics = answer_peers_and_metrics
         self._record_client = record_client
+        self._status_pacer = Pacer()
         self._servers: list[asyncio.Server] = []
         self._status_servers: list[StatusServer] = []
         self._callers_socket: socket.socket | None = None
@@ -78,6 +83,7 @@
             answer,
             clock=time.monotonic,
             on_terminated=lambda reason: self._record_client("terminated", reason),
+            pacer=self._status_pacer,
         )
         self._status_servers.append(status_server)
         await self._listen(
--- a/persimmonwell/gateway/_status_server.py
+++ b/persimmonwell/gateway/_status_server.py
@@ -9,7 +9,7 @@
 
 import httptools
 
-from persimmonwell.core.resources import ConnectionTable
+from persimmonwell.core.resources import ConnectionTable, Pacer
 
 MAX_HEAD_BYTES = 8192
 """Bytes of one request, empty lines before it included. Probes send some 100."""
@@ -25,6 +25,9 @@
 ACCEPTS_PER_TURN = 8
 """Connections accepted in one turn of the event loop. A request is read two turns after
 its connection was accepted; until then, at most half of MAX_CONNECTIONS may follow."""
+ANSWERS_PER_TURN = 4
+"""Pipelined requests of one connection that are answered in one turn of the event loop.
+90 clients with buffers full of them held it for more than a second a turn."""
 SLICE_BYTES = 65_536
 """Part of an answer that is handed to the transport, which keeps a copy of it."""
 MAX_UNSENT_BYTES = 16 * 1024 * 1024
@@ -64,8 +67,10 @@
         *,
         clock: Callable[[], float],
         on_terminated: Callable[[str], None],
+        pacer: Pacer | None = None,
     ) -> None:
         self.answer = answer
+        self.pacer = pacer or Pacer()
         self.on_terminated = on_terminated
         """Receives the reason for which the server closed a connection."""
         self._clock = clock
@@ -138,6 +143,8 @@
         self._received_bytes = 0
         self._unsent = memoryview(b"")
         self._is_answering = False
+        self._is_paced = False
+        """Whether the next request is answered only when the pacer permits it."""
         self._is_writing_paused = False
         self._closes_after_answer = False
         self._timer: asyncio.TimerHandle | None = None
@@ -204,11 +211,28 @@
     # Requests
 
     def _answer_requests(self) -> None:
-        while not self._is_answering and self._is_open:
+        loop = asyncio.get_running_loop()
+        start_s = loop.time()
+        for _ in range(ANSWERS_PER_TURN):
+            if self._is_answering or self._is_paced or not self._is_open:
+                return
             head = self._take_head()
             if head is None:
                 return
             self._answer(head)
+        if self._received_bytes and not self._is_answering and self._transport:
+            now_s = loop.time()
+            delay_s = self._server.pacer.delay_s(now_s - start_s, now_s)
+            self._is_paced = True
+            self._transport.pause_reading()
+            loop.call_later(delay_s, self._begin_turn)
+
+    def _begin_turn(self) -> None:
+        """Answer the requests that waited for the turns of other connections."""
+        self._is_paced = False
+        if self._is_open and self._transport is not None:
+            self._transport.resume_reading()
+            self._answer_requests()
 
     @property
     def _is_open(self) -> bool:
@@ -294,7 +318,8 @@
             self._set_timer(REQUEST_TIMEOUT_S, self._end_slow_request)
         else:
             self._set_timer(IDLE_TIMEOUT_S, self._close_idle)
-        self._transport.resume_reading()
+        if not self._is_paced:
+            self._transport.resume_reading()
 
     # Time-outs
 
--- a/tests/gateway/test_status_server.py
+++ b/tests/gateway/test_status_server.py
@@ -4,12 +4,13 @@
 import http.client
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import pytest
 
 from persimmonwell.gateway._status_server import (
     ANSWER_VALIDITY_S,
+    ANSWERS_PER_TURN,
     IDLE_TIMEOUT_S,
     MAX_CONNECTIONS,
     MAX_HEAD_BYTES,
@@ -37,6 +38,8 @@
         self.is_open = True
         self.is_paused = False
         self.written = bytearray()
+        self.undelivered = b""
+        """Bytes that arrived while reading was paused."""
 
     def set_write_buffer_limits(
         self, high: int | None = None, low: int | None = None
@@ -74,6 +77,14 @@
             buffer[: len(part)] = part
             data = data[len(part) :]
             self.protocol.buffer_updated(len(part))
+        self.undelivered = data
+
+    async def receive_all(self, data: bytes) -> None:
+        """Deliver all bytes, and wait until each of their requests had its turn."""
+        self.receive(data)
+        while self.is_open and (self.undelivered or self.is_paused):
+            await asyncio.sleep(0)
+            self.receive(self.undelivered)
 
 
 class _Port:
@@ -98,9 +109,10 @@
         return transport
 
 
-def run(test: Callable[[], None]) -> None:
+def run(test: Callable[[], Awaitable[None] | None]) -> None:
     async def call() -> None:
-        test()
+        if (rest := test()) is not None:
+            await asyncio.wait_for(rest, 10.0)
 
     asyncio.run(call())
 
@@ -130,11 +142,11 @@
 ) -> None:
     """Guards against a request without end, whose URL used to be collected."""
 
-    def test() -> None:
+    async def test() -> None:
         port = _Port()
         client = port.connect()
         for part in parts:
-            client.receive(part)
+            await client.receive_all(part)
         assert port.answered == client.written.count(b"HTTP/1.1 200 OK") == answers
         assert client.is_open is (reasons == [])
         if reasons is not None:
@@ -162,7 +174,7 @@
     The host grew by the size of the state for each of them.
     """
 
-    def test() -> None:
+    async def test() -> None:
         port = _Port(bytes(3 * SLICE_BYTES))
         client = port.connect()
         client.is_read = False
@@ -173,6 +185,7 @@
         # It reads now: the rest of the answer, and the requests behind it.
         client.is_read = True
         client.protocol.resume_writing()
+        await client.receive_all(b"")
         in_buffer = MAX_HEAD_BYTES // len(REQUEST)
         assert port.answered == client.written.count(b"HTTP/1.1 200") == in_buffer
         assert len(client.written) > in_buffer * 3 * SLICE_BYTES
@@ -181,6 +194,22 @@
     run(test)
 
 
+def test_pipelined_requests_give_others_their_turn() -> None:
+    """Guards against 90 clients whose requests held the event loop for seconds."""
+
+    async def test() -> None:
+        port = _Port()
+        clients = [port.connect() for _ in range(3)]
+        for client in clients:
+            client.receive(REQUEST * 100)
+        assert port.answered <= len(clients) * ANSWERS_PER_TURN
+        for client in clients:
+            await client.receive_all(client.undelivered)
+        assert port.answered == len(clients) * 100
+
+    run(test)
+
+
 def test_unread_answers_of_one_port_are_bounded() -> None:
     """Guards against as many unread states as there are connections."""
 
