Discard the rest of a refused body within the limits

Cause: after a refusal 1 MB was discarded before the connection was reset. A client that sends a body of 4 MB before it reads, as http.client does, got a broken pipe in place of the 503 that says that nothing has run and when to come back. Change: after 408 and 503, what the body may still have within its announced length or max_body_bytes is discarded as well. `pytest tests/gateway/test_caller_overload.py -k rest_of_a_refused`: 2 failed before, 2 pass after. Conclusion: clients within the limits can read the refusal of an upload.

--- a/persimmonwell/gateway/_caller_connection.py
+++ b/persimmonwell/gateway/_caller_connection.py
@@ -58,6 +58,7 @@
 costs a thousand times the CPU time of one in large chunks."""
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 END_OF_HEAD = b"\r\n\r\n"
+_TOO_LARGE = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
 
 
 class RequestHandler(Protocol):
@@ -637,6 +638,8 @@
             self._on_refused(reason.value)
         self._drop_unparsed()
         rejection = build_rejection(status, self._parser.request_id, self._policy)
+        if self._body is not None and status is not _TOO_LARGE:
+            self._discard.rest_bytes = self._body.max_rest_bytes
         self._parser.drop_message()
         if self._is_answering:
             self._rejection = rejection
--- a/persimmonwell/gateway/_caller_refusals.py
+++ b/persimmonwell/gateway/_caller_refusals.py
@@ -42,9 +42,11 @@
     def __init__(self, policy: CallerPolicy) -> None:
         self._policy = policy
         self._discarded_bytes = 0
+        self.rest_bytes = 0
+        """Rest of a refused body within the limits, which its client may still send."""
         self.is_active = False
 
     def add(self, count: int) -> bool:
         """Count discarded bytes; return whether more may follow."""
         self._discarded_bytes += count
-        return self._discarded_bytes <= self._policy.discard_bytes
+        return self._discarded_bytes <= self._policy.discard_bytes + self.rest_bytes
--- a/persimmonwell/gateway/_request_body.py
+++ b/persimmonwell/gateway/_request_body.py
@@ -141,6 +141,13 @@
         """Return how many bytes are missing of an announced length."""
         return (self._announced_bytes or 0) - self.received_bytes
 
+    @property
+    def max_rest_bytes(self) -> int:
+        """Return how many bytes may follow within the limits."""
+        if self._announced_bytes is not None:
+            return self.unreceived_bytes
+        return max(0, self._max_bytes - self.received_bytes)
+
     def make_room(self, count: int) -> bool:
         """Return whether further bytes may be received now; if not, wait for room."""
         size = self.received_bytes + count
--- a/tests/gateway/test_caller_overload.py
+++ b/tests/gateway/test_caller_overload.py
@@ -160,7 +160,8 @@
 
 
 GET = head("Content-Length: 0")
-CHUNKED = head("Transfer-Encoding: chunked")
+CHUNKED_LINE = "Transfer-Encoding: chunked"
+CHUNKED = head(CHUNKED_LINE)
 
 
 def test_few_requests_of_a_pipeline_are_parsed() -> None:
@@ -338,6 +339,32 @@
     on_loop(run)
 
 
+@pytest.mark.parametrize("head_line", ["Content-Length: 4194304", CHUNKED_LINE])
+def test_client_may_send_the_rest_of_a_refused_body(head_line: str) -> None:
+    """Guards against a client that gets a reset in place of the refusal."""
+
+    async def run() -> None:
+        policy = CallerPolicy(discard_bytes=100_000, max_waiting_uploads=0)
+        budget = MemoryBudget(8 * MB, policy=policy)
+        upload(Caller(budget=budget, policy=policy), 4 * MB)
+        refused = Caller(budget=budget, policy=policy)
+        refused.receive(head(head_line))
+        sent_bytes = 0
+        if head_line == CHUNKED_LINE:
+            refused.receive(b"400000\r\n")
+        while not refused.statuses and sent_bytes < 3 * MB:
+            refused.receive(b"x" * 65_536)
+            sent_bytes += 65_536
+        assert refused.statuses == [503]
+        refused.receive(b"x" * (4 * MB - sent_bytes))
+        assert not refused.transport.is_closing()
+        # No more than the limits allow.
+        refused.receive(b"x" * (100_000 + 2 * 65_536))
+        assert refused.transport.is_closing()
+
+    on_loop(run)
+
+
 def test_refusal_waits_for_the_answers_before_it() -> None:
     """Guards against a refusal that takes the place of an earlier answer."""
 
