Split the upstream connections by reason to change

Cause: _http_connection.py had 504 lines and three reasons to change: the protocol of one connection, the pool, and the options of sockets, which callers' connections use too. Change: ConnectionPool moves to _connection_pool.py, the socket options move to _socket_options.py. No change of behaviour. Measured: `wc -l persimmonwell/gateway/_http_connection.py`: 504 before, 324 after. `pytest tests/gateway/test_http_connection.py tests/gateway/test_socket_buffers.py tests/test_docs.py`: all pass before and after. Conclusion: each of the three files has one reason to change.

--- a/persimmonwell/gateway/_caller_connection.py
+++ b/persimmonwell/gateway/_caller_connection.py
@@ -33,17 +33,17 @@
     build_rejection,
 )
 from persimmonwell.gateway._caller_requests import RawRequest, RequestParser
-from persimmonwell.gateway._http_connection import (
-    MAX_READ_BYTES,
-    set_buffer_sizes,
-    set_read_size,
-    set_socket_options,
-)
 from persimmonwell.gateway._request_body import (
     UPLOAD_READ_BYTES,
     RequestBody,
     UploadBuffers,
 )
+from persimmonwell.gateway._socket_options import (
+    MAX_READ_BYTES,
+    set_buffer_sizes,
+    set_read_size,
+    set_socket_options,
+)
 
 MAX_PIPELINED_REQUESTS = 4
 """Pipelined requests that wait on one connection before reading is paused."""
--- a/persimmonwell/gateway/_control_calls.py
+++ b/persimmonwell/gateway/_control_calls.py
@@ -13,8 +13,8 @@
     ProbeTimes,
     Reroute,
 )
+from persimmonwell.gateway._connection_pool import ConnectionPool
 from persimmonwell.gateway._exchange import Exchange
-from persimmonwell.gateway._http_connection import ConnectionPool
 from persimmonwell.gateway._metrics import GatewayMetrics
 from persimmonwell.gateway._replica_calls import CallAnswer, call_replica
 from persimmonwell.observe import DecisionLog
--- a/persimmonwell/gateway/_exchange.py
+++ b/persimmonwell/gateway/_exchange.py
@@ -19,12 +19,9 @@
 )
 from persimmonwell.gateway._caller_connection import CallerConnection
 from persimmonwell.gateway._caller_requests import RawRequest
+from persimmonwell.gateway._connection_pool import ConnectionPool
 from persimmonwell.gateway._event_stream import EventStreamParser
-from persimmonwell.gateway._http_connection import (
-    ConnectionPool,
-    RawHeaders,
-    UpstreamConnection,
-)
+from persimmonwell.gateway._http_connection import RawHeaders, UpstreamConnection
 from persimmonwell.platform import (
     AnswerHead,
     decode_answer_head,
--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -27,13 +27,10 @@
 from persimmonwell.gateway._caller_admission import CallerAdmission
 from persimmonwell.gateway._caller_connection import CallerConnection
 from persimmonwell.gateway._caller_requests import RawRequest
+from persimmonwell.gateway._connection_pool import ConnectionPool
 from persimmonwell.gateway._control_calls import ControlCalls
 from persimmonwell.gateway._exchange import STATUS_BY_ENDING, Exchange
-from persimmonwell.gateway._http_connection import (
-    AnswerMatch,
-    ConnectionPool,
-    RawHeaders,
-)
+from persimmonwell.gateway._http_connection import AnswerMatch, RawHeaders
 from persimmonwell.gateway._metrics import GatewayMetrics
 from persimmonwell.gateway._report_log import report_handlers
 from persimmonwell.gateway._request_log import RequestLog
--- a/persimmonwell/gateway/_http_connection.py
+++ b/persimmonwell/gateway/_http_connection.py
@@ -1,10 +1,8 @@
-"""HTTP/1.1 client connections to upstreams, and their pool."""
+"""HTTP/1.1 client connection to one upstream."""
 
 import asyncio
-import contextlib
 import re
-import socket
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Sequence
 from enum import Enum
 from typing import Protocol
 
@@ -13,24 +11,13 @@
 from persimmonwell.core.resources import (
     SMALL_BODY_BYTES,
     UPLOAD_BUFFER_BYTES,
-    SocketBuffers,
 )
+from persimmonwell.gateway._socket_options import set_buffer_sizes, set_socket_options
 
-CONNECT_TIMEOUT_S = 0.5
-"""Far above the round-trip time within a region. A lost SYN is retransmitted only after
-a second, so it is better to try another upstream."""
-TCP_USER_TIMEOUT_MS = 3000
-"""Time without acknowledgement after which the connection to a peer that lost power or
-its network is closed."""
-KEEPALIVE_IDLE_S = 2
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
 MAX_SKIPPED_ANSWERS = 2
 """Answers to earlier requests that are skipped while one request waits."""
 MAX_SKIPPED_BYTES = 262_144
 """Body bytes of skipped answers while one request waits."""
-MAX_READ_BYTES = 65_536
-"""Largest read; what is not handled at once of it stays in memory."""
 BODY_SLICE_BYTES = 262_144
 """Largest part of a request body that is handed to the transport at once."""
 WRITE_HIGH_WATER_BYTES = 65_536
@@ -74,51 +61,6 @@
         """Receive the failure of a connection before the answer was complete."""
 
 
-def set_read_size(transport: asyncio.BaseTransport, size: int) -> None:
-    """Set the size that the selector transport passes to recv, 256 KB by default.
-
-    Other transports ignore it. BufferedProtocol is no cheaper for small reads.
-    """
-    transport.max_size = size  # type: ignore[attr-defined]
-
-
-def set_buffer_sizes(
-    sock: socket.socket | None,
-    *,
-    receive_bytes: int | None = None,
-    send_bytes: int | None = None,
-) -> None:
-    """Set buffer sizes as the kernel counts them; it doubles what it is given.
-
-    A socket without such buffers, or one that is closed, is left as it is.
-    """
-    if sock is None:
-        return
-    sizes = ((socket.SO_RCVBUF, receive_bytes), (socket.SO_SNDBUF, send_bytes))
-    for option, size in sizes:
-        if size is not None:
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, option, size // 2)
-
-
-def set_socket_options(transport: asyncio.BaseTransport) -> None:
-    """Bound reads, disable Nagle's algorithm, detect peers that stopped responding."""
-    set_read_size(transport, MAX_READ_BYTES)
-    sock = transport.get_extra_info("socket")
-    if sock is None:
-        return
-    options = (
-        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
-    )
-    for level, option, value in options:
-        sock.setsockopt(level, option, value)
-
-
 class UpstreamConnection(asyncio.Protocol):
     """Connection to an upstream, which carries one request at a time."""
 
@@ -380,125 +322,3 @@
     """
     if _STATUS_LINE.search(text):
         raise ValueError("two answers in one head")
-
-
-class ConnectionPool:
-    """Pool of idle connections by address."""
-
-    def __init__(
-        self,
-        *,
-        match_answer: MatchAnswer,
-        clock: Callable[[], float],
-        default_idle_timeout_s: float,
-        buffers: SocketBuffers | None = None,
-    ) -> None:
-        self._match_answer = match_answer
-        self._clock = clock
-        self._default_idle_timeout_s = default_idle_timeout_s
-        self._buffers = buffers or SocketBuffers()
-        self._idle: dict[str, list[UpstreamConnection]] = {}
-        self.opened_count = 0
-        """Connection attempts since the start."""
-
-    def acquire_idle(
-        self,
-        address: str,
-        *,
-        max_idle_s: float,
-        excluded: Collection[UpstreamConnection] = (),
-    ) -> UpstreamConnection | None:
-        """Return the most recently used connection that is within its idle limit.
-
-        The excluded connections stay in the pool.
-        """
-        connections = self._idle.get(address, [])
-        for connection in reversed(list(connections)):
-            if connection in excluded and connection.is_open:
-                continue
-            connections.remove(connection)
-            if not connection.is_open:
-                continue
-            idle_s = self._clock() - connection.idle_since_s
-            if idle_s > min(max_idle_s, self._idle_timeout_s(connection)):
-                connection.close()
-                continue
-            return connection
-        return None
-
-    def _idle_timeout_s(self, connection: UpstreamConnection) -> float:
-        # The margin covers the time that a request takes to reach the replica, which
-        # may close the connection at its limit.
-        advertised_s = connection.keep_alive_s
-        return (
-            self._default_idle_timeout_s
-            if advertised_s is None
-            else max(0.0, advertised_s - 0.5)
-        )
-
-    async def connect(self, address: str) -> UpstreamConnection:
-        """Open a connection.
-
-        Raises OSError or TimeoutError.
-        """
-        loop = asyncio.get_running_loop()
-        self.opened_count += 1
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            sock = await self._open_socket(address)
-            _, connection = await loop.create_connection(
-                lambda: UpstreamConnection(
-                    match_answer=self._match_answer,
-                    on_idle=self._put_idle,
-                    on_lost=self._remove,
-                ),
-                sock=sock,
-            )
-        connection.address = address
-        return connection
-
-    async def _open_socket(self, address: str) -> socket.socket:
-        """Connect a socket whose buffers have their size from the first packet on."""
-        host, _, port = address.rpartition(":")
-        host = host.strip("[]")
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        sock = socket.socket(family, socket.SOCK_STREAM)
-        try:
-            sock.setblocking(False)
-            set_buffer_sizes(
-                sock,
-                receive_bytes=self._buffers.upstream_receive_bytes,
-                send_bytes=self._buffers.upstream_send_bytes,
-            )
-            loop = asyncio.get_running_loop()
-            await loop.sock_connect(sock, (host, int(port)))
-        except BaseException:
-            sock.close()
-            raise
-        return sock
-
-    def _put_idle(self, connection: UpstreamConnection) -> None:
-        connection.idle_since_s = self._clock()
-        self._idle.setdefault(connection.address, []).append(connection)
-
-    def _remove(self, connection: UpstreamConnection) -> None:
-        connections = self._idle.get(connection.address, [])
-        if connection in connections:
-            connections.remove(connection)
-
-    def close_expired(self) -> None:
-        """Close connections whose idle time is over their limit."""
-        for address, connections in list(self._idle.items()):
-            for connection in list(connections):
-                idle_s = self._clock() - connection.idle_since_s
-                if idle_s > self._idle_timeout_s(connection) or not connection.is_open:
-                    connections.remove(connection)
-                    connection.close()
-            if not connections:
-                del self._idle[address]
-
-    def close(self) -> None:
-        """Close all idle connections."""
-        for connections in self._idle.values():
-            for connection in connections:
-                connection.close()
-        self._idle.clear()
--- a/persimmonwell/gateway/_listeners.py
+++ b/persimmonwell/gateway/_listeners.py
@@ -10,7 +10,7 @@
     UPLOAD_BUFFER_BYTES,
     Pacer,
 )
-from persimmonwell.gateway._http_connection import set_buffer_sizes
+from persimmonwell.gateway._socket_options import set_buffer_sizes
 from persimmonwell.gateway._status_server import (
     ACCEPTS_PER_TURN as STATUS_ACCEPTS_PER_TURN,
 )
--- a/persimmonwell/gateway/_placement_duty.py
+++ b/persimmonwell/gateway/_placement_duty.py
@@ -14,7 +14,7 @@
     Replica,
     plan_placement,
 )
-from persimmonwell.gateway._http_connection import ConnectionPool
+from persimmonwell.gateway._connection_pool import ConnectionPool
 from persimmonwell.gateway._replica_calls import call_replica, fetch_report
 from persimmonwell.observe import DecisionLog
 from persimmonwell.platform import (
--- a/persimmonwell/gateway/_replica_calls.py
+++ b/persimmonwell/gateway/_replica_calls.py
@@ -6,7 +6,8 @@
 import attrs
 
 from persimmonwell.core.forwarding import ReplicaReport, ReplicaStatement
-from persimmonwell.gateway._http_connection import ConnectionPool, RawHeaders
+from persimmonwell.gateway._connection_pool import ConnectionPool
+from persimmonwell.gateway._http_connection import RawHeaders
 from persimmonwell.platform import REPORT_PATH, decode_answer_head, decode_report
 
 CALL_TIMEOUT_S = 0.6
--- a/tests/gateway/test_faulted_requests.py
+++ b/tests/gateway/test_faulted_requests.py
@@ -13,8 +13,8 @@
 from persimmonwell.core.forwarding._active import ActiveRequest
 from persimmonwell.core.forwarding._open_requests import OpenRequests
 from persimmonwell.core.forwarding._sends import RequestSender
+from persimmonwell.gateway._connection_pool import ConnectionPool
 from persimmonwell.gateway._exchange import Exchange
-from persimmonwell.gateway._http_connection import ConnectionPool
 from persimmonwell.platform import decode_request
 from standins.platform_config import config
 from tests.fleet import wait_until
--- a/tests/gateway/test_http_connection.py
+++ b/tests/gateway/test_http_connection.py
@@ -8,10 +8,10 @@
 
 import pytest
 
+from persimmonwell.gateway._connection_pool import ConnectionPool
 from persimmonwell.gateway._gateway import _match_answer
 from persimmonwell.gateway._http_connection import (
     AnswerMatch,
-    ConnectionPool,
     RawHeaders,
     UpstreamConnection,
 )
--- a/tests/gateway/test_placement_duty.py
+++ b/tests/gateway/test_placement_duty.py
@@ -15,7 +15,8 @@
     plan_placement,
 )
 from persimmonwell.gateway import _placement_duty
-from persimmonwell.gateway._http_connection import AnswerMatch, ConnectionPool
+from persimmonwell.gateway._connection_pool import ConnectionPool
+from persimmonwell.gateway._http_connection import AnswerMatch
 from persimmonwell.gateway._placement_duty import PlacementDuty
 from persimmonwell.gateway._replica_calls import CallAnswer
 from persimmonwell.observe import DecisionLog
--- a/tests/gateway/test_socket_buffers.py
+++ b/tests/gateway/test_socket_buffers.py
@@ -11,7 +11,7 @@
     SocketBuffers,
 )
 from persimmonwell.gateway._caller_connection import CallerConnection
-from persimmonwell.gateway._http_connection import set_buffer_sizes
+from persimmonwell.gateway._socket_options import set_buffer_sizes
 
 BODY_BYTES = 1_000_000
 SIZES = SocketBuffers(send_bytes=16_384)
