Split the attempt at an upstream from the exchange

No change of behaviour. `pytest tests/gateway/test_exchange.py tests/gateway/test_spoiled_streams.py tests/gateway/test_faulted_requests.py tests/test_docs.py`: all pass before and after. Conclusion: both files have one reason to change.

--- a/persimmonwell/gateway/_exchange.py
+++ b/persimmonwell/gateway/_exchange.py
@@ -17,22 +17,18 @@
     Send,
     StreamPosition,
 )
+from persimmonwell.gateway._attempt import MAX_BUFFERED_BYTES, Attempt
 from persimmonwell.gateway._caller_connection import CallerConnection
 from persimmonwell.gateway._caller_requests import RawRequest
 from persimmonwell.gateway._connection_pool import ConnectionPool
 from persimmonwell.gateway._event_stream import EventStreamParser
-from persimmonwell.gateway._http_connection import RawHeaders, UpstreamConnection
+from persimmonwell.gateway._http_connection import UpstreamConnection
 from persimmonwell.platform import (
-    AnswerHead,
-    decode_answer_head,
     encode_request_head,
     forwarded_answer_headers,
     local_answer_headers,
 )
 
-MAX_BUFFERED_BYTES = 262_144
-"""A plain answer up to this size is buffered until it is complete, so that a truncated
-one can be retried; larger ones are forwarded as they arrive."""
 COVERED_ANSWER_BYTES = 16_384
 """Held bytes of an answer that are not charged, so that a small one costs nothing."""
 MAX_JOINED_BODY_BYTES = 16_384
@@ -101,85 +97,6 @@
         """Give a request on which an unexpected error was raised its final answer."""
 
 
-class _Attempt:
-    """Attempt at one upstream, which collects its answer.
-
-    The exchange ignores events of attempts other than the current one. An unexpected
-    error ends the exchange, and does not count as a fault of the upstream.
-    """
-
-    def __init__(self, exchange: "Exchange", send: Send) -> None:
-        self.exchange = exchange
-        self.send = send
-        self.connection: UpstreamConnection | None = None
-        self.head: AnswerHead | None = None
-        self.headers: RawHeaders = ()
-        self.body_use = BodyUse.DISCARD
-        self.body: bytes | bytearray = b""
-        self.body_bytes = 0
-
-    def on_head(self, status: int, headers: RawHeaders) -> None:
-        """Decode the head of the answer and the keep-alive time it advertises."""
-        self._contain(lambda: self._receive_head(status, headers))
-
-    def on_data(self, data: bytes) -> None:
-        """Forward a part of a stream, or buffer a part of a plain answer."""
-        # Written out, since it is called for each event of a stream.
-        try:
-            if self.body_use is BodyUse.FORWARD_EVENTS:
-                self.exchange.forward_events(self, data)
-            else:
-                self._receive_data(data)
-        except Exception as error:
-            self.exchange.fault(error)
-
-    def on_end(self, *, is_framed: bool) -> None:
-        """End the attempt with a complete answer."""
-        self.connection = None
-        self._contain(lambda: self.exchange.answer_ended(self, is_framed=is_framed))
-
-    def on_broken(self, detail: str) -> None:
-        """End the attempt with a truncated or malformed answer."""
-        self.connection = None
-        self._contain(lambda: self.exchange.answer_broken(self, detail))
-
-    def _contain(self, handle: Callable[[], None]) -> None:
-        try:
-            handle()
-        except Exception as error:
-            self.exchange.fault(error)
-
-    def _receive_head(self, status: int, headers: RawHeaders) -> None:
-        self.head = decode_answer_head(status, headers)
-        self.headers = list(headers)
-        if self.connection is not None:
-            self.connection.keep_alive_s = self.head.keep_alive_s
-        self.body_use = self.exchange.use_body(self)
-        self.exchange.head_received(self)
-
-    def _receive_data(self, data: bytes) -> None:
-        self.body_bytes += len(data)
-        if self.body_use is not BodyUse.DISCARD:
-            self._append(data)
-            has_room = self.exchange.hold_answer(len(self.body))
-            if has_room and self.body_bytes <= MAX_BUFFERED_BYTES:
-                return
-        elif self.body_bytes <= MAX_BUFFERED_BYTES:
-            return
-        if self.body_use is BodyUse.FORWARD_PLAIN:
-            self.exchange.forward_large_answer(self)
-        else:
-            self.exchange.reject_large_answer(self)
-
-    def _append(self, data: bytes) -> None:
-        if not self.body:
-            self.body = data
-            return
-        if not isinstance(self.body, bytearray):
-            self.body = bytearray(self.body)
-        self.body += data
-
-
 class Exchange:
     """One request from its arrival to the end of its answer.
 
@@ -212,12 +129,12 @@
         self._raw: RawRequest | None = raw
         """None after the end, so that no cycle of references keeps a large body."""
         self._is_stream = is_stream
-        self._current_attempt: _Attempt | None = None
-        self._last_attempt: _Attempt | None = None
+        self._current_attempt: Attempt | None = None
+        self._last_attempt: Attempt | None = None
         self._position = StreamPosition(request.last_event_id)
         self._event_parser = EventStreamParser(self._position)
         self._answer = AnswerState()
-        self._failed_attempt: _Attempt | None = None
+        self._failed_attempt: Attempt | None = None
         self._used_connections: list[UpstreamConnection] = []
         """A late second copy of the answer to an attempt bears the same request id as
         the next attempt, which therefore uses another connection."""
@@ -259,7 +176,7 @@
         self._event_parser.begin_attempt()
         if self._is_held_charged:
             self.hold_answer(0)
-        current = self._current_attempt = self._last_attempt = _Attempt(self, send)
+        current = self._current_attempt = self._last_attempt = Attempt(self, send)
         max_idle_s = (
             MAX_IDLE_S if send.may_reuse_idle_connection else MAX_IDLE_UNRETRYABLE_S
         )
@@ -272,7 +189,7 @@
         loop = asyncio.get_running_loop()
         self._connecting = loop.create_task(self._connect(current))
 
-    async def _connect(self, attempt: _Attempt) -> None:
+    async def _connect(self, attempt: Attempt) -> None:
         try:
             connection = await self._owner.pool.connect(attempt.send.address)
         except (OSError, TimeoutError) as error:
@@ -291,7 +208,7 @@
         except Exception as error:
             self.fault(error)
 
-    def _write(self, attempt: _Attempt, connection: UpstreamConnection) -> None:
+    def _write(self, attempt: Attempt, connection: UpstreamConnection) -> None:
         send, raw = attempt.send, self._raw
         assert raw is not None
         remaining_ms = int((send.deadline_s - self._owner.now_s()) * 1000)
@@ -398,15 +315,15 @@
         self._is_held_charged = True
         return self._caller.hold_answer_bytes(count, is_forced=is_forced)
 
-    def _is_current(self, attempt: _Attempt) -> bool:
+    def _is_current(self, attempt: Attempt) -> bool:
         return attempt is self._current_attempt and not self._answer.is_ended
 
-    def use_body(self, attempt: _Attempt) -> BodyUse:
+    def use_body(self, attempt: Attempt) -> BodyUse:
         """Return what to do with the body that follows the head of an answer."""
         assert attempt.head is not None
         return self._answer.body_use(attempt.head.facts, is_stream=self.is_stream)
 
-    def head_received(self, attempt: _Attempt) -> None:
+    def head_received(self, attempt: Attempt) -> None:
         """Report what the head of an answer says."""
         if not self._is_current(attempt):
             return
@@ -421,7 +338,7 @@
         if attempt.body_use in (BodyUse.FORWARD_EVENTS, BodyUse.FORWARD_PLAIN):
             self._owner.answer_opened(self)
 
-    def forward_events(self, attempt: _Attempt, data: bytes) -> None:
+    def forward_events(self, attempt: Attempt, data: bytes) -> None:
         """Forward the events that are complete."""
         if not self._is_current(attempt):
             return
@@ -437,7 +354,7 @@
         elif held_bytes > MAX_EVENT_BYTES:
             self._abort_attempt(attempt, AttemptFailure.BROKEN, "event without end")
 
-    def _write_events(self, attempt: _Attempt, data: bytes) -> None:
+    def _write_events(self, attempt: Attempt, data: bytes) -> None:
         if not self._answer.has_begun:
             self._begin_answer(attempt, data, self._answer.add_events)
         else:
@@ -452,7 +369,7 @@
 
     def _begin_answer(
         self,
-        attempt: _Attempt,
+        attempt: Attempt,
         data: bytes | bytearray,
         record_begin: Callable[[], None],
     ) -> None:
@@ -465,7 +382,7 @@
         self._caller.begin_answer(attempt.head.status, headers, data)
         self._owner.answer_began(self)
 
-    def forward_large_answer(self, attempt: _Attempt) -> None:
+    def forward_large_answer(self, attempt: Attempt) -> None:
         """Forward the buffered part of an answer that is too large to buffer."""
         if not self._is_current(attempt):
             return
@@ -476,7 +393,7 @@
         else:
             self._begin_answer(attempt, data, self._answer.begin_plain)
 
-    def reject_large_answer(self, attempt: _Attempt) -> None:
+    def reject_large_answer(self, attempt: Attempt) -> None:
         """Abort an attempt whose failure has a body that is too large to keep."""
         assert attempt.head is not None
         facts = attempt.head.facts
@@ -488,7 +405,7 @@
         self._abort_attempt(attempt, failure, detail, attempt.head.fault_address)
 
     def _judge_end(
-        self, attempt: _Attempt, *, is_framed: bool
+        self, attempt: Attempt, *, is_framed: bool
     ) -> Completion | FailedAttempt:
         assert attempt.head is not None
         return self._answer.judge_end(
@@ -498,7 +415,7 @@
             is_framed=is_framed,
         )
 
-    def answer_ended(self, attempt: _Attempt, *, is_framed: bool) -> None:
+    def answer_ended(self, attempt: Attempt, *, is_framed: bool) -> None:
         """Complete the caller's answer, or report the failure of the attempt."""
         if not self._is_current(attempt):
             return
@@ -526,21 +443,21 @@
             self._caller.end_answer()
         self._owner.answer_completed(self, head.status)
 
-    def _forward_answer(self, attempt: _Attempt) -> None:
+    def _forward_answer(self, attempt: Attempt) -> None:
         assert attempt.head is not None
         headers = list(forwarded_answer_headers(attempt.headers))
         body = attempt.body
         self._end_answer()
         self._caller.write_answer(attempt.head.status, headers, body)
 
-    def answer_broken(self, attempt: _Attempt, detail: str) -> None:
+    def answer_broken(self, attempt: Attempt, detail: str) -> None:
         """Report a truncated or malformed answer."""
         if self._is_current(attempt):
             self._report_failure(attempt, AttemptFailure.BROKEN, detail)
 
     def _abort_attempt(
         self,
-        attempt: _Attempt,
+        attempt: Attempt,
         failure: AttemptFailure,
         detail: str,
         fault_address: str | None = None,
@@ -552,7 +469,7 @@
 
     def _report_failure(
         self,
-        attempt: _Attempt,
+        attempt: Attempt,
         failure: AttemptFailure,
         detail: str,
         fault_address: str | None = None,
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -15,8 +15,9 @@
     ReplicaStatement,
     Send,
 )
+from persimmonwell.gateway._attempt import MAX_BUFFERED_BYTES
 from persimmonwell.gateway._caller_requests import RawRequest
-from persimmonwell.gateway._exchange import MAX_BUFFERED_BYTES, Exchange
+from persimmonwell.gateway._exchange import Exchange
 
 LAST_EVENT = 6
 LARGE_BODY = MAX_BUFFERED_BYTES + 9
