--- a/persimmonwell/gateway/_listeners.py
+++ b/persimmonwell/gateway/_listeners.py
@@ -5,8 +5,12 @@
 import time
 from collections.abc import Callable
 
-from persimmonwell.core.resources import STATUS_BUFFER_BYTES, UPLOAD_BUFFER_BYTES
-from persimmonwell.gateway._http_connection import set_buffer_sizes
+from persimmonwell.core.resources import (
+    STATUS_BUFFER_BYTES,
+    UPLOAD_BUFFER_BYTES,
+    Pacer,
+)
+from persimmonwell.gateway._socket_options import set_buffer_sizes
 from persimmonwell.gateway._status_server import (
     ACCEPTS_PER_TURN as STATUS_ACCEPTS_PER_TURN,
 )
@@ -39,6 +43,7 @@
         self._answer_control = answer_control
         self._answer_peers_and_metrics = answer_peers_and_metrics
         self._record_client = record_client
+        self._status_pacer = Pacer()
         self._servers: list[asyncio.Server] = []
         self._status_servers: list[StatusServer] = []
         self._callers_socket: socket.socket | None = None
@@ -80,6 +85,7 @@
             answer,
             clock=time.monotonic,
             on_terminated=lambda reason: self._record_client("terminated", reason),
+            pacer=self._status_pacer,
         )
         self._status_servers.append(status_server)
         await self._listen(
--- a/tests/gateway/test_caller_overload.py
+++ b/tests/gateway/test_caller_overload.py
@@ -17,7 +17,7 @@
     MAX_PIPELINED_REQUESTS,
     CallerConnection,
 )
-from persimmonwell.gateway._caller_requests import RawRequest
+from persimmonwell.gateway._caller_requests import REQUEST_PARTS, RawRequest
 from persimmonwell.gateway._http_connection import (
     BODY_SLICE_BYTES,
     WRITE_HIGH_WATER_BYTES,
@@ -108,11 +108,13 @@
     ) -> None:
         self.budget = budget or MemoryBudget(16 * MB, policy=policy)
         self.requests: list[RawRequest] = []
+        self.answers_at_once = False
+        """Whether a request is answered before the next byte is parsed."""
         self.refusals: list[str] = []
         self.transport = MemoryTransport()
         self.connection = CallerConnection(
             limits=lambda: LIMITS,
-            on_request=lambda caller, request: self.requests.append(request),
+            on_request=self._take_request,
             is_draining=lambda: False,
             on_open_change=lambda caller, is_open: None,
             budget=self.budget,
@@ -122,6 +124,11 @@
         self.transport.protocol = self.connection
         self.connection.connection_made(self.transport)
 
+    def _take_request(self, caller: CallerConnection, request: RawRequest) -> None:
+        self.requests.append(request)
+        if self.answers_at_once:
+            caller.write_answer(404, (), b"")
+
     def receive(self, data: bytes, piece: int = 65_536) -> None:
         """Hand bytes over as a transport does, while it is not paused."""
         for start in range(0, len(data), piece):
@@ -153,7 +160,8 @@
 
 
 GET = head("Content-Length: 0")
-CHUNKED = head("Transfer-Encoding: chunked")
+CHUNKED_LINE = "Transfer-Encoding: chunked"
+CHUNKED = head(CHUNKED_LINE)
 
 
 def test_few_requests_of_a_pipeline_are_parsed() -> None:
@@ -331,6 +339,32 @@
     on_loop(run)
 
 
+@pytest.mark.parametrize("head_line", ["Content-Length: 4194304", CHUNKED_LINE])
+def test_client_may_send_the_rest_of_a_refused_body(head_line: str) -> None:
+    """Guards against a client that gets a reset in place of the refusal."""
+
+    async def run() -> None:
+        policy = CallerPolicy(discard_bytes=100_000, max_waiting_uploads=0)
+        budget = MemoryBudget(8 * MB, policy=policy)
+        upload(Caller(budget=budget, policy=policy), 4 * MB)
+        refused = Caller(budget=budget, policy=policy)
+        refused.receive(head(head_line))
+        sent_bytes = 0
+        if head_line == CHUNKED_LINE:
+            refused.receive(b"400000\r\n")
+        while not refused.statuses and sent_bytes < 3 * MB:
+            refused.receive(b"x" * 65_536)
+            sent_bytes += 65_536
+        assert refused.statuses == [503]
+        refused.receive(b"x" * (4 * MB - sent_bytes))
+        assert not refused.transport.is_closing()
+        # No more than the limits allow.
+        refused.receive(b"x" * (100_000 + 2 * 65_536))
+        assert refused.transport.is_closing()
+
+    on_loop(run)
+
+
 def test_refusal_waits_for_the_answers_before_it() -> None:
     """Guards against a refusal that takes the place of an earlier answer."""
 
@@ -421,6 +455,22 @@
     on_loop(run)
 
 
+@pytest.mark.parametrize("zeros", [0, 1, 5000])
+def test_leading_zeros_of_a_length_are_ignored(zeros: int) -> None:
+    """Guards against a length that counts as a fault of the host."""
+
+    async def run() -> None:
+        caller = Caller()
+        for length in (4, 0):
+            caller.receive(head(f"Content-Length: {'0' * zeros}{length}") + b"body")
+            assert bytes(caller.requests[-1].body) == b"body"[:length]
+            caller.connection.write_answer(200, (), b"")
+            await turns()
+        assert caller.statuses[:2] == [200, 200]
+
+    on_loop(run)
+
+
 def test_small_requests_are_served_while_uploads_fill_the_budget() -> None:
     """Guards against ordinary callers that fail because of uploads."""
 
@@ -477,6 +527,56 @@
     on_loop(run)
 
 
+@pytest.mark.parametrize(
+    "request_bytes",
+    [GET, b"\r\n" * 2048 + GET, CHUNKED + b"0\r\n\r\n", CHUNKED + b"0\r\na:b\r\n\r\n"],
+    ids=["plain", "empty lines", "empty body", "trailer"],
+)
+def test_requests_that_are_answered_at_once_give_others_their_turn(
+    request_bytes: bytes,
+) -> None:
+    """Guards against pipelined requests for unknown routes; no ordinary one ended."""
+
+    async def run() -> None:
+        caller = Caller()
+        caller.answers_at_once = True
+        count = 65_536 // len(request_bytes) + 1
+        caller.receive(request_bytes * count, len(request_bytes) * count)
+        most = MAX_PARTS_A_TURN // REQUEST_PARTS + 1
+        assert len(caller.requests) <= most
+        # Answers that are completed do not start further requests early.
+        await turns()
+        assert len(caller.requests) <= 4 * most
+        while len(caller.requests) < count:
+            await asyncio.sleep(0.001)
+        await turns()
+        assert caller.transport.is_reading
+        assert caller.statuses == [404] * count
+        assert caller.budget.used_bytes == BASE_CHARGE_BYTES
+
+    on_loop(run)
+
+
+def test_tiny_chunks_of_one_client_are_not_delayed_much() -> None:
+    """Guards against a body that took five minutes without any load."""
+
+    async def run() -> None:
+        caller = Caller()
+        body = b"1\r\nx\r\n" * 100_000 + b"0\r\n\r\n"
+        start_s = asyncio.get_running_loop().time()
+        for start in range(0, len(CHUNKED + body), 65_536):
+            while not caller.transport.is_reading:
+                await asyncio.sleep(0.001)
+            caller.receive((CHUNKED + body)[start : start + 65_536])
+        while not caller.requests:
+            await asyncio.sleep(0.001)
+        assert len(caller.requests[0].body) == 100_000
+        # With a fixed delay of 50 ms a turn it took 7 s.
+        assert asyncio.get_running_loop().time() - start_s < 5.0
+
+    on_loop(run)
+
+
 def test_many_headers_are_charged() -> None:
     """Guards against heads whose objects take far more memory than their bytes."""
 
