Show no size of a purpose whose bytes were all credited back

Cause: the budget lists only purposes that have bytes, and the gauge persimmonwell_gateway_bytes kept the last size of a purpose that is not listed any more. The docs call a value that stays without load a leak. Change: a purpose that was shown before and has no bytes is shown as 0.

--- a/persimmonwell/gateway/_metrics.py
+++ b/persimmonwell/gateway/_metrics.py
@@ -104,6 +104,8 @@
         self._bytes_in_use = Gauge(
             f"{PREFIX}_bytes", "Bytes in use by purpose.", registry=self._registry
         )
+        self._shown_purposes: set[str] = set()
+        """Purposes that had bytes when the metrics were read before."""
         self._descriptors = Gauge(
             f"{PREFIX}_descriptors",
             "Open descriptors by use.",
@@ -193,8 +195,13 @@
         """Read the gauges and return all metrics as text."""
         for name, read in self._gauge_readers.items():
             self._gauges.set({"name": name}, read())
-        for purpose, size in self._read_bytes().items():
+        sizes = self._read_bytes()
+        # A purpose without bytes is not listed any more, and its last size would stay.
+        for purpose in self._shown_purposes.difference(sizes):
+            self._bytes_in_use.set({"purpose": purpose}, 0)
+        for purpose, size in sizes.items():
             self._bytes_in_use.set({"purpose": purpose}, size)
+        self._shown_purposes.update(sizes)
         for use, count in self._read_descriptors().items():
             self._descriptors.set({"use": use}, count)
         self._shares.values.clear()
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -41,3 +41,13 @@
     assert f"workspace_share{labels} 0.25" in metrics.render().decode()
     shares.clear()
     assert "workspace_share{" not in metrics.render().decode()
+
+
+def test_purposes_without_bytes_fall_to_zero() -> None:
+    """Guards against a size that is shown after all its bytes were credited back."""
+    metrics = GatewayMetrics()
+    sizes = {"bodies": 9.0}
+    metrics.set_resource_readers(read_bytes=lambda: sizes, read_descriptors=dict)
+    assert 'bytes{purpose="bodies"} 9.0' in metrics.render().decode()
+    sizes.clear()
+    assert 'bytes{purpose="bodies"} 0' in metrics.render().decode()
