End requests that arrive in single bytes while others wait for a thread

Cause: a transfer counted as stalled after 2 s without a byte, so clients that send one byte every 0.3 s held all threads of a port of persimmonwelld until the rate was judged after 60 s, and /readyz got no answer. Change: while requests wait for a thread, a request that has been read for 2 s at a recent rate below min_body_bytes_per_s (64 bytes/s) counts as stalled too.

--- a/persimmonwell/front/_caller_connections.py
+++ b/persimmonwell/front/_caller_connections.py
@@ -360,13 +360,26 @@
             ]
             # A body that waits for memory is not read, and has another bound.
             idle_s = {
-                c: c.progress.idle_s(now_s) for c in reading if not c.progress.is_paused
+                c: self._stalled_s(c.progress, now_s)
+                for c in reading
+                if not c.progress.is_paused
             }
         stalled = choose_stalled(idle_s, needed=waiting, stall_s=policy.stall_s)
         for connection in {*slow, *stalled}:
             connection.time_out()
             self._count_ended(RefusalReason.SLOW_BODY.value)
 
+    def _stalled_s(self, progress: Progress, now_s: float) -> float:
+        """Return the time without progress; single bytes are no progress.
+
+        Clients that send a byte now and then would otherwise hold all threads.
+        """
+        idle_s, observed_s = progress.idle_s(now_s), progress.observed_s(now_s)
+        is_slow = progress.bytes_per_s(now_s) < self.policy.min_body_bytes_per_s
+        if is_slow and observed_s >= self.policy.stall_s:
+            return max(idle_s, self.policy.stall_s)
+        return idle_s
+
     def reserve(self, connection: CallerConnection, length: int) -> BodyReservation:
         """Return the memory of a body, after waiting for it if there is none.
 
--- a/tests/front/test_http_server.py
+++ b/tests/front/test_http_server.py
@@ -1,5 +1,6 @@
 """Tests of the HTTP server with malformed requests and slow callers."""
 
+import select
 import socket
 import threading
 import time
@@ -210,3 +211,35 @@
     assert ended == ["no_memory"]
     stalled.close()
     server.close()
+
+
+def test_single_bytes_keep_no_thread_while_requests_wait() -> None:
+    """Guards against clients that hold all threads with a byte now and then."""
+    server = HttpServer(
+        address="127.0.0.1:0",
+        threads=1,
+        max_body_bytes=4096,
+        io_timeout_s=10.0,
+        handler=_echo,
+        memory=CallerMemory(64, CallerPolicy(stall_s=0.5)),
+        count_ended=lambda reason: None,
+    )
+    server.start()
+    trickling, waiting = _connect(server), _connect(server)
+    trickling.sendall(POST + b"X-Long: ")
+    # More than one byte in stall_s, but fewer than the least rate, for 8 s.
+    for number in range(40):
+        if number == 1:
+            waiting.sendall(POST + b"Content-Length: 0\r\n\r\n")
+        time.sleep(0.2)
+        try:
+            trickling.sendall(b"x")
+        except OSError:
+            break
+        if select.select([waiting], [], [], 0.0)[0]:
+            break
+    waiting.settimeout(0.1)
+    assert waiting.recv(65_536).startswith(b"HTTP/1.1 200")
+    trickling.close()
+    waiting.close()
+    server.close()
