Split reading and time-outs of a caller's connection into modules

Change: _caller_input.py (CallerInput: slices, turns of the event loop, pauses, upload buffer, discarding) and _caller_time_outs.py (CallerTimeOuts: the timer and the checks of progress) hold their own state and see the connection through a protocol. CallerConnection keeps the order of requests, answers and refusals. RequestHandler moves to _caller_requests.py; encode_answer_head also writes the framing. The test changes in its imports alone.

--- a/persimmonwell/gateway/_caller_answers.py
+++ b/persimmonwell/gateway/_caller_answers.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from http import HTTPStatus
 
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _KNOWN_STATUSES = frozenset(HTTPStatus)
 
 
@@ -55,15 +56,23 @@
 
 
 def encode_answer_head(
-    status: int, headers: Iterable[tuple[bytes, bytes]], *, is_last: bool
+    status: int,
+    headers: Iterable[tuple[bytes, bytes]],
+    body_bytes: int | None,
+    *,
+    is_last: bool,
 ) -> bytes:
-    """Return the lines of a head, without the empty one that ends it."""
+    """Return the head of an answer, which is chunked without a size of its body."""
     phrase = HTTPStatus(status).phrase if status in _KNOWN_STATUSES else "Unknown"
     lines = [f"HTTP/1.1 {status} {phrase}".encode()]
     lines += [name + b": " + value for name, value in headers]
     if is_last:
         lines.append(b"connection: close")
-    return b"\r\n".join(lines) + b"\r\n"
+    if body_bytes is None:
+        lines.append(b"transfer-encoding: chunked\r\n\r\n")
+    else:
+        lines.append(b"content-length: %d\r\n\r\n" % body_bytes)
+    return b"\r\n".join(lines)
 
 
 def encode_chunk(data: bytes | bytearray) -> bytes:
--- a/persimmonwell/gateway/_caller_requests.py
+++ b/persimmonwell/gateway/_caller_requests.py
@@ -56,6 +56,16 @@
         return memory + (0 if self.resources else len(self.body))
 
 
+class RequestHandler(Protocol):
+    """Receiver of the connection events of one request."""
+
+    def caller_left(self) -> None:
+        """Stop all work for the request, since the caller closed its connection."""
+
+    def set_upstream_paused(self, paused: bool) -> None:
+        """Pause or resume reading from the upstream as the caller's buffer fills."""
+
+
 class RequestReceiver(Protocol):
     """Receiver of what the parser finds."""
 
--- a/tests/gateway/test_caller_overload.py
+++ b/tests/gateway/test_caller_overload.py
@@ -12,11 +12,8 @@
     MemoryBudget,
 )
 from persimmonwell.gateway._caller_charges import BASE_CHARGE_BYTES
-from persimmonwell.gateway._caller_connection import (
-    MAX_PARTS_A_TURN,
-    MAX_PIPELINED_REQUESTS,
-    CallerConnection,
-)
+from persimmonwell.gateway._caller_connection import CallerConnection
+from persimmonwell.gateway._caller_input import MAX_PARTS_A_TURN, MAX_PIPELINED_REQUESTS
 from persimmonwell.gateway._caller_requests import REQUEST_PARTS, RawRequest
 from persimmonwell.gateway._http_connection import (
     BODY_SLICE_BYTES,
