--- a/persimmonwell/core/forwarding/_health.py
+++ b/persimmonwell/core/forwarding/_health.py
@@ -30,7 +30,7 @@
 """Time until a replica that is taken for draining is tried again."""
 LATE_ANSWER_S = 0.05
 """Time for which the answer to an overdue probe may still come: on a busy machine a
-live replica answered 50 ms after the probe, 17 ms after that was overdue."""
+live replica answered about 50 ms after the probe was sent."""
 SLOWNESS_TTL_S = 2.5
 """Validity of a measured slowness; while streams through the replica are silent, the
 next probe comes earlier."""
