Limit the datagrams of a notice to a large zone

Cause: with 70 hosts in a zone the batches of one read filled the readers' links (34.7 MB a reader in place of 3.8 MB before traffic, 210 hosts with 1,960 replicas), most were dropped, and 357 lists were read instead of 428. Change: batches are sent while they take at most 64 datagrams; otherwise the newest 30 changes are sent as before, and the other hosts list the registry.

--- a/persimmonwell/gateway/_peer_datagrams.py
+++ b/persimmonwell/gateway/_peer_datagrams.py
@@ -49,6 +49,9 @@
 """Maximum datagrams of one send, round-robin over the peers. Sending to every peer each
 time took most of the processor time of 35 hosts; this limits a host to 24 datagrams a
 second, and 16 more while there are addresses from which it has not heard."""
+MAX_NOTICE_DATAGRAMS = 64
+"""Datagrams of one notice to the zone. With 70 hosts in a zone, seven batches for each
+filled the link of the sender, which dropped most of them."""
 MAX_MISSED_REPORTS = 2.5
 """Report intervals of a peer without a report after which it is not live."""
 PEER_EXPIRY_S = 20.0
@@ -322,7 +325,8 @@
     def send_to_zone(self, batches: Sequence[RegistryChanges] = ()) -> None:
         """Send the state to all peers of the availability zone, after a change.
 
-        Changes of the registry in several batches take a datagram each.
+        Each batch takes a datagram. Where that would be too many, the newest changes of
+        the state are sent instead.
         """
         zone_addresses = sorted(self._zone_addresses())
         if not zone_addresses:
@@ -331,8 +335,10 @@
             math.ceil(len(zone_addresses) / ZONE_PEERS_PER_SEND) * SEND_INTERVAL_S
         )
         state = self._local_state()
-        states = [attrs.evolve(state, registry_changes=batch) for batch in batches]
-        for each in states or [state]:
+        states = [state]
+        if 0 < len(batches) * len(zone_addresses) <= MAX_NOTICE_DATAGRAMS:
+            states = [attrs.evolve(state, registry_changes=batch) for batch in batches]
+        for each in states:
             self._transmit(zone_addresses, interval_s, each)
 
     def _zone_addresses(self) -> set[str]:
--- a/tests/gateway/test_peer_datagrams.py
+++ b/tests/gateway/test_peer_datagrams.py
@@ -36,6 +36,7 @@
     LocalState,
     PeerDatagrams,
     PeerReport,
+    _PeerEntry,
 )
 from standins.platform_config import free_port
 from tests.core.forwarding.fleets import desk_replica, staged_replica
@@ -397,6 +398,30 @@
     assert reached_addresses == set(one._learned_addresses)
 
 
+@pytest.mark.parametrize(("host_count", "sent_count"), [(10, 30), (21, 63), (70, 70)])
+def test_datagrams_of_a_notice_are_limited_in_a_large_zone(
+    clock: _Clock, host_count: int, sent_count: int
+) -> None:
+    """Guards against a reader whose link is full with the changes that it relays."""
+    one, _ = peer("h1", "10.0.0.1", 7000, clock)
+    sent: list[bytes] = []
+
+    class _Transport:
+        def is_closing(self) -> bool:
+            return False
+
+        def sendto(self, data: bytes, addr: tuple[str, int]) -> None:
+            sent.append(data)
+
+    one._transport = _Transport()  # type: ignore[assignment]
+    one._peers = {
+        f"10.0.1.{number}": _PeerEntry(report_of(f"h{number}").status, 0.0, 9.0)
+        for number in range(host_count)
+    }
+    one.send_to_zone([CHANGES] * 3)
+    assert len(sent) == sent_count
+
+
 def test_hosts_of_two_builds_understand_each_other(clock: _Clock) -> None:
     """Guards against two builds that do not hear each other in a rolling upgrade."""
     one, reports = peer("h1", "127.0.0.1", 1, clock)
