--- a/persimmonwell/core/forwarding/_registry.py
+++ b/persimmonwell/core/forwarding/_registry.py
@@ -20,7 +20,7 @@
 MAX_KEPT_CHANGES = 200
 """Changes that a host keeps although it does not relay them."""
 
-MAX_RELAYED_CHANGES = 4096
+MAX_KEPT_FOR_RELAY = 4096
 """Changes that a host which relays them keeps. When layers are placed or all replicas
 restart, one read of the store changes some hundred entries; 1,000 hosts have some 3,300
 replicas."""
@@ -340,7 +340,7 @@
         self._changed_offset = max(self._changed_offset, record.offset)
         self._changes.append(_Change(record, now_s))
         is_relayed = now_s - self._relayed_s <= RELAY_PAUSE_S
-        limit = MAX_RELAYED_CHANGES if is_relayed else MAX_KEPT_CHANGES
+        limit = MAX_KEPT_FOR_RELAY if is_relayed else MAX_KEPT_CHANGES
         while len(self._changes) > limit:
             self._drop_oldest_change()
         self._pending_count = min(self._pending_count + 1, len(self._changes))
