Merge the loops of _reroutes.py that end a faulted request

Cause: reroute_off_suspects and restart_overtaken repeated the same loop. Change: one method applies a change to each request and ends the one on which an error is raised. The overtaken streams are selected before the first is restarted; a restart changes only its own stream. Measured: test_stalls.py, test_router.py, test_zone_choice.py and tests/gateway/test_faulted_requests.py pass.

--- a/persimmonwell/core/forwarding/_reroutes.py
+++ b/persimmonwell/core/forwarding/_reroutes.py
@@ -4,7 +4,8 @@
 nearly full and refuse some of the path changes.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
+from functools import partial
 
 from persimmonwell.core.forwarding._active import ActiveRequest
 from persimmonwell.core.forwarding._crash_reports import record_suspected_crash
@@ -99,13 +100,10 @@
             if active.silent_s(now_s)
             >= (self._stalls.early_silence_s(active) if is_tick else REROUTE_SILENCE_S)
         ]
-        decisions: list[Decision] = []
-        for active in sorted(silent, key=_prompt_tokens):
-            try:
-                decisions += self._leave_suspects(active, now_s, is_suspect)
-            except Exception as error:
-                decisions += self._requests.end_faulted(active, error)
-        return tuple(decisions)
+        return self._apply_to_each(
+            sorted(silent, key=_prompt_tokens),
+            partial(self._leave_suspects, now_s=now_s, is_suspect=is_suspect),
+        )
 
     def restart_overtaken(self, now_s: float) -> tuple[Decision, ...]:
         """Run streams again whose answer is lost although their replica is alive.
@@ -131,16 +129,13 @@
             if active.has_answer_part:
                 earlier_s = answered_s.get(active.replica_id, float("-inf"))
                 answered_s[active.replica_id] = max(earlier_s, active.sent_s)
-        decisions: list[Decision] = []
-        for active in waiting:
-            begun_s = max(active.sent_s, active.rerouted_s)
-            if answered_s.get(active.replica_id, float("-inf")) <= begun_s:
-                continue
-            try:
-                decisions += self._restart(active, now_s)
-            except Exception as error:
-                decisions += self._requests.end_faulted(active, error)
-        return tuple(decisions)
+        overtaken = [
+            active
+            for active in waiting
+            if answered_s.get(active.replica_id, float("-inf"))
+            > max(active.sent_s, active.rerouted_s)
+        ]
+        return self._apply_to_each(overtaken, partial(self._restart, now_s=now_s))
 
     def reroute_failed(
         self,
@@ -176,6 +171,20 @@
             return ()
         return self._restart(active, now_s)
 
+    def _apply_to_each(
+        self,
+        requests: Iterable[ActiveRequest],
+        change: Callable[[ActiveRequest], tuple[Decision, ...]],
+    ) -> tuple[Decision, ...]:
+        """Change each request; one on which an error is raised ends alone."""
+        decisions: list[Decision] = []
+        for active in requests:
+            try:
+                decisions += change(active)
+            except Exception as error:
+                decisions += self._requests.end_faulted(active, error)
+        return tuple(decisions)
+
     def _leave_suspects(
         self,
         active: ActiveRequest,
