Discard shortages of services that a configuration has removed

Cause: RoomShortages kept an entry for each service that was ever configured. Change: a new configuration discards the services that it does not name. The call is in _arrivals.py, where configurations are applied. A request that is still open may record its service once more; the next configuration discards it. Measured: the new test fails without the call in _arrivals.py and passes with it.

--- a/persimmonwell/core/forwarding/_arrivals.py
+++ b/persimmonwell/core/forwarding/_arrivals.py
@@ -75,6 +75,7 @@
         if current is not None and config.version <= current.version:
             return False
         self._route_table = RouteTable(config)
+        self._upstreams.retain_services({spec.name for spec in config.services})
         of_routes = {route.priority for route in config.routes}
         of_tenants = {
             tenant.priority
--- a/persimmonwell/core/forwarding/_room_shortages.py
+++ b/persimmonwell/core/forwarding/_room_shortages.py
@@ -5,6 +5,7 @@
 """
 
 from collections import defaultdict
+from collections.abc import Container
 
 SHORTAGE_S = 1.0
 """Time for which a request without room counts. Memory becomes free over about as long
@@ -19,6 +20,12 @@
         self._found_s: dict[str, dict[int, float]] = defaultdict(dict)
         """By service and priority, as many as the configuration names."""
 
+    def retain(self, services: Container[str]) -> None:
+        """Discard the services that the configuration in force does not name."""
+        for service in list(self._found_s):
+            if service not in services:
+                del self._found_s[service]
+
     def record(self, service: str, priority: int, now_s: float) -> None:
         """Record that a request found no room in any zone."""
         self._found_s[service][priority] = now_s
--- a/persimmonwell/core/forwarding/_upstreams.py
+++ b/persimmonwell/core/forwarding/_upstreams.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import defaultdict
+from collections.abc import Container
 
 import attrs
 
@@ -70,6 +71,10 @@
         self._shortages = RoomShortages()
         self._index = ReplicaIndex(self.registry, self.leaving)
 
+    def retain_services(self, services: Container[str]) -> None:
+        """Discard what is kept of services that the configuration does not name."""
+        self._shortages.retain(services)
+
     def available(self, service: str) -> tuple[Replica, ...]:
         """Return the registered replicas of a service that do not leave."""
         return self._index.available(service)
--- a/tests/core/forwarding/test_zone_choice.py
+++ b/tests/core/forwarding/test_zone_choice.py
@@ -21,6 +21,7 @@
 )
 from persimmonwell.core.forwarding._zone_reports import ZoneReports
 from tests.core.forwarding.fleets import (
+    CONFIG,
     desk_replica,
     make_router,
     request,
@@ -142,6 +143,17 @@
     assert kept_share(2, 0.0, is_preceded=True) > kept_share(2, 0.0)
 
 
+def test_a_service_that_a_configuration_removes_leaves_no_shortage() -> None:
+    """Guards against state that grows with each service that was ever configured."""
+    router = make_router(zone="za", seed=1)
+    shortages = router._upstreams._shortages
+    for service in ("removed", CONFIG.services[0].name):
+        shortages.record(service, 0, 5.0)
+    router.configure(attrs.evolve(CONFIG, version=CONFIG.version + 1))
+    assert not shortages.precedes("removed", 1, 5.0)
+    assert shortages.precedes(CONFIG.services[0].name, 1, 5.0)
+
+
 def todays_choice(
     self: UpstreamPool, active: ActiveRequest, now_s: float
 ) -> PipelinePath | None:
