--- a/tests/core/forwarding/plain_replay.py
+++ b/tests/core/forwarding/plain_replay.py
@@ -4,11 +4,9 @@
 the rest. Reports arrive late, as from the datagrams of a fleet in three zones.
 """
 
-import heapq
 import random
 from collections import Counter, deque
-from collections.abc import Callable, Iterator
-from itertools import count
+from collections.abc import Iterator
 from typing import Any
 
 import attrs
@@ -32,8 +30,8 @@
     request,
     route,
 )
+from tests.core.forwarding.router_events import RouterEvents
 
-TICK_S = 0.05
 HOP_S = 0.002
 """Time of a request or an answer on its way."""
 GONE = AttemptFailure.NO_CONNECTION
@@ -119,8 +117,6 @@
         """Replay the arrivals and return the measures."""
         rng = self._rng = random.Random(self.seed)
         self._result = PlainResult()
-        self._events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
-        self._numbers = count()
         self._arrived: dict[int, tuple[float, str, float]] = {}
         self._servers = {
             f"d{n}": _Server(
@@ -130,21 +126,21 @@
         }
         self._zones = [ZONES[n % 3] for n in range(self.hosts)]
         self._routers = [self._make_router(n) for n in range(self.hosts)]
-        for source in range(self.hosts):
-            for target in range(self.hosts):
-                if source != target:
-                    interval_s = self._interval_s(source, target)
-                    at_s = rng.random() * interval_s
-                    self._at(at_s, self._report, source, target, interval_s)
-            self._at(rng.random() * TICK_S, self._tick, source)
+        self._events = RouterEvents(
+            routers=self._routers,
+            zones=self._zones,
+            rng=rng,
+            execute=self._execute,
+            loss=self.loss,
+            unreachable_zone=self.unreachable_zone,
+        )
+        self._events.add_reports_and_ticks()
         for number, at_s in enumerate(self._arrivals()):
             is_first = rng.random() < self.first_share
             host = 0 if is_first else rng.randrange(self.hosts)
-            self._at(at_s, self._arrive, number, host)
-        self._at(self.warm_s, self._remove_replicas)
-        while self._events and self._events[0][0] < self.end_s:
-            now_s, _, call, arguments = heapq.heappop(self._events)
-            call(now_s, *arguments)
+            self._events.at(at_s, self._arrive, number, host)
+        self._events.at(self.warm_s, self._remove_replicas)
+        self._events.run(self.end_s)
         return self._result
 
     def _make_router(self, number: int) -> ForwardingRouter:
@@ -165,21 +161,11 @@
                 return
             yield now_s
 
-    def _interval_s(self, source: int, target: int) -> float:
-        is_near = self._zones[source] == self._zones[target]
-        peers = sum(zone == self._zones[source] for zone in self._zones)
-        others = self.hosts - peers
-        turns = (peers - 1) / 4 if is_near else others / 2
-        return 0.25 * max(1.0, turns)
-
-    def _at(self, at_s: float, call: Callable[..., None], *arguments: Any) -> None:
-        heapq.heappush(self._events, (at_s, next(self._numbers), call, arguments))
-
     def _remove_replicas(self, now_s: float) -> None:
         servers = list(self._servers.values())
         for server in servers[: self.gone]:
             server.is_gone = True
-        self._at(now_s + self.delisted_after_s, self._delist_replicas)
+        self._events.at(now_s + self.delisted_after_s, self._delist_replicas)
 
     def _delist_replicas(self, now_s: float) -> None:
         left = [s.replica for s in self._servers.values() if not s.is_gone]
@@ -200,14 +186,10 @@
         """Return whether a request has its answer before the replay ends."""
         return self.warm_s <= arrived_s < self.end_s - OBJECTIVE_S
 
-    def _tick(self, now_s: float, number: int) -> None:
-        self._execute(now_s, number, self._routers[number].tick(now_s))
-        self._at(now_s + TICK_S, self._tick, number)
-
     def _execute(self, now_s: float, number: int, decisions: tuple[Any, ...]) -> None:
         for decision in decisions:
             if isinstance(decision, Send):
-                self._at(now_s + HOP_S, self._receive, number, decision)
+                self._events.at(now_s + HOP_S, self._receive, number, decision)
             elif isinstance(decision, Finish):
                 self._record_end(now_s, decision)
 
@@ -224,11 +206,13 @@
     def _receive(self, now_s: float, number: int, send: Send) -> None:
         server = self._servers[send.replica_id]
         if server.is_gone:
-            self._at(now_s + HOP_S, self._fail, number, send, GONE)
+            self._events.at(now_s + HOP_S, self._fail, number, send, GONE)
             return
         is_taken = server.running >= server.replica.slots
         if is_taken and len(server.queue) >= server.queue_limit:
-            self._at(now_s + HOP_S, self._fail, number, send, AttemptFailure.NOT_RUN)
+            self._events.at(
+                now_s + HOP_S, self._fail, number, send, AttemptFailure.NOT_RUN
+            )
         elif is_taken:
             server.queue.append((number, send))
         else:
@@ -237,13 +221,13 @@
     def _start(self, now_s: float, server: _Server, number: int, send: Send) -> None:
         server.running += 1
         end_s = now_s + self._rng.uniform(*SERVICE_S)
-        self._at(end_s, self._complete, server, number, send)
+        self._events.at(end_s, self._complete, server, number, send)
 
     def _complete(self, now_s: float, server: _Server, number: int, send: Send) -> None:
         server.running -= 1
         if server.queue:
             self._start(now_s, server, *server.queue.popleft())
-        self._at(now_s + HOP_S, self._answer, number, send)
+        self._events.at(now_s + HOP_S, self._answer, number, send)
 
     def _answer(self, now_s: float, number: int, send: Send) -> None:
         arrived_s, name, _ = self._arrived[send.key]
@@ -264,18 +248,3 @@
             send.key, send.attempt, failure, now_s
         )
         self._execute(now_s, number, decisions)
-
-    def _report(
-        self, now_s: float, source: int, target: int, interval_s: float
-    ) -> None:
-        self._at(now_s + interval_s, self._report, source, target, interval_s)
-        zones = (self._zones[source], self._zones[target])
-        is_cut = zones[0] != zones[1] and self.unreachable_zone in zones
-        if is_cut or self._rng.random() < self.loss:
-            return
-        self._routers[target].loads.set_peer_loads(
-            f"host-{source}",
-            self._routers[source].loads.local,
-            now_s + 2.5 * interval_s,
-            zone_reported_s=now_s if zones[0] == zones[1] else None,
-        )
--- a/tests/core/forwarding/zone_replay.py
+++ b/tests/core/forwarding/zone_replay.py
@@ -4,10 +4,9 @@
 stream takes its steps at the pace of its path when it begins.
 """
 
-import heapq
 import random
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from itertools import count
 from typing import Any
 
@@ -32,8 +31,8 @@
     make_router,
     request,
 )
+from tests.core.forwarding.router_events import RouterEvents
 
-TICK_S = 0.05
 HOP_S = 0.002
 CROSSING_S = 0.004
 PREFILL_S = 0.05
@@ -94,8 +93,6 @@
         """Replay the arrivals and return the measures."""
         rng = self._rng = random.Random(self.seed)
         self._result = ZoneResult()
-        self._events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
-        self._numbers = count()
         self._replicas = _placed(self.zones)
         self._by_address = {r.address: r.replica_id for r in self._replicas.values()}
         self._requests: Counter[str] = Counter()
@@ -112,22 +109,18 @@
         }
         self._zones = [zone for zone in self.zones for _ in range(self.hosts)]
         self._routers = [self._make_router(n) for n in range(len(self._zones))]
-        for source, zone in enumerate(self._zones):
-            for target, other in enumerate(self._zones):
-                if source != target:
-                    turns = (
-                        (self.hosts - 1) / 4
-                        if zone == other
-                        else (len(self._zones) - self.hosts) / 2
-                    )
-                    interval_s = 0.25 * max(1.0, turns) * self.report_age
-                    at_s = rng.random() * interval_s
-                    self._at(at_s, self._report, source, target, interval_s)
-            self._at(rng.random() * TICK_S, self._tick, source)
+        self._events = RouterEvents(
+            routers=self._routers,
+            zones=self._zones,
+            rng=rng,
+            execute=self._execute,
+            loss=self.loss,
+            unreachable_zone=self.unreachable_zone,
+            report_age=self.report_age,
+        )
+        self._events.add_reports_and_ticks()
         self._add_arrivals()
-        while self._events and self._events[0][0] < self.end_s:
-            now_s, _, call, arguments = heapq.heappop(self._events)
-            call(now_s, *arguments)
+        self._events.run(self.end_s)
         return self._result
 
     def _make_router(self, number: int) -> ForwardingRouter:
@@ -152,10 +145,7 @@
             hint = max(1, int(output * rng.uniform(0.5, 1.6)))
             size = GenerationSize(prompt, 600, hint)
             self._arrived[key] = (now_s, (zone, name), size, output)
-            self._at(now_s, self._arrive, key, number)
-
-    def _at(self, at_s: float, call: Callable[..., None], *arguments: Any) -> None:
-        heapq.heappush(self._events, (at_s, next(self._numbers), call, arguments))
+            self._events.at(now_s, self._arrive, key, number)
 
     def _is_counted(self, key: int) -> bool:
         return self._arrived[key][0] >= self.warm_s
@@ -169,16 +159,12 @@
             now_s, number, self._routers[number].request_arrived(key, caller, now_s)
         )
 
-    def _tick(self, now_s: float, number: int) -> None:
-        self._execute(now_s, number, self._routers[number].tick(now_s))
-        self._at(now_s + TICK_S, self._tick, number)
-
     def _execute(self, now_s: float, number: int, decisions: tuple[Any, ...]) -> None:
         for decision in decisions:
             if isinstance(decision, Send):
                 self._send(now_s, number, decision)
             elif isinstance(decision, ProbeReplica):
-                self._at(now_s + 0.01, self._probe, number, decision.replica_id)
+                self._events.at(now_s + 0.01, self._probe, number, decision.replica_id)
             elif isinstance(decision, Finish):
                 if self._is_counted(decision.key):
                     self._result.finished[decision.ending.value] += 1
@@ -199,7 +185,7 @@
                 if self._is_counted(send.key):
                     self._result.refused_sends[pair] += 1
                 address = self._replicas[stage.replica_id].address
-                self._at(now_s + 0.01, self._refuse, number, send, address)
+                self._events.at(now_s + 0.01, self._refuse, number, send, address)
                 return
         for stage in stages:
             self._requests[stage.replica_id] += 1
@@ -229,8 +215,8 @@
             is_in_time = first_s - arrived_s <= OBJECTIVE_S
             if now_s < self.end_s - OBJECTIVE_S:
                 self._result.in_time[kind] += is_in_time
-        self._at(first_s, self._begin, number, send)
-        self._at(first_s + output * step_s, self._complete, number, send, tokens)
+        self._events.at(first_s, self._begin, number, send)
+        self._events.at(first_s + output * step_s, self._complete, number, send, tokens)
 
     def _begin(self, now_s: float, number: int, send: Send) -> None:
         self._routers[number].answer_opened(send.key, send.attempt)
@@ -252,7 +238,7 @@
 
     def _refuse(self, now_s: float, number: int, send: Send, address: str) -> None:
         replica_id = self._by_address[address]
-        self._at(now_s + 0.01, self._probe, number, replica_id)
+        self._events.at(now_s + 0.01, self._probe, number, replica_id)
         decisions = self._routers[number].attempt_failed(
             send.key,
             send.attempt,
@@ -272,24 +258,6 @@
         decisions = router.replica_probed(replica_id, report, now_s, is_alive=True)
         self._execute(now_s, number, decisions)
 
-    def _report(
-        self, now_s: float, source: int, target: int, interval_s: float
-    ) -> None:
-        self._at(now_s + interval_s, self._report, source, target, interval_s)
-        zones = (self._zones[source], self._zones[target])
-        is_cut = zones[0] != zones[1] and self.unreachable_zone in zones
-        if is_cut or self._rng.random() < self.loss:
-            return
-        self._routers[target].loads.set_peer_loads(
-            f"host-{source}",
-            self._routers[source].loads.local,
-            now_s + 2.5 * interval_s,
-            zone_reported_s=now_s if zones[0] == zones[1] else None,
-        )
-        if zones[0] != zones[1]:
-            reports = self._routers[target].loads.zone_reports
-            reports.record(f"host-{source}", zones[0], now_s)
-
 
 def _placed(zones: Mapping[str, Mapping[str, int]]) -> dict[str, Replica]:
     empty = empty_replicas({zone: dict(kinds) for zone, kinds in zones.items()})
