Count a host as busier only beyond chance, over the age of all hosts' reports

Cause: at the start of a surge with 65 hosts the replicas' queues stayed full. The own mean of requests in flight followed the age of the zone's reports, 0.75 s, while the reports of other zones are 2.7 s old; in the first half second the hosts' parts were 1.33 to 1.79 times an equal part on average.

--- a/persimmonwell/core/forwarding/_loads.py
+++ b/persimmonwell/core/forwarding/_loads.py
@@ -73,6 +73,16 @@
         """Return the hosts whose loads are known, with this one."""
         return 1 + len(self._peers)
 
+    def mean_report_age_s(self, now_s: float) -> float:
+        """Return the mean age of the last reports of the hosts of all zones."""
+        in_zone, others = self.shared.peer_count, self.host_count - 1
+        if not others:
+            return 0.0
+        near_s = self.shared.report_age_s(now_s) or 0.0
+        far_s = self.zone_reports.overall_mean_age_s(now_s)
+        near_share = min(1.0, in_zone / others)
+        return near_share * near_s + (1.0 - near_share) * far_s
+
     def total(self, replica_id: str) -> ReplicaLoad:
         """Return the load of a replica over all hosts."""
         return ReplicaLoad(*self._totals.get(replica_id, (0, 0)))
--- a/persimmonwell/core/forwarding/_plain_choice.py
+++ b/persimmonwell/core/forwarding/_plain_choice.py
@@ -148,7 +148,7 @@
         own=own,
         others=others,
         hosts=view.loads.host_count,
-        report_age_s=view.loads.shared.report_age_s(now_s) or OTHER_ZONE_AGE_S,
+        report_age_s=view.loads.mean_report_age_s(now_s),
     )
     shares.update(load, now_s)
 
--- a/persimmonwell/core/forwarding/_slot_shares.py
+++ b/persimmonwell/core/forwarding/_slot_shares.py
@@ -24,8 +24,11 @@
 """Factor on the rate at which slots become free. Some requests wait at each replica, so
 that a slot is not empty while the next request is on its way."""
 HEAVY_FACTOR = 2.0
-"""Factor on an equal part of the load from which a host counts as busier than others.
-A host has about one request in flight, so that smaller differences are chance."""
+"""Factor on an equal part of the load from which a host counts as busier."""
+CHANCE_DEVIATIONS = 4.0
+"""Standard deviations by which a busier host exceeds an equal part. A host has about
+one request in flight: without this, a fifth of the hosts counted as busier at the start
+of a surge, and full queues stayed full."""
 ANSWER_WEIGHT = 0.7
 """Weight of the newest answer in the mean duration. A host gets a few answers a second,
 and a surge fills the replicas' queues within half a second."""
@@ -67,6 +70,7 @@
     hosts: int
     """Hosts that report loads, with this one."""
     report_age_s: float
+    """Mean age of the last reports of the hosts of all zones."""
 
 
 class SlotShares:
@@ -80,7 +84,11 @@
         self._unsafe_s = float("-inf")
         self._updated_s: float | None = None
         self._own_mean = 0.0
-        """Own requests in flight over about the age of the reports."""
+        """Own requests in flight over about the age of the reports.
+
+        While replicas' queues fill, all hosts get more requests in flight. A mean that
+        follows faster than the reports makes each host look busier than the others.
+        """
         self._rate_per_s = 0.0
         self._shared = MIN_BURST
         """Sends that are left for requests of any kind."""
@@ -148,7 +156,7 @@
             self._pressed_s = max(now_s, self._pressed_s)
         if self._answer_s is None or self._baseline_answer_s is None or not load.slots:
             return
-        share = own_share(self._own_mean, load)
+        share = own_share(self._own_mean, load, self._answer_s)
         # The mean of both: the queues at the replicas slow the sends down, and a single
         # slow answer does not stop them.
         duration_s = math.sqrt(self._baseline_answer_s * self._answer_s)
@@ -199,16 +207,24 @@
             self._unsafe_counts[replica_id] = count
 
 
-def own_share(own_mean: float, load: ServiceLoad) -> float:
+def own_share(own_mean: float, load: ServiceLoad, answer_s: float) -> float:
     """Return the part of the slots that this host may use.
 
     It is an equal part, unless the host clearly has more of the requests in flight.
+    own_mean is the mean over about the age of the reports.
     """
     hosts = max(1, load.hosts)
     equal = 1.0 / hosts
     total = own_mean + load.others
     part = own_mean / total if total > 0.0 else 1.0
-    is_heavy = part > min(HEAVY_FACTOR * equal, 0.5 + 0.5 * equal)
+    age_s = max(OTHER_ZONE_AGE_S, load.report_age_s)
+    # Variance of the mean of a Poisson number of requests that take answer_s each, with
+    # weights that fade over age_s.
+    deviation = math.sqrt(equal * total * answer_s / age_s)
+    is_heavy = (
+        part > min(HEAVY_FACTOR * equal, 0.5 + 0.5 * equal)
+        and own_mean > equal * total + CHANCE_DEVIATIONS * deviation
+    )
     return part if is_heavy else equal
 
 
--- a/persimmonwell/core/forwarding/_zone_reports.py
+++ b/persimmonwell/core/forwarding/_zone_reports.py
@@ -56,6 +56,22 @@
         times_s = map(max, peers.values(), repeat(now_s - MAX_AGE_S))
         return max(0.0, now_s - sum(times_s) / len(peers))
 
+    def overall_mean_age_s(self, now_s: float) -> float:
+        """Return the mean age of the last reports of all hosts in the other zones.
+
+        It is MAX_AGE_S while no host has reported.
+        """
+        count = len(self._zones)
+        if not count:
+            return MAX_AGE_S
+        return (
+            sum(
+                len(peers) * self.mean_age_s(zone, now_s)
+                for zone, peers in self._reported_s.items()
+            )
+            / count
+        )
+
     def _drop(self, peer: str) -> None:
         zone = self._zones.pop(peer, None)
         if zone is not None:
--- a/tests/core/forwarding/test_slot_shares.py
+++ b/tests/core/forwarding/test_slot_shares.py
@@ -3,7 +3,7 @@
 import attrs
 import pytest
 
-from persimmonwell.core.forwarding import GenerationSize, ReplicaLoad
+from persimmonwell.core.forwarding import GenerationSize, LoadTable, ReplicaLoad
 from persimmonwell.core.forwarding._slot_shares import (
     OVERBOOKING,
     PRESSED_S,
@@ -52,6 +52,44 @@
     assert sends(make_shares(), load, is_unsafe=False) >= 10.0 * 7.5 / ANSWER_S
 
 
+@pytest.mark.parametrize("hosts", [30, 65])
+def test_a_filling_queue_makes_no_host_look_busier(hosts: int) -> None:
+    """Guards against all hosts that take more than an equal part at the same time.
+
+    Each has four requests in flight within a second, and the reports are older.
+    """
+    load = attrs.evolve(FULL, own=0, others=18, hosts=hosts, report_age_s=2.5)
+    shares = make_shares()
+    shares.update(load, 0.0)
+    for number in range(1, 11):
+        shares.update(attrs.evolve(load, own=number * 4 // 10), number / 10)
+    equal_per_s = 18 / ANSWER_S / hosts
+    assert shares.rate_per_s == pytest.approx(equal_per_s)
+
+
+@pytest.mark.parametrize(
+    ("zone_reports_s", "other_reports_s", "age_s"),
+    [
+        ((), (), 0.0),
+        ((9.0, 9.5), (), 0.75),
+        ((), (8.0, 7.0), 2.5),
+        ((9.5, 9.5), (8.0, 7.0), 1.5),
+    ],
+    ids=["alone", "own zone", "other zones", "both"],
+)
+def test_the_reports_of_all_zones_have_a_mean_age(
+    zone_reports_s: tuple[float, ...], other_reports_s: tuple[float, ...], age_s: float
+) -> None:
+    """Guards against the age of the zone's reports, which are newer than the others."""
+    loads = LoadTable()
+    for number, at_s in enumerate(zone_reports_s):
+        loads.set_peer_loads(f"near-{number}", {}, 20.0, zone_reported_s=at_s)
+    for number, at_s in enumerate(other_reports_s):
+        loads.set_peer_loads(f"far-{number}", {}, 20.0)
+        loads.zone_reports.record(f"far-{number}", f"z{number}", at_s)
+    assert loads.mean_report_age_s(10.0) == pytest.approx(age_s)
+
+
 def test_without_pressure_nothing_is_held_back() -> None:
     """Guards against waits in calm times."""
     calm = attrs.evolve(FULL, own=0, others=8)
