Compute the mean age of all hosts' reports at most every 0.1 s

Cause: it was computed for each plain request, in 5.4 us with 30 hosts, 7.7 us with 65 and 29 us with 340. Change: LoadTable keeps it for 0.1 s.

--- a/persimmonwell/core/forwarding/_loads.py
+++ b/persimmonwell/core/forwarding/_loads.py
@@ -18,6 +18,10 @@
 """Loads that are kept over all peers, some 35 MB: the 128 loads in a report of each of
 1,000 hosts. Anyone can send reports in the names of any number of hosts."""
 
+REPORT_AGE_TTL_S = 0.1
+"""Time for which the mean age of the reports is kept. To compute it for each request
+takes 5 us with 30 hosts and 29 us with 340."""
+
 
 @attrs.frozen
 class ReplicaLoad:
@@ -62,6 +66,8 @@
         self.shared = SharedCapacity()
         self.full_stages = FullStages()
         self.zone_reports = ZoneReports()
+        self._report_age_s = 0.0
+        self._report_age_computed_s = float("-inf")
 
     @property
     def local(self) -> Mapping[str, ReplicaLoad]:
@@ -74,14 +80,20 @@
         return 1 + len(self._peers)
 
     def mean_report_age_s(self, now_s: float) -> float:
-        """Return the mean age of the last reports of the hosts of all zones."""
-        in_zone, others = self.shared.peer_count, self.host_count - 1
+        """Return the mean age of the last reports of the hosts of all zones.
+
+        It is at most REPORT_AGE_TTL_S old.
+        """
+        others = self.host_count - 1
         if not others:
             return 0.0
-        near_s = self.shared.report_age_s(now_s) or 0.0
-        far_s = self.zone_reports.overall_mean_age_s(now_s)
-        near_share = min(1.0, in_zone / others)
-        return near_share * near_s + (1.0 - near_share) * far_s
+        if not 0.0 <= now_s - self._report_age_computed_s < REPORT_AGE_TTL_S:
+            near_s = self.shared.report_age_s(now_s) or 0.0
+            far_s = self.zone_reports.overall_mean_age_s(now_s)
+            near_share = min(1.0, self.shared.peer_count / others)
+            self._report_age_s = near_share * near_s + (1.0 - near_share) * far_s
+            self._report_age_computed_s = now_s
+        return self._report_age_s
 
     def total(self, replica_id: str) -> ReplicaLoad:
         """Return the load of a replica over all hosts."""
