--- a/persimmonwell/core/forwarding/_active.py
+++ b/persimmonwell/core/forwarding/_active.py
@@ -144,6 +144,11 @@
         """
         return 0 if self.has_partial_answer else 1 if self.is_caller_retry else 2
 
+    @property
+    def is_late_retry(self) -> bool:
+        """Return whether the answer is late already, as to a refused caller's retry."""
+        return self.is_caller_retry and not self.has_partial_answer
+
     @property
     def latest_send_s(self) -> float:
         """Return the time until which the request may wait in the queue."""
