Let less urgent streams leave room for urgent ones while memory is short

Cause: requests of all classes fill a zone in the first two seconds of a surge, before an urgent one finds no room, and their streams hold the memory for four seconds. Change: while less than 0.7 of the own zone's memory is free, a request leaves a tenth of it free if its host has had a more urgent one in the last 10 s.

--- a/persimmonwell/core/forwarding/_upstreams.py
+++ b/persimmonwell/core/forwarding/_upstreams.py
@@ -8,7 +8,7 @@
 from persimmonwell.core.forwarding._active import ActiveRequest
 from persimmonwell.core.forwarding._events import AttemptFailure
 from persimmonwell.core.forwarding._health import ReplicaHealth
-from persimmonwell.core.forwarding._kept_room import kept_at_home
+from persimmonwell.core.forwarding._kept_room import SeenPriorities, kept_at_home
 from persimmonwell.core.forwarding._loads import LoadTable
 from persimmonwell.core.forwarding._model import GenerationSize, Replica, RouteKind
 from persimmonwell.core.forwarding._path_candidates import (
@@ -69,6 +69,7 @@
         self._spare_shares: dict[tuple[str, str], tuple[float, float]] = {}
         """Time and free share of the memory by service and zone."""
         self._shortages = RoomShortages()
+        self._priorities = SeenPriorities()
         self._index = ReplicaIndex(self.registry, self.leaving)
 
     def available(self, service: str) -> tuple[Replica, ...]:
@@ -123,11 +124,14 @@
             active.service.name, active.priority_class[0], now_s
         )
         kept = SHORTAGE_KEPT_SHARE if is_preceded else 0.0
-        if active.is_late_retry:
+        has_more_urgent = self._priorities.record(
+            active.service.name, active.priority_class[0], now_s
+        )
+        if active.is_late_retry or has_more_urgent:
             spare = self._spare_share(active, self._zone, now_s)
-            for_new = kept_at_home(active, spare)
-            is_preceded = is_preceded or for_new > 0.0
-            kept = max(kept, for_new)
+            for_others = kept_at_home(active, spare, has_more_urgent=has_more_urgent)
+            is_preceded |= active.is_late_retry and for_others > 0.0
+            kept = max(kept, for_others)
         local_path = self.find_path_in_zone(active, self._zone, now_s, kept_share=kept)
         active.home_step_ms = local_path.step_ms if local_path is not None else None
         gap_s = active.route.gap_objective_s
