Decode the head of an upstream's answer once instead of twice

The comparison of an answer with its request decoded the whole head, which the attempt then decoded again. It now reads the request id alone. Names that occur twice are searched for only if any does, and header names are looked up in one set instead of two.

--- a/persimmonwell/gateway/_gateway.py
+++ b/persimmonwell/gateway/_gateway.py
@@ -36,7 +36,7 @@
 from persimmonwell.gateway._request_log import RequestLog
 from persimmonwell.observe import DecisionLog
 from persimmonwell.platform import (
-    decode_answer_head,
+    decode_answer_name,
     decode_request,
     decode_request_id,
     local_answer_headers,
@@ -364,10 +364,10 @@
 
 def _match_answer(status: int, headers: RawHeaders, request_id: str) -> AnswerMatch:
     """Return whether an answer names the request that was sent."""
-    head = decode_answer_head(status, headers)
-    if head.is_joined:
+    name = decode_answer_name(headers)
+    if name.is_joined:
         return AnswerMatch.JOINED
-    answer_id = head.request_id
+    answer_id = name.request_id
     if not request_id or answer_id == request_id:
         return AnswerMatch.SAME_REQUEST
     return AnswerMatch.UNNAMED if answer_id is None else AnswerMatch.OTHER_REQUEST
--- a/persimmonwell/platform/_headers.py
+++ b/persimmonwell/platform/_headers.py
@@ -54,6 +54,9 @@
         b"content-length",
     }
 )
+_NOT_FORWARDED = _HOP_BY_HOP | {b"retry-after"}
+"""Headers of answers that callers do not get. The time to come back to a replica is not
+that to come back to the host."""
 _HANDLED_BY_HOST = frozenset(
     {
         *(
@@ -68,6 +71,7 @@
     }
 )
 """Request headers that the host consumes, or sets itself."""
+_NOT_SENT = _HOP_BY_HOP | _HANDLED_BY_HOST
 _MALFORMED = (
     *(ValueError, LookupError, TypeError, AttributeError),
     *(RecursionError, OverflowError),
@@ -91,7 +95,7 @@
     shared_parts = _parse_shared_parts(values.get(_PROMPT_PREFIX))
     key = values.get(_API_KEY, "")
     return CallerRequest(
-        request_id=decode_request_id(headers),
+        request_id=values.get(_REQUEST_ID, ""),
         host=host,
         path=target,
         method=method,
@@ -178,11 +182,7 @@
     Hop-by-hop headers and those that the host handles itself are not forwarded.
     """
     lines = [f"{method} {target} HTTP/1.1".encode("latin-1")]
-    lines += [
-        name + b": " + value
-        for name, value in headers
-        if name not in _HOP_BY_HOP and name not in _HANDLED_BY_HOST
-    ]
+    lines += [name + b": " + value for name, value in headers if name not in _NOT_SENT]
     lines.append(b"deadline-remaining: %d" % max(1, deadline_ms))
     lines.append(b"expect-instance: " + replica_id.encode())
     if tenant is not None:
@@ -224,10 +224,24 @@
         return self.facts.status
 
 
+@attrs.frozen
+class AnswerName:
+    """What the head of an answer says about the request that it answers."""
+
+    request_id: str | None
+    is_joined: bool
+    """Whether the bytes of two heads are mixed, so that no field is reliable."""
+
+
+def decode_answer_name(headers: Headers) -> AnswerName:
+    """Return which request an answer names, without the rest of its head."""
+    values = {name.lower(): value for name, value in headers}
+    return AnswerName(_decode_id(values), _is_joined(headers, values))
+
+
 def decode_answer_head(status: int, headers: Headers) -> AnswerHead:
     """Return the parts of an answer's head that the gateway needs."""
     values = {name.lower(): value for name, value in headers}
-    request_id = values.get(_REQUEST_ID)
     fault = values.get(b"at-server")
     return AnswerHead(
         facts=UpstreamAnswer(
@@ -236,17 +250,24 @@
             not_run=b"not-executed" in values or status == 421,
             is_wrong_replica=status == 421,
         ),
-        request_id=request_id.decode("latin-1") if request_id else None,
+        request_id=_decode_id(values),
         fault_address=fault.decode("latin-1") if fault else None,
         keep_alive_s=_parse_keep_alive_s(values.get(b"keep-alive")),
         rate_limit_per_s=_parse_non_negative(values.get(b"server-limit")),
         statement=_parse_statement(status, values),
-        is_joined=_is_joined(headers),
+        is_joined=_is_joined(headers, values),
     )
 
 
-def _is_joined(headers: Headers) -> bool:
+def _decode_id(values: Mapping[bytes, bytes]) -> str | None:
+    request_id = values.get(_REQUEST_ID)
+    return request_id.decode("latin-1") if request_id else None
+
+
+def _is_joined(headers: Headers, values: Mapping[bytes, bytes]) -> bool:
     """Return whether a head has the fields of two answers."""
+    if len(values) == len(headers):
+        return False  # No name occurs twice.
     names = [name.lower() for name, _ in headers]
     return any(names.count(name) > 1 for name in _UNIQUE_HEADERS)
 
@@ -284,8 +305,7 @@
 def forwarded_answer_headers(headers: Headers) -> Iterable[tuple[bytes, bytes]]:
     """Yield the headers of a replica's answer that are forwarded to the caller."""
     for name, value in headers:
-        # The time to come back to a replica is not that to come back to the host.
-        if name.lower() not in _HOP_BY_HOP and name.lower() != b"retry-after":
+        if name.lower() not in _NOT_FORWARDED:
             yield name, value
 
 
