--- a/persimmonwell/gateway/_caller_answers.py
+++ b/persimmonwell/gateway/_caller_answers.py
@@ -5,7 +5,10 @@
 from http import HTTPStatus
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-_KNOWN_STATUSES = frozenset(HTTPStatus)
+_STATUS_LINES = {
+    status.value: f"HTTP/1.1 {status.value} {status.phrase}".encode()
+    for status in HTTPStatus
+}
 
 
 class AnswerWriter:
@@ -63,8 +66,7 @@
     is_last: bool,
 ) -> bytes:
     """Return the head of an answer, which is chunked without a size of its body."""
-    phrase = HTTPStatus(status).phrase if status in _KNOWN_STATUSES else "Unknown"
-    lines = [f"HTTP/1.1 {status} {phrase}".encode()]
+    lines = [_STATUS_LINES.get(status) or b"HTTP/1.1 %d Unknown" % status]
     lines += [name + b": " + value for name, value in headers]
     if is_last:
         lines.append(b"connection: close")
