Compare version numbers in the replica index instead of sets

Each of five look-ups a request built a set of the replicas that leave and compared it. LeavingReplicas now counts its changes.

--- a/persimmonwell/core/forwarding/_replica_index.py
+++ b/persimmonwell/core/forwarding/_replica_index.py
@@ -18,7 +18,8 @@
 class _IndexState:
     """Replicas that neither drain nor leave, by service and by zone."""
 
-    version: Hashable
+    registry_version: int
+    leaving_version: int
     by_service: dict[str, tuple[Replica, ...]]
     by_zone: dict[tuple[str, str], tuple[Replica, ...]]
     tables: dict[Hashable, StageTable] = attrs.field(factory=dict)
@@ -33,7 +34,7 @@
     def __init__(self, registry: ReplicaRegistry, leaving: LeavingReplicas) -> None:
         self._registry = registry
         self._leaving = leaving
-        self._state = _IndexState(None, {}, {})
+        self._state = _IndexState(-1, -1, {}, {})
 
     def available(self, service: str) -> tuple[Replica, ...]:
         """Return the registered replicas of a service that do not leave."""
@@ -71,10 +72,15 @@
 
     def _current(self) -> _IndexState:
         """Return the index, built anew if the registry or the leaving ones changed."""
-        leaving = frozenset(self._leaving.incarnations)
-        version = (self._registry.version, leaving)
-        if self._state.version == version:
-            return self._state
+        state = self._state
+        registry_version = self._registry.version
+        leaving_version = self._leaving.version
+        if (
+            state.registry_version == registry_version
+            and state.leaving_version == leaving_version
+        ):
+            return state
+        leaving = self._leaving.incarnations
         before = {
             replica.replica_id: (replica.incarnation, replica.layers)
             for replicas in self._state.by_service.values()
@@ -93,7 +99,8 @@
             if before and known != (replica.incarnation, replica.layers):
                 joined.append(replica.replica_id)
         self._state = _IndexState(
-            version,
+            registry_version,
+            leaving_version,
             {name: tuple(replicas) for name, replicas in by_service.items()},
             {zone: tuple(replicas) for zone, replicas in by_zone.items()},
             joined=tuple(joined),
--- a/persimmonwell/core/forwarding/_statements.py
+++ b/persimmonwell/core/forwarding/_statements.py
@@ -61,6 +61,8 @@
     def __init__(self) -> None:
         self._leaving: dict[Incarnation, _Leaving] = {}
         self._retracted_s: dict[Incarnation, float] = {}
+        self.version = 0
+        """Raised by each change of the incarnations that leave."""
 
     @property
     def incarnations(self) -> Collection[Incarnation]:
@@ -90,6 +92,7 @@
         """Drop a statement that a later answer of the replica does not repeat."""
         if self._leaving.pop(replica.incarnation, None) is None:
             return False
+        self.version += 1
         self._retracted_s[replica.incarnation] = now_s
         return True
 
@@ -118,11 +121,13 @@
         for incarnation, leaving in list(self._leaving.items()):
             if now_s - leaving.stated_s >= LEAVING_TTL_S:
                 del self._leaving[incarnation]
+                self.version += 1
         for incarnation, retracted_s in list(self._retracted_s.items()):
             if now_s - retracted_s >= SHARE_S:
                 del self._retracted_s[incarnation]
 
     def _add(self, incarnation: Incarnation, leaving: _Leaving) -> None:
+        self.version += 1
         self._leaving[incarnation] = leaving
         while len(self._leaving) > MAX_LEAVING:
             del self._leaving[next(iter(self._leaving))]
