Feed the parts of an upload that has its room without further checks

Each part of an upload went through the loop of the parser, which looks for the end of a message, asks for room and updates the pause of reading. None of this changes while an upload of announced length has all of its room and nothing waits.

--- a/persimmonwell/gateway/_caller_input.py
+++ b/persimmonwell/gateway/_caller_input.py
@@ -18,7 +18,7 @@
     RequestReceiver,
 )
 from persimmonwell.gateway._caller_time_outs import CallerTimeOuts
-from persimmonwell.gateway._request_body import UPLOAD_READ_BYTES
+from persimmonwell.gateway._request_body import UPLOAD_READ_BYTES, RequestBody
 from persimmonwell.gateway._socket_options import (
     MAX_READ_BYTES,
     set_buffer_sizes,
@@ -139,11 +139,33 @@
             if self._may_hold or self._is_reading_paused:
                 self._update_reading()
             return
+        body = self._parser.body
+        if body is not None and self._is_steady(body, len(data)):
+            self._feed(data)
+            if self._parser.body is not body and self._may_hold:
+                self._update_reading()
+            return
         if self.unparsed:
             data = self.unparsed[self._parsed_bytes :] + data
         self.unparsed, self._parsed_bytes = data, 0
         self.parse()
 
+    def _is_steady(self, body: RequestBody, count: int) -> bool:
+        """Return whether a part of an upload changes nothing about what may be read.
+
+        Most parts of an upload do not; the checks of parse were 2% of its instructions.
+        """
+        return (
+            body.has_room_for(count)
+            and self._has_upload_buffer
+            and not self.unparsed
+            and not self._pipelined
+            and not self._is_reading_paused
+            and not self._is_paced
+            and not self._charges.has_held
+            and not self._writer.is_paused
+        )
+
     def parse(self) -> None:
         """Feed the parser up to the end of one message at a time."""
         receiver = self._receiver
--- a/persimmonwell/gateway/_request_body.py
+++ b/persimmonwell/gateway/_request_body.py
@@ -148,6 +148,20 @@
             return self.unreceived_bytes
         return max(0, self._max_bytes - self.received_bytes)
 
+    def has_room_for(self, count: int) -> bool:
+        """Return whether a part of an upload with its whole room is within its length.
+
+        It may be False where make_room is True.
+        """
+        charge = self._charge
+        return (
+            charge is not None
+            and self._announced_bytes is not None
+            and charge.holds_room
+            and not charge.is_waiting
+            and count <= self._announced_bytes - self.received_bytes
+        )
+
     def make_room(self, count: int) -> bool:
         """Return whether further bytes may be received now; if not, wait for room."""
         size = self.received_bytes + count
