Add a fuzzer of whole hosts

Cause: the fuzzer tests decoders in one process; no tool changes the bytes that reach a running host from callers, replicas, peers, the store or writers of its records.

--- /dev/null
+++ b/fuzz/hosts/__init__.py
@@ -0,0 +1,1 @@
+"""Fuzzer of whole hosts between stand-ins, whose bytes it changes."""
--- /dev/null
+++ b/fuzz/hosts/_site.py
@@ -0,0 +1,163 @@
+"""Hosts, stand-ins and proxies of one run."""
+
+import json
+import re
+import time
+from pathlib import Path
+from typing import Any
+
+from fuzz.hosts._changes import Change, Side
+from fuzz.hosts._proxies import (
+    ChangeTable,
+    DatagramProxy,
+    Deliveries,
+    open_store_filter,
+)
+from standins.gateway_process import GatewayProcess
+from standins.log import Log
+from standins.platform_config import config, free_ports
+from standins.proxy import FaultyProxy
+from standins.replica import PlatformReplica, ReceivedRequest
+
+HOSTS = 2
+"""The proxy of datagrams stands between two hosts."""
+PEER_PROXY_IP = "127.0.0.9"
+REPLICAS = (("desk", 3), ("model", 3))
+"""Services with the number of their replicas; each has one more for the recovery."""
+RECORD_PAUSE_S = 0.15
+"""Time for which a changed record is in force before a sound one follows."""
+_VERSION = re.compile(rb'"version": *(\d{1,4000})')
+
+
+class FuzzSite:
+    """Store, replicas and hosts, with a proxy on each side."""
+
+    def __init__(self, *, folder: Path, changes: tuple[Change, ...]) -> None:
+        self.table = ChangeTable(changes)
+        self.requests = Deliveries(self.table, Side.CALLERS)
+        self.responses = Deliveries(self.table, Side.REPLICAS)
+        self.store = Log()
+        self.replicas = [
+            PlatformReplica(f"{service}-{number}", service=service, zone="za")
+            for service, count in REPLICAS
+            for number in range(1, count + 2)
+        ]
+        self._spares = [r for r in self.replicas if r.replica_id.endswith("-4")]
+        """Replicas whose entries are never changed, which serve after the changes."""
+        self._proxies = {
+            replica.replica_id: FaultyProxy(replica.address)
+            for replica in self.replicas
+        }
+        ports = free_ports()
+        self.hosts = [
+            GatewayProcess(folder, number, ports) for number in range(1, HOSTS + 1)
+        ]
+        self.fronts = [
+            FaultyProxy(f"{host.ip}:{ports['front']}") for host in self.hosts
+        ]
+        """Proxies between the callers and the hosts."""
+        self._datagrams = DatagramProxy(
+            PEER_PROXY_IP,
+            ports["peers"],
+            [host.ip for host in self.hosts],
+            self.table,
+        )
+        self._version = 0
+
+    def start(self) -> None:
+        """Start the stand-ins, the proxies and the hosts."""
+        self.table.is_active = False
+        self.store.start()
+        self._write_config()
+        for replica in self.replicas:
+            replica.serves_reports = replica.service == "model"
+            if replica.serves_reports:
+                replica.layers = {"from": 0, "to": 8, "version": 1}
+            replica.start()
+            proxy = self._proxies[replica.replica_id]
+            proxy.open_filter = self.responses.open_response_filter
+            proxy.start()
+            if replica not in self._spares:
+                self._register(replica)
+        self._datagrams.start()
+        for host, front in zip(self.hosts, self.fronts, strict=True):
+            front.open_filter = self.requests.open_request_filter
+            front.start()
+            host.configure(self.store.server.address, seeds=f"{PEER_PROXY_IP}:1")
+            assert host.proxy is not None
+            host.proxy.open_filter = lambda: open_store_filter(self.table)
+            host.start()
+
+    def close(self) -> None:
+        """End all processes and close the proxies and stand-ins."""
+        for host in self.hosts:
+            host.close()
+        for proxy in (*self.fronts, *self._proxies.values()):
+            proxy.close()
+        self._datagrams.close()
+        for replica in self.replicas:
+            replica.close()
+        self.store.close()
+
+    def write_changed_records(self) -> None:
+        """Write changed configurations and entries of the registry.
+
+        A sound record follows, except after an entry under a key of its own, which
+        stays to the end of the run.
+        """
+        replicas = [each for each in self.replicas if each not in self._spares]
+        while (change := self.table.next_change(Side.RECORDS)) is not None:
+            index = change.number % (1 + len(replicas))
+            if index == 0:
+                self._write_changed_config(change)
+                continue
+            replica = replicas[index - 1]
+            value = json.dumps(self._entry(replica)).encode()
+            altered = self.table.alter(change, value, change.position % len(value))
+            stays = change.number % 2 == 1
+            key = f"odd-{change.number}" if stays else replica.replica_id
+            self.store.put("keyed.servers", (key, altered))
+            time.sleep(RECORD_PAUSE_S)
+            if not stays:
+                self._register(replica)
+
+    def _write_changed_config(self, change: Change) -> None:
+        self._version += 1
+        value = json.dumps(config(self._version)).encode()
+        altered = self.table.alter(change, value, change.position % len(value))
+        self.store.put("keyed.op", ("config", altered))
+        time.sleep(RECORD_PAUSE_S)
+        # A version that the change made higher hides all below it.
+        versions = [int(text) for text in _VERSION.findall(altered)]
+        self._version = max([self._version, *versions])
+        self._write_config()
+
+    def restore(self) -> None:
+        """End all changes, and write a sound configuration and sound entries."""
+        self.table.is_active = False
+        self._write_config()
+        for replica in self.replicas:
+            self._register(replica)
+
+    def runs(self, request_id: str) -> list[ReceivedRequest]:
+        """Return what replicas ran that bears the id in a header, target or body."""
+        return [
+            received
+            for replica in self.replicas
+            for received in list(replica.received)
+            if request_id in received.target
+            or request_id in received.headers.get("request-id", "")
+            or request_id.encode() in received.body
+        ]
+
+    def _write_config(self) -> None:
+        self._version += 1
+        self.store.put_key("keyed.op", "config", config(self._version))
+
+    def _entry(self, replica: PlatformReplica) -> dict[str, Any]:
+        address = self._proxies[replica.replica_id].address
+        born = replica.started_at_ms
+        return replica.entry(sequence=2, born=born, address=address)
+
+    def _register(self, replica: PlatformReplica) -> None:
+        self.store.put_key("keyed.servers", replica.replica_id, self._entry(replica))
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -406,7 +406,7 @@
             self._crash()
             return False
         first = int(request.headers.get("last-event-id", "0")) + 1
-        request_id = request.headers["request-id"]
+        request_id = request.headers.get("request-id", "")
         for number in range(first, self.stream_events + 1):
             event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
             spoil = self.faults.get("spoil")
