Reject a configuration whose tenants have a misspelt name

Cause: a document without tenants needs no key, and unknown fields are ignored. One spoiled byte in the name of the field, from an operator, the store or another writer, let anybody's requests run.

Change: without tenants, an unknown field with a similar name, or one that holds names with keys, makes the document invalid, so that the version in force stays. Fields of later formats are still ignored.

--- a/persimmonwell/platform/_operator_records.py
+++ b/persimmonwell/platform/_operator_records.py
@@ -7,6 +7,7 @@
 import json
 import re
 from collections.abc import Callable
+from difflib import get_close_matches
 from typing import Any, TypeGuard, TypeVar
 
 import msgspec
@@ -50,6 +51,9 @@
 MAX_ENTRY_BYTES = 64 * 1024
 """Far above the size of any valid entry; larger ones of other writers are ignored."""
 MAX_NAME_CHARACTERS = 256
+MIN_NAME_SIMILARITY = 0.8
+"""Ratio of difflib from which a name is taken for a misspelt one. One byte that is
+changed, added or lost gives 0.86 or more for a name of seven letters."""
 MAX_LAYERS = 100_000
 MIN_FIGURE = 1e-6
 MAX_FIGURE = 1e12
@@ -130,6 +134,13 @@
     priority: int | None = None
 
 
+class _KeyHolder(msgspec.Struct):
+    """Tenant under another field's name."""
+
+    name: str
+    api_keys: list[str]
+
+
 class _Limits(msgspec.Struct):
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
@@ -153,6 +164,8 @@
     """
     try:
         document = msgspec.json.decode(data, type=_Config)
+        if isinstance(document.tenants, msgspec.UnsetType):
+            _check_unknown_fields(data)
         return ForwardingConfig(
             version=document.version,
             routes=tuple(_build_route(route) for route in document.routes),
@@ -169,6 +182,28 @@
         raise DocumentError(faults=(Fault(path="/", reason=str(error)),)) from error
 
 
+def _check_unknown_fields(data: bytes) -> None:
+    """Raise ValueError for a field that is tenants under a misspelt name.
+
+    Requests need no key without tenants, so that one spoiled byte of the name would let
+    anybody in. Other unknown fields may be those of a later format.
+    """
+    known = {field.name for field in msgspec.structs.fields(_Config)}
+    fields = msgspec.json.decode(data, type=dict[str, msgspec.Raw])
+    for name in fields.keys() - known:
+        if get_close_matches(
+            name[:MAX_NAME_CHARACTERS], ("tenants",), cutoff=MIN_NAME_SIMILARITY
+        ) or _holds_keys(fields[name]):
+            raise ValueError(f"{name[:MAX_REASON_CHARACTERS]!r} in place of tenants")
+
+
+def _holds_keys(value: msgspec.Raw) -> bool:
+    try:
+        return bool(msgspec.json.decode(value, type=list[_KeyHolder]))
+    except msgspec.MsgspecError:
+        return False
+
+
 def mask_keys(data: bytes) -> bytes:
     """Return a valid document with the digest of each API key in place of the key.
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -272,6 +272,41 @@
     assert config.requires_keys == requires_keys
 
 
+NAME = b"tenants"
+SPOILED_NAMES = {
+    spoiled
+    for i in range(len(NAME) + 1)
+    for spoiled in (
+        *(NAME[:i] + b"x" + NAME[i + 1 :], NAME[:i] + b"x" + NAME[i:]),
+        *(NAME[:i] + NAME[i + 1 :], NAME[:i] + b"\\" + NAME[i:]),
+    )
+} - {NAME}
+JOINED_NAMES = {NAME + NAME[:i] for i in range(1, len(NAME) + 1)}
+TENANTS = b'[{"name": "a", "api_keys": ["key-1"]}]'
+
+
+@pytest.mark.parametrize(
+    ("name", "tenants"),
+    [
+        *((name, TENANTS) for name in sorted(SPOILED_NAMES | JOINED_NAMES)),
+        *((name, b"[]") for name in sorted(SPOILED_NAMES)),
+    ],
+)
+def test_spoiled_name_of_the_tenants_lets_nobody_in(
+    name: bytes, tenants: bytes
+) -> None:
+    """Guards against one spoiled byte after which requests need no key."""
+    document = b'{"version": 7, "routes": [], "services": [], "%b": %b}'
+    with pytest.raises(DocumentError):
+        decode_config(document % (name, tenants))
+
+
+def test_unknown_field_of_a_later_format_is_ignored() -> None:
+    """Guards against a configuration that is rejected for a field added later."""
+    document = {"version": 7, "routes": [], "services": [], "zones": [{"name": "za"}]}
+    assert not decode_config(json.dumps(document).encode()).requires_keys
+
+
 def test_route_without_a_split_uses_its_service() -> None:
     """Guards against routes without any service."""
     row = {"name": "r", "host": "h", "path_prefix": "/r/", "kind": "safe"}
