Add make fuzz-hosts, and number requests by their whole id

Requests of a run ended before most records were written.

Change: changes are found by the whole id; callers pause between requests; odd numbers are drawn more often in records; one side can be run alone.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: install demo test lint bench capacity soak fuzz report review
+.PHONY: install demo test lint bench capacity soak fuzz fuzz-hosts report review
 
 install: $(VENV)/.installed
 
@@ -49,3 +49,8 @@
 
 fuzz: install
 	$(BIN)/python -m fuzz --inputs $(INPUTS) --minutes 10
+
+MINUTES ?= 10
+
+fuzz-hosts: install
+	$(BIN)/python -m fuzz.hosts --seeds $(SEEDS) --minutes $(MINUTES) --keep target/fuzz-hosts
--- a/fuzz/hosts/__main__.py
+++ b/fuzz/hosts/__main__.py
@@ -47,6 +47,7 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--minutes", type=float, default=10.0, help="for all seeds")
     parser.add_argument("--requests", type=int, default=REQUESTS, help="for each seed")
+    parser.add_argument("--side", type=Side, help="one side; all by default")
     parser.add_argument("--keep", type=Path, help="folder for the smallest cases")
     parser.add_argument("--case", type=Path, help="a kept case to run again")
     options = parser.parse_args()
@@ -62,7 +63,9 @@
         if time.monotonic() > end_s:
             print(f"time is up before seed {seed}")
             break
-        report = run_seed(seed, requests=options.requests)
+        drawn = changes_of(seed, options.requests)
+        changes = tuple(c for c in drawn if options.side in (None, c.side))
+        report = run_seed(seed, requests=options.requests, changes=changes)
         _print_report(report)
         applied.update((each.side, each.kind) for each in report.applied)
         failed += bool(report.violations)
--- a/fuzz/hosts/_callers.py
+++ b/fuzz/hosts/_callers.py
@@ -3,6 +3,7 @@
 import http.client
 import random
 import threading
+import time
 from collections.abc import Callable
 from hashlib import sha1
 
@@ -18,6 +19,9 @@
 WRONG_KEY = "no-such-key"
 WRONG_KEY_SHARE = 0.1
 DEADLINE_MS = 1500
+PAUSE_S = 0.15
+"""Pause between two requests of a caller, so that 300 requests last as long as the
+changed records of a run."""
 TIMEOUT_S = 6.0
 """Time without a byte of an answer after which a host counts as hanging. It is above
 the deadline and above all time limits for callers."""
@@ -80,6 +84,7 @@
             seen.append(send(sending, fronts, connections))
             if is_altered(sending.request_id) and sending.host in connections:
                 connections.pop(sending.host).close()
+            time.sleep(PAUSE_S)
         for connection in connections.values():
             connection.close()
 
--- a/fuzz/hosts/_changes.py
+++ b/fuzz/hosts/_changes.py
@@ -1,6 +1,7 @@
 """Changes of the bytes that reach a host, drawn by seed; no I/O."""
 
 import random
+import re
 from enum import StrEnum
 from typing import Any
 
@@ -41,8 +42,9 @@
 
 TEXT_KINDS = (Kind.BYTE, Kind.INSERT, Kind.DELETE, Kind.DROP, Kind.DOUBLE, Kind.NUMBER)
 """Kinds that change bytes in place."""
-RECORD_KINDS = (*TEXT_KINDS, Kind.CUT)
-"""Kinds that make sense for a record, which has no connection and no time."""
+RECORD_KINDS = (*TEXT_KINDS, Kind.CUT, *(Kind.NUMBER,) * 4)
+"""Kinds that make sense for a record, which has no connection and no time. Numbers are
+many in records, and odd ones pass the checks of their fields more often than others."""
 DELAYS_S = (0.05, 0.3, 0.7, 1.5)
 """Below and above the time limits of routes, heads and idle connections."""
 INJECTED = (
@@ -58,6 +60,7 @@
     *(b"Request-Id: other\r\n", b"Content-Length: 5\r\n", b"Not-Executed: 1\r\n"),
     *(b"Transfer-Encoding: chunked\r\n", b"HTTP/1.1 200 OK\r\n\r\n", b"GET / "),
 )
+_NUMBER = re.compile(rb"\d+")
 MAX_PART_BYTES = 40
 REPLICA_SHARE = 0.35
 CALLER_SHARE = 0.2
@@ -65,7 +68,7 @@
 both, so that what a host may answer follows from one change."""
 PLAIN_BYTES, STREAM_BYTES, REQUEST_BYTES, STORE_BYTES = 150, 420, 240, 2500
 """Positions that are drawn: the usual sizes of messages."""
-PEER_MESSAGES, STORE_MESSAGES, RECORD_MESSAGES = 30, 40, 30
+PEER_MESSAGES, STORE_MESSAGES, RECORD_MESSAGES = 30, 40, 60
 """Messages with a change in a run of 300 requests, by side."""
 
 
@@ -139,6 +142,13 @@
     return data
 
 
+def place(change: Change, data: bytes) -> int:
+    """Return the index of a change in a message that is there as a whole."""
+    if change.kind is Kind.NUMBER and (numbers := list(_NUMBER.finditer(data))):
+        return numbers[change.position % len(numbers)].start()
+    return change.position % len(data)
+
+
 def _replace_number(data: bytes, at: int, number: bytes) -> bytes:
     """Replace the first number from an index on, or insert one there."""
     start = next((i for i in range(at, len(data)) if data[i : i + 1].isdigit()), at)
--- a/fuzz/hosts/_proxies.py
+++ b/fuzz/hosts/_proxies.py
@@ -6,11 +6,11 @@
 import socket
 import threading
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Sequence
 
 import attrs
 
-from fuzz.hosts._changes import TEXT_KINDS, Change, Kind, Side, alter
+from fuzz.hosts._changes import TEXT_KINDS, Change, Kind, Side, alter, place
 from standins.proxy import Filter
 
 _ADDRESS = re.compile(rb"\d+\.\d+\.\d+\.\d+")
@@ -68,9 +68,12 @@
 class Deliveries:
     """Messages that belong to requests, by the id of the request."""
 
-    def __init__(self, table: ChangeTable, side: Side) -> None:
+    def __init__(
+        self, table: ChangeTable, side: Side, request_ids: Sequence[str]
+    ) -> None:
         self._table = table
         self._side = side
+        self._numbers = {each: number for number, each in enumerate(request_ids)}
         self.by_request: dict[str, list[Delivery]] = defaultdict(list)
 
     def is_altered(self, request_id: str) -> bool:
@@ -85,9 +88,9 @@
         request_id = match[1].decode()
         deliveries = self.by_request[request_id]
         delivery = Delivery()
-        number = request_id.partition("x")[0]
-        if not deliveries and number.isdecimal() and len(number) < 10:
-            delivery.change = self._table.change(self._side, int(number))
+        number = self._numbers.get(request_id)
+        if not deliveries and number is not None:
+            delivery.change = self._table.change(self._side, number)
         deliveries.append(delivery)
         return delivery
 
@@ -285,7 +288,7 @@
         if change is None:
             return [data, *held]
         if change.kind in (*TEXT_KINDS, Kind.CUT):
-            return [data, self._table.alter(change, data, change.position % len(data))]
+            return [data, self._table.alter(change, data, place(change, data))]
         self._table.record(change)
         if change.kind is Kind.DELAY:
             self._held = [data]
--- a/fuzz/hosts/_runner.py
+++ b/fuzz/hosts/_runner.py
@@ -18,6 +18,7 @@
 READY_TIMEOUT_S = 20.0
 MAX_REDUCTION_RUNS = 30
 MAX_LOG_CHARACTERS = 600
+MAX_ERROR_CHARACTERS = 3000
 
 
 @attrs.frozen
@@ -41,15 +42,17 @@
 ) -> RunReport:
     """Run the requests of a seed with its changes, or with some of them."""
     drawn = changes_of(seed, requests) if changes is None else changes
+    sendings = draw_sendings(seed, requests, HOSTS)
+    request_ids = [each.request_id for each in sendings]
     with tempfile.TemporaryDirectory() as folder:
-        site = FuzzSite(folder=Path(folder), changes=drawn)
+        site = FuzzSite(folder=Path(folder), changes=drawn, request_ids=request_ids)
         try:
-            return _run(site, seed, requests)
+            return _run(site, seed, sendings)
         finally:
             site.close()
 
 
-def _run(site: FuzzSite, seed: int, requests: int) -> RunReport:
+def _run(site: FuzzSite, seed: int, sendings: list[Sending]) -> RunReport:
     site.start()
     if not _wait_ready(site, "start"):
         violation = Violation("host not ready", "", "at the start" + _logs(site))
@@ -57,7 +60,6 @@
     site.table.is_active = True
     writer = threading.Thread(target=site.write_changed_records)
     writer.start()
-    sendings = draw_sendings(seed, requests, HOSTS)
     seen = send_all(sendings, site.fronts, site.requests.is_altered)
     writer.join()
     site.restore()
@@ -88,12 +90,25 @@
         if host.process is not None and host.process.poll() is not None:
             detail = f"{host.ip} ended with {host.process.poll()}" + _logs(site)
             violations.append(Violation("host ended", "", detail))
-        for line in host.log.read_text(encoding="utf-8", errors="replace").splitlines():
-            if "unexpected_error" in line or line.startswith("Traceback"):
-                violations.append(Violation("unexpected error", "", line[:2000]))
+        violations += _logged_errors(host.log.read_text("utf-8", errors="replace"))
     return violations
 
 
+def _logged_errors(log: str) -> list[Violation]:
+    """Return the unexpected errors in a log, each cause once."""
+    causes: dict[str, str] = {}
+    for line in log.splitlines():
+        if line.startswith("Traceback"):
+            causes.setdefault(line, log[log.index(line) :])
+        elif "unexpected_error" in line:
+            fields = json.loads(line)
+            causes.setdefault(fields.get("error", line), line)
+    return [
+        Violation("unexpected error", "", text[:MAX_ERROR_CHARACTERS])
+        for text in causes.values()
+    ]
+
+
 def _wait_ready(site: FuzzSite, name: str) -> bool:
     """Wait until each host answers a plain request and a stream."""
     deadline_s = time.monotonic() + READY_TIMEOUT_S
--- a/fuzz/hosts/_site.py
+++ b/fuzz/hosts/_site.py
@@ -3,10 +3,11 @@
 import json
 import re
 import time
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
-from fuzz.hosts._changes import Change, Side
+from fuzz.hosts._changes import Change, Side, place
 from fuzz.hosts._proxies import (
     ChangeTable,
     DatagramProxy,
@@ -34,10 +35,12 @@
 class FuzzSite:
     """Store, replicas and hosts, with a proxy on each side."""
 
-    def __init__(self, *, folder: Path, changes: tuple[Change, ...]) -> None:
+    def __init__(
+        self, *, folder: Path, changes: tuple[Change, ...], request_ids: Sequence[str]
+    ) -> None:
         self.table = ChangeTable(changes)
-        self.requests = Deliveries(self.table, Side.CALLERS)
-        self.responses = Deliveries(self.table, Side.REPLICAS)
+        self.requests = Deliveries(self.table, Side.CALLERS, request_ids)
+        self.responses = Deliveries(self.table, Side.REPLICAS, request_ids)
         self.store = Log()
         self.replicas = [
             PlatformReplica(f"{service}-{number}", service=service, zone="za")
@@ -114,18 +117,18 @@
                 continue
             replica = replicas[change.number % len(replicas)]
             value = json.dumps(self._entry(replica)).encode()
-            altered = self.table.alter(change, value, change.position % len(value))
+            altered = self.table.alter(change, value, place(change, value))
             stays = change.number % 2 == 1
             key = f"odd-{change.number}" if stays else replica.replica_id
             self.store.put("keyed.servers", (key, altered))
-            time.sleep(RECORD_PAUSE_S)
             if not stays:
+                time.sleep(RECORD_PAUSE_S)
                 self._register(replica)
 
     def _write_changed_config(self, change: Change) -> None:
         self._version += 1
         value = json.dumps(config(self._version)).encode()
-        altered = self.table.alter(change, value, change.position % len(value))
+        altered = self.table.alter(change, value, place(change, value))
         self.store.put("keyed.op", ("config", altered))
         time.sleep(RECORD_PAUSE_S)
         # A version that the change made higher hides all below it.
--- a/tests/fuzz/test_hosts.py
+++ b/tests/fuzz/test_hosts.py
@@ -185,9 +185,8 @@
 def test_cut_message_closes_its_connection() -> None:
     """Guards against a cut after which the rest of the message arrives."""
     request = b"POST / HTTP/1.1\r\nRequest-Id: 3x1\r\n\r\n"
-    requests = Deliveries(
-        ChangeTable([Change(Side.CALLERS, 3, Kind.CUT, 9)]), Side.CALLERS
-    )
+    table = ChangeTable([Change(Side.CALLERS, 1, Kind.CUT, 9)])
+    requests = Deliveries(table, Side.CALLERS, ["0x1", "3x1"])
     with pytest.raises(ConnectionError):
         list(requests.open_request_filter()(request, False))
     assert requests.by_request["3x1"][0].delivered == request[:9]
