Bound versions, offsets and eras to what datagrams can carry

Cause: a configuration with a version above 64 bits, or an offset or era of the store above that, was accepted. Each later datagram to other hosts raised OverflowError, until the process restarted.

--- a/persimmonwell/platform/_operator_records.py
+++ b/persimmonwell/platform/_operator_records.py
@@ -54,6 +54,8 @@
 MIN_NAME_SIMILARITY = 0.8
 """Ratio of difflib from which a name is taken for a misspelt one. One byte that is
 changed, added or lost gives 0.86 or more for a name of seven letters."""
+MAX_VERSION = 1 << 62
+"""Datagrams between hosts carry the version as a number of 64 bits."""
 MAX_LAYERS = 100_000
 MIN_FIGURE = 1e-6
 MAX_FIGURE = 1e12
@@ -164,6 +166,8 @@
     """
     try:
         document = msgspec.json.decode(data, type=_Config)
+        if not 0 <= document.version <= MAX_VERSION:
+            raise ValueError(f"version is not from 0 to {MAX_VERSION}")
         if isinstance(document.tenants, msgspec.UnsetType):
             _check_unknown_fields(data)
         return ForwardingConfig(
--- a/persimmonwell/platform/_store_client.py
+++ b/persimmonwell/platform/_store_client.py
@@ -11,6 +11,7 @@
 import urllib3
 
 from persimmonwell._exceptions import PlatformUnavailableError
+from persimmonwell.platform._numbers import MAX_NUMBER, parse_count
 
 _RECORD_LENGTH = struct.Struct(">I")
 _READ_HEADER = struct.Struct(">QQ")
@@ -32,8 +33,6 @@
 _READ_BYTES = 65_536
 RECORD_BYTES = 200
 """Memory of a record apart from its key and value."""
-MAX_ERA_DIGITS = 20
-"""Digits of a 64-bit number."""
 
 
 @attrs.frozen
@@ -123,10 +122,11 @@
                 raise PlatformUnavailableError("log", "restored between two pages")
             try:
                 # The end of the first page, so that changes made while paging are read.
-                end = int(answer["end"]) if end is None else end
+                end = _check_offset(answer["end"]) if end is None else end
                 for item in answer["items"]:
                     value = base64.b64decode(item["value"])
-                    record = StoreRecord(int(item["offset"]), str(item["key"]), value)
+                    offset = _check_offset(item["offset"])
+                    record = StoreRecord(offset, str(item["key"]), value)
                     records.append(record)
                     list_bytes += RECORD_BYTES + len(record.key or "") + len(value)
                 if list_bytes > MAX_LIST_BYTES:
@@ -176,7 +176,7 @@
         body = b"".join(_RECORD_LENGTH.pack(len(record)) + record for record in records)
         answer, _ = self._call_json("POST", "log-append", query, body=body)
         try:
-            return int(answer["offset"])
+            return _check_offset(answer["offset"])
         except _MALFORMED as error:
             raise PlatformUnavailableError("log", str(error)) from error
 
@@ -260,8 +260,15 @@
         except urllib3.exceptions.HTTPError as error:
             raise PlatformUnavailableError("log", type(error).__name__) from error
         era = response.headers.get(ERA_HEADER, "")
-        is_era = era.isascii() and era.isdecimal() and len(era) <= MAX_ERA_DIGITS
-        return _Answer(response.status, data, int(era) if is_era else None)
+        return _Answer(response.status, data, parse_count(era))
+
+
+def _check_offset(value: Any) -> int:
+    """Return an offset; raise ValueError for one that datagrams cannot carry."""
+    offset = int(value)
+    if not 0 <= offset <= MAX_NUMBER:
+        raise ValueError(f"offset is not from 0 to {MAX_NUMBER}")
+    return offset
 
 
 def _read_body(response: urllib3.BaseHTTPResponse, *, until_s: float) -> bytes:
@@ -285,14 +292,14 @@
 
 def _parse_first_offset(data: bytes) -> int:
     try:
-        return int(json.loads(data)["first"])
+        return _check_offset(json.loads(data)["first"])
     except _MALFORMED as error:
         raise PlatformUnavailableError("log", str(error)) from error
 
 
 def _parse_slice(data: bytes, from_offset: int, *, keyed: bool) -> StoreSlice:
     try:
-        end, first = _READ_HEADER.unpack_from(data)
+        end, first = map(_check_offset, _READ_HEADER.unpack_from(data))
         position = _READ_HEADER.size
         records: list[StoreRecord] = []
         while position < len(data):
@@ -304,7 +311,7 @@
             offset = from_offset + len(records)
             records.append(_parse_record(data[start:position], offset, keyed))
         return StoreSlice(tuple(records), first, end)
-    except struct.error as error:
+    except (struct.error, ValueError) as error:
         raise PlatformUnavailableError("log", str(error)) from error
 
 
--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -201,7 +201,30 @@
     store.close()
 
 
-@pytest.mark.parametrize("era", ["9" * 5000, "-1", "1e3", "x"])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        {"items": [], "end": 10**20},
+        {"items": [], "end": -1},
+        {"items": [{"key": "i-1", "value": "e30=", "offset": 10**20}], "end": 1},
+        (1 << 63).to_bytes(8) + (0).to_bytes(8),
+        (1).to_bytes(8) + (1 << 63).to_bytes(8),
+    ],
+)
+def test_read_with_an_odd_offset_is_none(log: Log, answer: Any) -> None:
+    """Guards against an offset that no datagram to another host can carry."""
+    for call in ("log-newest", "log-read"):
+        log.server.route("GET", f"/persimmonwell/{call}", lambda *_: (200, answer))
+    store = StoreClient(url=log.server.url, timeout_s=2.0)
+    with pytest.raises(PlatformUnavailableError):
+        if isinstance(answer, bytes):
+            store.read("keyed.op", from_offset=0)
+        else:
+            store.read_latest("keyed.op")
+    store.close()
+
+
+@pytest.mark.parametrize("era", ["9" * 5000, "9" * 20, "-1", "1e3", "x"])
 def test_odd_era_of_the_store_is_none(log: Log, era: str) -> None:
     """Guards against a header of the store that stops all reads."""
     log.server.answer_headers["Store-Era"] = era
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -201,6 +201,8 @@
     [
         {"version": "7"},
         {"version": None},
+        # Datagrams between hosts cannot carry it, so that their exchange would end.
+        *({"version": -1}, {"version": (1 << 62) + 1}, {"version": 10**20}),
         {"routes": {}},
         {"routes": [{"name": "r"}]},
         {"services": [{"name": "s", "engine": {"slots": "x"}}]},
