Check after a fuzz run that hosts learn of new records

Cause: hosts that no longer read the store still served what they knew, so that the run ended without a finding.

Change: after the changes, the configuration has a new route to a service that is new to all hosts. Half of the changes hit the begin of a message.

--- a/fuzz/hosts/_changes.py
+++ b/fuzz/hosts/_changes.py
@@ -68,6 +68,7 @@
 both, so that what a host may answer follows from one change."""
 PLAIN_BYTES, STREAM_BYTES, REQUEST_BYTES, STORE_BYTES = 150, 420, 240, 2500
 """Positions that are drawn: the usual sizes of messages."""
+HEAD_BYTES = 220
 PEER_MESSAGES, STORE_MESSAGES, RECORD_MESSAGES = 30, 40, 60
 """Messages with a change in a run of 300 requests, by side."""
 
@@ -109,7 +110,8 @@
 def _draw(rng: random.Random, side: Side, number: int, size: int) -> Change:
     kinds = RECORD_KINDS if side is Side.RECORDS else tuple(Kind)
     kind = rng.choice(kinds)
-    position = rng.randrange(size)
+    # The heads of long messages have the fields on which all else depends.
+    position = rng.randrange(rng.choice((size, min(size, HEAD_BYTES))))
     byte = rng.choice(ODD_BYTES) if rng.random() < 0.7 else rng.randrange(256)
     data = bytes([byte])
     if kind is Kind.INSERT and rng.random() < 0.4:
--- a/fuzz/hosts/_runner.py
+++ b/fuzz/hosts/_runner.py
@@ -54,7 +54,7 @@
 
 def _run(site: FuzzSite, seed: int, sendings: list[Sending]) -> RunReport:
     site.start()
-    if not _wait_ready(site, "start"):
+    if not _wait_ready(site, "start", ("look", "talk")):
         violation = Violation("host not ready", "", "at the start" + _logs(site))
         return RunReport(seed, {}, (), (violation,))
     site.table.is_active = True
@@ -64,7 +64,7 @@
     writer.join()
     site.restore()
     violations = []
-    if not _wait_ready(site, "end"):
+    if not _wait_ready(site, "end", ("after", "talk")):
         detail = "after the changes" + _logs(site)
         violations.append(Violation("host not ready", "", detail))
     seals = frozenset(f"seal-{replica.replica_id}" for replica in site.replicas)
@@ -109,8 +109,8 @@
     ]
 
 
-def _wait_ready(site: FuzzSite, name: str) -> bool:
-    """Wait until each host answers a plain request and a stream."""
+def _wait_ready(site: FuzzSite, name: str, routes: tuple[str, ...]) -> bool:
+    """Wait until each host answers requests on some routes."""
     deadline_s = time.monotonic() + READY_TIMEOUT_S
     count = 0
     while time.monotonic() < deadline_s:
@@ -122,7 +122,7 @@
                 {},
             )
             for host in range(HOSTS)
-            for route in ("look", "talk")
+            for route in routes
         ]
         if all(each.answer.status == 200 for each in seen):
             return True
--- a/fuzz/hosts/_site.py
+++ b/fuzz/hosts/_site.py
@@ -16,15 +16,16 @@
 )
 from standins.gateway_process import GatewayProcess
 from standins.log import Log
-from standins.platform_config import config, free_ports
+from standins.platform_config import config, free_ports, route
 from standins.proxy import FaultyProxy
 from standins.replica import PlatformReplica, ReceivedRequest
 
 HOSTS = 2
 """The proxy of datagrams stands between two hosts."""
 PEER_PROXY_IP = "127.0.0.9"
-REPLICAS = (("desk", 3), ("model", 3))
-"""Services with the number of their replicas; each has one more for the recovery."""
+REPLICAS = ("desk-1", "desk-2", "desk-3", "model-1", "model-2", "model-3")
+SPARES = ("model-4", "spare-1")
+"""Replicas that are registered after the changes; before, no host knows them."""
 RECORD_PAUSE_S = 0.1
 """Time for which a changed record is in force before a sound one follows."""
 CONFIG_INTERVAL = 3
@@ -43,12 +44,9 @@
         self.responses = Deliveries(self.table, Side.REPLICAS, request_ids)
         self.store = Log()
         self.replicas = [
-            PlatformReplica(f"{service}-{number}", service=service, zone="za")
-            for service, count in REPLICAS
-            for number in range(1, count + 2)
+            PlatformReplica(name, service=name.partition("-")[0], zone="za")
+            for name in (*REPLICAS, *SPARES)
         ]
-        self._spares = [r for r in self.replicas if r.replica_id.endswith("-4")]
-        """Replicas whose entries are never changed, which serve after the changes."""
         self._proxies = {
             replica.replica_id: FaultyProxy(replica.address)
             for replica in self.replicas
@@ -82,7 +80,7 @@
             proxy = self._proxies[replica.replica_id]
             proxy.open_filter = self.responses.open_response_filter
             proxy.start()
-            if replica not in self._spares:
+            if replica.replica_id in REPLICAS:
                 self._register(replica)
         self._datagrams.start()
         for host, front in zip(self.hosts, self.fronts, strict=True):
@@ -110,7 +108,7 @@
         A sound record follows, except after an entry under a key of its own, which
         stays to the end of the run.
         """
-        replicas = [each for each in self.replicas if each not in self._spares]
+        replicas = self.replicas[: len(REPLICAS)]
         while (change := self.table.next_change(Side.RECORDS)) is not None:
             if change.number % CONFIG_INTERVAL == 0:
                 self._write_changed_config(change)
@@ -137,9 +135,16 @@
         self._write_config()
 
     def restore(self) -> None:
-        """End all changes, and write a sound configuration and sound entries."""
+        """End all changes, and write a sound configuration and sound entries.
+
+        The configuration has the route "after" to a service that is new to all hosts.
+        """
         self.table.is_active = False
-        self._write_config()
+        self._version += 1
+        document = config(self._version)
+        document["routes"].append(route("after", "safe", "spare"))
+        document["services"].append({"name": "spare", "health_path": "/health"})
+        self.store.put_key("keyed.op", "config", document)
         for replica in self.replicas:
             self._register(replica)
 
