Count an era of the store once two answers state it

Cause: one answer of the store with a spoiled higher era made a follower hold all later answers for those of an earlier era. The host learned of no configuration or replica until its process restarted.

Change: a higher era counts once the next answer states it too; the first era that a follower reads may still be corrected by two lower ones. After a restore, a follower that reads whole lists reads one more.

--- a/persimmonwell/gateway/_store_followers.py
+++ b/persimmonwell/gateway/_store_followers.py
@@ -38,6 +38,8 @@
 after which a host reads for itself."""
 MAX_UNREAD_S = 60.0
 """Time after which a host reads for itself whatever its zone's readers say."""
+ERA_CHECK_DELAY_S = 0.05
+"""Pause before an era that a single answer states is checked by another answer."""
 RELAY_CHECK_INTERVAL_S = 1.0
 CONFIG_FOLLOWER = "config"
 REPLICA_FOLLOWER = "replicas"
@@ -84,6 +86,38 @@
     """Name of the follower and an unexpected error, after which it goes on."""
 
 
+class StoreEra:
+    """Era of the store, which rises when it comes back from a copy.
+
+    A higher era counts once two answers in a row state it, since a single spoiled one
+    would make all later answers look like those of an earlier era.
+    """
+
+    def __init__(self) -> None:
+        self.era: int | None = None
+        self._is_confirmed = False
+        self._candidate: int | None = None
+
+    def accept(self, era: int | None) -> bool:
+        """Return whether an answer counts; the next one decides about its era if not.
+
+        The era is None if the answer does not state it. Raises
+        PlatformUnavailableError if the answer is of an earlier era.
+        """
+        candidate, self._candidate = self._candidate, None
+        if era is None or self.era is None:
+            self.era = era if self.era is None else self.era
+            return True
+        if era == self.era or era == candidate:
+            self.era = era
+            self._is_confirmed = True
+            return True
+        if era < self.era and self._is_confirmed:
+            raise PlatformUnavailableError("log", f"era {era} after era {self.era}")
+        self._candidate = era
+        return False
+
+
 class StoreFollowers:
     """Threads that read the store, with long polls, and renew the placement duty.
 
@@ -237,28 +271,30 @@
     ) -> None:
         client = self._client()
         offset: int | None = None
-        era: int | None = None
+        store_era = StoreEra()
         while not self._stop.is_set():
             try:
                 if offset is None:
                     snapshot = client.read_latest(topic)
-                    era = current_era(era, snapshot.era)
+                    if not store_era.accept(snapshot.era):
+                        self._stop.wait(ERA_CHECK_DELAY_S)
+                        continue
                     self._report_read(_describe_read(name, None, snapshot))
                     offset = snapshot.end_offset
-                    handle(snapshot.records, offset, era)
+                    handle(snapshot.records, offset, store_era.era)
                 else:
                     # After a failure, the answer itself shows that the store is back.
                     wait_s = long_poll_s if self._store_available.get(name) else 0.0
                     changes = client.read(topic, from_offset=offset, wait_s=wait_s)
-                    offset_era, era = era, current_era(era, changes.era)
-                    self._report_read(_describe_read(name, offset, changes))
-                    if era != offset_era:
-                        # The offset names another record now.
+                    offset_era = store_era.era
+                    if not store_era.accept(changes.era) or store_era.era != offset_era:
+                        # The offset may name another record now.
                         offset = None
                         continue
+                    self._report_read(_describe_read(name, offset, changes))
                     # A stale read ends before this offset and returns no records.
                     if changes.records:
-                        handle(changes.records, None, era)
+                        handle(changes.records, None, store_era.era)
                         offset = changes.records[-1].offset + 1
                 self._report_store_status(name, True)
                 if not self._reads_continuously.is_set():
@@ -315,7 +351,7 @@
         client = self._client()
         generation = 0
         holds_duty = False
-        era: int | None = None
+        store_era = StoreEra()
         usable_from_s = float("-inf")
         while not self._resigned.is_set():
             if not self._reads_continuously.is_set() and not holds_duty:
@@ -339,8 +375,13 @@
                 generation = membership.generation
                 held_duty = holds_duty
                 holds_duty = (DUTY_TOPIC, 0) in membership.partitions
-                known_era, era = era, current_era(era, membership.era)
-                if known_era is not None and era != known_era and not held_duty:
+                known_era = store_era.era
+                if not store_era.accept(membership.era):
+                    holds_duty = held_duty
+                    self._resigned.wait(ERA_CHECK_DELAY_S)
+                    continue
+                is_restored = known_era is not None and store_era.era != known_era
+                if is_restored and not held_duty:
                     # The copy may name a holder from before the last hand-over, and
                     # the lease of the newer one has not ended yet.
                     usable_from_s = call_start_s + DUTY_TTL_MS / 1000
@@ -380,19 +421,6 @@
                 return
 
 
-def current_era(known_era: int | None, era: int | None) -> int | None:
-    """Return the era of the store after an answer, whose era is None if not stated.
-
-    It rises when the store comes back from a copy. Raises PlatformUnavailableError if
-    the answer is of an earlier era.
-    """
-    if known_era is None or era is None:
-        return era if known_era is None else known_era
-    if era < known_era:
-        raise PlatformUnavailableError("log", f"era {era} after era {known_era}")
-    return era
-
-
 def _describe_read(
     follower: str, from_offset: int | None, store_slice: StoreSlice
 ) -> StoreRead:
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -2,7 +2,12 @@
 
 import socket
 import time
+from typing import Any
 
+import pytest
+
+from persimmonwell._exceptions import PlatformUnavailableError
+from persimmonwell.gateway._store_followers import StoreEra
 from persimmonwell.platform import StoreClient
 from standins.platform_config import config, route
 from tests.fleet import wait_until
@@ -113,3 +118,63 @@
         assert testbed.send("/none/1")[0] == 404
     finally:
         testbed.close()
+
+
+class _SpoiledOnce(dict[str, str]):
+    """Headers of the store's answers, of which the next one states an odd era."""
+
+    is_spoiled = True
+
+    def items(self) -> Any:
+        """Return the headers of one answer."""
+        was_spoiled, self.is_spoiled = self.is_spoiled, False
+        return ({**self, "Store-Era": "65535"} if was_spoiled else self.copy()).items()
+
+
+def test_one_spoiled_era_stops_no_follower(followed_store: FollowedStore) -> None:
+    """Guards against a follower that holds all later answers for those of a copy.
+
+    The answers go to the followers of the configuration, the registry and the duty.
+    """
+    store = followed_store.store
+    wait_until(lambda: any(followed_store.lease_ends_s))
+    for _ in range(10):
+        store.server.answer_headers = _SpoiledOnce(store.server.answer_headers)
+        wait_until(lambda: not store.server.answer_headers.is_spoiled)
+        time.sleep(0.3)
+    store.put_key("keyed.op", "config", config(9))
+    followed_store.put_replica("i-9")
+    wait_until(lambda: followed_store.versions[-1] == 9, timeout_s=3.0)
+    wait_until(lambda: _last_id(followed_store) == "i-9", timeout_s=3.0)
+    assert followed_store.eras[-1] == 1
+    # A lease of an answer that was spoiled is not used.
+    renewals = len(followed_store.lease_ends_s)
+    wait_until(lambda: any(followed_store.lease_ends_s[renewals:]), timeout_s=3.0)
+
+
+@pytest.mark.parametrize(
+    "eras, accepted, known",
+    [
+        ((1, 1, 2), (True, True, False), 1),
+        ((1, 1, 2, 2), (True, True, False, True), 2),
+        ((1, 1, 9, 1, 2, 9, 9), (*(True, True, False, True), *(False, False, True)), 9),
+        ((9, 1, 1, 2, 2), (True, False, True, False, True), 2),
+        ((None, 3, None, 3, 4, None), (True, True, True, True, False, True), 3),
+    ],
+)
+def test_era_counts_once_two_answers_state_it(
+    eras: tuple[int | None, ...], accepted: tuple[bool, ...], known: int
+) -> None:
+    """Guards against an era that one spoiled answer states."""
+    store_era = StoreEra()
+    assert tuple(map(store_era.accept, eras)) == accepted
+    assert store_era.era == known
+
+
+def test_answer_of_an_earlier_era_is_none() -> None:
+    """Guards against a late answer from before the store came back."""
+    store_era = StoreEra()
+    assert [store_era.accept(era) for era in (2, 2)] == [True, True]
+    with pytest.raises(PlatformUnavailableError):
+        store_era.accept(1)
+    assert store_era.era == 2
