Count only the messages of a fuzz run that may be changed

Cause: messages of the start were counted, so that the first changes of the store and of peers were never applied.

Change: messages are counted while changes are made.

--- a/fuzz/hosts/_proxies.py
+++ b/fuzz/hosts/_proxies.py
@@ -32,8 +32,10 @@
         self.applied: list[Change] = []
 
     def next_change(self, side: Side) -> Change | None:
-        """Count a message of a side; return its change."""
+        """Count a message of a side while changes are made; return its change."""
         with self._lock:
+            if not self.is_active:
+                return None
             number = self._counts[side]
             self._counts[side] += 1
         return self.change(side, number)
