Write all changed records that are left in a reduced case

Cause: the writer stopped at the first record without a change, so that a reduced case lost the changes after it.

Change: it goes through the changes of its side.

--- a/fuzz/hosts/_proxies.py
+++ b/fuzz/hosts/_proxies.py
@@ -40,6 +40,11 @@
             self._counts[side] += 1
         return self.change(side, number)
 
+    def of_side(self, side: Side) -> list[Change]:
+        """Return the changes of a side in the order of its messages."""
+        changes = [each for each in self._changes.values() if each.side is side]
+        return sorted(changes, key=lambda each: each.number)
+
     def change(self, side: Side, number: int) -> Change | None:
         """Return the change of a message."""
         return self._changes.get((side, number)) if self.is_active else None
--- a/fuzz/hosts/_site.py
+++ b/fuzz/hosts/_site.py
@@ -109,7 +109,7 @@
         stays to the end of the run.
         """
         replicas = self.replicas[: len(REPLICAS)]
-        while (change := self.table.next_change(Side.RECORDS)) is not None:
+        for change in self.table.of_side(Side.RECORDS):
             if change.number % CONFIG_INTERVAL == 0:
                 self._write_changed_config(change)
                 continue
