--- a/fuzz/hosts/_runner.py
+++ b/fuzz/hosts/_runner.py
@@ -60,7 +60,9 @@
     site.table.is_active = True
     writer = threading.Thread(target=site.write_changed_records)
     writer.start()
-    seen = send_all(sendings, site.fronts, site.requests.is_altered)
+    seen = send_all(
+        sendings, site.fronts, site.requests.is_altered, site.set_replica_fault
+    )
     writer.join()
     site.restore()
     violations = []
--- a/fuzz/hosts/_site.py
+++ b/fuzz/hosts/_site.py
@@ -30,6 +30,10 @@
 """Time for which a changed record is in force before a sound one follows."""
 CONFIG_INTERVAL = 3
 """One of so many changed records is a configuration."""
+FAULT_INTERVAL = 10
+"""One of so many requests lets a replica refuse the next one, and one lets a replica
+answer with 500 until the next request that ends this. A changed byte may make another
+answer of these."""
 _VERSION = re.compile(rb'"version": *(\d{1,4000})')
 
 
@@ -134,12 +138,26 @@
         self._version = max([self._version, *versions])
         self._write_config()
 
+    def set_replica_fault(self, number: int) -> None:
+        """Let a replica refuse a request, or fail for a while, from a request on."""
+        replica = self.replicas[number % len(REPLICAS)]
+        match number % FAULT_INTERVAL:
+            case 0:
+                replica.faults["shed_once"] = True
+            case 1:
+                replica.faults["status"] = 500
+            case 2:
+                for each in self.replicas:
+                    each.faults.pop("status", None)
+
     def restore(self) -> None:
         """End all changes, and write a sound configuration and sound entries.
 
         The configuration has the route "after" to a service that is new to all hosts.
         """
         self.table.is_active = False
+        for replica in self.replicas:
+            replica.faults.clear()
         self._version += 1
         document = config(self._version)
         document["routes"].append(route("after", "safe", "spare"))
