Ignore invalid versions when a fuzz run numbers its configurations

Cause: a changed record with a version above 2**62, which hosts reject, made the run write all later configurations with such a version.

Change: only valid versions raise the next one.

--- a/fuzz/hosts/_site.py
+++ b/fuzz/hosts/_site.py
@@ -34,6 +34,8 @@
 """One of so many requests lets a replica refuse the next one, and one lets a replica
 answer with 500 until the next request that ends this. A changed byte may make another
 answer of these."""
+MAX_VERSION = 1 << 62
+"""Higher versions are invalid, so that none follows them."""
 _VERSION = re.compile(rb'"version": *(\d{1,4000})')
 
 
@@ -135,7 +137,8 @@
         time.sleep(RECORD_PAUSE_S)
         # A version that the change made higher hides all below it.
         versions = [int(text) for text in _VERSION.findall(altered)]
-        self._version = max([self._version, *versions])
+        valid_versions = [each for each in versions if each <= MAX_VERSION]
+        self._version = max([self._version, *valid_versions])
         self._write_config()
 
     def set_replica_fault(self, number: int) -> None:
