Test clients that cost time or places over real processes

Cause: faults that scratch scripts had found were covered only by tests without processes. A crowd may send in single bytes, come back at once, and send for longer than 10 s.

--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -20,7 +20,7 @@
 """Time without a byte sent or received after which the clients are taken as stalled;
 a host that parses one-byte chunks reads from each client less than once a second."""
 MAX_SENDING_S = 10.0
-"""Bound on the time in which a crowd sends."""
+"""Bound on the time in which a crowd sends, where a test sets no other."""
 REOPEN_S = 0.1
 """Time after which a client whose connection was closed opens the next one."""
 UNREAD_BUFFER_BYTES = 4096
@@ -51,6 +51,11 @@
     connections: int = 1
     """Connections that the client opens, one after the other as the host closes them;
     one that was not established does not count."""
+    reopen_s: float = REOPEN_S
+    send_bytes: int = SLICE_BYTES
+    """Bytes of one send call."""
+    send_pause_s: float = 0.0
+    """Time between two send calls."""
 
 
 def request_head(path: str, *headers: str) -> bytes:
@@ -75,13 +80,16 @@
         self.socket: socket.socket | None = None
         self._target = target
         self._source = source
-        self._used_connections = 0
+        self.used_connections = 0
         self._has_answer = False
         self.reopen_s = 0.0
         """Time from which the client may open its next connection."""
         self.resume_s = 0.0
         """Time from which the client may read again."""
         self.is_paused = False
+        self.resume_send_s = 0.0
+        """Time from which the client may send again."""
+        self.is_send_paused = False
         self._restart()
 
     def _restart(self) -> None:
@@ -98,7 +106,7 @@
     def is_finished(self) -> bool:
         """Return whether the client has done what its script demands."""
         if self.socket is None:
-            return self._used_connections >= self.script.connections
+            return self.used_connections >= self.script.connections
         return self.has_sent and (self._has_answer or not self.script.awaits_answer)
 
     def open(self) -> socket.socket | None:
@@ -120,9 +128,10 @@
     def close(self) -> None:
         """Close the current connection."""
         if self.socket is not None:
-            self._used_connections += self._is_connected
-            self.reopen_s = time.monotonic() + REOPEN_S
+            self.used_connections += self._is_connected
+            self.reopen_s = time.monotonic() + self.script.reopen_s
             self.is_paused = False
+            self.is_send_paused = False
             self.socket.close()
             self.socket = None
 
@@ -135,9 +144,11 @@
         if not self._pending and self._repeats_left:
             self._repeats_left -= 1
             self._pending = memoryview(self.script.block)
-        count = self.socket.send(self._pending[:SLICE_BYTES])
+        count = self.socket.send(self._pending[: self.script.send_bytes])
         self._pending = self._pending[count:]
         self._is_connected = True
+        if self.script.send_pause_s:
+            self.resume_send_s = time.monotonic() + self.script.send_pause_s
         return count
 
     def receive(self) -> int:
@@ -157,7 +168,7 @@
     """Clients that send at the same time and keep their connections open afterwards.
 
     They send, and open new connections, until wait() is called and each has sent
-    everything, or all of them stall, or MAX_SENDING_S is over. From then on they only
+    everything, or all of them stall, or max_sending_s is over. From then on they only
     read, until the close.
     """
 
@@ -167,6 +178,7 @@
         scripts: Sequence[Script],
         count: int,
         sources: Sequence[str] = SOURCES,
+        max_sending_s: float = MAX_SENDING_S,
     ) -> None:
         """Spread count clients over targets, addresses, and over scripts in turn."""
         self._clients = [
@@ -177,6 +189,9 @@
             )
             for number in range(count)
         ]
+        self.received_bytes = 0
+        """Bytes of all answers that the clients have read."""
+        self._max_sending_s = max_sending_s
         self._selector = selectors.DefaultSelector()
         self._may_end = threading.Event()
         self._has_ended = threading.Event()
@@ -185,6 +200,16 @@
         """Time of the last byte that was sent or received."""
         self._thread = threading.Thread(target=self._run, daemon=True)
 
+    @property
+    def connection_count(self) -> int:
+        """Return how many connections were established and closed again."""
+        return sum(client.used_connections for client in self._clients)
+
+    @property
+    def is_sending(self) -> bool:
+        """Return whether the clients still send or open connections."""
+        return not self._has_ended.is_set()
+
     def start(self) -> None:
         """Start to send in a background thread."""
         self._thread.start()
@@ -221,7 +246,8 @@
         now_s = time.monotonic()
         is_stalled = now_s - self._moved_s > QUIET_S
         has_sent = is_stalled or all(client.is_finished for client in self._clients)
-        return now_s - start_s > MAX_SENDING_S or (self._may_end.is_set() and has_sent)
+        is_late = now_s - start_s > self._max_sending_s
+        return is_late or (self._may_end.is_set() and has_sent)
 
     def _open_connections(self) -> None:
         now_s = time.monotonic()
@@ -242,8 +268,19 @@
                 client.is_paused = False
                 self._selector.register(client.socket, selectors.EVENT_READ, client)
 
+    def _resume_senders(self) -> None:
+        """Let the clients send again whose pause is over."""
+        now_s = time.monotonic()
+        for client in self._clients:
+            if client.is_send_paused and now_s >= client.resume_send_s:
+                client.is_send_paused = False
+                reads = selectors.EVENT_READ if client.script.reads else 0
+                events = selectors.EVENT_WRITE | reads
+                self._selector.modify(client.socket, events, client)
+
     def _serve(self) -> None:
         self._resume_readers()
+        self._resume_senders()
         ready = self._selector.select(POLL_INTERVAL_S)
         if not ready:
             # A selector without descriptors returns at once.
@@ -268,17 +305,22 @@
     def _move_bytes(self, client: _Client, events: int) -> None:
         """Read and send; raises OSError if the connection is closed or blocks."""
         if events & selectors.EVENT_READ:
-            if not client.receive():
+            if not (count := client.receive()):
                 raise ConnectionResetError("closed by the host")
+            self.received_bytes += count
             self._moved_s = time.monotonic()
         if events & selectors.EVENT_WRITE:
             if client.send():
                 self._moved_s = time.monotonic()
             if client.has_sent:
                 self._stop_sending(client)
+            elif client.script.send_pause_s:
+                client.is_send_paused = True
+                self._selector.modify(client.socket, selectors.EVENT_READ, client)
 
     def _stop_sending(self, client: _Client) -> None:
         assert client.socket is not None
+        client.is_send_paused = False
         if client.script.reads:
             self._selector.modify(client.socket, selectors.EVENT_READ, client)
         else:
@@ -291,9 +333,10 @@
     *scripts: Script,
     count: int,
     sources: Sequence[str] = SOURCES,
+    max_sending_s: float = MAX_SENDING_S,
 ) -> Iterator[Crowd]:
     """Provide a crowd that sends, and close it afterwards."""
-    crowd = Crowd(targets, scripts, count, sources)
+    crowd = Crowd(targets, scripts, count, sources, max_sending_s)
     crowd.start()
     try:
         yield crowd
--- a/tests/crowds/site.py
+++ b/tests/crowds/site.py
@@ -4,7 +4,7 @@
 import os
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from contextlib import closing, contextmanager
 from pathlib import Path
 
@@ -82,7 +82,13 @@
     """Running hosts behind one store, with one replica of a plain service."""
 
     def __init__(
-        self, folder: Path, *, host_count: int, memory_mb: int, max_fds: int
+        self,
+        folder: Path,
+        *,
+        host_count: int,
+        memory_mb: int,
+        max_fds: int,
+        settings: Mapping[str, str],
     ) -> None:
         self.store = Log()
         self.replica = PlatformReplica("desk-1", service="desk", zone="za")
@@ -98,6 +104,7 @@
         """Watch of the newest process by host IP."""
         self._memory_mb = memory_mb
         self._max_fds = max_fds
+        self._settings = settings
         self._version = 0
         self._is_closing = threading.Event()
         self._sampler = threading.Thread(target=self._sample, daemon=True)
@@ -114,6 +121,7 @@
                 "listen.control": f"{host.ip}:{host.ports['control']}",
                 "limits.memory_mb": str(self._memory_mb),
                 "limits.max_fds": str(self._max_fds),
+                **self._settings,
             }
             host.configure(self.store.server.address, **values)
             self.start_host(host)
@@ -226,14 +234,20 @@
         )
         self._count = 0
 
-    def send(self, name: str) -> int:
+    @property
+    def local_port(self) -> int | None:
+        """Return the port of the current connection, which is new after a failure."""
+        sock = self._connection.sock
+        return None if sock is None else int(sock.getsockname()[1])
+
+    def send(self, name: str, body: bytes = b"x") -> int:
         """Send one request; return the status of the answer, 0 for none."""
         self._count += 1
         request_id = f"ordinary-{id(self)}-{self._count}"
         headers = {"Host": HOST, "Api-Key": API_KEY, "Request-Id": request_id}
         path = f"/{name}/{request_id}"
         try:
-            self._connection.request("POST", path, body=b"x", headers=headers)
+            self._connection.request("POST", path, body=body, headers=headers)
             answer = self._connection.getresponse()
             answer.read()
         except (OSError, http.client.HTTPException):
@@ -265,10 +279,21 @@
 
 @contextmanager
 def running_site(
-    folder: Path, *, host_count: int = 1, memory_mb: int, max_fds: int = DEPLOYED_FDS
+    folder: Path,
+    *,
+    host_count: int = 1,
+    memory_mb: int,
+    max_fds: int = DEPLOYED_FDS,
+    settings: Mapping[str, str] = {},
 ) -> Iterator[Site]:
     """Provide a running site whose hosts have these limits."""
-    site = Site(folder, host_count=host_count, memory_mb=memory_mb, max_fds=max_fds)
+    site = Site(
+        folder,
+        host_count=host_count,
+        memory_mb=memory_mb,
+        max_fds=max_fds,
+        settings=settings,
+    )
     try:
         site.start()
         yield site
--- a/tests/crowds/test_daemon_crowds.py
+++ b/tests/crowds/test_daemon_crowds.py
@@ -45,6 +45,15 @@
 ONE_BYTE_CHUNKS = 200_000
 OVERSIZED_BYTES = 16 * MIB
 OPEN_CONNECTIONS = 600
+TRICKLES = 40
+"""More clients than the operators' port has threads (16), and fewer than it permits
+connections (48), so that they displace nobody."""
+TRICKLE_SOURCES = tuple(f"127.0.0.{number}" for number in range(2, 42))
+TRICKLE_S = 50.0
+"""Less than the window of 60 s over which the rate of a request is judged."""
+READINESS_CHECKS = 4
+READINESS_ATTEMPTS = 3
+"""Attempts of up to 10 s for each check of readiness."""
 UNREAD_CLIENTS = 120
 UNREAD_TOKENS = 60_000
 
@@ -179,10 +188,10 @@
             time.sleep(ORDINARY_PAUSE_S)
         return status
 
-    def is_ready(self) -> bool:
+    def is_ready(self, attempts: int = ORDINARY_ATTEMPTS) -> bool:
         """Return whether the host answers the load balancer's check."""
         url = f"http://{self._host.operators}/readyz"
-        for _ in range(ORDINARY_ATTEMPTS):
+        for _ in range(attempts):
             try:
                 if self._http.request("GET", url).status == 200:
                     return True
@@ -258,3 +267,27 @@
         with running_crowd([target], *scripts, count=OPEN_CONNECTIONS) as crowd:
             crowd.wait()
             assert site.faults() == []
+
+
+def test_single_bytes_at_the_operators_port(tmp_path: Path) -> None:
+    """Guards against requests in single bytes that hold all threads of the port."""
+    scripts = tuple(
+        Script(head, b"x", 10**6, connections=10**6, send_bytes=1, send_pause_s=0.3)
+        for head in (HEAD, _sized_head(BODY_BYTES))
+    )
+    with _running_site(tmp_path) as site:
+        target = site.address("operators")
+        with running_crowd(
+            [target],
+            *scripts,
+            count=TRICKLES,
+            sources=TRICKLE_SOURCES,
+            max_sending_s=TRICKLE_S,
+        ) as crowd:
+            is_ready = []
+            while len(is_ready) < READINESS_CHECKS and False not in is_ready:
+                is_ready.append(site.is_ready(attempts=READINESS_ATTEMPTS))
+                time.sleep(ORDINARY_PAUSE_S)
+            is_sending = crowd.is_sending
+        faults = site.faults()
+    assert (faults, set(is_ready), is_sending) == ([], {True}, True)
