Give the listener the receive buffer that its connections keep

Cause: the listener had 256 KB, and each connection shrank its buffer to 128 KB after the accept. A window is never withdrawn, so the kernel dropped packets of an upload that it had invited and that waited for memory. The client had one segment unacknowledged and window 0, and its retransmissions backed off for up to 6.5 s (TCP_INFO: unacked 1, backoff 4 or 5, probes 0). The host granted room, got nothing for 2 s and ended the upload as stalled. Others waited for longer than 10 s. Change: the listener has 128 KB from the start, which is enough for a window scale of 1. An upload that has room sets its window with TCP_WINDOW_CLAMP, as the window of a connection does not grow with its buffer alone.

--- a/persimmonwell/gateway/_caller_input.py
+++ b/persimmonwell/gateway/_caller_input.py
@@ -247,7 +247,7 @@
         self._has_upload_buffer = is_upload
         size = UPLOAD_BUFFER_BYTES if is_upload else RECEIVE_BUFFER_BYTES
         sock = self.transport.get_extra_info("socket")
-        set_buffer_sizes(sock, receive_bytes=size)
+        set_buffer_sizes(sock, receive_bytes=size, window_bytes=size // 2)
         body = self._parser.body
         is_announced = body is not None and not body.is_chunked
         read_bytes = UPLOAD_READ_BYTES if is_upload and is_announced else MAX_READ_BYTES
--- a/persimmonwell/gateway/_listeners.py
+++ b/persimmonwell/gateway/_listeners.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 
 from persimmonwell.core.resources import (
+    RECEIVE_BUFFER_BYTES,
     STATUS_BUFFER_BYTES,
-    UPLOAD_BUFFER_BYTES,
     Pacer,
 )
 from persimmonwell.gateway._socket_options import set_buffer_sizes
@@ -71,8 +71,9 @@
             settings.callers,
             self._create_caller_connection,
             accepts_per_turn=ACCEPTS_PER_TURN,
-            # Their connections set smaller ones; a window's scale is fixed before.
-            buffer_bytes=UPLOAD_BUFFER_BYTES,
+            # A connection that shrank its buffer after the accept would drop packets
+            # that it has invited, whose senders back off for seconds.
+            buffer_bytes=RECEIVE_BUFFER_BYTES,
         )
         await loop.create_datagram_endpoint(
             lambda: datagrams, local_addr=(settings.ip, settings.peer_port)
--- a/persimmonwell/gateway/_socket_options.py
+++ b/persimmonwell/gateway/_socket_options.py
@@ -27,9 +27,12 @@
     *,
     receive_bytes: int | None = None,
     send_bytes: int | None = None,
+    window_bytes: int | None = None,
 ) -> None:
     """Set buffer sizes as the kernel counts them; it doubles what it is given.
 
+    The window of a connection does not grow with its buffer unless it is set as well.
+
     A socket without such buffers, or one that is closed, is left as it is.
     """
     if sock is None:
@@ -39,6 +42,9 @@
         if size is not None:
             with contextlib.suppress(OSError):
                 sock.setsockopt(socket.SOL_SOCKET, option, size // 2)
+    if window_bytes is not None:
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_WINDOW_CLAMP, window_bytes)
 
 
 def set_socket_options(transport: asyncio.BaseTransport) -> None:
--- a/tests/crowds/test_costly_crowds.py
+++ b/tests/crowds/test_costly_crowds.py
@@ -7,7 +7,9 @@
 
 import socket
 import time
+from collections import Counter
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import closing
 from pathlib import Path
 
@@ -51,9 +53,12 @@
 CHUNKED_TIMEOUT_S = 40.0
 """Longest time to send, and to wait for the answer."""
 UPLOAD_BYTES = 4 * 1024 * 1024
+OK = b"HTTP/1.1 200 OK"
+UNAVAILABLE = b"HTTP/1.1 503 Service Unavailable"
 UPLOADS = 20
 REFUSALS = 3
 """Refusals that an ordinary caller must be able to read."""
+CONCURRENT_UPLOADS = 80
 REQUEST_S = 3.0
 """Time for which a complete body keeps its room; longer than an upload waits for it."""
 LEADING_ZEROS = 5000
@@ -186,7 +191,7 @@
     with running_site(tmp_path, memory_mb=MEMORY_MB, max_fds=MAX_FDS) as site:
         (address,) = _front(site)
         answer = _answer_to(address, request_, CHUNKED_TIMEOUT_S)
-        assert answer == b"HTTP/1.1 200 OK"
+        assert answer == OK
         assert site.faults(MEMORY_MB) == []
 
 
@@ -212,3 +217,19 @@
         assert faults == []
         assert 503 in statuses
         assert set(statuses) <= {200, 503}
+
+
+def test_concurrent_uploads_of_callers_that_keep_sending(tmp_path: Path) -> None:
+    """Guards against packets that are dropped, whose senders then count as stalled."""
+    upload = REPEATED_UPLOAD.head + b"x" * UPLOAD_BYTES
+    with running_site(tmp_path, memory_mb=MEMORY_MB, max_fds=MAX_FDS) as site:
+        (address,) = _front(site)
+        with ThreadPoolExecutor(CONCURRENT_UPLOADS) as threads:
+            sending = [
+                threads.submit(_answer_to, address, upload, CHUNKED_TIMEOUT_S)
+                for _ in range(CONCURRENT_UPLOADS)
+            ]
+        answers = Counter(each.result() for each in sending)
+        print(answers)
+        assert site.faults(MEMORY_MB) == []
+        assert set(answers) <= {OK, UNAVAILABLE}
