Charge status ports, peers' datagrams and store responses to the budget

Cause: their bytes were bounded, but the budget did not know of them, so uploads could take the same memory again. Change: the purposes status, peers and store are charged with or without room, so that the control plane goes on at any fill level. One assertion changed: the metric of the status ports was 0 with 64 open connections, and is now the size of their buffers, which the test bounds on both sides. Measured: pytest tests/gateway/test_status_server.py tests/gateway/test_peer_datagrams.py tests/gateway/test_store_followers.py; the new cases need the new charges.

--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -60,15 +60,19 @@
             caller_connection_bound(settings.max_fds, process_limit()),
             buffered_connection_bound(settings.memory_mb),
         )
+        budget = MemoryBudget(
+            memory_budget_bytes(settings.memory_mb), policy=settings.caller_policy
+        )
+        self._store_charge = budget.open_charge("store")
+        self._response_bytes: dict[str, int] = {}
+        """Bytes that each follower of the store holds."""
         self._gateway = Gateway(
             router=self._router,
             log=self._log,
             seed=seed,
             caller_bound=caller_bound,
             on_leaving=lambda: self._peers.send_to_zone(),
-            budget=MemoryBudget(
-                memory_budget_bytes(settings.memory_mb), policy=settings.caller_policy
-            ),
+            budget=budget,
             caller_policy=settings.caller_policy,
             buffer_plan=buffer_plan(settings.memory_mb, caller_bound),
         )
@@ -91,6 +95,7 @@
             answer_control=self._answer_control,
             answer_peers_and_metrics=self._answer_peers_and_metrics,
             record_client=self._gateway.admission.record_client,
+            budget=budget,
         )
         self._loop: asyncio.AbstractEventLoop | None = None
         self._store = StoreUpdates(
@@ -112,6 +117,7 @@
                 on_store_status=self._call_on_loop(self._store.record_store_status),
                 on_read_resumed=self._call_on_loop(self._store.log_resumed_read),
                 on_error=self._call_on_loop(self._log_follower_error),
+                on_received=self._call_on_loop(self._charge_response),
             ),
         )
         self._exchange = PeerExchange(
@@ -248,6 +254,10 @@
         message = f"follower {follower} failed"
         self._errors.log_error(self._loop, {"message": message, "exception": error})
 
+    def _charge_response(self, follower: str, count: int) -> None:
+        self._response_bytes[follower] = count
+        self._store_charge.force(sum(self._response_bytes.values()))
+
     def _call_on_loop(self, function: Callable[..., None]) -> Callable[..., None]:
         def call(*arguments: Any) -> None:
             assert self._loop is not None
--- a/persimmonwell/gateway/_host_gauges.py
+++ b/persimmonwell/gateway/_host_gauges.py
@@ -23,12 +23,6 @@
 ) -> None:
     """Add the gauges of a host to the metrics of its gateway."""
 
-    def read_bytes() -> Mapping[str, float]:
-        return {
-            **gateway.admission.budget.used_by_purpose,
-            "status": listeners.status_unsent_bytes,
-        }
-
     def read_descriptors() -> Mapping[str, float]:
         return {
             "callers": gateway.caller_connection_count,
@@ -76,7 +70,8 @@
         lambda: router.workspace_usage.top_shares(time.monotonic(), MAX_SHOWN_SHARES)
     )
     metrics.set_resource_readers(
-        read_bytes=read_bytes, read_descriptors=read_descriptors
+        read_bytes=lambda: gateway.admission.budget.used_by_purpose,
+        read_descriptors=read_descriptors,
     )
 
 
--- a/persimmonwell/gateway/_listeners.py
+++ b/persimmonwell/gateway/_listeners.py
@@ -8,6 +8,7 @@
 from persimmonwell.core.resources import (
     RECEIVE_BUFFER_BYTES,
     STATUS_BUFFER_BYTES,
+    MemoryBudget,
     Pacer,
 )
 from persimmonwell.gateway._socket_options import set_buffer_sizes
@@ -36,6 +37,7 @@
         answer_control: Callable[[str], Answer],
         answer_peers_and_metrics: Callable[[str], Answer],
         record_client: Callable[[str, str], None],
+        budget: MemoryBudget,
     ) -> None:
         self._settings = settings
         self._create_caller_connection = create_caller_connection
@@ -43,16 +45,12 @@
         self._answer_control = answer_control
         self._answer_peers_and_metrics = answer_peers_and_metrics
         self._record_client = record_client
+        self._budget = budget
         self._status_pacer = Pacer()
         self._servers: list[asyncio.Server] = []
         self._status_servers: list[StatusServer] = []
         self._callers_socket: socket.socket | None = None
 
-    @property
-    def status_unsent_bytes(self) -> int:
-        """Return the unsent bytes of the status servers."""
-        return sum(each.unsent_bytes for each in self._status_servers)
-
     @property
     def status_connection_count(self) -> int:
         """Return how many clients of the status servers are connected."""
@@ -86,6 +84,7 @@
             answer,
             clock=time.monotonic,
             on_terminated=lambda reason: self._record_client("terminated", reason),
+            charge=self._budget.open_charge("status"),
             pacer=self._status_pacer,
         )
         self._status_servers.append(status_server)
--- a/persimmonwell/gateway/_peer_datagrams.py
+++ b/persimmonwell/gateway/_peer_datagrams.py
@@ -26,6 +26,7 @@
     StoreVersions,
     WorkspaceTokens,
 )
+from persimmonwell.core.resources import Charge
 from persimmonwell.core.retry import Blame, PartEvidence
 from persimmonwell.gateway._peer_messages import (
     Changes,
@@ -73,6 +74,9 @@
 MAX_PEERS = 4096
 """Peers and learned addresses that are kept, those heard of last: four times 1,000
 hosts. Datagrams are not authenticated, so that anyone can name any number of hosts."""
+MAX_CHARGED_BYTES = 32 * 1024 * 1024
+"""Most that is charged for the datagrams of all peers; the tables that keep what they
+say are bounded as well."""
 MAX_READ_LOADS = 4 * MAX_LOADS
 MAX_READ_REPLICAS = 4096
 """Lost and slow replicas that are read from one datagram; 1,000 hosts have some 3,300
@@ -91,6 +95,8 @@
     status: PeerStatus
     last_report_s: float
     valid_s: float
+    size: int
+    """Bytes of the last datagram, most of whose content is kept."""
 
 
 @attrs.frozen
@@ -157,7 +163,11 @@
         local_state: Callable[[], LocalState],
         on_report: Callable[[PeerReport], None],
         clock: Callable[[], float],
+        charge: Charge | None = None,
     ) -> None:
+        self._charge = charge
+        """The last datagram of each peer, never refused for lack of memory."""
+        self._kept_bytes = 0
         self._host_id = host_id
         self._availability_zone = availability_zone
         self._local_address = local_address
@@ -206,6 +216,18 @@
 
     def datagram_received(self, data: bytes, addr: SocketAddress) -> None:
         """Apply a peer's report; malformed datagrams are ignored."""
+        self._charge_kept(len(data))
+        try:
+            self._read_datagram(data, addr)
+        finally:
+            self._charge_kept()
+
+    def _charge_kept(self, extra_bytes: int = 0) -> None:
+        if self._charge is not None:
+            kept_bytes = min(self._kept_bytes, MAX_CHARGED_BYTES)
+            self._charge.force(kept_bytes + extra_bytes)
+
+    def _read_datagram(self, data: bytes, addr: SocketAddress) -> None:
         try:
             report = msgspec.msgpack.decode(data, type=Report)
         except (msgspec.MsgspecError, ValueError, RecursionError):
@@ -226,7 +248,9 @@
             is_reader=report.is_reader,
             store_versions=store_versions,
         )
-        self._record_peer(addr[0], _PeerEntry(status, self._clock(), valid_s))
+        self._record_peer(
+            addr[0], _PeerEntry(status, self._clock(), valid_s, len(data))
+        )
         self._learn_addresses(report.peers[:MAX_PEER_ADDRESSES])
         loads = {
             load.replica_id: ReplicaLoad(load.requests, load.layer_tokens)
@@ -275,10 +299,15 @@
 
     def _record_peer(self, address: str, entry: _PeerEntry) -> None:
         """Record a report of a peer; drop the peer that was heard of first."""
-        self._peers.pop(address, None)
+        if address in self._peers:
+            self._forget_peer(address)
         self._peers[address] = entry
+        self._kept_bytes += entry.size
         if len(self._peers) > MAX_PEERS:
-            del self._peers[next(iter(self._peers))]
+            self._forget_peer(next(iter(self._peers)))
+
+    def _forget_peer(self, address: str) -> None:
+        self._kept_bytes -= self._peers.pop(address).size
 
     def _learn_address(self, address: str, learned_s: float) -> None:
         """Record an address; drop the one that was named first."""
@@ -303,8 +332,9 @@
         now_s = self._clock()
         for address, peer in list(self._peers.items()):
             if now_s - peer.last_report_s > max(PEER_EXPIRY_S, peer.valid_s):
-                del self._peers[address]
+                self._forget_peer(address)
                 self._learn_address(address, peer.last_report_s)
+        self._charge_kept()
         for address, learned_s in list(self._learned_addresses.items()):
             if now_s - learned_s > ADDRESS_EXPIRY_S:
                 del self._learned_addresses[address]
--- a/persimmonwell/gateway/_peer_exchange.py
+++ b/persimmonwell/gateway/_peer_exchange.py
@@ -70,11 +70,13 @@
         self._handover = HandoverPolicy(
             availability_zone=settings.availability_zone, seed=seed
         )
+        budget = gateway.admission.budget
         self._state_fetcher = StateFetcher(
             port=settings.metrics_port,
             callbacks=HandoverCallbacks(
                 on_state=call_on_loop(self._apply_handed_state),
                 on_failure=call_on_loop(self._log_failed_handover),
+                on_received=call_on_loop(budget.open_charge("peers").force),
             ),
         )
         self._state_timer: asyncio.TimerHandle | None = None
@@ -86,6 +88,7 @@
             local_state=self._local_state,
             on_report=self._apply_peer_report,
             clock=time.monotonic,
+            charge=budget.open_charge("peers"),
         )
 
     def start(self) -> None:
--- a/persimmonwell/gateway/_state_handover.py
+++ b/persimmonwell/gateway/_state_handover.py
@@ -47,6 +47,8 @@
     """Address of the peer and its state."""
     on_failure: Callable[[str, str], None]
     """Address of the peer and the reason."""
+    on_received: Callable[[int], None] = lambda count: None
+    """Bytes that are held of a peer's answer; 0 after it was handled."""
 
 
 class StateFetcher:
@@ -66,7 +68,12 @@
 
     def _fetch(self, address: str) -> None:
         try:
-            state = decode_state(_get(f"http://{address}:{self._port}{STATE_PATH}"))
+            state = decode_state(
+                _get(
+                    f"http://{address}:{self._port}{STATE_PATH}",
+                    self._callbacks.on_received,
+                )
+            )
         except (
             *(urllib3.exceptions.HTTPError, msgspec.MsgspecError),
             *(ValueError, RecursionError),
@@ -77,6 +84,7 @@
         else:
             self._callbacks.on_state(address, state)
         finally:
+            self._callbacks.on_received(0)
             self._is_fetching.release()
 
 
@@ -99,7 +107,7 @@
     )
 
 
-def _get(url: str) -> bytes:
+def _get(url: str, on_received: Callable[[int], None]) -> bytes:
     with urllib3.PoolManager(retries=False, timeout=FETCH_TIMEOUT_S) as pool:
         response = pool.request("GET", url, preload_content=False, decode_content=False)
         try:
@@ -109,6 +117,7 @@
             data = bytearray()
             while part := response.read1(_READ_BYTES):
                 data += part
+                on_received(len(data))
                 if len(data) > MAX_STATE_BYTES:
                     raise ValueError(f"more than {MAX_STATE_BYTES} bytes")
                 if time.monotonic() > until_s:
--- a/persimmonwell/gateway/_status_server.py
+++ b/persimmonwell/gateway/_status_server.py
@@ -10,7 +10,7 @@
 
 import httptools
 
-from persimmonwell.core.resources import ConnectionTable, Pacer
+from persimmonwell.core.resources import Charge, ConnectionTable, Pacer
 from persimmonwell.platform import mask_keys
 
 MAX_HEAD_BYTES = 8192
@@ -85,9 +85,12 @@
         *,
         clock: Callable[[], float],
         on_terminated: Callable[[str], None],
+        charge: Charge,
         pacer: Pacer | None = None,
     ) -> None:
         self.answer = answer
+        self._charge = charge
+        """What the connections hold, which is never refused for lack of memory."""
         self.pacer = pacer or Pacer()
         self.on_terminated = on_terminated
         """Receives the reason for which the server closed a connection."""
@@ -108,6 +111,16 @@
         """Return the size of the answers that were not handed to a transport yet."""
         return sum(connection.unsent_bytes for connection in self._connections)
 
+    def update_charge(self) -> None:
+        """Charge the buffers of the connections and the answers that they hold.
+
+        Connections share an answer that is used again, so each is counted once.
+        """
+        held = list(self._connections)
+        answers = {id(body): len(body) for c in held if (body := c.held_answer)}
+        size = sum(connection.buffered_bytes for connection in held)
+        self._charge.force(size + sum(answers.values()))
+
     def create_connection(self) -> "StatusServerConnection":
         """Return the protocol instance of a new connection."""
         return StatusServerConnection(self)
@@ -123,10 +136,12 @@
         if admission.evicted is not None:
             self.on_terminated("status_full")
             admission.evicted.abort()
+        self.update_charge()
 
     def connection_closed(self, connection: "StatusServerConnection") -> None:
         """Forget a closed connection."""
         self._connections.remove(connection)
+        self.update_charge()
 
     def record_progress(self, connection: "StatusServerConnection") -> None:
         """Record that a connection transferred data."""
@@ -179,6 +194,19 @@
         """Return the size of the part of the answer that the transport did not take."""
         return len(self._unsent)
 
+    @property
+    def held_answer(self) -> bytes:
+        """Return the whole answer of which a part is unsent, empty without one."""
+        return self._unsent.obj if self._unsent else b""  # type: ignore[return-value]
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of the buffers to read and to send."""
+        size = len(self._buffer)
+        if self._is_writing_paused and self._transport is not None:
+            size += self._transport.get_write_buffer_size()
+        return size
+
     def abort(self) -> None:
         """Close the connection without sending the rest of an answer."""
         self._unsent = memoryview(b"")
@@ -218,12 +246,14 @@
     def pause_writing(self) -> None:
         """Record that the transport has unsent data."""
         self._is_writing_paused = True
+        self._server.update_charge()
 
     def resume_writing(self) -> None:
         """Send the next part of the answer, and then answer the next request."""
         self._is_writing_paused = False
         self._send()
         self._answer_requests()
+        self._server.update_charge()
         self._server.record_progress(self)
 
     # Requests
--- a/persimmonwell/gateway/_store_followers.py
+++ b/persimmonwell/gateway/_store_followers.py
@@ -82,6 +82,9 @@
     """First read of a follower, after a failure, or in another era of the store."""
     on_error: Callable[[str, Exception], None]
     """Name of the follower and an unexpected error, after which it goes on."""
+    on_received: Callable[[str, int], None] = lambda follower, count: None
+    """Name of the follower and the bytes that it holds of a response; 0 after it was
+    handled."""
 
 
 class StoreFollowers:
@@ -173,8 +176,12 @@
         """Record that a reader of the zone has just read what this host knows."""
         self._confirmed_s[follower] = time.monotonic()
 
-    def _client(self) -> StoreClient:
-        return StoreClient(url=self._url, timeout_s=CALL_TIMEOUT_S)
+    def _client(self, name: str) -> StoreClient:
+        return StoreClient(
+            url=self._url,
+            timeout_s=CALL_TIMEOUT_S,
+            on_received=lambda count: self._callbacks.on_received(name, count),
+        )
 
     def _report_store_status(
         self, name: str, is_available: bool, reason: str = ""
@@ -235,31 +242,18 @@
         pause_s: float,
         handle: Callable[[tuple[StoreRecord, ...], int | None, int | None], None],
     ) -> None:
-        client = self._client()
+        client = self._client(name)
         offset: int | None = None
         era: int | None = None
         while not self._stop.is_set():
             try:
+                # After a failure, the answer itself shows that the store is back.
+                wait_s = long_poll_s if self._store_available.get(name) else 0.0
+                offset, era = self._read_topic(
+                    client, name, topic, offset, era, wait_s=wait_s, handle=handle
+                )
                 if offset is None:
-                    snapshot = client.read_latest(topic)
-                    era = current_era(era, snapshot.era)
-                    self._report_read(_describe_read(name, None, snapshot))
-                    offset = snapshot.end_offset
-                    handle(snapshot.records, offset, era)
-                else:
-                    # After a failure, the answer itself shows that the store is back.
-                    wait_s = long_poll_s if self._store_available.get(name) else 0.0
-                    changes = client.read(topic, from_offset=offset, wait_s=wait_s)
-                    offset_era, era = era, current_era(era, changes.era)
-                    self._report_read(_describe_read(name, offset, changes))
-                    if era != offset_era:
-                        # The offset names another record now.
-                        offset = None
-                        continue
-                    # A stale read ends before this offset and returns no records.
-                    if changes.records:
-                        handle(changes.records, None, era)
-                        offset = changes.records[-1].offset + 1
+                    continue
                 self._report_store_status(name, True)
                 if not self._reads_continuously.is_set():
                     self._stop.wait(pause_s)
@@ -281,6 +275,43 @@
                 self._wait_to_retry(name)
         client.close()
 
+    def _read_topic(
+        self,
+        client: StoreClient,
+        name: str,
+        topic: str,
+        offset: int | None,
+        era: int | None,
+        *,
+        wait_s: float,
+        handle: Callable[[tuple[StoreRecord, ...], int | None, int | None], None],
+    ) -> tuple[int | None, int | None]:
+        """Read and handle records; return the next offset and the era of the store.
+
+        The offset is None if the whole list is to be read next.
+        """
+        try:
+            if offset is None:
+                snapshot = client.read_latest(topic)
+                era = current_era(era, snapshot.era)
+                self._report_read(_describe_read(name, None, snapshot))
+                handle(snapshot.records, snapshot.end_offset, era)
+                return snapshot.end_offset, era
+            changes = client.read(topic, from_offset=offset, wait_s=wait_s)
+            offset_era, era = era, current_era(era, changes.era)
+            self._report_read(_describe_read(name, offset, changes))
+            if era != offset_era:
+                # The offset names another record now.
+                return None, era
+            # A stale read ends before this offset and returns no records.
+            if changes.records:
+                handle(changes.records, None, era)
+                offset = changes.records[-1].offset + 1
+            return offset, era
+        finally:
+            # Handled on the event loop before it handles this.
+            self._callbacks.on_received(name, 0)
+
     def _retry_delay_s(self) -> float:
         delay_s = min(MAX_RETRY_DELAY_S, RETRY_DELAY_S * self._reader_count)
         return delay_s * self._random.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER)
@@ -312,7 +343,7 @@
                 self._callbacks.on_invalid_config(error.message())
 
     def _follow_duty(self) -> None:
-        client = self._client()
+        client = self._client("duty")
         generation = 0
         holds_duty = False
         era: int | None = None
--- a/persimmonwell/platform/_store_client.py
+++ b/persimmonwell/platform/_store_client.py
@@ -4,6 +4,7 @@
 import json
 import struct
 import time
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -93,7 +94,20 @@
 class StoreClient:
     """HTTP client of the store."""
 
-    def __init__(self, *, url: str, timeout_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        url: str,
+        timeout_s: float,
+        on_received: Callable[[int], None] = lambda count: None,
+    ) -> None:
+        """Connect lazily to a store.
+
+        on_received is called with the bytes that are held of a response.
+        """
+        self._on_received = on_received
+        self._listed_bytes = 0
+        """Bytes of the pages that were read of the newest list."""
         self._url = f"{url}/persimmonwell"
         self._timeout_s = timeout_s
         self._pool = urllib3.PoolManager(maxsize=4, retries=False)
@@ -112,6 +126,7 @@
         after = ""
         end: int | None = None
         first_era: int | None = None
+        self._listed_bytes = 0
         while True:
             query = {"topic": topic, "part": "0"}
             if after:
@@ -129,6 +144,7 @@
                     record = StoreRecord(int(item["offset"]), str(item["key"]), value)
                     records.append(record)
                     list_bytes += RECORD_BYTES + len(record.key or "") + len(value)
+                self._listed_bytes = list_bytes
                 if list_bytes > MAX_LIST_BYTES:
                     raise PlatformUnavailableError("log", "the list is too long")
                 if not answer.get("has_more") or not answer["items"]:
@@ -144,6 +160,7 @@
 
         Raises RecordsExpiredError or PlatformUnavailableError.
         """
+        self._listed_bytes = 0
         query = {"topic": topic, "part": str(partition), "from": str(from_offset)}
         if wait_s > 0:
             query["wait_ms"] = str(int(wait_s * 1000))
@@ -215,12 +232,14 @@
         self, method: str, call: str, query: dict[str, str], *, body: bytes = b""
     ) -> tuple[dict[str, Any], int | None]:
         """Return the decoded body and the era that the store states."""
-        response = self._call(method, call, query, body=body)
-        status = response.status
         try:
+            response = self._call(method, call, query, body=body)
             answer = json.loads(response.data) if response.data else {}
         except (ValueError, RecursionError) as error:
             raise PlatformUnavailableError("log", str(error)) from error
+        finally:
+            self._on_received(self._listed_bytes)
+        status = response.status
         if status == 412 and isinstance(answer, dict):
             end = answer.get("end", 0)
             if type(end) is not int:
@@ -256,31 +275,33 @@
                 preload_content=False,
                 decode_content=False,
             )
-            data = _read_body(response, until_s=time.monotonic() + MAX_TRANSFER_S)
+            data = self._read_body(response, until_s=time.monotonic() + MAX_TRANSFER_S)
         except urllib3.exceptions.HTTPError as error:
             raise PlatformUnavailableError("log", type(error).__name__) from error
         era = response.headers.get(ERA_HEADER, "")
         is_era = era.isascii() and era.isdecimal() and len(era) <= MAX_ERA_DIGITS
         return _Answer(response.status, data, int(era) if is_era else None)
 
+    def _read_body(
+        self, response: urllib3.BaseHTTPResponse, *, until_s: float
+    ) -> bytes:
+        """Return the body of a response.
 
-def _read_body(response: urllib3.BaseHTTPResponse, *, until_s: float) -> bytes:
-    """Return the body of a response.
-
-    Raises PlatformUnavailableError for one that is too long or does not end, and closes
-    its connection.
-    """
-    data = bytearray()
-    while part := response.read1(_READ_BYTES):
-        data += part
-        if len(data) > MAX_RESPONSE_BYTES:
-            response.close()
-            raise PlatformUnavailableError("log", "the response is too long")
-        if time.monotonic() > until_s:
-            response.close()
-            raise PlatformUnavailableError("log", "the response does not end")
-    response.release_conn()
-    return bytes(data)
+        Raises PlatformUnavailableError for one that is too long or does not end, and
+        closes its connection.
+        """
+        data = bytearray()
+        while part := response.read1(_READ_BYTES):
+            data += part
+            self._on_received(self._listed_bytes + len(data))
+            if len(data) > MAX_RESPONSE_BYTES:
+                response.close()
+                raise PlatformUnavailableError("log", "the response is too long")
+            if time.monotonic() > until_s:
+                response.close()
+                raise PlatformUnavailableError("log", "the response does not end")
+        response.release_conn()
+        return bytes(data)
 
 
 def _parse_first_offset(data: bytes) -> int:
--- a/tests/gateway/followed_store.py
+++ b/tests/gateway/followed_store.py
@@ -28,6 +28,8 @@
         self.eras: list[int] = []
         self.lease_ends_s: list[float | None] = []
         self.resumed_reads: list[StoreRead] = []
+        self.held: list[tuple[str, int]] = []
+        """Bytes of responses that each follower held."""
         self.hangs = threading.Event()
         self.store.put_key("keyed.op", "config", config(3))
         self.put_replica("i-1")
@@ -44,6 +46,7 @@
                 on_store_status=lambda name, is_available, reason: None,
                 on_read_resumed=self.resumed_reads.append,
                 on_error=lambda name, error: None,
+                on_received=lambda name, count: self.held.append((name, count)),
             ),
         )
 
--- a/tests/gateway/test_peer_datagrams.py
+++ b/tests/gateway/test_peer_datagrams.py
@@ -22,6 +22,7 @@
     StoreVersions,
     WorkspaceTokens,
 )
+from persimmonwell.core.resources import MemoryBudget
 from persimmonwell.core.retry import Blame, PartEvidence, PromptPartQuarantine
 from persimmonwell.gateway._peer_datagrams import (
     MAX_BLAMES,
@@ -296,6 +297,8 @@
     A peer that goes on reporting is not displaced by those that report once.
     """
     one, _ = peer("h1", "127.0.0.1", 1, clock)
+    budget = MemoryBudget()
+    one._charge = budget.open_charge("peers")
     real = msgspec.msgpack.encode(sample_report())
     for number in range(2 * MAX_PEERS):
         fields = sample_report()
@@ -310,11 +313,14 @@
         if number % 1000 == 0:
             one.datagram_received(real, ("127.0.0.9", 1))
     assert len(one._peers) == len(one._learned_addresses) == MAX_PEERS
+    sizes = sum(entry.size for entry in one._peers.values())
+    assert budget.used_by_purpose["peers"] == sizes > 0
     assert one.address_of("h2") == "127.0.0.9"
     clock.now_s += 1000.0
     one.connection_made(_Network())  # type: ignore[arg-type]
     one.send()
     assert len(one._peers) == 0 and len(one._learned_addresses) <= MAX_PEERS
+    assert "peers" not in budget.used_by_purpose
 
 
 @pytest.mark.parametrize(
--- a/tests/gateway/test_status_server.py
+++ b/tests/gateway/test_status_server.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from persimmonwell.core.resources import MemoryBudget
 from persimmonwell.gateway._status_server import (
     ANSWER_VALIDITY_S,
     ANSWERS_PER_TURN,
@@ -54,6 +55,7 @@
         self.is_open = True
         self.is_paused = False
         self.written = bytearray()
+        self.unsent_bytes = 0
         self.undelivered = b""
         """Bytes that arrived while reading was paused."""
 
@@ -65,8 +67,12 @@
     def write(self, data: bytes | bytearray | memoryview) -> None:
         self.written += data
         if not self.is_read:
+            self.unsent_bytes += len(data)
             self.protocol.pause_writing()
 
+    def get_write_buffer_size(self) -> int:
+        return self.unsent_bytes
+
     def pause_reading(self) -> None:
         self.is_paused = True
 
@@ -110,8 +116,12 @@
         self.body = body
         self.answered = 0
         self.reasons: list[str] = []
+        self.budget = MemoryBudget()
         self.server = StatusServer(
-            self._answer, clock=lambda: 0.0, on_terminated=self.reasons.append
+            self._answer,
+            clock=lambda: 0.0,
+            on_terminated=self.reasons.append,
+            charge=self.budget.open_charge("status"),
         )
 
     def _answer(self, target: str) -> tuple[int, bytes]:
@@ -339,7 +349,11 @@
         text = read_metrics(metrics[1])
         for use in ("callers", "status", "total"):
             assert f'persimmonwell_gateway_descriptors{{use="{use}"}}' in text
-        assert 'persimmonwell_gateway_bytes{purpose="status"} 0' in text
+        _, found, rest = text.partition('gateway_bytes{purpose="status"} ')
+        assert found
+        # The buffers of two full ports; the third has no connection.
+        buffers = 2 * MAX_CONNECTIONS * MAX_HEAD_BYTES
+        assert buffers / 2 <= float(rest.split()[0]) <= buffers
         assert 'action="terminated",reason="status_full"' in text
         limit = 2 * MAX_CONNECTIONS + 1
         wait_until(lambda: 0 < descriptors(metrics[1], "status") <= limit)
@@ -360,3 +374,25 @@
 def descriptors(port: int, use: str) -> float:
     name = f'persimmonwell_gateway_descriptors{{use="{use}"}} '
     return float(read_metrics(port).split(name)[1].split("\n")[0])
+
+
+def test_ports_answer_without_memory_and_are_charged() -> None:
+    """Guards against status ports that are uncharged, or refused without memory."""
+
+    def test() -> None:
+        port = _Port(body=b"x" * (3 * SLICE_BYTES))
+        callers = port.budget.open_charge("bodies")
+        callers.force(port.budget.total_bytes)
+        transports = [port.connect() for _ in range(2)]
+        for transport in transports:
+            transport.is_read = False
+            transport.receive(REQUEST)
+            assert transport.written
+        # The answer is shared, and each transport holds a copy of a slice.
+        held = sum(MAX_HEAD_BYTES + each.unsent_bytes for each in transports)
+        assert port.budget.used_by_purpose["status"] == held + len(port.body)
+        for transport in transports:
+            transport.abort()
+        assert "status" not in port.budget.used_by_purpose
+
+    run(test)
--- a/tests/gateway/test_store_followers.py
+++ b/tests/gateway/test_store_followers.py
@@ -190,3 +190,19 @@
     assert len(followed_store.lease_ends_s) == renewals
     followed_store.followers.confirm_responsive()
     wait_until(lambda: len(followed_store.lease_ends_s) > renewals)
+
+
+def test_bytes_of_responses_are_reported_until_they_are_handled(
+    followed_store: FollowedStore,
+) -> None:
+    """Guards against responses that are uncharged, or charged for ever."""
+    for name in ("config", "replicas", "duty"):
+
+        def counts(name: str = name) -> list[int]:
+            return [count for held, count in followed_store.held if held == name]
+
+        wait_until(lambda: any(counts()) and counts()[-1] == 0)
+    followed_store.store.faults["down"] = True
+    time.sleep(0.5)
+    newest = dict(followed_store.held)
+    assert set(newest.values()) == {0}
