Bound what peers' loads take of a small host, long ids included

Cause: up to 131,072 loads of peers are kept, whatever the length of their replicas' ids and the memory of the host. Datagrams are not authenticated. 150 loads with ids of 320 characters from each of 1,000 forged hosts exceeded 100 MB. Change: an id counts once more for each 64 characters, and a host keeps 512 loads for each MB of limits.memory_mb, the former bound from 256 MB on.

--- a/persimmonwell/core/forwarding/_loads.py
+++ b/persimmonwell/core/forwarding/_loads.py
@@ -15,8 +15,11 @@
 MAX_PEERS = 4096
 """Peers whose loads are kept, those that reported last."""
 MAX_PEER_LOADS = 131_072
-"""Loads that are kept over all peers, some 35 MB: the 128 loads in a report of each of
+"""Loads that are kept over all peers, some 50 MB: the 128 loads in a report of each of
 1,000 hosts. Anyone can send reports in the names of any number of hosts."""
+NAME_CHARACTERS = 64
+"""Characters of a replica id that count like a further load; ids of 320 characters took
+128 MB of a host of 100 MB."""
 
 
 @attrs.frozen
@@ -52,6 +55,7 @@
         self._local: dict[str, ReplicaLoad] = {}
         self._peers: dict[str, _PeerLoads] = {}
         """Loads by peer, the one that reported first at the beginning."""
+        self.peer_load_bound = MAX_PEER_LOADS
         self._peer_load_count = 0
         self._totals: dict[str, tuple[int, int]] = {}
         """Requests and layer-tokens over all hosts."""
@@ -149,10 +153,12 @@
             zone_requests = sum(load.requests for load in loads.values())
         self._peers[peer] = _PeerLoads(dict(loads), until_s, zone_requests)
         self._zone_requests += zone_requests
-        self._peer_load_count += len(loads)
+        self._peer_load_count += _count_loads(loads)
         for replica_id, load in loads.items():
             self._change_total(replica_id, load.requests, load.layer_tokens)
-        while len(self._peers) > MAX_PEERS or self._peer_load_count > MAX_PEER_LOADS:
+        while (
+            len(self._peers) > MAX_PEERS or self._peer_load_count > self.peer_load_bound
+        ):
             self._drop_peer(next(iter(self._peers)))
 
     def expire_peers(self, now_s: float) -> None:
@@ -171,7 +177,7 @@
         state = self._peers.pop(peer, None)
         if state is not None:
             self._zone_requests -= state.zone_requests
-            self._peer_load_count -= len(state.loads)
+            self._peer_load_count -= _count_loads(state.loads)
             for replica_id, load in state.loads.items():
                 self._change_total(replica_id, -load.requests, -load.layer_tokens)
 
@@ -189,3 +195,8 @@
             self._totals[replica_id] = (requests, layer_tokens)
         else:
             self._totals.pop(replica_id, None)
+
+
+def _count_loads(loads: Mapping[str, ReplicaLoad]) -> int:
+    """Return the number of loads, in which long ids count several times."""
+    return len(loads) + sum(len(replica_id) // NAME_CHARACTERS for replica_id in loads)
--- a/persimmonwell/core/resources/__init__.py
+++ b/persimmonwell/core/resources/__init__.py
@@ -16,6 +16,7 @@
     MemoryBudget,
     ProgressCharge,
     memory_budget_bytes,
+    peer_load_bound,
 )
 from persimmonwell.core.resources._pacing import Pacer
 from persimmonwell.core.resources._policy import CallerPolicy, RefusalReason
@@ -57,4 +58,5 @@
     "caller_connection_bound",
     "choose_stalled",
     "memory_budget_bytes",
+    "peer_load_bound",
 ]
--- a/persimmonwell/core/resources/_memory.py
+++ b/persimmonwell/core/resources/_memory.py
@@ -19,6 +19,9 @@
 requests."""
 ADDRESS_SHARE = 0.5
 """Share of the room for uploads that one address gets while others wait."""
+PEER_LOADS_PER_MB = 512
+"""A load takes some 400 bytes, so that a fifth of the memory is for those of peers."""
+MIN_PEER_LOADS = 16_384
 SMALL_BODY_BYTES = 65_536
 """A body up to this size may use the reserved share."""
 MAX_ENDED_AT_ONCE = 8
@@ -31,6 +34,14 @@
     return max(MIN_BUDGET_BYTES, int(share))
 
 
+def peer_load_bound(memory_mb: float) -> int:
+    """Return how many loads of peers a host of this memory keeps.
+
+    Those of 400 hosts fit on the smallest hosts, of 100 MB, and take 20 MB there.
+    """
+    return max(MIN_PEER_LOADS, int(PEER_LOADS_PER_MB * memory_mb))
+
+
 class Charge:
     """Memory of one use, credited back by shrink or close."""
 
--- a/persimmonwell/gateway/_host.py
+++ b/persimmonwell/gateway/_host.py
@@ -14,6 +14,7 @@
     buffered_connection_bound,
     caller_connection_bound,
     memory_budget_bytes,
+    peer_load_bound,
 )
 from persimmonwell.gateway._error_log import ErrorLog
 from persimmonwell.gateway._gateway import Gateway
@@ -56,6 +57,10 @@
             retry_window_s=settings.retry_window_s,
         )
         self._router.host_count = max(1, len(settings.seeds))
+        loads = self._router.loads
+        loads.peer_load_bound = min(
+            loads.peer_load_bound, peer_load_bound(settings.memory_mb)
+        )
         caller_bound = min(
             caller_connection_bound(settings.max_fds, process_limit()),
             buffered_connection_bound(settings.memory_mb),
--- a/tests/core/forwarding/test_peer_tables.py
+++ b/tests/core/forwarding/test_peer_tables.py
@@ -52,15 +52,21 @@
     assert not reports._zones and not reports._reported_s
 
 
-def test_loads_over_all_hosts_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize(("prefix", "weight"), [("i", 1), ("i" * 300, 5)])
+def test_loads_over_all_hosts_are_bounded(
+    monkeypatch: pytest.MonkeyPatch, prefix: str, weight: int
+) -> None:
     """Guards against the loads of many hosts, of which each is within its bound."""
     monkeypatch.setattr(loads_module, "MAX_PEER_LOADS", 100)
     table = LoadTable()
     for number in range(50):
-        loads = {f"i-{number}-{each}": ReplicaLoad(1, 1) for each in range(number % 20)}
+        loads = {
+            f"{prefix}-{number}-{each}": ReplicaLoad(1, 1)
+            for each in range(number % 20)
+        }
         table.set_peer_loads(f"h-{number % 30}", loads, float(number))
         kept = sum(len(state.loads) for state in table._peers.values())
-        assert kept == table._peer_load_count <= 100
+        assert kept * weight == table._peer_load_count <= 100
     table.expire_peers(1000.0)
     assert table._peer_load_count == 0 == len(table._peers)
 
--- a/tests/crowds/test_further_crowds.py
+++ b/tests/crowds/test_further_crowds.py
@@ -6,11 +6,21 @@
 the kernel keeps for the process.
 """
 
+import socket
 from collections.abc import Sequence
 from pathlib import Path
 
+import msgspec
+
+from persimmonwell.gateway._peer_datagrams import MAX_READ_NAME_CHARACTERS
+from persimmonwell.gateway._peer_messages import Load, Report
 from standins.crowd import SOURCES, Script, request_head, running_crowd
-from tests.crowds.site import CALLER_LIMITS, DEPLOYED_FDS, running_site
+from tests.crowds.site import (
+    CALLER_LIMITS,
+    DEPLOYED_FDS,
+    new_caller_status,
+    running_site,
+)
 
 MIB = 1024 * 1024
 MEMORY_MB = 100
@@ -44,6 +54,11 @@
 REQUEST_IDS = 200
 """Requests of one client whose ids fill their heads: 94 MB of all clients."""
 LONG_ID_CLIENTS = 30
+FORGED_HOSTS = 2000
+FORGED_LOADS = 150
+"""Loads in one datagram of 48 KB, of 300,000 in all datagrams."""
+DATAGRAMS_AT_ONCE = 4
+"""Datagrams that the kernel surely keeps for a process that does not read them yet."""
 
 HEAD = request_head("/look/crowd")[:-2]
 WAITING_HEAD = request_head("/wait/crowd")[:-2]
@@ -210,3 +225,39 @@
         flood="body",
     )
     assert faults == []
+
+
+def _forged_report(number: int) -> bytes:
+    """Return a datagram of a host that does not exist, with the longest names."""
+    names = (f"{number}-{each}-" for each in range(FORGED_LOADS))
+    fill = MAX_READ_NAME_CHARACTERS
+    report = Report(
+        host_id=f"forged-{number}",
+        availability_zone="za",
+        loads=[Load(name.ljust(fill, "n"), 1, 1) for name in names],
+        peers=[],
+        lost=[],
+        reads_store=False,
+        holds_duty=False,
+        slow={},
+        interval_s=100.0,
+        is_reader=False,
+        config_version=0,
+        registry_offset=-1,
+        blames=[],
+        refused=[],
+    )
+    return msgspec.msgpack.encode(report)
+
+
+def test_datagrams_of_forged_hosts(tmp_path: Path) -> None:
+    """Guards against tables of peers whose entries are bounded in number alone."""
+    with running_site(tmp_path, memory_mb=MEMORY_MB, max_fds=MAX_FDS) as site:
+        (host,) = site.hosts
+        for number in range(FORGED_HOSTS):
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+                sender.bind((f"127.1.{number // 250}.{number % 250 + 1}", 0))
+                sender.sendto(_forged_report(number), (host.ip, host.ports["peers"]))
+            if number % DATAGRAMS_AT_ONCE == 0:
+                assert new_caller_status(host) == 200
+        assert site.faults(MEMORY_MB) == []
