Close connections that the host may not have read yet after all others

Cause: connections with a part of a request count as busy, so among clients that begin a request and come back at once, the oldest idle connection was one of the last turns, whose request had not been read. Readiness probes got no answer. Change: a connection without progress is new for 0.1 s, and new ones are closed only if there is no other one.

--- a/persimmonwell/core/resources/_connections.py
+++ b/persimmonwell/core/resources/_connections.py
@@ -6,7 +6,8 @@
 
 from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterator
-from typing import Generic, TypeVar
+from itertools import islice
+from typing import Any, Generic, TypeVar
 
 import attrs
 
@@ -24,6 +25,12 @@
 the store, listeners, peers and logs."""
 MIN_CALLER_CONNECTIONS = 16
 """Bound where the descriptors do not even suffice for the reserves."""
+NEW_S = 0.1
+"""Time for which a new connection is closed only if there is no other one. The event
+loop reads its request some turns after the accept; clients that come back at once and
+begin a request were otherwise kept instead of a readiness probe."""
+MAX_NEW_CHECKED = 64
+"""New connections that are looked at for one whose address has many, at the most."""
 RECHECK_INTERVAL_S = 0.25
 """Interval at which connections that could not be closed are looked at again. Without
 it, each new connection would look at all of them."""
@@ -92,6 +99,9 @@
         self._closing_bound = closing_bound
         self._is_idle = is_idle
         self._may_be_evicted = may_be_evicted
+        self._new: OrderedDict[C, float] = OrderedDict()
+        """Connections without progress so far, with the time of their start, which the
+        host may not have read from yet."""
         self._idle: OrderedDict[C, None] = OrderedDict()
         self._busy: OrderedDict[C, None] = OrderedDict()
         self._passed_idle: OrderedDict[C, None] = OrderedDict()
@@ -114,8 +124,9 @@
             yield from tuple(table)
 
     @property
-    def _kept(self) -> tuple[OrderedDict[C, None], ...]:
-        return self._idle, self._busy, self._passed_idle, self._passed_busy
+    def _kept(self) -> tuple[OrderedDict[C, Any], ...]:
+        passed = (self._passed_idle, self._passed_busy)
+        return (self._new, self._idle, self._busy, *passed)
 
     @property
     def _kept_count(self) -> int:
@@ -137,7 +148,7 @@
             self._take(evicted)
             self._count(evicted, -1)
             aborted = self._start_closing(evicted)
-        self._idle[connection] = None
+        self._new[connection] = now_s
         self._count(connection, 1)
         return Admission(True, evicted, aborted)
 
@@ -201,6 +212,12 @@
             self._passed_busy = OrderedDict()
             self._spared_idle.clear()
             self._spared_busy.clear()
+        while self._new:
+            connection, started_s = next(iter(self._new.items()))
+            if now_s - started_s < NEW_S:
+                break
+            del self._new[connection]
+            self._idle[connection] = None
         while self._idle:
             connection = next(iter(self._idle))
             if not self._is_idle(connection):
@@ -222,10 +239,13 @@
                 return connection
             del self._busy[connection]
             self._passed_busy[connection] = None
+        for connection in islice(self._new, MAX_NEW_CHECKED):
+            if not self._is_spared(connection) and self._may_be_evicted(connection):
+                return connection
         for spared in (self._spared_idle, self._spared_busy):
             while spared:
                 connection = next(iter(spared))
                 if self._may_be_evicted(connection):
                     return connection
                 del spared[connection]
-        return None
+        return next(filter(self._may_be_evicted, self._new), None)
--- a/tests/core/resources/test_connections.py
+++ b/tests/core/resources/test_connections.py
@@ -15,7 +15,7 @@
     ConnectionTable,
     caller_connection_bound,
 )
-from persimmonwell.core.resources._connections import RECHECK_INTERVAL_S
+from persimmonwell.core.resources._connections import NEW_S, RECHECK_INTERVAL_S
 
 
 @attrs.define(eq=False)
@@ -218,3 +218,18 @@
     answered[7].may_be_evicted = True
     admission = table.add(_Connection(3000), 1.0 + RECHECK_INTERVAL_S)
     assert admission.evicted is answered[7]
+
+
+def test_a_new_connection_is_read_before_it_is_closed() -> None:
+    """Guards against clients with a request in progress that displace probes."""
+    table = table_of(4)
+    busy = [_Connection(number, is_idle=False) for number in range(3)]
+    for connection in busy:
+        table.add(connection, 0.0)
+        table.record_progress(connection)
+    probe = _Connection(9)
+    table.add(probe, 1.0)
+    # Of a connection without progress, only the first moments are spared.
+    evicted = [table.add(_Connection(n), 1.0 + n * NEW_S / 3).evicted for n in (1, 2)]
+    assert evicted == busy[:2]
+    assert table.add(_Connection(3), 1.0 + NEW_S).evicted is probe
--- a/tests/crowds/test_costly_crowds.py
+++ b/tests/crowds/test_costly_crowds.py
@@ -48,6 +48,9 @@
 RECONNECTIONS = 4 * RECONNECTING
 KEPT_CALLERS = 4
 """Of one address, which has fewer than half of the connections of the others."""
+READINESS_CHECKS = 5
+PROBES_A_CHECK = 3
+"""Probes of which the platform needs one to keep a host."""
 CHUNKED_BYTES = 2 * 1024 * 1024
 """Body in chunks of one byte; 50 ms for each 4 KB would make more than two minutes."""
 CHUNKED_TIMEOUT_S = 40.0
@@ -160,6 +163,29 @@
         assert (faults, set(statuses), kept) == ([], {200}, ports)
 
 
+def test_readiness_among_clients_that_come_back_at_once(tmp_path: Path) -> None:
+    """Guards against probes that are closed before they are read."""
+    script = Script(b"GET / HT", connections=10**6, reopen_s=0.0)
+    with running_site(tmp_path, memory_mb=MEMORY_MB, max_fds=MAX_FDS) as site:
+        (host,) = site.hosts
+        with running_crowd(
+            [(host.ip, host.ports["ready"])],
+            script,
+            count=RECONNECTING,
+            sources=ADDRESSES,
+            max_sending_s=SENDING_S,
+        ) as crowd:
+            while crowd.connection_count < RECONNECTIONS and crowd.is_sending:
+                time.sleep(0.01)
+            checks = [
+                any(host.is_ready() for _ in range(PROBES_A_CHECK))
+                for _ in range(READINESS_CHECKS)
+            ]
+            is_sending = crowd.is_sending
+            faults = site.faults(MEMORY_MB)
+        assert (faults, set(checks), is_sending) == ([], {True}, True)
+
+
 def _answer_to(address: Address, data: bytes, timeout_s: float) -> bytes:
     """Return the status line of the answer to one request; nothing without one."""
     with socket.create_connection(address, timeout=timeout_s) as connection:
