Keep probes of persimmonwelld among clients that come back at once

Cause: a connection that waits for a thread made its last progress before those that threads read from, so it was closed before them, and clients that never end a request kept all threads. The port accepted 6,000 connections a second, more than threads could read. The rule for new connections closed a request in progress before silent new connections. Change: connections that wait for a thread are closed after those that threads read from; the accepting thread pauses 1 ms after each connection that replaces another; a request in progress is closed before a new connection only if the connections of half of the bound have followed its last bytes.

--- a/persimmonwell/core/resources/_connections.py
+++ b/persimmonwell/core/resources/_connections.py
@@ -26,9 +26,10 @@
 MIN_CALLER_CONNECTIONS = 16
 """Bound where the descriptors do not even suffice for the reserves."""
 NEW_S = 0.1
-"""Time for which a new connection is closed only if there is no other one. The event
-loop reads its request some turns after the accept; clients that come back at once and
-begin a request were otherwise kept instead of a readiness probe."""
+"""Time for which a connection is new unless it makes progress. The event loop reads its
+request some turns after the accept; clients that come back at once and begin a request
+were otherwise kept instead of a readiness probe. While the connections of half of the
+bound follow, a new one is closed only if no other one may be."""
 MAX_NEW_CHECKED = 64
 """New connections that are looked at for one whose address has many, at the most."""
 RECHECK_INTERVAL_S = 0.25
@@ -99,15 +100,18 @@
         self._closing_bound = closing_bound
         self._is_idle = is_idle
         self._may_be_evicted = may_be_evicted
-        self._new: OrderedDict[C, float] = OrderedDict()
+        self._added = 0
+        """Connections that were added; the tables keep its value at the last
+        progress."""
+        self._new: OrderedDict[C, tuple[int, float]] = OrderedDict()
         """Connections without progress so far, with the time of their start, which the
         host may not have read from yet."""
-        self._idle: OrderedDict[C, None] = OrderedDict()
-        self._busy: OrderedDict[C, None] = OrderedDict()
-        self._passed_idle: OrderedDict[C, None] = OrderedDict()
+        self._idle: OrderedDict[C, int] = OrderedDict()
+        self._busy: OrderedDict[C, int] = OrderedDict()
+        self._passed_idle: OrderedDict[C, int] = OrderedDict()
         """Connections that could not be closed when they were looked at. They are older
         than those in the table that they were taken from."""
-        self._passed_busy: OrderedDict[C, None] = OrderedDict()
+        self._passed_busy: OrderedDict[C, int] = OrderedDict()
         self._spared_idle: OrderedDict[C, None] = OrderedDict()
         """Those of the passed ones that may be closed if there are no others."""
         self._spared_busy: OrderedDict[C, None] = OrderedDict()
@@ -148,7 +152,8 @@
             self._take(evicted)
             self._count(evicted, -1)
             aborted = self._start_closing(evicted)
-        self._new[connection] = now_s
+        self._added += 1
+        self._new[connection] = (self._added, now_s)
         self._count(connection, 1)
         return Admission(True, evicted, aborted)
 
@@ -157,8 +162,9 @@
         table = self._idle if self._is_idle(connection) else self._busy
         if connection in table:
             table.move_to_end(connection)
+            table[connection] = self._added
         elif self._take(connection):
-            table[connection] = None
+            table[connection] = self._added
 
     def remove(self, connection: C) -> None:
         """Forget a connection that is closed."""
@@ -202,6 +208,13 @@
         oldest, _ = self._closing.popitem(last=False)
         return oldest
 
+    def _first_new(self) -> C | None:
+        """Return the oldest new connection that may be closed."""
+        for connection in islice(self._new, MAX_NEW_CHECKED):
+            if not self._is_spared(connection) and self._may_be_evicted(connection):
+                return connection
+        return None
+
     def _choose(self, now_s: float) -> C | None:
         """Return the connection to close, None if none may be closed."""
         if now_s - self._rechecked_s >= RECHECK_INTERVAL_S:
@@ -213,35 +226,34 @@
             self._spared_idle.clear()
             self._spared_busy.clear()
         while self._new:
-            connection, started_s = next(iter(self._new.items()))
+            connection, (added, started_s) = next(iter(self._new.items()))
             if now_s - started_s < NEW_S:
                 break
             del self._new[connection]
-            self._idle[connection] = None
+            self._idle[connection] = added
         while self._idle:
             connection = next(iter(self._idle))
             if not self._is_idle(connection):
                 # It has begun a request since its last progress was recorded.
-                del self._idle[connection]
-                self._busy[connection] = None
+                self._busy[connection] = self._idle.pop(connection)
                 continue
             if self._is_spared(connection):
                 self._spared_idle[connection] = None
             elif self._may_be_evicted(connection):
                 return connection
-            del self._idle[connection]
-            self._passed_idle[connection] = None
+            self._passed_idle[connection] = self._idle.pop(connection)
+        new = self._first_new()
         while self._busy:
-            connection = next(iter(self._busy))
+            connection, progress = next(iter(self._busy.items()))
             if self._is_spared(connection):
                 self._spared_busy[connection] = None
             elif self._may_be_evicted(connection):
+                if new is not None and self._new[new][0] + self.bound // 2 <= progress:
+                    return new
                 return connection
-            del self._busy[connection]
-            self._passed_busy[connection] = None
-        for connection in islice(self._new, MAX_NEW_CHECKED):
-            if not self._is_spared(connection) and self._may_be_evicted(connection):
-                return connection
+            self._passed_busy[connection] = self._busy.pop(connection)
+        if new is not None:
+            return new
         for spared in (self._spared_idle, self._spared_busy):
             while spared:
                 connection = next(iter(spared))
--- a/persimmonwell/front/_caller_connections.py
+++ b/persimmonwell/front/_caller_connections.py
@@ -103,6 +103,11 @@
         return bytes(self._lines.readline())
 
 
+FULL_PAUSE_S = 0.001
+"""Pause of the thread that accepts after it has closed a connection for a new one.
+Without it, clients that come back at once were accepted faster than threads read."""
+
+
 class CallerRequest(HTTPRequest):
     """Request whose head is bounded, and whose memory is credited back at its end."""
 
@@ -259,19 +264,32 @@
         self._table: ConnectionTable[CallerConnection] = ConnectionTable(
             bound=bound,
             is_idle=lambda connection: connection.phase is Phase.WAITING,
-            may_be_evicted=lambda connection: connection.phase is not Phase.RUNNING,
+            may_be_evicted=self._may_be_evicted,
             address_of=lambda connection: connection.remote_addr or "",
         )
         self._reading: set[CallerConnection] = set()
+        self._may_evict_reading = False
+        """Whether a thread reads a request that may be closed."""
 
     def __len__(self) -> int:
         """Return how many connections are open."""
         with self._lock:
             return len(self._table)
 
+    def _may_be_evicted(self, connection: CallerConnection) -> bool:
+        """Return whether a connection may be closed for a new one.
+
+        One that waits for a thread is older than those that threads read from, and
+        comes after them: clients that never end a request otherwise keep all threads.
+        """
+        if connection.phase is Phase.QUEUED:
+            return not self._may_evict_reading
+        return connection.phase is not Phase.RUNNING
+
     def admit(self, connection: CallerConnection) -> bool:
         """Count a new connection; return False after refusing it for lack of room."""
         with self._lock:
+            self._may_evict_reading = not all(c.is_evicted for c in self._reading)
             admission = self._table.add(connection, time.monotonic())
             evicted = [c for c in (admission.evicted, admission.aborted) if c]
             queued = [c for c in evicted if c.phase is Phase.QUEUED]
@@ -286,6 +304,7 @@
         if admission.is_admitted:
             if evicted:
                 self._count_ended("callers_full")
+                time.sleep(FULL_PAUSE_S)
             return True
         self._count_ended("callers_full")
         with suppress(OSError, ValueError):
--- a/tests/core/resources/test_connections.py
+++ b/tests/core/resources/test_connections.py
@@ -233,3 +233,16 @@
     evicted = [table.add(_Connection(n), 1.0 + n * NEW_S / 3).evicted for n in (1, 2)]
     assert evicted == busy[:2]
     assert table.add(_Connection(3), 1.0 + NEW_S).evicted is probe
+
+
+def test_a_request_in_progress_is_kept_among_silent_new_connections() -> None:
+    """Guards against silent clients that come back and displace requests."""
+    table = table_of(8)
+    request = _Connection(0, is_idle=False)
+    table.add(request, 0.0)
+    evicted = []
+    for number in range(1, 40):
+        table.record_progress(request)
+        evicted.append(table.add(_Connection(number), 0.0).evicted)
+    # Until it gets no further while the connections of half of the bound follow.
+    assert request not in evicted and len(set(evicted)) == 33
--- a/tests/crowds/test_daemon_crowds.py
+++ b/tests/crowds/test_daemon_crowds.py
@@ -54,6 +54,9 @@
 READINESS_CHECKS = 4
 READINESS_ATTEMPTS = 3
 """Attempts of up to 10 s for each check of readiness."""
+RECONNECTING = 300
+RECONNECTIONS = 4 * RECONNECTING
+RECONNECTING_SOURCES = tuple(f"127.0.0.{number}" for number in range(2, 62))
 UNREAD_CLIENTS = 120
 UNREAD_TOKENS = 60_000
 
@@ -291,3 +294,28 @@
             is_sending = crowd.is_sending
         faults = site.faults()
     assert (faults, set(is_ready), is_sending) == ([], {True}, True)
+
+
+@pytest.mark.parametrize("data", [b"", b"GET / HT"], ids=["silent", "in head"])
+def test_readiness_among_clients_that_come_back_at_once(
+    tmp_path: Path, data: bytes
+) -> None:
+    """Guards against probes that are closed while they wait for a thread."""
+    script = Script(data, connections=10**6, reopen_s=0.0)
+    with _running_site(tmp_path) as site:
+        with running_crowd(
+            [site.address("operators")],
+            script,
+            count=RECONNECTING,
+            sources=RECONNECTING_SOURCES,
+            max_sending_s=TRICKLE_S,
+        ) as crowd:
+            while crowd.connection_count < RECONNECTIONS and crowd.is_sending:
+                time.sleep(0.01)
+            is_ready = {
+                site.is_ready(attempts=READINESS_ATTEMPTS)
+                for _ in range(READINESS_CHECKS)
+            }
+            is_sending = crowd.is_sending
+        faults = site.faults()
+    assert (faults, is_ready, is_sending) == ([], {True}, True)
