--- a/persimmonwell/gateway/_store_followers.py
+++ b/persimmonwell/gateway/_store_followers.py
@@ -84,6 +84,9 @@
     """First read of a follower, after a failure, or in another era of the store."""
     on_error: Callable[[str, Exception], None]
     """Name of the follower and an unexpected error, after which it goes on."""
+    on_received: Callable[[str, int], None] = lambda follower, count: None
+    """Name of the follower and the bytes that it holds of a response; 0 after it was
+    handled."""
 
 
 class StoreEra:
@@ -207,8 +210,12 @@
         """Record that a reader of the zone has just read what this host knows."""
         self._confirmed_s[follower] = time.monotonic()
 
-    def _client(self) -> StoreClient:
-        return StoreClient(url=self._url, timeout_s=CALL_TIMEOUT_S)
+    def _client(self, name: str) -> StoreClient:
+        return StoreClient(
+            url=self._url,
+            timeout_s=CALL_TIMEOUT_S,
+            on_received=lambda count: self._callbacks.on_received(name, count),
+        )
 
     def _report_store_status(
         self, name: str, is_available: bool, reason: str = ""
@@ -269,33 +276,20 @@
         pause_s: float,
         handle: Callable[[tuple[StoreRecord, ...], int | None, int | None], None],
     ) -> None:
-        client = self._client()
+        client = self._client(name)
         offset: int | None = None
         store_era = StoreEra()
         while not self._stop.is_set():
             try:
+                # After a failure, the answer itself shows that the store is back.
+                wait_s = long_poll_s if self._store_available.get(name) else 0.0
+                offset = self._read_topic(
+                    *(client, name, topic, offset, store_era),
+                    wait_s=wait_s,
+                    handle=handle,
+                )
                 if offset is None:
-                    snapshot = client.read_latest(topic)
-                    if not store_era.accept(snapshot.era):
-                        self._stop.wait(ERA_CHECK_DELAY_S)
-                        continue
-                    self._report_read(_describe_read(name, None, snapshot))
-                    offset = snapshot.end_offset
-                    handle(snapshot.records, offset, store_era.era)
-                else:
-                    # After a failure, the answer itself shows that the store is back.
-                    wait_s = long_poll_s if self._store_available.get(name) else 0.0
-                    changes = client.read(topic, from_offset=offset, wait_s=wait_s)
-                    offset_era = store_era.era
-                    if not store_era.accept(changes.era) or store_era.era != offset_era:
-                        # The offset may name another record now.
-                        offset = None
-                        continue
-                    self._report_read(_describe_read(name, offset, changes))
-                    # A stale read ends before this offset and returns no records.
-                    if changes.records:
-                        handle(changes.records, None, store_era.era)
-                        offset = changes.records[-1].offset + 1
+                    continue
                 self._report_store_status(name, True)
                 if not self._reads_continuously.is_set():
                     self._stop.wait(pause_s)
@@ -317,6 +311,42 @@
                 self._wait_to_retry(name)
         client.close()
 
+    def _read_topic(
+        self,
+        client: StoreClient,
+        name: str,
+        topic: str,
+        offset: int | None,
+        store_era: StoreEra,
+        *,
+        wait_s: float,
+        handle: Callable[[tuple[StoreRecord, ...], int | None, int | None], None],
+    ) -> int | None:
+        """Read and handle records; return the next offset, None to read the list."""
+        try:
+            if offset is None:
+                snapshot = client.read_latest(topic)
+                if not store_era.accept(snapshot.era):
+                    self._stop.wait(ERA_CHECK_DELAY_S)
+                    return None
+                self._report_read(_describe_read(name, None, snapshot))
+                handle(snapshot.records, snapshot.end_offset, store_era.era)
+                return snapshot.end_offset
+            changes = client.read(topic, from_offset=offset, wait_s=wait_s)
+            offset_era = store_era.era
+            if not store_era.accept(changes.era) or store_era.era != offset_era:
+                # The offset may name another record now.
+                return None
+            self._report_read(_describe_read(name, offset, changes))
+            # A stale read ends before this offset and returns no records.
+            if changes.records:
+                handle(changes.records, None, store_era.era)
+                offset = changes.records[-1].offset + 1
+            return offset
+        finally:
+            # Handled on the event loop before it handles this.
+            self._callbacks.on_received(name, 0)
+
     def _retry_delay_s(self) -> float:
         delay_s = min(MAX_RETRY_DELAY_S, RETRY_DELAY_S * self._reader_count)
         return delay_s * self._random.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER)
@@ -348,7 +378,7 @@
                 self._callbacks.on_invalid_config(error.message())
 
     def _follow_duty(self) -> None:
-        client = self._client()
+        client = self._client("duty")
         generation = 0
         holds_duty = False
         store_era = StoreEra()
