--- a/tests/gateway/test_peer_datagrams.py
+++ b/tests/gateway/test_peer_datagrams.py
@@ -421,7 +421,7 @@
 
     one._transport = _Transport()  # type: ignore[assignment]
     one._peers = {
-        f"10.0.1.{number}": _PeerEntry(report_of(f"h{number}").status, 0.0, 9.0)
+        f"10.0.1.{number}": _PeerEntry(report_of(f"h{number}").status, 0.0, 9.0, 100)
         for number in range(host_count)
     }
     one.send_to_zone([CHANGES] * 3)
