Take the newest earlier offset of relayed changes once

Cause: the bound of the dropped changes was both the default of a maximum and the other operand of a second one. Change: one maximum over both; behaviour is the same. Measured: tests of the registry, peer datagrams, timeline and outcomes pass; formatter, linter and types too.

--- a/persimmonwell/core/forwarding/_registry.py
+++ b/persimmonwell/core/forwarding/_registry.py
@@ -254,11 +254,9 @@
         end_offset: int,
     ) -> RegistryChanges:
         """Return changes that are complete for a host that knows the earlier ones."""
-        after_offset = max(
-            (record.offset for record in earlier), default=self._changes_after_offset
-        )
+        offsets = [record.offset for record in earlier]
         return RegistryChanges(
-            max(after_offset, self._changes_after_offset),
+            max([self._changes_after_offset, *offsets]),
             end_offset,
             tuple(records),
             self._era,
