--- a/review/7/case.py
+++ b/review/7/case.py
@@ -91,9 +91,10 @@
                             f"Request-Id: {request_id}",
                             f"Api-Key: {KEY}",
                             "Deadline-Remaining: 2500",
-                            "Content-Length: 0",
+                            f"Content-Length: {len(request_id)}",
                         ]
-                        sock.sendall(("\r\n".join(lines) + "\r\n\r\n").encode())
+                        text = "\r\n".join(lines) + "\r\n\r\n" + request_id
+                        sock.sendall(text.encode())
                         self.outcomes[request_id] = _read_status(sock)
             except OSError:
                 continue
@@ -113,7 +114,10 @@
         if name.lower() == b"content-length":
             size = int(value)
     while len(body) < size:
-        body += sock.recv(65_536)
+        part = sock.recv(65_536)
+        if not part:
+            raise ConnectionError("closed")
+        body += part
     return top.split()[1].decode()
 
 
@@ -187,7 +191,7 @@
     cut = [request_id for _, request_id in late if site.outcomes[request_id] != "200"]
     summary = [
         f"trouble: {TROUBLE}; the store accepted the report at {accepted_s:.3f} s",
-        f"bookings that reached the leaving replica over {DRAIN_S} s later: {len(late)}",
+        f"bookings that reached the leaving replica {DRAIN_S} s later: {len(late)}",
         f"of these without a success: {len(cut)}",
     ]
     summary += [
--- a/review/common2/replica.py
+++ b/review/common2/replica.py
@@ -39,15 +39,19 @@
 class Replica:
     """One replica; run(connection, request) answers what is to be run."""
 
-    def __init__(self, replica_id: str, service: str, run) -> None:
+    def __init__(
+        self, replica_id: str, service: str, run, *, zone: str = "muscat-a"
+    ) -> None:
         self.replica_id = replica_id
         self.service = service
+        self.zone = zone
+        self.state = "ready"
         self._run = run
         self._beats = 0
         self._stop = threading.Event()
         self._connections: set[socket.socket] = set()
         self._socket = socket.create_server(("127.0.0.1", 0), backlog=256)
-        self.address = "127.0.0.1:%d" % self._socket.getsockname()[1]
+        self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
         self.born = int(time.time() * 1000)
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -57,22 +61,26 @@
         return {
             "service": self.service,
             "address": self.address,
-            "zone": "muscat-a",
+            "zone": self.zone,
             "version": "v1",
             "slots": 96,
-            "state": "ready",
+            "state": self.state,
             "cold_remaining_ms": 0,
             "sequence": self._beats,
             "born": self.born,
             **values,
         }
 
+    def report(self, store) -> None:
+        """Write the entry."""
+        store.put("keyed.servers", self.replica_id, self.entry())
+
     def keep_registered(self, store) -> None:
         """Write the entry every 1.2 s until close."""
 
         def beat() -> None:
             while not self._stop.is_set():
-                store.put("keyed.servers", self.replica_id, self.entry())
+                self.report(store)
                 self._stop.wait(1.2)
 
         threading.Thread(target=beat, daemon=True).start()
--- a/review/common2/site.py
+++ b/review/common2/site.py
@@ -70,7 +70,8 @@
 class Host:
     """Entry host that runs as a process with the command of the deploy file."""
 
-    def __init__(self, name: str, ip: str, ports: dict, store: str, seeds: str) -> None:
+    def __init__(self, name: str, ip: str, ports: dict, **fields: str) -> None:
+        self.name = name
         self.ip = ip
         self.port = ports["front"]
         self.ready_port = ports["ready"]
@@ -85,7 +86,6 @@
             "listen.ready_addr": f"{ip}:{ports['ready']}",
             "listen.control": f"{ip}:{ports['control']}",
             "internal_ports": f"{ports['peers']},{ports['peers'] + 1}",
-            "seeds": seeds,
             "bootstrap": "true",
             "limits.cpu_share": "0.537",
             "limits.cores": "2",
@@ -97,24 +97,29 @@
             "bounds.retry_budget_ratio": "0.2",
             "bounds.budget_window_s": "10",
             "bounds.retry_budget_slack": "196",
-            "platform.address": store,
             "platform.form": "log",
+            **fields,
         }
         path.write_text("\n".join(f"{k}={v}" for k, v in fields.items()))
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
-        environment = {
-            name: os.environ[name]
-            for name in ("PATH", "HOME", "LANG")
-            if name in os.environ
+        self._command = deploy["roles"]["gateway"]["run"].split()
+        self._environment = environment = {
+            variable: os.environ[variable]
+            for variable in ("PATH", "HOME", "LANG")
+            if variable in os.environ
         }
         environment["PYTHONPATH"] = str(ROOT / "target/deps")
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
         environment["PERSIMMONWELL_NODE_FILE"] = str(path)
-        self.log = open(Path(self._folder.name) / "log", "wb")  # noqa: SIM115
+        self.log = open(Path(self._folder.name) / "log", "ab")  # noqa: SIM115
+        self.start()
+
+    def start(self) -> None:
+        """Start the process, at first or again."""
         self.process = subprocess.Popen(
-            deploy["roles"]["gateway"]["run"].split(),
+            self._command,
             cwd=ROOT,
-            env=environment,
+            env=self._environment,
             stdout=self.log,
             stderr=self.log,
         )
@@ -154,11 +159,18 @@
         self._folder.cleanup()
 
 
-def start_hosts(count: int, store: str) -> list[Host]:
-    """Start hosts on loopback addresses of their own, with the same ports."""
+def start_hosts(
+    count: int, store: str, *, zone: str = "muscat-a", **fields: str
+) -> list[Host]:
+    """Start hosts of a zone on loopback addresses of their own, with the same ports."""
     ports = {name: free_port() for name in ("front", "ready", "control", "peers")}
-    seeds = f"127.0.0.2:{ports['control']}"
+    seeds = ",".join(f"127.0.0.{n}:{ports['control']}" for n in (2, 3, 4)[:count])
     return [
-        Host(f"front-muscat-a-{n}", f"127.0.0.{n + 1}", ports, store, seeds)
+        Host(
+            f"front-{zone}-{n}",
+            f"127.0.0.{n + 1}",
+            ports,
+            **{"zone": zone, "seeds": seeds, "platform.address": store, **fields},
+        )
         for n in range(1, count + 1)
     ]
