--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
 """A heartbeat without an answer is carried out after its replica began to leave."""
 
 import os
+import signal
 import socket
 import sys
 import threading
@@ -163,6 +164,8 @@
 
 def main() -> int:
     """Return the exit status of the case."""
+    # The time limit of run.sh ends the hosts as well.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     site = Site()
     site.beat()
     (host,) = start_hosts(1, site.store.address)
--- a/review/common2/site.py
+++ b/review/common2/site.py
@@ -18,15 +18,19 @@
 TENANT = "range"
 
 
-def free_port() -> int:
-    """Return a port below the ephemeral range that is free with the next one."""
+def free_port(addresses: list[str]) -> int:
+    """Return a port that is free with the next one, for TCP and UDP.
+
+    It lies below the ephemeral range.
+    """
     while True:
         port = random.randrange(20_000, 30_000, 2)
         try:
-            for number in (port, port + 1):
-                socket.create_server(("127.0.0.1", number)).close()
-                with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
-                    datagrams.bind(("127.0.0.1", number))
+            for address in addresses:
+                for number in (port, port + 1):
+                    socket.create_server((address, number)).close()
+                    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
+                        datagrams.bind((address, number))
         except OSError:
             continue
         return port
@@ -163,12 +167,17 @@
     count: int, store: str, *, zone: str = "muscat-a", **fields: str
 ) -> list[Host]:
     """Start hosts of a zone on loopback addresses of their own, with the same ports."""
-    ports = {name: free_port() for name in ("front", "ready", "control", "peers")}
+    addresses = [f"127.0.0.{n + 1}" for n in range(1, count + 1)]
+    ports: dict[str, int] = {}
+    for name in ("front", "ready", "control", "peers"):
+        while (port := free_port(addresses)) in ports.values():
+            pass
+        ports[name] = port
     seeds = ",".join(f"127.0.0.{n}:{ports['control']}" for n in (2, 3, 4)[:count])
     return [
         Host(
             f"front-{zone}-{n}",
-            f"127.0.0.{n + 1}",
+            addresses[n - 1],
             ports,
             **{"zone": zone, "seeds": seeds, "platform.address": store, **fields},
         )
