--- a/review/common3/deployment.py
+++ b/review/common3/deployment.py
@@ -40,12 +40,20 @@
     return time.monotonic() - STARTED_S
 
 
+_taken_ports: set[int] = set()
+
+
 def free_port(ip: str = "127.0.0.1", count: int = 1) -> int:
-    """Return the first of some free ports, for TCP and UDP."""
+    """Return the first of some free ports, for TCP and UDP.
+
+    They come from a range of this process, so that cases may run beside each other.
+    """
+    first = 20_000 + os.getpid() % 100 * 100
     while True:
-        port = random.randrange(20_000, 30_000)
+        port = random.randrange(first, first + 101 - count)
+        numbers = range(port, port + count)
         try:
-            for number in range(port, port + count):
+            for number in numbers:
                 with (
                     socket.socket() as tcp,
                     socket.socket(type=socket.SOCK_DGRAM) as udp,
@@ -54,7 +62,9 @@
                     udp.bind((ip, number))
         except OSError:
             continue
-        return port
+        if _taken_ports.isdisjoint(numbers):
+            _taken_ports.update(numbers)
+            return port
 
 
 class Record:
