--- a/review/12/play.py
+++ b/review/12/play.py
@@ -1,4 +1,4 @@
-"""A prompt part crashes the replicas before the head of the stream is on the wire."""
+"""A prompt part crashes each replica just after the first event of an answer on it."""
 
 import asyncio
 import os
@@ -33,8 +33,10 @@
 READ_S = 0.08
 EVENTS = 20
 GAP_S = 0.03
-HEAD_FIRST = os.environ.get("HEAD_FIRST") == "1"
-"""For comparison: the head is sent some time before the first token."""
+VARIANT = os.environ.get("VARIANT", "event")
+"""When a replica crashes on the part: just after the first "event" of the answer,
+before it has sent "nothing" of it, or, for comparison, between "head" and event."""
+CRASH_S = 0.01
 
 
 def has_deadly_part(request: Request) -> bool:
@@ -49,12 +51,12 @@
 
     async def answer(replica: Replica, request: Request, writer: asyncio.StreamWriter):
         head = stream_head(replica, request)
-        if HEAD_FIRST:
+        if VARIANT != "nothing":
             writer.write(head)
             head = b""
         await asyncio.sleep(READ_S)
-        if has_trouble and has_deadly_part(request):
-            # It begins to write the answer, and crashes with the first token.
+        is_deadly = has_trouble and has_deadly_part(request)
+        if is_deadly and VARIANT != "event":
             crashes.append(now_s())
             replica.crash(BACK_S)
             return False
@@ -64,6 +66,12 @@
             writer.write(head + b"%x\r\n%b\r\n" % (len(event), event))
             head = b""
             await writer.drain()
+            if is_deadly:
+                # It has begun to write the answer, and crashes.
+                await asyncio.sleep(CRASH_S)
+                crashes.append(now_s())
+                replica.crash(BACK_S)
+                return False
             await asyncio.sleep(GAP_S)
         writer.write(b"0\r\n\r\n")
         return True
