Send tenants' names in UTF-8, and none that a header cannot carry

Cause: the name was encoded in Latin-1 with replacement and written into the head without a check. So a name with a line break added a header (`a\r\nTenant: other` reached replicas as `other`), white space at the ends was lost (`alpha ` was `alpha`), and keys with letters beyond ASCII in UTF-8 were answered 401. Change: names go in UTF-8. One that a header cannot carry exactly marks its tenant as unsendable when the configuration is read; the core refuses its requests with 503 (not run), and the configuration is in force all the same. Keys are read as UTF-8, else as Latin-1. `config check` and the log name such tenants. Conclusion: each name that is sent is that of the key's tenant, byte for byte.

--- a/persimmonwell/core/config_check/_checks.py
+++ b/persimmonwell/core/config_check/_checks.py
@@ -133,6 +133,14 @@
                 yield error(f"{path}[{position}]", reason)
 
 
+def check_tenant_names(config: ForwardingConfig) -> Iterator[Finding]:
+    """Find tenants whose name cannot be sent, so that their requests are refused."""
+    for tenant in config.tenants or ():
+        if not tenant.can_be_sent:
+            reason = "upstreams cannot be told the name: all requests are refused"
+            yield error(entry_path("tenants", tenant.name), reason)
+
+
 def check_route_times(config: ForwardingConfig) -> Iterator[Finding]:
     """Find time-outs and objectives of a route that contradict each other."""
     for route in config.routes:
@@ -249,6 +257,7 @@
     check_services,
     check_weights,
     check_keys,
+    check_tenant_names,
     check_route_times,
     check_caller_times,
     check_placement,
--- a/persimmonwell/core/forwarding/_arrivals.py
+++ b/persimmonwell/core/forwarding/_arrivals.py
@@ -20,9 +20,10 @@
 )
 from persimmonwell.core.forwarding._routes import (
     ResolvedRoute,
+    RouteResolutionError,
     RouteTable,
     UnknownKeyError,
-    UnknownRouteError,
+    UnsendableTenantError,
 )
 from persimmonwell.core.forwarding._sends import RequestSender
 from persimmonwell.core.forwarding._upstreams import UpstreamPool
@@ -30,6 +31,8 @@
 
 DEFAULT_CALLER_TIMEOUT_S = 30.0
 """Timeout of a caller that does not state one."""
+UNSENDABLE_RETRY_AFTER_S = 60.0
+"""Retry-After to a tenant that only another configuration lets in."""
 STOPPING_RETRY_AFTER_S = 0.1
 """Retry-After of a host that stops; the other hosts are ready."""
 
@@ -110,12 +113,21 @@
             return (not_ready(NOT_READY_RETRY_AFTER_S, "no config"),)
         try:
             resolved = self._route_table.resolve(request, draw=self._random.random())
-        except (UnknownRouteError, UnknownKeyError) as error:
+        except RouteResolutionError as error:
             if self._is_behind_peers:
                 # A newer configuration may have the route or the key.
                 return (not_ready(NOT_READY_RETRY_AFTER_S, "configuration is behind"),)
             if isinstance(error, UnknownKeyError):
                 return (Finish(key, Ending.UNKNOWN_KEY),)
+            if isinstance(error, UnsendableTenantError):
+                return (
+                    Finish(
+                        key,
+                        Ending.UNSENDABLE_TENANT,
+                        UNSENDABLE_RETRY_AFTER_S,
+                        detail=str(error),
+                    ),
+                )
             return (Finish(key, Ending.UNKNOWN_ROUTE, detail=request.path),)
         active = self._requests.active[key] = _open_request(
             key, request, resolved, now_s
--- a/persimmonwell/core/forwarding/_events.py
+++ b/persimmonwell/core/forwarding/_events.py
@@ -23,6 +23,8 @@
     """Shed by admission control; the request has not run."""
     QUARANTINED = "quarantined"
     """Refused because it crashes replicas; this time it has not run."""
+    UNSENDABLE_TENANT = "unsendable_tenant"
+    """Refused because no upstream can be told the tenant; the request has not run."""
     UPSTREAM_FAILED = "upstream_failed"
     """No attempt succeeded; the request may have run."""
     TIMED_OUT = "timed_out"
@@ -31,7 +33,12 @@
     @property
     def has_not_run(self) -> bool:
         """Return whether the ending guarantees that no upstream ran the request."""
-        return self in (Ending.NOT_READY, Ending.OVERLOADED, Ending.QUARANTINED)
+        return self in (
+            Ending.NOT_READY,
+            Ending.OVERLOADED,
+            Ending.QUARANTINED,
+            Ending.UNSENDABLE_TENANT,
+        )
 
 
 @attrs.frozen
--- a/persimmonwell/core/forwarding/_model.py
+++ b/persimmonwell/core/forwarding/_model.py
@@ -113,6 +113,8 @@
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
+    can_be_sent: bool = True
+    """Whether an upstream can be told the exact name; if not, requests are refused."""
 
 
 @attrs.frozen
--- a/persimmonwell/core/forwarding/_routes.py
+++ b/persimmonwell/core/forwarding/_routes.py
@@ -34,6 +34,13 @@
     """Raised for a missing or unknown API key."""
 
 
+class UnsendableTenantError(RouteResolutionError):
+    """Raised for a tenant whose name no upstream can be told."""
+
+    def __init__(self, tenant: Tenant) -> None:
+        super().__init__(f"tenant {tenant.name!a} cannot be sent to an upstream")
+
+
 class RouteTable:
     """One version of the configuration, indexed by host, path prefix and API key."""
 
@@ -60,7 +67,7 @@
         """Return the route, tenant and service of a request.
 
         draw, in [0, 1), selects the service of a traffic split. Raises
-        UnknownRouteError or UnknownKeyError.
+        UnknownRouteError, UnknownKeyError or UnsendableTenantError.
         """
         route = self._match_prefix(request.host, request.path)
         if route is None:
@@ -68,6 +75,8 @@
         tenant = self._tenant_by_key.get(request.api_key) if request.api_key else None
         if tenant is None and self._config.requires_keys and not route.is_public:
             raise UnknownKeyError
+        if tenant is not None and not tenant.can_be_sent:
+            raise UnsendableTenantError(tenant)
         service = self._services.get(_pick_service(route, draw))
         if service is None:
             raise UnknownRouteError(request.path)
--- a/persimmonwell/gateway/_exchange.py
+++ b/persimmonwell/gateway/_exchange.py
@@ -47,6 +47,7 @@
     Ending.NOT_READY: 503,
     Ending.OVERLOADED: 503,
     Ending.QUARANTINED: 503,
+    Ending.UNSENDABLE_TENANT: 503,
     Ending.UPSTREAM_FAILED: 502,
     Ending.TIMED_OUT: 504,
 }
--- a/persimmonwell/gateway/_store_updates.py
+++ b/persimmonwell/gateway/_store_updates.py
@@ -23,6 +23,9 @@
 """Time in which live replicas write their entries to a restored store again."""
 MAX_REJECTED_ENTRIES = 256
 """Rejected registry entries that are remembered, the newest ones."""
+MAX_LOGGED_TENANTS = 16
+MAX_LOGGED_CHARACTERS = 64
+"""Names of refused tenants in a line, and characters of each."""
 
 
 class StoreUpdates:
@@ -80,6 +83,18 @@
                 routes=len(config.routes),
                 tenants=len(config.tenants) if config.tenants is not None else None,
             )
+            refused = [
+                tenant.name[:MAX_LOGGED_CHARACTERS]
+                for tenant in config.tenants or ()
+                if not tenant.can_be_sent
+            ]
+            if refused:
+                self._log.write(
+                    "config",
+                    "tenants_refused",
+                    count=len(refused),
+                    tenants=refused[:MAX_LOGGED_TENANTS],
+                )
             self._notify_zone()
             return
         current = self._router.config
--- a/persimmonwell/platform/_headers.py
+++ b/persimmonwell/platform/_headers.py
@@ -20,6 +20,10 @@
     RerouteFailure,
     UpstreamAnswer,
 )
+from persimmonwell.platform._header_text import (
+    decode_header_text,
+    encode_header_text,
+)
 from persimmonwell.platform._numbers import (
     MAX_NUMBER,
     MAX_REASON_CHARACTERS,
@@ -93,16 +97,17 @@
     """
     values = {name: value.decode("latin-1") for name, value in headers}
     shared_parts = _parse_shared_parts(values.get(_PROMPT_PREFIX))
-    key = values.get(_API_KEY, "")
+    key = dict(headers).get(_API_KEY)
+    api_key = decode_header_text(key) if key is not None else None
     return CallerRequest(
         request_id=values.get(_REQUEST_ID, ""),
         host=host,
         path=target,
         method=method,
-        api_key=values.get(_API_KEY),
+        api_key=api_key,
         timeout_s=_parse_timeout_s(values.get(_DEADLINE_REMAINING)),
         last_event_id=_parse_last_event_id(values.get(_LAST_EVENT_ID)),
-        digest=_digest((method, host, target, key, *shared_parts), body),
+        digest=_digest((method, host, target, api_key or "", *shared_parts), body),
         size=_parse_generation_size(values.get(_TOKEN_COUNT), values.get(_LENGTH_HINT)),
         shared_parts=shared_parts,
     )
@@ -179,14 +184,15 @@
 ) -> bytes:
     """Return the request line and headers that are sent to a replica.
 
-    Hop-by-hop headers and those that the host handles itself are not forwarded.
+    Hop-by-hop headers and those that the host handles itself are not forwarded. Raises
+    ValueError for a tenant whose name a header cannot carry.
     """
     lines = [f"{method} {target} HTTP/1.1".encode("latin-1")]
     lines += [name + b": " + value for name, value in headers if name not in _NOT_SENT]
     lines.append(b"deadline-remaining: %d" % max(1, deadline_ms))
     lines.append(b"expect-instance: " + replica_id.encode())
     if tenant is not None:
-        lines.append(b"tenant: " + tenant.encode("latin-1", "replace"))
+        lines.append(b"tenant: " + encode_header_text(tenant))
     if last_event_id is not None:
         lines.append(b"last-event-id: %d" % last_event_id)
     if path is not None:
--- a/persimmonwell/platform/_operator_records.py
+++ b/persimmonwell/platform/_operator_records.py
@@ -26,6 +26,7 @@
     Tenant,
     WeightedService,
 )
+from persimmonwell.platform._header_text import is_header_text
 from persimmonwell.platform._numbers import MAX_NUMBER, MAX_REASON_CHARACTERS
 
 CONFIG_TOPIC = "keyed.op"
@@ -228,7 +229,12 @@
     if isinstance(tenants, msgspec.UnsetType):
         return None
     return tuple(
-        Tenant(tenant.name, tuple(tenant.api_keys), tenant.priority)
+        Tenant(
+            tenant.name,
+            tuple(tenant.api_keys),
+            tenant.priority,
+            can_be_sent=is_header_text(tenant.name),
+        )
         for tenant in tenants
     )
 
--- a/tests/core/config_check/test_config_check.py
+++ b/tests/core/config_check/test_config_check.py
@@ -109,6 +109,7 @@
         'tenants["b"].api_keys[0]',
     ),
     (_add("tenants", {"name": "b"}), "warning", 'tenants["b"].api_keys'),
+    (_add("tenants", {"name": "b ", "api_keys": ["k"]}), "error", 'tenants["b "]'),
     (
         _set("tenants", "range", api_keys=["key-1", ""]),
         "warning",
--- a/tests/core/forwarding/test_routes.py
+++ b/tests/core/forwarding/test_routes.py
@@ -13,6 +13,7 @@
     RouteTable,
     UnknownKeyError,
     UnknownRouteError,
+    UnsendableTenantError,
 )
 from tests.core.forwarding.fleets import CONFIG, request, route
 
@@ -98,3 +99,14 @@
     assert table.resolve(request("open", api_key=api_key), draw=0.0).tenant is None
     without_tenants = RouteTable(attrs.evolve(TABLE.config, tenants=None))
     assert without_tenants.resolve(request("a", api_key=api_key), draw=0.0)
+
+
+def test_tenant_that_upstreams_cannot_be_told_is_refused() -> None:
+    """Guards against a request that runs under no tenant's name or another one's."""
+    tenants = (Tenant("a\r\nb", ("key-1",), can_be_sent=False), Tenant("b", ("key-2",)))
+    table = RouteTable(attrs.evolve(TABLE.config, tenants=tenants))
+    for path in ("a", "open"):
+        with pytest.raises(UnsendableTenantError, match="cannot be sent"):
+            table.resolve(request(path, api_key="key-1"), draw=0.0)
+        resolved = table.resolve(request(path, api_key="key-2"), draw=0.0)
+        assert resolved.tenant == tenants[1]
