--- a/persimmonwell/core/forwarding/_crash_reports.py
+++ b/persimmonwell/core/forwarding/_crash_reports.py
@@ -46,7 +46,7 @@
 def verdict_decisions(replica_id: str, verdict: CrashVerdict) -> tuple[Decision, ...]:
     """Return the reports about a suspected crash that was confirmed or dismissed."""
     decisions: tuple[Decision, ...] = quarantine_decisions(verdict.quarantined)
-    if verdict.part_counts or verdict.is_dismissed:
-        resolved = CrashResolved(replica_id, verdict.part_counts, verdict.is_dismissed)
+    if verdict.cause_counts or verdict.is_dismissed:
+        resolved = CrashResolved(replica_id, verdict.cause_counts, verdict.is_dismissed)
         decisions = (resolved, *decisions)
     return decisions
--- a/persimmonwell/core/forwarding/_crashes.py
+++ b/persimmonwell/core/forwarding/_crashes.py
@@ -16,9 +16,9 @@
 from persimmonwell.core.membership import rendezvous_order
 from persimmonwell.core.retry import (
     Blame,
-    PartCount,
-    PartEvidence,
-    PromptPartQuarantine,
+    CauseCount,
+    CauseEvidence,
+    CauseQuarantine,
     Quarantine,
     QuarantineChange,
 )
@@ -46,7 +46,7 @@
 
     quarantined: tuple[str, ...] = ()
     """Newly quarantined digests and prompt parts."""
-    part_counts: tuple[PartCount, ...] = ()
+    cause_counts: tuple[CauseCount, ...] = ()
     """Crashes that count against the parts of the requests that were starting."""
     is_dismissed: bool = False
     """Whether the replica was suspected and is alive."""
@@ -57,7 +57,7 @@
 
     def __init__(self) -> None:
         self._quarantine = Quarantine()
-        self._parts = PromptPartQuarantine()
+        self._parts = CauseQuarantine()
         self._host_id = ""
         self._host_ids = frozenset({""})
         self._unconfirmed: dict[str, _UnconfirmedCrash] = {}
@@ -165,15 +165,15 @@
         quarantined += self._parts.record_crash(
             crash.incarnation, crash.starting_parts, crash.at_s
         )
-        part_ids = dict.fromkeys(chain.from_iterable(crash.starting_parts))
-        return CrashVerdict(quarantined, self._parts.counts(part_ids))
+        cause_ids = dict.fromkeys(chain.from_iterable(crash.starting_parts))
+        return CrashVerdict(quarantined, self._parts.counts(cause_ids))
 
-    def part_evidence(self, now_s: float) -> tuple[PartEvidence, ...]:
+    def cause_evidence(self, now_s: float) -> tuple[CauseEvidence, ...]:
         """Return the evidence about prompt parts to share with the peers."""
         return self._parts.evidence(now_s)
 
     def record_peer_evidence(
-        self, evidence: PartEvidence, now_s: float
+        self, evidence: CauseEvidence, now_s: float
     ) -> tuple[str, ...]:
         """Merge a peer's evidence about a part; return newly quarantined parts."""
         return self._parts.record_peer_evidence(evidence, now_s)
--- a/persimmonwell/core/forwarding/_events.py
+++ b/persimmonwell/core/forwarding/_events.py
@@ -9,7 +9,7 @@
 from persimmonwell.core.forwarding._paths import PipelinePath
 from persimmonwell.core.forwarding._wait_facts import WaitFacts
 from persimmonwell.core.forwarding._zone_choice import ZoneCrossing
-from persimmonwell.core.retry import PartCount
+from persimmonwell.core.retry import CauseCount
 
 
 class Ending(Enum):
@@ -140,7 +140,7 @@
     """Report to operators whether a suspected crash counts, and against which parts."""
 
     replica_id: str
-    part_counts: tuple[PartCount, ...]
+    cause_counts: tuple[CauseCount, ...]
     is_dismissed: bool
 
 
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -55,7 +55,7 @@
     WorkspaceTokens,
     WorkspaceUsage,
 )
-from persimmonwell.core.retry import Blame, PartEvidence
+from persimmonwell.core.retry import Blame, CauseEvidence
 
 FULL_KV_SHARE = 0.6
 """Share of used KV memory from which a refusal may mean that the replica is full; the
@@ -338,7 +338,7 @@
         )
 
     def record_peer_evidence(
-        self, evidence: PartEvidence, now_s: float
+        self, evidence: CauseEvidence, now_s: float
     ) -> tuple[Decision, ...]:
         """Merge a peer's evidence about a prompt part under which replicas crash."""
         return quarantine_decisions(self.crashes.record_peer_evidence(evidence, now_s))
--- a/persimmonwell/core/retry/__init__.py
+++ b/persimmonwell/core/retry/__init__.py
@@ -11,11 +11,11 @@
 )
 from persimmonwell.core.retry._backoff import backoff_s
 from persimmonwell.core.retry._budget import RetryBudget
-from persimmonwell.core.retry._prompt_parts import (
+from persimmonwell.core.retry._crash_causes import (
     MAX_CRASHES,
-    PartCount,
-    PartEvidence,
-    PromptPartQuarantine,
+    CauseCount,
+    CauseEvidence,
+    CauseQuarantine,
 )
 from persimmonwell.core.retry._quarantine import Blame, Quarantine, QuarantineChange
 
@@ -27,9 +27,9 @@
     "DropReason",
     "Dropped",
     "EndFrame",
-    "PartCount",
-    "PartEvidence",
-    "PromptPartQuarantine",
+    "CauseCount",
+    "CauseEvidence",
+    "CauseQuarantine",
     "Quarantine",
     "QuarantineChange",
     "RetryBudget",
--- a/persimmonwell/core/retry/_prompt_parts.py
+++ b/persimmonwell/core/retry/_crash_causes.py
@@ -52,13 +52,13 @@
 
 
 @attrs.frozen
-class PartEvidence:
+class CauseEvidence:
     """Evidence about one prompt part, as hosts send it to each other.
 
     Times are ages, since the clocks of two hosts differ.
     """
 
-    part_id: str
+    cause_id: str
     depth: int
     """Position in the prompt; fewer requests share a deeper part."""
     answers: int
@@ -72,10 +72,10 @@
 
 
 @attrs.frozen
-class PartCount:
+class CauseCount:
     """Crashes that count against a part, and those that quarantine it."""
 
-    part_id: str
+    cause_id: str
     crashes: int
     separate_crashes: int
     """Crashes that did not follow another one within MIN_CRASH_INTERVAL_S."""
@@ -184,7 +184,7 @@
         return len(self.crashes) < before
 
 
-class PromptPartQuarantine:
+class CauseQuarantine:
     """Answers and crashes by prompt part, bounded in number and age."""
 
     def __init__(self) -> None:
@@ -197,19 +197,19 @@
         """Return the parts whose requests are refused."""
         return self._quarantined
 
-    def find_quarantined(self, part_ids: Iterable[str]) -> str | None:
+    def find_quarantined(self, cause_ids: Iterable[str]) -> str | None:
         """Return the first quarantined part among those of a request, if any."""
         if not self._quarantined:
             return None
-        return next((part for part in part_ids if part in self._quarantined), None)
+        return next((part for part in cause_ids if part in self._quarantined), None)
 
-    def has_suspect(self, part_ids: Iterable[str]) -> bool:
+    def has_suspect(self, cause_ids: Iterable[str]) -> bool:
         """Return whether an upstream crashed under a part that had no answer since."""
-        suspects = (self._suspects.get(part_id) for part_id in part_ids)
+        suspects = (self._suspects.get(cause_id) for cause_id in cause_ids)
         return any(suspect is not None and suspect.crashes for suspect in suspects)
 
     def begin_trial(
-        self, part_id: str, now_s: float, *, host_rank: Callable[[], int]
+        self, cause_id: str, now_s: float, *, host_rank: Callable[[], int]
     ) -> bool:
         """Return whether one request may show that a quarantined part is harmless.
 
@@ -217,7 +217,7 @@
         The first one begins; in each later slot twice as many hosts have their turn, so
         that a part of which few requests come is tried too.
         """
-        suspect = self._suspects[part_id]
+        suspect = self._suspects[cause_id]
         waited_s = now_s - suspect.trial_due_s
         if waited_s < 0 or now_s - suspect.tried_s < TRIAL_SLOT_S:
             return False
@@ -226,28 +226,28 @@
         suspect.tried_s = now_s
         return True
 
-    def record_answer(self, part_ids: Iterable[str], now_s: float) -> None:
+    def record_answer(self, cause_ids: Iterable[str], now_s: float) -> None:
         """Record that the answer to a request with these parts began."""
         is_released = False
-        for part_id in self._quarantined:
-            quarantined = self._suspects[part_id]
+        for cause_id in self._quarantined:
+            quarantined = self._suspects[cause_id]
             if quarantined.resumed_s is None:
                 quarantined.resumed_s = now_s
-        for part_id in part_ids:
-            answers = self._answered.pop(part_id, None) or _Answers()
-            self._answered[part_id] = answers
+        for cause_id in cause_ids:
+            answers = self._answered.pop(cause_id, None) or _Answers()
+            self._answered[cause_id] = answers
             if len(self._answered) > MAX_ANSWERED_PARTS:
                 self._answered.popitem(last=False)
             answers.count += 1
             answers.last_s = now_s
-            suspect = self._suspects.get(part_id)
+            suspect = self._suspects.get(cause_id)
             if suspect is None:
                 continue
             suspect.answers.count = max(suspect.answers.count, answers.count)
             suspect.answers.last_s = now_s
             if suspect.drop_crashes_before(now_s):
                 suspect.changed_s = now_s
-                is_released |= part_id in self._quarantined
+                is_released |= cause_id in self._quarantined
         if is_released:
             self._judge()
 
@@ -259,9 +259,9 @@
         Returns the parts that are quarantined because of it.
         """
         crash = _Crash(_incarnation_id(incarnation), at_s)
-        for part_ids in starting:
-            for depth, part_id in enumerate(part_ids):
-                suspect = self._get_or_add_suspect(part_id, depth, at_s)
+        for cause_ids in starting:
+            for depth, cause_id in enumerate(cause_ids):
+                suspect = self._get_or_add_suspect(cause_id, depth, at_s)
                 if at_s <= suspect.answers.last_s:
                     continue
                 suspect.changed_s = at_s
@@ -269,12 +269,12 @@
         return self._judge()
 
     def record_peer_evidence(
-        self, evidence: PartEvidence, now_s: float
+        self, evidence: CauseEvidence, now_s: float
     ) -> tuple[str, ...]:
         """Merge a peer's evidence; return the parts that are quarantined by it."""
-        if evidence.part_id not in self._suspects and not evidence.crash_ages_s:
+        if evidence.cause_id not in self._suspects and not evidence.crash_ages_s:
             return ()
-        suspect = self._get_or_add_suspect(evidence.part_id, evidence.depth, now_s)
+        suspect = self._get_or_add_suspect(evidence.cause_id, evidence.depth, now_s)
         answers = suspect.answers
         needed_before = suspect.crashes_needed
         answers.count = max(answers.count, evidence.answers)
@@ -293,30 +293,30 @@
             return ()
         return self._judge()
 
-    def counts(self, part_ids: Iterable[str]) -> tuple[PartCount, ...]:
+    def counts(self, cause_ids: Iterable[str]) -> tuple[CauseCount, ...]:
         """Return the crashes counted against those parts that are suspected."""
-        suspects = {part_id: self._suspects.get(part_id) for part_id in part_ids}
+        suspects = {cause_id: self._suspects.get(cause_id) for cause_id in cause_ids}
         return tuple(
-            PartCount(
-                part_id,
+            CauseCount(
+                cause_id,
                 crashes=len(suspect.crashes),
                 separate_crashes=suspect.count_crashes(),
                 needed=suspect.crashes_needed,
             )
-            for part_id, suspect in suspects.items()
+            for cause_id, suspect in suspects.items()
             if suspect is not None
         )
 
-    def evidence(self, now_s: float) -> tuple[PartEvidence, ...]:
+    def evidence(self, now_s: float) -> tuple[CauseEvidence, ...]:
         """Return the evidence to send to the peers, on quarantined parts first."""
         rows = [
-            (part_id not in self._quarantined, -suspect.changed_s, part_id, suspect)
-            for part_id, suspect in self._suspects.items()
-            if part_id in self._quarantined or now_s - suspect.changed_s < SHARE_S
+            (cause_id not in self._quarantined, -suspect.changed_s, cause_id, suspect)
+            for cause_id, suspect in self._suspects.items()
+            if cause_id in self._quarantined or now_s - suspect.changed_s < SHARE_S
         ]
         return tuple(
-            PartEvidence(
-                part_id=part_id,
+            CauseEvidence(
+                cause_id=cause_id,
                 depth=suspect.depth,
                 answers=suspect.answers.count,
                 answer_age_s=(
@@ -329,7 +329,7 @@
                     for crash in suspect.crashes
                 ),
             )
-            for _, _, part_id, suspect in sorted(rows, key=lambda row: row[:3])[
+            for _, _, cause_id, suspect in sorted(rows, key=lambda row: row[:3])[
                 :MAX_SHARED_PARTS
             ]
         )
@@ -337,18 +337,18 @@
     def expire(self, now_s: float) -> None:
         """Drop crashes that no longer count."""
         is_changed = False
-        for part_id, suspect in list(self._suspects.items()):
+        for cause_id, suspect in list(self._suspects.items()):
             is_changed |= suspect.drop_crashes_before(now_s - CRASH_TTL_S)
             if not suspect.crashes and now_s - suspect.changed_s >= SHARE_S:
-                del self._suspects[part_id]
+                del self._suspects[cause_id]
         if is_changed:
             self._judge()
 
-    def _get_or_add_suspect(self, part_id: str, depth: int, now_s: float) -> _Suspect:
-        suspect = self._suspects.get(part_id)
+    def _get_or_add_suspect(self, cause_id: str, depth: int, now_s: float) -> _Suspect:
+        suspect = self._suspects.get(cause_id)
         if suspect is None:
-            answers = self._answered.get(part_id, _Answers())
-            suspect = self._suspects[part_id] = _Suspect(
+            answers = self._answered.get(cause_id, _Answers())
+            suspect = self._suspects[cause_id] = _Suspect(
                 depth, now_s, attrs.evolve(answers)
             )
             if len(self._suspects) > MAX_SUSPECT_PARTS:
@@ -375,18 +375,18 @@
         found: set[str] = set()
         while True:
             ranked = []
-            for part_id, suspect in self._suspects.items():
-                if part_id in found:
+            for cause_id, suspect in self._suspects.items():
+                if cause_id in found:
                     continue
                 excess = suspect.excess(explained)
                 if excess >= 0:
-                    rank = (excess, -suspect.answers.count, suspect.depth, part_id)
+                    rank = (excess, -suspect.answers.count, suspect.depth, cause_id)
                     ranked.append(rank)
             if not ranked:
                 break
-            part_id = max(ranked)[-1]
-            found.add(part_id)
-            explained += self._suspects[part_id].crashes
+            cause_id = max(ranked)[-1]
+            found.add(cause_id)
+            explained += self._suspects[cause_id].crashes
         new = tuple(sorted(found - self._quarantined))
         self._quarantined = frozenset(found)
         return new
--- a/persimmonwell/gateway/_peer_datagrams.py
+++ b/persimmonwell/gateway/_peer_datagrams.py
@@ -29,7 +29,7 @@
     WorkspaceTokens,
 )
 from persimmonwell.core.resources import Charge
-from persimmonwell.core.retry import Blame, PartEvidence
+from persimmonwell.core.retry import Blame, CauseEvidence
 from persimmonwell.gateway._peer_messages import (
     Changes,
     Load,
@@ -120,7 +120,7 @@
     """Time for which the report is valid if no other one arrives."""
     registry_changes: RegistryChanges | None = None
     """Changes that a host which reads the store relays to its availability zone."""
-    part_evidence: tuple[PartEvidence, ...] = ()
+    cause_evidence: tuple[CauseEvidence, ...] = ()
     leaving: tuple[LeavingNotice, ...] = ()
     usage: tuple[WorkspaceTokens, ...] = ()
     memory: tuple[MemoryReport, ...] = ()
@@ -145,7 +145,7 @@
     blames: tuple[Blame, ...]
     refused: tuple[str, ...]
     registry_changes: RegistryChanges | None = None
-    part_evidence: tuple[PartEvidence, ...] = ()
+    cause_evidence: tuple[CauseEvidence, ...] = ()
     leaving: tuple[LeavingNotice, ...] = ()
     usage: tuple[WorkspaceTokens, ...] = ()
     memory: tuple[MemoryReport, ...] = ()
@@ -291,7 +291,7 @@
                 ),
                 refused=tuple(filter(_is_short, report.refused[:MAX_READ_DIGESTS])),
                 valid_s=min(valid_s, MAX_LOAD_VALIDITY_S),
-                part_evidence=tuple(
+                cause_evidence=tuple(
                     decode_evidence(part)
                     for part in report.suspect_parts[:MAX_SHARED_PARTS]
                 ),
@@ -443,7 +443,7 @@
             ],
             refused=list(state.refused),
             registry_changes=encode_changes(state.registry_changes),
-            suspect_parts=[encode_evidence(part) for part in state.part_evidence],
+            suspect_parts=[encode_evidence(part) for part in state.cause_evidence],
             registry_era=state.store_versions.registry_era,
             leaving=[
                 encode_notice(notice) for notice in state.leaving[-MAX_SHARED_LEAVING:]
--- a/persimmonwell/gateway/_peer_messages.py
+++ b/persimmonwell/gateway/_peer_messages.py
@@ -18,7 +18,7 @@
     StoreVersions,
     WorkspaceTokens,
 )
-from persimmonwell.core.retry import MAX_CRASHES, PartEvidence
+from persimmonwell.core.retry import MAX_CRASHES, CauseEvidence
 
 MAX_MARK_BYTES = 64
 """Longer datagrams are no marks."""
@@ -89,7 +89,7 @@
 
 
 class SuspectPart(msgspec.Struct, array_like=True):
-    """Evidence about a prompt part under which replicas crashed; see PartEvidence."""
+    """Evidence about a prompt part under which replicas crashed; see CauseEvidence."""
 
     part_id: Name
     depth: Count
@@ -200,10 +200,10 @@
     return ReadMark(versions, mark.reads_config, mark.age_s)
 
 
-def encode_evidence(evidence: PartEvidence) -> SuspectPart:
+def encode_evidence(evidence: CauseEvidence) -> SuspectPart:
     """Return the message for the evidence about a prompt part."""
     return SuspectPart(
-        evidence.part_id,
+        evidence.cause_id,
         evidence.depth,
         evidence.answers,
         evidence.answer_age_s,
@@ -211,10 +211,10 @@
     )
 
 
-def decode_evidence(part: SuspectPart) -> PartEvidence:
+def decode_evidence(part: SuspectPart) -> CauseEvidence:
     """Return the evidence in a message."""
-    return PartEvidence(
-        part_id=part.part_id,
+    return CauseEvidence(
+        cause_id=part.part_id,
         depth=part.depth,
         answers=part.answers,
         answer_age_s=part.answer_age_s,
--- a/persimmonwell/gateway/_report_log.py
+++ b/persimmonwell/gateway/_report_log.py
@@ -52,12 +52,12 @@
             replica=resolved.replica_id,
             parts=[
                 {
-                    "part": count.part_id,
+                    "part": count.cause_id,
                     "crashes": count.crashes,
                     "separate": count.separate_crashes,
                     "needed": round(count.needed, 1),
                 }
-                for count in resolved.part_counts[:MAX_LOGGED_PARTS]
+                for count in resolved.cause_counts[:MAX_LOGGED_PARTS]
             ],
         )
 
--- a/tests/core/forwarding/test_crashes.py
+++ b/tests/core/forwarding/test_crashes.py
@@ -15,7 +15,7 @@
     RegistryRecord,
     Send,
 )
-from persimmonwell.core.retry import Blame, PartEvidence
+from persimmonwell.core.retry import Blame, CauseEvidence
 from tests.core.forwarding.fleets import (
     desk_replica,
     make_router,
@@ -221,7 +221,7 @@
     crash_part(router, 1, 1.0)
     found = crash_part(router, 2, 1.1)
     (resolved,) = [each for each in found if isinstance(each, CrashResolved)]
-    counts = {count.part_id: count for count in resolved.part_counts}
+    counts = {count.cause_id: count for count in resolved.cause_counts}
     assert counts.keys() == {"root", "dead"}
     assert counts["dead"].crashes == 2 and counts["dead"].separate_crashes == 1
     assert counts["dead"].needed == 2 and not resolved.is_dismissed
@@ -255,7 +255,7 @@
         )
         == ()
     )
-    for evidence in router.crashes.part_evidence(2.1):
+    for evidence in router.crashes.cause_evidence(2.1):
         other.record_peer_evidence(evidence, 2.1)
     ends = [each for each in other.tick(2.2) if isinstance(each, Finish)]
     assert [(end.ending, end.detail) for end in ends] == [(Ending.QUARANTINED, "dead")]
@@ -293,7 +293,7 @@
     waiting = request("urgent", digest="w", shared_parts=parts)
     (send,) = router.request_arrived(9, waiting, 0.9)
     assert isinstance(send, Send)
-    evidence = PartEvidence("dead", 1, 0, None, ((1, 1.0), (2, 0.5)))
+    evidence = CauseEvidence("dead", 1, 0, None, ((1, 1.0), (2, 0.5)))
     router.record_peer_evidence(evidence, 2.0)
     found = router.replica_probed("b", None, 2.1, is_alive=False)
     assert not [each for each in found if isinstance(each, Send)]
--- a/tests/core/retry/test_prompt_parts.py
+++ b/tests/core/retry/test_crash_causes.py
@@ -6,8 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from persimmonwell.core.retry import PromptPartQuarantine
-from persimmonwell.core.retry._prompt_parts import (
+from persimmonwell.core.retry import CauseQuarantine
+from persimmonwell.core.retry._crash_causes import (
     CRASH_TTL_S,
     FIRST_JOINT_TRIAL_S,
     FIRST_TRIAL_S,
@@ -23,11 +23,11 @@
 
 def after_crashes(
     crashes: Sequence[Crash], answered: Sequence[tuple[str, ...]] = ()
-) -> PromptPartQuarantine:
+) -> CauseQuarantine:
     """Return the state after answers at second 0 and crashes at the given times."""
-    parts = PromptPartQuarantine()
-    for part_ids in answered:
-        parts.record_answer(part_ids, 0.0)
+    parts = CauseQuarantine()
+    for cause_ids in answered:
+        parts.record_answer(cause_ids, 0.0)
     for number, (at_s, starting) in enumerate(crashes):
         parts.record_crash(f"i-{number}/1", starting, at_s)
     return parts
@@ -94,7 +94,7 @@
 
 def test_a_replica_that_crashes_again_under_its_old_entry_counts_twice() -> None:
     """Guards against crashes that do not count until the registry shows the restart."""
-    one, two = PromptPartQuarantine(), PromptPartQuarantine()
+    one, two = CauseQuarantine(), CauseQuarantine()
     assert one.record_crash("i-1/1", (DEADLY,), 1.0) == ()
     # The other host sees the same crash later, as a stalled stage.
     assert two.record_crash("i-1/1", (DEADLY,), 3.4) == ()
@@ -109,7 +109,7 @@
 def test_an_answer_ends_the_quarantine_on_all_hosts() -> None:
     """Guards against a sound part that stays refused after crashes by chance."""
     one = after_crashes([(1.0, (DEADLY,)), (2.0, (DEADLY,))])
-    two = PromptPartQuarantine()
+    two = CauseQuarantine()
     for evidence in one.evidence(2.5):
         two.record_peer_evidence(evidence, 2.5)
     assert two.find_quarantined(DEADLY) == "dead"
@@ -126,7 +126,7 @@
     """Guards against a restarted host that crashes replicas again."""
     parts = after_crashes([(1.0, (DEADLY,)), (2.0, (DEADLY,))])
     late_s = 2.0 + 5 * SHARE_S
-    new_host = PromptPartQuarantine()
+    new_host = CauseQuarantine()
     for evidence in parts.evidence(late_s):
         new_host.record_peer_evidence(evidence, late_s)
     assert new_host.quarantined == {"dead"}
@@ -159,14 +159,14 @@
     events: list[tuple[int, tuple[str, ...], bool]], random: object
 ) -> None:
     """Guards against verdicts that depend on the order in which evidence arrives."""
-    hosts = [PromptPartQuarantine() for _ in range(3)]
-    for number, (second, part_ids, is_crash) in enumerate(sorted(events)):
+    hosts = [CauseQuarantine() for _ in range(3)]
+    for number, (second, cause_ids, is_crash) in enumerate(sorted(events)):
         host = hosts[number % len(hosts)]
         now_s = second + number / 100
         if is_crash:
-            host.record_crash(f"i-{number}/1", (part_ids,), now_s)
+            host.record_crash(f"i-{number}/1", (cause_ids,), now_s)
         else:
-            host.record_answer(part_ids, now_s)
+            host.record_answer(cause_ids, now_s)
     pairs = [(a, b) for a in hosts for b in hosts if a is not b] * 3
     random.shuffle(pairs)  # type: ignore[attr-defined]
     for _ in range(3):
@@ -218,7 +218,7 @@
     parts = after_crashes(JOINT, [("root",)])
     parts.record_answer(("root",), 10.0)
     (evidence,) = [
-        each for each in after_crashes(JOINT).evidence(9.0) if each.part_id == "dead"
+        each for each in after_crashes(JOINT).evidence(9.0) if each.cause_id == "dead"
     ]
     parts.record_peer_evidence(evidence, 8.99)
     due_s = 10.0 + FIRST_JOINT_TRIAL_S
@@ -236,7 +236,7 @@
 
 def test_a_crash_that_is_confirmed_after_an_answer_does_not_count() -> None:
     """Guards against a refused part whose requests other upstreams answer."""
-    parts = PromptPartQuarantine()
+    parts = CauseQuarantine()
     parts.record_answer(("root",), 1.1)
     for number in range(9):
         parts.record_crash(f"i-{number}/1", (("root",),), 1.0)
--- a/tests/gateway/test_peer_datagrams.py
+++ b/tests/gateway/test_peer_datagrams.py
@@ -23,7 +23,7 @@
     WorkspaceTokens,
 )
 from persimmonwell.core.resources import MemoryBudget
-from persimmonwell.core.retry import Blame, PartEvidence, PromptPartQuarantine
+from persimmonwell.core.retry import Blame, CauseEvidence, CauseQuarantine
 from persimmonwell.gateway._peer_datagrams import (
     MAX_BLAMES,
     MAX_LOAD_VALIDITY_S,
@@ -54,8 +54,8 @@
         RegistryRecord("i-3", 90, None),
     ),
 )
-EVIDENCE = PartEvidence(
-    part_id="p-1", depth=1, answers=0, answer_age_s=None, crash_ages_s=((7, 0.5),)
+EVIDENCE = CauseEvidence(
+    cause_id="p-1", depth=1, answers=0, answer_age_s=None, crash_ages_s=((7, 0.5),)
 )
 MEMORY = MemoryReport("i-6", 5000, 0.5)
 USAGE = WorkspaceTokens("desk", (0, 1), "team 1", 900, 0.25)
@@ -91,7 +91,7 @@
         blames=(BLAME,),
         refused=("d2",),
         registry_changes=CHANGES,
-        part_evidence=(EVIDENCE,),
+        cause_evidence=(EVIDENCE,),
         usage=usage,
         memory=(MEMORY,),
     )
@@ -118,7 +118,7 @@
     )
     return PeerReport(
         *(status, LOADS, ("i-9",), {"i-7": 4.0}, (BLAME,), ("d2",), 0.625, CHANGES),
-        part_evidence=(EVIDENCE,),
+        cause_evidence=(EVIDENCE,),
         usage=(USAGE,),
         memory=(MEMORY,),
     )
@@ -434,12 +434,12 @@
     earlier_report = sample_report()[:14]
     one.datagram_received(msgspec.msgpack.encode(earlier_report), ("127.0.0.9", 1))
     assert reports["h2"].registry_changes is None
-    assert reports["h2"].part_evidence == () and reports["h2"].leaving == ()
+    assert reports["h2"].cause_evidence == () and reports["h2"].leaving == ()
     assert reports["h2"].usage == () and reports["h2"].memory == ()
     later_report = [*sample_report(), {"a": "field of a later build"}]
     one.datagram_received(msgspec.msgpack.encode(later_report), ("127.0.0.9", 1))
     assert reports["h2"].registry_changes is not None
-    assert reports["h2"].part_evidence == (EVIDENCE,)
+    assert reports["h2"].cause_evidence == (EVIDENCE,)
     assert reports["h2"].leaving == (LeavingNotice(("i-4", 5), 0.5),)
     assert reports["h2"].usage == (USAGE,)
     assert reports["h2"].memory == (MEMORY,)
@@ -522,26 +522,26 @@
 ) -> None:
     """Guards against evidence that only the hosts in touch with its source hear."""
     network = _Network()
-    parts: dict[str, PromptPartQuarantine] = {}
+    parts: dict[str, CauseQuarantine] = {}
     for number in range(host_count):
         zone = number * 5 // host_count
         ip = f"10.{zone + 1}.{number // 200}.{number % 200 + 1}"
         datagrams, _ = peer(f"h{number:03}", ip, 1, clock, "10.1.0.1", zone=f"z{zone}")
         datagrams.connection_made(network)  # type: ignore[arg-type]
         network.hosts[ip] = datagrams
-        own = parts[ip] = PromptPartQuarantine()
+        own = parts[ip] = CauseQuarantine()
         empty = attrs.evolve(
             datagrams._local_state(),
             loads={},
             registry_changes=None,
-            part_evidence=(),
+            cause_evidence=(),
         )
         datagrams._local_state = lambda own=own, empty=empty: attrs.evolve(
-            empty, part_evidence=own.evidence(clock.now_s)
+            empty, cause_evidence=own.evidence(clock.now_s)
         )
         datagrams._on_report = lambda report, own=own: [
             own.record_peer_evidence(evidence, clock.now_s)
-            for evidence in report.part_evidence
+            for evidence in report.cause_evidence
         ]
 
     def run(seconds: float) -> None:
