Count crashes at any point of an answer against requests and prompt parts

Cause: a crash counted against a request only before the first part of its answer, and against parts only between head and first event; the first event cleared the parts. Change: all requests that ran on a crashed replica are suspected, with their parts, in one judgement; only complete answers clear. Hosts share evidence about requests as that about parts. A quarantined stream is ended instead of moved.

--- a/persimmonwell/core/forwarding/_arrivals.py
+++ b/persimmonwell/core/forwarding/_arrivals.py
@@ -135,8 +135,7 @@
         active.is_caller_retry = self._caller_retries.pop_refusal(request.digest, now_s)
         state = self._requests.state_of(active)
         state.budget.record_request(now_s)
-        cause = self._crashes.find_cause(request)
-        active.is_trial = cause is not None and self._crashes.begin_trial(cause, now_s)
+        active.is_trial = self._crashes.begin_trial(request, now_s)
         if (cause := self._sender.quarantine_cause(active)) is not None:
             return (self._requests.finish(active, Ending.QUARANTINED, cause),)
         if not self._upstreams.available(active.service.name):
--- a/persimmonwell/core/forwarding/_attempts.py
+++ b/persimmonwell/core/forwarding/_attempts.py
@@ -15,7 +15,7 @@
 REFUSAL_BACKOFF_S = 0.15
 """First back-off after repeated refusals of a request; it doubles each time."""
 CRASH_CONFIRM_S = 0.1
-"""Pause after a replica broke off before the first part of an answer to a prompt."""
+"""Pause after a replica broke off the answer to a request that may crash replicas."""
 MIN_RETRY_TIME_S = 0.05
 """Minimum time to the deadline for another attempt."""
 
@@ -69,7 +69,7 @@
         active.refused_reroutes = 0
         if not active.has_answer_part:
             active.has_answer_part = True
-            self._crashes.record_answer(active.request, now_s)
+            self._crashes.record_begin(now_s)
 
     def answer_completed(
         self, key: int, attempt: int, now_s: float
@@ -79,7 +79,7 @@
         if active is None:
             return ()
         self._upstreams.record_success(active, now_s)
-        self._crashes.record_completion(active.request.digest, now_s)
+        self._crashes.record_completion(active.request, now_s)
         if active.route.kind is not RouteKind.STREAM:
             self._record_answer_part(active, now_s)
         del self._requests.active[key]
@@ -109,7 +109,7 @@
                 self._requests.active.values(),
                 now_s,
             )
-            if active.is_starting and self._crashes.is_suspect(active.request):
+            if self._crashes.is_suspect(active.request):
                 # The probe shows whether the request crashed it.
                 active.not_before_s = now_s + CRASH_CONFIRM_S
         active.possible_runs += failure.has_run
--- a/persimmonwell/core/forwarding/_crash_reports.py
+++ b/persimmonwell/core/forwarding/_crash_reports.py
@@ -25,6 +25,19 @@
     Returns a report and a probe to confirm the crash, if there are requests to
     attribute it to.
     """
+    reports = record_dead_replica(crashes, replica, requests, now_s)
+    if replica is None or not reports:
+        return ()
+    return (*reports, ProbeReplica(replica.replica_id, replica.address))
+
+
+def record_dead_replica(
+    crashes: CrashTracker,
+    replica: Replica | None,
+    requests: Iterable[ActiveRequest],
+    now_s: float,
+) -> tuple[Decision, ...]:
+    """Record the crash of a replica whose probe tells already that it is dead."""
     if replica is None:
         return ()
     replica_id = replica.replica_id
@@ -32,10 +45,7 @@
     if not crashes.record_replica_failure(replica, running, now_s):
         return ()
     starting = tuple(active.request for active in running if active.is_starting)
-    return (
-        CrashSuspected(replica_id, starting, len(running)),
-        ProbeReplica(replica_id, replica.address),
-    )
+    return (CrashSuspected(replica_id, starting, len(running)),)
 
 
 def quarantine_decisions(digests: tuple[str, ...]) -> tuple[Quarantined, ...]:
--- a/persimmonwell/core/forwarding/_crashes.py
+++ b/persimmonwell/core/forwarding/_crashes.py
@@ -2,12 +2,11 @@
 
 Such a request takes down every replica that starts to run it, and its caller retries
 at any host; requests with such a part come from many callers. Each crash removes
-layers from a zone for seconds, so a request is refused once two crashes are attributed
+layers from a zone for seconds, so a request is refused once the crashes are attributed
 to it or to one of its parts.
 """
 
 from collections.abc import Iterable
-from itertools import chain
 
 import attrs
 
@@ -15,28 +14,26 @@
 from persimmonwell.core.forwarding._model import CallerRequest, Replica
 from persimmonwell.core.membership import rendezvous_order
 from persimmonwell.core.retry import (
-    Blame,
+    REQUEST_PREFIX,
     CauseCount,
     CauseEvidence,
     CauseQuarantine,
-    Quarantine,
-    QuarantineChange,
+    CrashCandidate,
+    request_cause,
 )
 
-ANSWERED_TTL_S = 600.0
-"""Time after a complete answer for which requests with the same digest are not
-suspected. A request that crashes replicas does so at each one, so it has no answer."""
-MAX_ANSWERED = 4096
-"""Answered digests that are kept, those answered last."""
-BLAME_GOSSIP_S = 10.0
-"""Time for which a crash is repeated to the peers, since single datagrams get lost."""
+CONFIRM_TIMEOUT_S = 0.5
+"""A replica that answers no probe for this long counts as crashed."""
+SAME_LOSS_S = 2.0
+"""Failures at one replica that follow each other within this time mean one crash."""
+MIN_LOGGED_CRASHES = 2
+"""Crashes from which a request is named in the report about one."""
 
 
 @attrs.frozen
-class _UnconfirmedCrash:
+class _Suspicion:
     incarnation: str
-    starting_parts: tuple[tuple[str, ...], ...]
-    """Shared prompt parts of each request that was starting."""
+    candidates: tuple[CrashCandidate, ...]
     at_s: float
 
 
@@ -47,7 +44,7 @@
     quarantined: tuple[str, ...] = ()
     """Newly quarantined digests and prompt parts."""
     cause_counts: tuple[CauseCount, ...] = ()
-    """Crashes that count against the parts of the requests that were starting."""
+    """Crashes that count against the requests that ran there and their parts."""
     is_dismissed: bool = False
     """Whether the replica was suspected and is alive."""
 
@@ -56,65 +53,73 @@
     """Attribution of replica crashes to requests and parts, shared with the peers."""
 
     def __init__(self) -> None:
-        self._quarantine = Quarantine()
-        self._parts = CauseQuarantine()
+        self._causes = CauseQuarantine()
         self._host_id = ""
         self._host_ids = frozenset({""})
-        self._unconfirmed: dict[str, _UnconfirmedCrash] = {}
+        self._unconfirmed: dict[str, _Suspicion] = {}
         """Unconfirmed crashes by replica id."""
-        self._gossip_until_s: dict[Blame, float] = {}
-        self._answered_s: dict[str, float] = {}
-        """Time of the last complete answer by digest, the oldest one first."""
+        self._suspected_s: dict[str, float] = {}
+        """Time of the last suspected crash by incarnation, the oldest one first."""
 
     @property
     def quarantined(self) -> tuple[str, ...]:
         """Return the digests whose requests are refused."""
-        return self._quarantine.digests
+        return tuple(
+            sorted(
+                cause.removeprefix(REQUEST_PREFIX)
+                for cause in self._causes.quarantined
+                if cause.startswith(REQUEST_PREFIX)
+            )
+        )
 
     @property
     def quarantined_parts(self) -> frozenset[str]:
         """Return the prompt parts whose requests are refused."""
-        return self._parts.quarantined
+        return frozenset(
+            cause
+            for cause in self._causes.quarantined
+            if not cause.startswith(REQUEST_PREFIX)
+        )
 
     def find_cause(self, request: CallerRequest) -> str | None:
         """Return the digest or the part because of which a request is refused."""
-        if self._quarantine.is_quarantined(request.digest):
-            return request.digest
-        return self._parts.find_quarantined(request.shared_parts)
+        cause = self._causes.find_quarantined(_causes_of(request))
+        return None if cause is None else cause.removeprefix(REQUEST_PREFIX)
 
     def is_suspect(self, request: CallerRequest) -> bool:
-        """Return whether a replica crashed under a part of a request before."""
-        return self._parts.has_suspect(request.shared_parts)
+        """Return whether one more crash may show that a request crashes replicas."""
+        return self._causes.has_suspect(_causes_of(request))
+
+    def awaits_verdict(self, active: ActiveRequest) -> bool:
+        """Return whether a suspected crash will tell if a request may run again."""
+        return (
+            bool(self._unconfirmed)
+            and not self._unconfirmed.keys().isdisjoint(active.reserved)
+            and self.is_suspect(active.request)
+        )
 
     def set_hosts(self, host_id: str, peer_ids: Iterable[str]) -> None:
         """Set this host and its live peers, which take turns in trials."""
         self._host_id = host_id
         self._host_ids = frozenset({host_id, *peer_ids})
 
-    def begin_trial(self, cause: str, now_s: float) -> bool:
-        """Return whether one request may show that a quarantined part is harmless."""
-        return cause in self._parts.quarantined and self._parts.begin_trial(
+    def begin_trial(self, request: CallerRequest, now_s: float) -> bool:
+        """Return whether a request may show that its quarantined cause is harmless."""
+        cause = self._causes.find_quarantined(_causes_of(request))
+        return cause is not None and self._causes.begin_trial(
             cause, now_s, host_rank=lambda: self._host_rank(cause)
         )
 
     def _host_rank(self, cause: str) -> int:
         return rendezvous_order(cause, self._host_ids).index(self._host_id)
 
-    def record_answer(self, request: CallerRequest, now_s: float) -> None:
-        """Record that a replica began the answer to a request."""
-        self._parts.record_answer(request.shared_parts, now_s)
-
-    def record_completion(self, digest: str, now_s: float) -> None:
-        """Clear the suspicion against a request that was answered."""
-        self._quarantine.record_completed(digest)
-        self._answered_s.pop(digest, None)
-        self._answered_s[digest] = now_s
-        if len(self._answered_s) > MAX_ANSWERED:
-            del self._answered_s[next(iter(self._answered_s))]
+    def record_begin(self, now_s: float) -> None:
+        """Record that a replica began an answer."""
+        self._causes.record_begin(now_s)
 
-    def _was_answered(self, digest: str, now_s: float) -> bool:
-        answered_s = self._answered_s.get(digest, float("-inf"))
-        return now_s - answered_s < ANSWERED_TTL_S
+    def record_completion(self, request: CallerRequest, now_s: float) -> None:
+        """Clear the suspicion against a request that was answered, and its parts."""
+        self._causes.record_answer(_causes_of(request), now_s)
 
     def record_replica_failure(
         self, replica: Replica, running: Iterable[ActiveRequest], now_s: float
@@ -123,29 +128,25 @@
 
         Returns whether a probe of the replica should confirm it.
         """
-        digests: set[str] = set()
-        fresh: set[str] = set()
-        starting_parts = []
-        for active in running:
-            digests.add(active.request.digest)
-            if not active.has_partial_answer:
-                fresh.add(active.request.digest)
-            if active.is_starting and active.request.shared_parts:
-                starting_parts.append(active.request.shared_parts)
-        digests.discard("")
+        candidates = tuple(
+            CrashCandidate(
+                active.request.shared_parts,
+                active.request.digest,
+                active.is_starting,
+                active.last_event_s if active.has_answer_part else None,
+            )
+            for active in running
+        )
+        if not any(candidate.parts or candidate.digest for candidate in candidates):
+            return False
         incarnation = f"{replica.replica_id}/{replica.started_at_ms}"
-        if not digests or not self._quarantine.record_loss(
-            incarnation,
-            frozenset(digests),
-            not_generating=frozenset(fresh & digests),
-            now_s=now_s,
-            harmless=frozenset(
-                digest for digest in digests if self._was_answered(digest, now_s)
-            ),
-        ):
+        # Reports about a replica that stays dead go on; all of them mean one crash.
+        before_s = self._suspected_s.pop(incarnation, float("-inf"))
+        self._suspected_s[incarnation] = now_s
+        if now_s - before_s < SAME_LOSS_S:
             return False
-        self._unconfirmed[replica.replica_id] = _UnconfirmedCrash(
-            incarnation, tuple(starting_parts), now_s
+        self._unconfirmed[replica.replica_id] = _Suspicion(
+            incarnation, candidates, now_s
         )
         return True
 
@@ -156,55 +157,58 @@
         crash = self._unconfirmed.pop(replica_id, None)
         if crash is None:
             return CrashVerdict()
-        change = self._quarantine.resolve_loss(
-            crash.incarnation, lost=is_lost, now_s=now_s
-        )
-        quarantined = self._apply_change(change, now_s)
         if not is_lost:
-            return CrashVerdict(quarantined, is_dismissed=True)
-        quarantined += self._parts.record_crash(
-            crash.incarnation, crash.starting_parts, crash.at_s
+            self._suspected_s.pop(crash.incarnation, None)
+            return CrashVerdict(is_dismissed=True)
+        quarantined = self._causes.record_crash(
+            crash.incarnation, crash.candidates, crash.at_s
+        )
+        cause_ids = dict.fromkeys(
+            cause for candidate in crash.candidates for cause, _ in candidate.causes
+        )
+        counts = self._causes.counts(cause_ids)
+        return CrashVerdict(
+            _without_prefix(quarantined),
+            tuple(
+                attrs.evolve(
+                    count, cause_id=count.cause_id.removeprefix(REQUEST_PREFIX)
+                )
+                for count in counts
+                if not count.cause_id.startswith(REQUEST_PREFIX)
+                or count.crashes >= MIN_LOGGED_CRASHES
+            ),
         )
-        cause_ids = dict.fromkeys(chain.from_iterable(crash.starting_parts))
-        return CrashVerdict(quarantined, self._parts.counts(cause_ids))
 
-    def cause_evidence(self, now_s: float) -> tuple[CauseEvidence, ...]:
-        """Return the evidence about prompt parts to share with the peers."""
-        return self._parts.evidence(now_s)
+    def evidence(self, now_s: float) -> tuple[CauseEvidence, ...]:
+        """Return the evidence about causes of crashes to share with the peers."""
+        return self._causes.evidence(now_s)
 
     def record_peer_evidence(
         self, evidence: CauseEvidence, now_s: float
     ) -> tuple[str, ...]:
-        """Merge a peer's evidence about a part; return newly quarantined parts."""
-        return self._parts.record_peer_evidence(evidence, now_s)
-
-    def record_peer_blame(self, blame: Blame, now_s: float) -> tuple[str, ...]:
-        """Record a crash that a peer attributed; return newly quarantined digests.
-
-        Peers repeat each one, which must not outlast an answer.
-        """
-        if self._was_answered(blame.digest, now_s):
-            return ()
-        return self._quarantine.record_peer_blame(
-            blame.digest, blame.upstream_id, now_s
-        ).quarantined
-
-    def blames(self, now_s: float) -> tuple[Blame, ...]:
-        """Return the attributed crashes to share with the peers."""
-        return tuple(
-            blame for blame, until_s in self._gossip_until_s.items() if until_s > now_s
-        )
+        """Merge a peer's evidence; return newly quarantined digests and parts."""
+        return _without_prefix(self._causes.record_peer_evidence(evidence, now_s))
 
     def expire(self, now_s: float) -> tuple[str, ...]:
-        """Confirm crashes without a probe result; return newly quarantined digests."""
-        for blame, until_s in list(self._gossip_until_s.items()):
-            if until_s <= now_s:
-                del self._gossip_until_s[blame]
-        quarantined = self._apply_change(self._quarantine.expire(now_s), now_s)
-        self._parts.expire(now_s)
+        """Confirm crashes without a probe result; return newly quarantined causes."""
+        quarantined: tuple[str, ...] = ()
+        for replica_id, crash in list(self._unconfirmed.items()):
+            if now_s - crash.at_s >= CONFIRM_TIMEOUT_S:
+                verdict = self.record_probe(replica_id, is_lost=True, now_s=now_s)
+                quarantined += verdict.quarantined
+        for incarnation, suspected_s in list(self._suspected_s.items()):
+            if now_s - suspected_s < SAME_LOSS_S:
+                break
+            del self._suspected_s[incarnation]
+        self._causes.expire(now_s)
         return quarantined
 
-    def _apply_change(self, change: QuarantineChange, now_s: float) -> tuple[str, ...]:
-        for blame in change.blames:
-            self._gossip_until_s[blame] = now_s + BLAME_GOSSIP_S
-        return change.quarantined
+
+def _causes_of(request: CallerRequest) -> tuple[str, ...]:
+    if not request.digest:
+        return request.shared_parts
+    return (*request.shared_parts, request_cause(request.digest))
+
+
+def _without_prefix(causes: Iterable[str]) -> tuple[str, ...]:
+    return tuple(cause.removeprefix(REQUEST_PREFIX) for cause in causes)
--- a/persimmonwell/core/forwarding/_reroutes.py
+++ b/persimmonwell/core/forwarding/_reroutes.py
@@ -194,13 +194,28 @@
         """Move a silent request off the suspected replicas of its path."""
         if active.path is None or active.replica_id is None:
             return ()
-        first_stage, *later_stages = active.path.stages
+        stages = active.path.stages
+        if any(is_suspect(stage.replica_id, now_s) for stage in stages):
+            active.is_trial = False
+            if (cause := self._sender.quarantine_cause(active)) is not None:
+                return self._end_quarantined(active, cause)
+        if self._crashes.awaits_verdict(active):
+            return ()
+        first_stage, *later_stages = stages
         if self._may_leave_first(active, first_stage.replica_id, now_s, is_suspect):
             return self._restart(active, now_s)
         if any(is_suspect(stage.replica_id, now_s) for stage in later_stages):
             return self._move_off_stage(active, now_s)
         return ()
 
+    def _end_quarantined(
+        self, active: ActiveRequest, cause: str
+    ) -> tuple[Decision, ...]:
+        """End a stream that would crash the replicas that it is moved to."""
+        cancel = CancelAttempt(active.key, active.attempt)
+        active.possible_runs += 1
+        return (cancel, self._sender.end_quarantined(active, cause))
+
     def _may_leave_first(
         self,
         active: ActiveRequest,
--- a/persimmonwell/core/forwarding/_router.py
+++ b/persimmonwell/core/forwarding/_router.py
@@ -11,6 +11,7 @@
 from persimmonwell.core.forwarding._caller_retries import CallerRetryTracker
 from persimmonwell.core.forwarding._crash_reports import (
     quarantine_decisions,
+    record_dead_replica,
     verdict_decisions,
 )
 from persimmonwell.core.forwarding._crashes import CrashTracker
@@ -55,7 +56,7 @@
     WorkspaceTokens,
     WorkspaceUsage,
 )
-from persimmonwell.core.retry import Blame, CauseEvidence
+from persimmonwell.core.retry import CauseEvidence
 
 FULL_KV_SHARE = 0.6
 """Share of used KV memory from which a refusal may mean that the replica is full; the
@@ -340,13 +341,9 @@
     def record_peer_evidence(
         self, evidence: CauseEvidence, now_s: float
     ) -> tuple[Decision, ...]:
-        """Merge a peer's evidence about a prompt part under which replicas crash."""
+        """Merge a peer's evidence about a request or part that crashes replicas."""
         return quarantine_decisions(self.crashes.record_peer_evidence(evidence, now_s))
 
-    def record_peer_blame(self, blame: Blame, now_s: float) -> tuple[Decision, ...]:
-        """Record a crash that a peer attributed to a request."""
-        return quarantine_decisions(self.crashes.record_peer_blame(blame, now_s))
-
     def record_peer_usage(
         self, peer: str, rows: Sequence[WorkspaceTokens], now_s: float
     ) -> None:
@@ -403,15 +400,23 @@
         is_alive: bool,
     ) -> tuple[Decision, ...]:
         """Handle a probe's result; report is None where the service has no pipeline."""
+        suspected: tuple[Decision, ...] = ()
         if not is_alive:
             self._upstreams.suspect(replica_id, now_s)
+            # Streams that fell silent with it have not broken off yet.
+            suspected = record_dead_replica(
+                self.crashes,
+                self.registry.replicas.get(replica_id),
+                self._active.values(),
+                now_s,
+            )
         was_suspected = self.health.record_probe(
             replica_id, is_alive=is_alive, now_s=now_s
         )
         verdict = self.crashes.record_probe(
             replica_id, is_lost=not is_alive, now_s=now_s
         )
-        resolved = verdict_decisions(replica_id, verdict)
+        resolved = suspected + verdict_decisions(replica_id, verdict)
         if not is_alive:
             return resolved + self._rerouter.reroute_off_suspects(now_s)
         if report is None:
--- a/persimmonwell/core/retry/__init__.py
+++ b/persimmonwell/core/retry/__init__.py
@@ -13,17 +13,22 @@
 from persimmonwell.core.retry._budget import RetryBudget
 from persimmonwell.core.retry._crash_causes import (
     MAX_CRASHES,
+    REQUEST_PREFIX,
     CauseCount,
     CauseEvidence,
     CauseQuarantine,
+    CrashCandidate,
+    request_cause,
 )
 from persimmonwell.core.retry._quarantine import Blame, Quarantine, QuarantineChange
 
 __all__ = [
     "MAX_CRASHES",
+    "REQUEST_PREFIX",
     "AcceptedEnd",
     "AcceptedToken",
     "Blame",
+    "CrashCandidate",
     "DropReason",
     "Dropped",
     "EndFrame",
@@ -36,4 +41,5 @@
     "TokenAssembler",
     "TokenFrame",
     "backoff_s",
+    "request_cause",
 ]
--- a/persimmonwell/gateway/_peer_datagrams.py
+++ b/persimmonwell/gateway/_peer_datagrams.py
@@ -29,7 +29,7 @@
     WorkspaceTokens,
 )
 from persimmonwell.core.resources import Charge
-from persimmonwell.core.retry import Blame, CauseEvidence
+from persimmonwell.core.retry import CauseEvidence
 from persimmonwell.gateway._peer_messages import (
     Changes,
     Load,
@@ -70,9 +70,8 @@
 MAX_LOADS = 128
 """Loads in one datagram, the largest first; about the replicas that a host uses in its
 own availability zone and some of the others."""
-MAX_BLAMES = 30
-MAX_SHARED_PARTS = 16
-"""Suspected prompt parts that are read from one datagram."""
+MAX_SHARED_CAUSES = 16
+"""Suspected causes of crashes that are read from one datagram."""
 MAX_SHARED_LEAVING = 32
 """Leaving replicas in one datagram, the newest ones."""
 MAX_PEER_ADDRESSES = 64
@@ -93,8 +92,7 @@
 """Changes that are read from one datagram, which holds some 30. A report with more
 counts as one without changes, so that they are read from the store."""
 MAX_READ_NAME_CHARACTERS = 320
-"""Longer names are ignored: an id has at most 256 characters, and a blame adds a start
-time to it."""
+"""Longer names are ignored: an id has at most 256 characters."""
 
 
 @attrs.frozen
@@ -114,7 +112,6 @@
     loads: Mapping[str, ReplicaLoad]
     lost: tuple[str, ...]
     slow: Mapping[str, float]
-    blames: tuple[Blame, ...]
     refused: tuple[str, ...]
     valid_s: float
     """Time for which the report is valid if no other one arrives."""
@@ -142,7 +139,6 @@
     holds_duty: bool
     is_reader: bool
     store_versions: StoreVersions
-    blames: tuple[Blame, ...]
     refused: tuple[str, ...]
     registry_changes: RegistryChanges | None = None
     cause_evidence: tuple[CauseEvidence, ...] = ()
@@ -284,16 +280,11 @@
                     )
                     if _is_short(replica_id)
                 },
-                blames=tuple(
-                    Blame(*blame)
-                    for blame in report.blames[: 4 * MAX_BLAMES]
-                    if all(map(_is_short, blame))
-                ),
                 refused=tuple(filter(_is_short, report.refused[:MAX_READ_DIGESTS])),
                 valid_s=min(valid_s, MAX_LOAD_VALIDITY_S),
                 cause_evidence=tuple(
-                    decode_evidence(part)
-                    for part in report.suspect_parts[:MAX_SHARED_PARTS]
+                    decode_evidence(cause)
+                    for cause in report.causes[:MAX_SHARED_CAUSES]
                 ),
                 leaving=tuple(
                     decode_notice(message)
@@ -438,12 +429,10 @@
             is_reader=state.is_reader,
             config_version=state.store_versions.config_version,
             registry_offset=state.store_versions.registry_offset,
-            blames=[
-                (blame.digest, blame.upstream_id) for blame in state.blames[:MAX_BLAMES]
-            ],
+            blames=[],
             refused=list(state.refused),
             registry_changes=encode_changes(state.registry_changes),
-            suspect_parts=[encode_evidence(part) for part in state.cause_evidence],
+            suspect_parts=[],
             registry_era=state.store_versions.registry_era,
             leaving=[
                 encode_notice(notice) for notice in state.leaving[-MAX_SHARED_LEAVING:]
@@ -457,6 +446,7 @@
                 Memory(row.replica_id, row.layer_tokens, row.age_s)
                 for row in state.memory[:MAX_SHARED_REPORTS]
             ],
+            causes=[encode_evidence(evidence) for evidence in state.cause_evidence],
         )
         data = msgspec.msgpack.encode(report)
         for address in addresses:
--- a/persimmonwell/gateway/_peer_exchange.py
+++ b/persimmonwell/gateway/_peer_exchange.py
@@ -153,9 +153,8 @@
             holds_duty=self._duty.is_held,
             is_reader=self._followers.reads_continuously,
             store_versions=self._store.versions,
-            blames=self._router.crashes.blames(time.monotonic()),
             refused=self._router.caller_retries.recent_digests(time.monotonic()),
-            cause_evidence=self._router.crashes.cause_evidence(time.monotonic()),
+            cause_evidence=self._router.crashes.evidence(time.monotonic()),
             leaving=self._router.leaving.notices(time.monotonic()),
             usage=self._router.workspace_usage.heaviest(time.monotonic()),
             memory=self._router.loads.full_stages.newest(time.monotonic()),
@@ -192,8 +191,6 @@
             report.refused, now_s + PEER_REFUSAL_TTL_S
         )
         self._router.record_peer_usage(report.host_id, report.usage, now_s)
-        for blame in report.blames:
-            self._gateway.execute(self._router.record_peer_blame(blame, now_s))
         for evidence in report.cause_evidence:
             self._gateway.execute(self._router.record_peer_evidence(evidence, now_s))
         for notice in report.leaving:
--- a/persimmonwell/gateway/_peer_messages.py
+++ b/persimmonwell/gateway/_peer_messages.py
@@ -3,6 +3,7 @@
 Every field is checked, since one bad datagram must leave nothing behind.
 """
 
+import math
 from typing import Annotated
 
 import msgspec
@@ -89,7 +90,7 @@
 
 
 class SuspectPart(msgspec.Struct, array_like=True):
-    """Evidence about a prompt part under which replicas crashed; see CauseEvidence."""
+    """Evidence about a prompt part as earlier builds send it."""
 
     part_id: Name
     depth: Count
@@ -98,6 +99,21 @@
     crash_ages_s: list[tuple[Count, Age]]
 
 
+class SuspectCause(msgspec.Struct, array_like=True):
+    """Evidence about a cause of crashes; see CauseEvidence."""
+
+    cause_id: Name
+    depth: Count
+    answers: Count
+    answer_age_ms: Count | None
+    crash_ages_ms: list[tuple[Count, Count]]
+    late: Annotated[int, msgspec.Meta(ge=0, lt=1 << MAX_CRASHES)]
+    """Bits of the positions of late crashes."""
+    separate: Annotated[int, msgspec.Meta(ge=0, lt=1 << MAX_CRASHES)]
+    """The same of crashes whose upstream answered after the crash before."""
+    is_quarantined: bool
+
+
 class Leaving(msgspec.Struct, array_like=True):
     """Statement of a replica that it leaves; see LeavingNotice."""
 
@@ -142,13 +158,13 @@
     config_version: int
     registry_offset: int
     blames: list[tuple[str, str]]
-    """Request digests, each with the replica that crashed on the request."""
+    """Not read; earlier builds send digests of requests that crashed replicas."""
     refused: list[str]
     """Digests of requests that the sender refused and that callers may retry."""
     registry_changes: Changes | None = None
     """Absent from hosts that do not read the store, and from earlier builds."""
     suspect_parts: list[SuspectPart] = []
-    """Absent from earlier builds."""
+    """Not read; earlier builds send evidence without requests and late crashes."""
     registry_era: Count = 0
     """Absent from earlier builds."""
     leaving: list[Leaving] = []
@@ -157,6 +173,8 @@
     """Absent from earlier builds."""
     memory: list[Memory] = []
     """Absent from earlier builds."""
+    causes: list[SuspectCause] = []
+    """Absent from earlier builds."""
 
 
 class Mark(msgspec.Struct, array_like=True, tag="mark"):
@@ -200,28 +218,52 @@
     return ReadMark(versions, mark.reads_config, mark.age_s)
 
 
-def encode_evidence(evidence: CauseEvidence) -> SuspectPart:
-    """Return the message for the evidence about a prompt part."""
-    return SuspectPart(
+def encode_evidence(evidence: CauseEvidence) -> SuspectCause:
+    """Return the message for the evidence about a cause of crashes.
+
+    Rounding makes a crash later and an answer earlier, since hosts keep the earliest
+    report of a crash and the latest one of an answer, and would otherwise pass on ever
+    new times.
+    """
+    answer_age_s = evidence.answer_age_s
+    return SuspectCause(
         evidence.cause_id,
         evidence.depth,
         evidence.answers,
-        evidence.answer_age_s,
-        list(evidence.crash_ages_s),
+        None if answer_age_s is None else math.ceil(answer_age_s * 1000),
+        [(number, int(age_s * 1000)) for number, age_s in evidence.crash_ages_s],
+        _encode_positions(evidence.late),
+        _encode_positions(evidence.separate),
+        evidence.is_quarantined,
     )
 
 
-def decode_evidence(part: SuspectPart) -> CauseEvidence:
+def decode_evidence(cause: SuspectCause) -> CauseEvidence:
     """Return the evidence in a message."""
+    answer_age_ms = cause.answer_age_ms
     return CauseEvidence(
-        cause_id=part.part_id,
-        depth=part.depth,
-        answers=part.answers,
-        answer_age_s=part.answer_age_s,
-        crash_ages_s=tuple(part.crash_ages_s[:MAX_CRASHES]),
+        cause_id=cause.cause_id,
+        depth=cause.depth,
+        answers=cause.answers,
+        answer_age_s=None if answer_age_ms is None else answer_age_ms / 1000,
+        crash_ages_s=tuple(
+            (number, age_ms / 1000)
+            for number, age_ms in cause.crash_ages_ms[:MAX_CRASHES]
+        ),
+        late=_decode_positions(cause.late),
+        separate=_decode_positions(cause.separate),
+        is_quarantined=cause.is_quarantined,
     )
 
 
+def _encode_positions(positions: frozenset[int]) -> int:
+    return sum(1 << position for position in positions)
+
+
+def _decode_positions(bits: int) -> frozenset[int]:
+    return frozenset(at for at in range(MAX_CRASHES) if bits >> at & 1)
+
+
 def encode_notice(notice: LeavingNotice) -> Leaving:
     """Return the message for the statement of a leaving replica."""
     return Leaving(*notice.incarnation, notice.age_s)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -99,9 +99,11 @@
     response), flood (a key of FLOODS or "body", until the caller closes), report_flood
     (the same in response to one report request), deadly_part (id of a prompt part; the
     replica crashes when it begins to answer a request with it, and starts again after
-    restart_s, if that is given), limit (requests a second that its answers state, as
-    text), repeat_refusal (each refusal is written once more when the next request
-    arrives on its connection; "unnamed" leaves its request id out), spoil (a Spoil: one
+    restart_s, if that is given), deadly_after (events or, for a plain body, bytes that
+    are sent before that crash, at the end of the answer at the latest; None, the
+    default, for none but a stream's head), limit (requests a second that its answers
+    state, as text), repeat_refusal (each refusal is written once more when the next
+    request arrives on its connection; "unnamed" leaves its request id out), spoil (a Spoil: one
     byte of one event of each stream), cut_head (closes within the head, after so many
     of its lines), resume_answer (bytes that answer the resumption of a stream, before a
     close), raw_answer (bytes that answer any request, before a close, or a reset with
@@ -340,6 +342,10 @@
         if flood := self.faults.get("flood"):
             return self._flood(connection, flood, request_id)
         if "hop-count" not in request.headers and self._has_deadly_part(request):
+            if self.faults.get("deadly_after"):
+                part = _build_response(200, response_headers, b"x" * 99)
+                connection.sendall(part[: -99 + self.faults["deadly_after"]])
+                time.sleep(0.02)
             self._crash()
             return False
         if "hop-count" in request.headers:
@@ -401,7 +407,9 @@
         response_headers = {**response_headers, "Content-Type": "text/event-stream"}
         chunked = {**response_headers, "Transfer-Encoding": "chunked"}
         connection.sendall(_build_head(200, chunked) + b"\r\n")
-        if self._has_deadly_part(request):
+        deadly_after = self.faults.get("deadly_after")
+        is_deadly = self._has_deadly_part(request)
+        if is_deadly and deadly_after is None:
             time.sleep(0.02)
             self._crash()
             return False
@@ -412,6 +420,10 @@
             spoil = self.faults.get("spoil")
             if spoil is not None and number == spoil.event:
                 event = spoil.apply(event)
+            if is_deadly and number == first + deadly_after:
+                time.sleep(0.02)
+                self._crash()
+                return False
             if number == self.faults.get("reset_at"):
                 connection.sendall(_chunk(event[:-7]))
                 time.sleep(0.02)
@@ -425,6 +437,9 @@
                     time.sleep(0.1)
             connection.sendall(_chunk(event))
             time.sleep(self.event_interval_s)
+        if is_deadly:
+            self._crash()
+            return False
         connection.sendall(b"0\r\n\r\n")
         return True
 
--- a/tests/core/forwarding/test_crashes.py
+++ b/tests/core/forwarding/test_crashes.py
@@ -15,7 +15,8 @@
     RegistryRecord,
     Send,
 )
-from persimmonwell.core.retry import Blame, CauseEvidence
+from persimmonwell.core.retry import CauseEvidence
+from persimmonwell.core.retry._crash_causes import MAX_ANSWERED
 from tests.core.forwarding.fleets import (
     desk_replica,
     make_router,
@@ -45,6 +46,16 @@
     return found
 
 
+def tell(
+    sender: ForwardingRouter, receiver: ForwardingRouter, now_s: float
+) -> tuple[Decision, ...]:
+    """Give the evidence of one host to another and return what that decides."""
+    found: tuple[Decision, ...] = ()
+    for evidence in sender.crashes.evidence(now_s):
+        found += receiver.record_peer_evidence(evidence, now_s)
+    return found
+
+
 def test_a_request_is_quarantined_after_two_crashes() -> None:
     """Guards against a fleet taken down by one caller's retries."""
     router = make_router(*DESKS)
@@ -101,14 +112,13 @@
             host.request_arrived(key, request("book", digest="popular"), at_s)
             host.answer_completed(key, 1, at_s + 0.05)
 
-    def exchange_blames(from_s: float, to_s: float) -> None:
+    def exchange(from_s: float, to_s: float) -> None:
         now_s = from_s
         while now_s < to_s:
             for sender in hosts:
-                for blame in sender.crashes.blames(now_s):
-                    for receiver in hosts:
-                        if receiver is not sender:
-                            receiver.record_peer_blame(blame, now_s)
+                for receiver in hosts:
+                    if receiver is not sender:
+                        tell(sender, receiver, now_s)
             now_s += 0.25
 
     answer(0.0)
@@ -116,11 +126,11 @@
         for host in hosts:
             key += 1
             crash(host, key, crash_s, digest="popular")
-        exchange_blames(crash_s + 0.1, crash_s + 1.0)
+        exchange(crash_s + 0.1, crash_s + 1.0)
         if answers_between:
             answer(crash_s + 1.0)
-        exchange_blames(crash_s + 1.2, crash_s + 2.0)
-    exchange_blames(5.5, 15.0)
+        exchange(crash_s + 1.2, crash_s + 2.0)
+    exchange(5.5, 15.0)
     for host in hosts:
         assert host.crashes.quarantined == ()
 
@@ -137,10 +147,10 @@
 def test_answered_requests_that_are_kept_are_bounded() -> None:
     """Guards against memory that grows with each request."""
     router = make_router(*DESKS)
-    for key in range(5000):
+    for key in range(MAX_ANSWERED + 100):
         router.request_arrived(key, request("book", digest=f"r{key}"), key * 0.01)
         router.answer_completed(key, 1, key * 0.01 + 0.001)
-    assert len(router.crashes._answered_s) == 4096
+    assert len(router.crashes._causes._answered_requests) == MAX_ANSWERED
 
 
 def test_requests_in_flight_at_a_dead_stage_are_not_quarantined() -> None:
@@ -164,14 +174,12 @@
     """Guards against two crashes at every host, since callers retry at any host."""
     one, two = make_router(*DESKS), make_router(*DESKS)
     crash(one, 1, 0.0)
-    (blame,) = one.crashes.blames(0.5)
-    assert two.record_peer_blame(blame, 0.5) == ()
+    assert tell(one, two, 0.5) == ()
     two.health.record_peer_lost(one.health.lost, 9.0)
     assert Quarantined("bad") in crash(two, 2, 4.0)
-    other = two.record_peer_blame(Blame("worse", "x/0"), 5.0)
-    other += two.record_peer_blame(Blame("worse", "y/0"), 5.1)
-    assert other == (Quarantined("worse"),)
-    assert one.crashes.blames(60.0) == ()
+    three = make_router(*DESKS)
+    assert tell(two, three, 5.0) == (Quarantined("bad"),)
+    assert tell(one, make_router(*DESKS), 60.0) == ()
 
 
 def test_a_suspected_crash_names_the_requests_that_were_starting() -> None:
@@ -255,8 +263,7 @@
         )
         == ()
     )
-    for evidence in router.crashes.cause_evidence(2.1):
-        other.record_peer_evidence(evidence, 2.1)
+    tell(router, other, 2.1)
     ends = [each for each in other.tick(2.2) if isinstance(each, Finish)]
     assert [(end.ending, end.detail) for end in ends] == [(Ending.QUARANTINED, "dead")]
 
@@ -272,6 +279,8 @@
     assert isinstance(send, Send)
     router.answer_opened(3, 1)
     router.answer_began(3, 1, 60.1)
+    assert router.crashes.quarantined_parts == {"dead"}
+    router.answer_completed(3, 1, 60.15)
     assert router.crashes.quarantined_parts == frozenset()
     (send,) = router.request_arrived(
         4, request("fixed", digest="next", shared_parts=parts), 60.2
@@ -297,3 +306,85 @@
     router.record_peer_evidence(evidence, 2.0)
     found = router.replica_probed("b", None, 2.1, is_alive=False)
     assert not [each for each in found if isinstance(each, Send)]
+
+
+def play_crashes(
+    router: ForwardingRouter, key: int, route: str, begin_s: float, events: int
+) -> Ending | None:
+    """Send a request that crashes each replica after some events; return its end."""
+    decisions = router.request_arrived(key, request(route, digest="bad"), begin_s)
+    for tick in range(1, 40):
+        now_s = begin_s + tick / 10
+        for send in [each for each in decisions if isinstance(each, Send)]:
+            router.answer_opened(key, send.attempt)
+            for _ in range(events):
+                router.answer_began(key, send.attempt, now_s)
+            router.attempt_failed(key, send.attempt, FAILED.BROKEN, now_s + 0.05)
+            router.replica_probed(send.replica_id, None, now_s + 0.06, is_alive=False)
+        ends = [each.ending for each in decisions if isinstance(each, Finish)]
+        if ends or key not in router._active:
+            return ends[0] if ends else None
+        decisions = router.tick(now_s + 0.08)
+    return None
+
+
+@pytest.mark.parametrize("events", [0, 1, 40])
+@pytest.mark.parametrize("route", ["urgent", "fixed", "look"])
+def test_crash_after_any_part_of_an_answer_counts(route: str, events: int) -> None:
+    """Guards against a request that is never refused once its answer has begun."""
+    router = make_router(*DESKS) if route == "look" else staged_router(10)
+    ends = [play_crashes(router, key, route, 6.0 * key, events) for key in range(6)]
+    assert ends[-3:] == [Ending.QUARANTINED] * 3
+    sound = request("book" if route == "look" else "urgent", digest="sound")
+    (send,) = router.request_arrived(99, sound, 40.0)
+    assert isinstance(send, Send)
+
+
+@pytest.mark.parametrize("found_by", ["probe", "report"])
+def test_stream_that_crashes_stage_after_stage_is_ended(found_by: str) -> None:
+    """Guards against path changes that bring a request to ever more replicas.
+
+    A change of path did not look at the quarantine.
+    """
+    count = 12
+    router = make_router(
+        staged_replica("a", "za", 0, 40),
+        *(staged_replica(f"b{number}", "za", 40, 80) for number in range(count)),
+    )
+    (send,) = router.request_arrived(1, request("urgent", digest="bad"), 0.0)
+    assert isinstance(send, Send) and send.path is not None
+    router.answer_opened(1, 1)
+    router.answer_began(1, 1, 0.1)
+    now_s, crashed = 0.1, []
+    while 1 in router._active and now_s < 20.0:
+        active = router._active[1]
+        assert active.path is not None
+        _, stage = active.path.stages
+        now_s += 0.4
+        if found_by == "report":
+            router.stall_report_received("a", {"r": stage.address}, now_s)
+        if stage.replica_id not in crashed:
+            crashed.append(stage.replica_id)
+            router.replica_probed(stage.replica_id, None, now_s + 0.01, is_alive=False)
+        router.tick(now_s + 0.1)
+    assert 1 not in router._active
+    assert len(crashed) == 3
+    (finish,) = router.request_arrived(2, request("urgent", digest="bad"), now_s)
+    assert isinstance(finish, Finish) and finish.ending is Ending.QUARANTINED
+
+
+def test_replica_that_stays_dead_counts_as_one_crash() -> None:
+    """Guards against a stream that is refused as its stage is found dead repeatedly."""
+    router = make_router(
+        staged_replica("a", "za", 0, 40), staged_replica("b", "za", 40, 80)
+    )
+    router.request_arrived(1, request("urgent", digest="r1"), 0.0)
+    router.answer_opened(1, 1)
+    router.answer_began(1, 1, 0.1)
+    for tick in range(20):
+        now_s = 0.5 * tick + 0.5
+        router.stall_report_received("a", {"r": "b"}, now_s)
+        router.replica_probed("b", None, now_s + 0.01, is_alive=False)
+        router.tick(now_s + 0.02)
+    assert router.crashes.quarantined == ()
+    assert 1 in router._active
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -15,14 +15,14 @@
 """Crashes after which such requests may not reach replicas any more."""
 
 
-@pytest.fixture
-def testbed() -> Iterator[GatewayTestbed]:
+@pytest.fixture(params=[None, 1, 3], ids=["head", "one event", "three events"])
+def testbed(request: pytest.FixtureRequest) -> Iterator[GatewayTestbed]:
     """Return a running host with replicas that crash under one part."""
     testbed = GatewayTestbed()
     testbed.store.put_key("keyed.op", "config", config(3))
     for number in range(REPLICAS):
         replica = testbed.add_replica(f"model-{number}", "model")
-        replica.faults["deadly_part"] = "dead"
+        replica.faults |= {"deadly_part": "dead", "deadly_after": request.param}
     testbed.start()
     yield testbed
     testbed.close()
@@ -47,7 +47,10 @@
 def test_requests_of_one_kind_do_not_crash_one_replica_after_the_other(
     testbed: GatewayTestbed, path: str
 ) -> None:
-    """Guards against a quarantine of single requests where a shared part crashes."""
+    """Guards against a quarantine of single requests where a shared part crashes.
+
+    A crash after the first event was no evidence, and that event cleared the part.
+    """
     for number in range(REQUESTS):
         send(testbed, path, number, "dead")
         assert send(testbed, path, number, f"sound{number % 3}") == 200
--- a/tests/gateway/test_peer_datagrams.py
+++ b/tests/gateway/test_peer_datagrams.py
@@ -23,9 +23,12 @@
     WorkspaceTokens,
 )
 from persimmonwell.core.resources import MemoryBudget
-from persimmonwell.core.retry import Blame, CauseEvidence, CauseQuarantine
+from persimmonwell.core.retry import (
+    CauseEvidence,
+    CauseQuarantine,
+    CrashCandidate,
+)
 from persimmonwell.gateway._peer_datagrams import (
-    MAX_BLAMES,
     MAX_LOAD_VALIDITY_S,
     MAX_PEERS,
     MAX_READ_CHANGES,
@@ -33,6 +36,7 @@
     MAX_READ_LOADS,
     MAX_READ_NAME_CHARACTERS,
     MAX_READ_REPLICAS,
+    MAX_SHARED_CAUSES,
     SEND_INTERVAL_S,
     LocalState,
     PeerDatagrams,
@@ -44,7 +48,6 @@
 
 Reports = dict[str, PeerReport]
 LOADS = {"i-1": ReplicaLoad(2, 900)}
-BLAME = Blame("d1", "i-3/0")
 CHANGES = RegistryChanges(
     after_offset=80,
     end_offset=91,
@@ -55,7 +58,10 @@
     ),
 )
 EVIDENCE = CauseEvidence(
-    cause_id="p-1", depth=1, answers=0, answer_age_s=None, crash_ages_s=((7, 0.5),)
+    *("p-1", 1, 0, 0.25, ((7, 0.5), (8, 0.125))),
+    late=frozenset({1}),
+    separate=frozenset({0}),
+    is_quarantined=True,
 )
 MEMORY = MemoryReport("i-6", 5000, 0.5)
 USAGE = WorkspaceTokens("desk", (0, 1), "team 1", 900, 0.25)
@@ -88,7 +94,6 @@
         holds_duty=True,
         is_reader=True,
         store_versions=STORE_VERSIONS,
-        blames=(BLAME,),
         refused=("d2",),
         registry_changes=CHANGES,
         cause_evidence=(EVIDENCE,),
@@ -117,7 +122,7 @@
         store_versions=STORE_VERSIONS,
     )
     return PeerReport(
-        *(status, LOADS, ("i-9",), {"i-7": 4.0}, (BLAME,), ("d2",), 0.625, CHANGES),
+        *(status, LOADS, ("i-9",), {"i-7": 4.0}, ("d2",), 0.625, CHANGES),
         cause_evidence=(EVIDENCE,),
         usage=(USAGE,),
         memory=(MEMORY,),
@@ -198,6 +203,7 @@
         [["i-4", 5, 0.5]],
         [["desk", [0, 1], "team 1", 900, 0.25]],
         [["i-6", 5000, 0.5]],
+        [["p-1", 1, 0, 250, [[7, 500], [8, 125]], 2, 1, True]],
     ]
 
 
@@ -330,13 +336,16 @@
         (2, [[f"i-{number}", 1, 1] for number in range(5000)], MAX_READ_LOADS),
         (4, [f"i-{number}" for number in range(9000)], MAX_READ_REPLICAS),
         (7, {f"i-{number}": 2.0 for number in range(6000)}, MAX_READ_REPLICAS),
-        (12, [[f"d-{number}", "i-1/0"] for number in range(5000)], 4 * MAX_BLAMES),
         (13, [f"d-{number}" for number in range(9000)], MAX_READ_DIGESTS),
         (2, [["i" * 1000, 1, 1]], 0),
         (4, ["i" * 60_000], 0),
         (7, {"i" * 60_000: 2.0}, 0),
-        (12, [["d", "i" * 60_000]], 0),
         (13, ["d" * 60_000], 0),
+        (
+            20,
+            [[f"c{row}", 1, 0, None, [], 0, 0, False] for row in range(999)],
+            MAX_SHARED_CAUSES,
+        ),
     ],
 )
 def test_what_one_report_can_hold_is_bounded(
@@ -347,7 +356,7 @@
     fields = sample_report()
     fields[field] = value
     one.datagram_received(msgspec.msgpack.encode(fields), ("127.0.0.9", 1))
-    names = {2: "loads", 4: "lost", 7: "slow", 12: "blames", 13: "refused"}
+    names = {2: "loads", 4: "lost", 7: "slow", 13: "refused", 20: "cause_evidence"}
     assert len(getattr(reports["h2"], names[field])) == kept
 
 
@@ -553,7 +562,8 @@
 
     run(6.0)
     first, *_, last = parts.values()
-    first.record_crash("i-1/1", [("root", "dead")], clock.now_s - 1.0)
-    last.record_crash("i-2/1", [("root", "dead")], clock.now_s)
+    candidates = [CrashCandidate(("root", "dead"))]
+    first.record_crash("i-1/1", candidates, clock.now_s - 1.0)
+    last.record_crash("i-2/1", candidates, clock.now_s)
     run(3.0)
     assert all(own.quarantined == {"dead"} for own in parts.values())
