--- a/persimmonwell/core/retry/_crash_causes.py
+++ b/persimmonwell/core/retry/_crash_causes.py
@@ -30,6 +30,9 @@
 EXTRA_AMBIGUOUS_CRASHES = 2
 """Crashes beyond MIN_CRASHES from which one of several requests that explain the same
 crashes is quarantined. If the crashes go on without it, another one explains more."""
+DEPTH_PREFERENCE = 2.0
+"""Crashes by which a part must exceed a deeper one to be preferred. Each request with
+the deeper one has both, and news of it may come later from other hosts."""
 MAX_TRIAL_SLOT = 20
 """Slot in which a million hosts have their turn."""
 MAX_COUNTED_ANSWERS = 63
@@ -217,6 +220,11 @@
                 count, counted_s = count + 1, crash.at_s
         return count
 
+    @property
+    def part_depth(self) -> int:
+        """Return the depth of the part, or of the deepest one of the request."""
+        return max(0, self.depth - self.is_request)
+
     @property
     def crashes_needed(self) -> float:
         answers = min(self.answers.count, MAX_COUNTED_ANSWERS)
@@ -658,9 +666,13 @@
                 suspect = self._suspects[cause_id]
                 excess = suspect.excess(explained)
                 if excess >= 0:
-                    count = suspect.count_separate(suspect.unexplained(explained))
-                    answers = -suspect.answers.count
-                    ranks[cause_id] = (excess, count, answers, suspect.depth, cause_id)
+                    ranks[cause_id] = (
+                        excess + DEPTH_PREFERENCE * suspect.part_depth,
+                        suspect.count_separate(suspect.unexplained(explained)),
+                        -suspect.answers.count,
+                        suspect.depth,
+                        cause_id,
+                    )
             if not ranks:
                 break
             cause_id = max(ranks, key=ranks.__getitem__)
--- a/tests/core/retry/test_crash_causes.py
+++ b/tests/core/retry/test_crash_causes.py
@@ -400,3 +400,21 @@
             causes.record_crash(f"i-{wave}-{number}/1", candidates, at_s)
         causes.record_answer(("root", "other"), 10.0 * wave + 9.0)
     assert causes.quarantined == frozenset()
+
+
+def test_late_news_of_a_deeper_part_does_not_blame_the_one_before_it() -> None:
+    """Guards against the refusal of all requests with the first part of a prompt.
+
+    Seen on the bench: other hosts' evidence about the first part came first.
+    """
+    here, there = CauseQuarantine(), CauseQuarantine()
+    for causes in (here, there):
+        causes.record_answer(("root",), 0.0)
+        for number in range(3):
+            causes.record_crash(f"i-{number}/1", starting(DEADLY), 3.0 + number)
+    for number in range(3, 5):
+        there.record_crash(f"i-{number}/1", starting(DEADLY), 3.0 + number)
+    for evidence in evidence_of(there, 8.0):
+        if evidence.cause_id == "root":
+            here.record_peer_evidence(evidence, 8.0)
+    assert here.quarantined == {"dead"}
