--- a/persimmonwell/core/retry/_crash_causes.py
+++ b/persimmonwell/core/retry/_crash_causes.py
@@ -72,10 +72,12 @@
 SHARE_S = 6.0
 """Time for which changed evidence is sent to all peers. Later a quarantine is sent only
 to peers that state another set of quarantined causes."""
-MAX_SHARED_CAUSES = 8
-"""Changed causes in one message, those sent least often first."""
+MAX_SHARED_CAUSES = 16
+"""Changed causes in one message."""
+MAX_URGENT_CAUSES = 8
+"""Those among them that are nearest to a quarantine; the others are sent in turn."""
 MAX_REPEATED_CAUSES = 4
-"""Unchanged quarantined causes in one message, in the same order."""
+"""Unchanged quarantined causes in one message, in turn."""
 MAX_CRASHES = 32
 """Crashes kept for one cause, the newest ones."""
 MAX_ANSWERED = 8192
@@ -533,7 +535,17 @@
             for cause_id, suspect in self._suspects.items()
             if now_s - suspect.changed_s < SHARE_S
         ]
-        return self._share(changed, MAX_SHARED_CAUSES, now_s)
+        repeated = [
+            cause_id
+            for cause_id in changed
+            if len(self._suspects[cause_id].crashes) >= MIN_CRASHES
+        ]
+        repeated.sort(key=lambda cause_id: -self._suspects[cause_id].excess())
+        urgent = repeated[:MAX_URGENT_CAUSES]
+        others = [cause_id for cause_id in changed if cause_id not in urgent]
+        return self._share(urgent, len(urgent), now_s) + self._share(
+            others, MAX_SHARED_CAUSES - len(urgent), now_s
+        )
 
     def unchanged_evidence(self, now_s: float) -> tuple[CauseEvidence, ...]:
         """Return what the next message to a peer with another mark has besides."""
