Let stronger evidence decide between requests of the same crashes

Cause: streams that were moved along with the request at fault explained its crashes equally well by their number, so that it was refused only at the fourth, although it alone had been starting each time. Change: another request makes a verdict ambiguous only if its evidence is as strong. Conclusion: two crashes identify such a request again.

--- a/persimmonwell/core/retry/_crash_causes.py
+++ b/persimmonwell/core/retry/_crash_causes.py
@@ -701,8 +701,11 @@
         suspect = self._suspects[cause_id]
         crashes = suspect.unexplained(explained)
         extra = suspect.count_separate(crashes) - suspect.crashes_needed
+        excess = suspect.excess(explained)
         return extra < EXTRA_AMBIGUOUS_CRASHES and any(
-            other is not suspect and suspect.is_explained_by(other, crashes)
+            other is not suspect
+            and suspect.is_explained_by(other, crashes)
+            and other.excess(explained) >= excess
             for other in self._suspects.values()
         )
 
