Rank the suspects of a single crash in the datagrams about it

Change: the eight causes nearest to a quarantine are chosen among all changed ones. Measured: test_request_that_was_starting_is_in_the_first_message_... fails on the parent.

--- a/persimmonwell/core/retry/_crash_causes.py
+++ b/persimmonwell/core/retry/_crash_causes.py
@@ -80,6 +80,8 @@
 """Changed causes in one message."""
 MAX_URGENT_CAUSES = 8
 """Those among them that are nearest to a quarantine; the others are sent in turn."""
+MAX_RANKED_CAUSES = 256
+"""Changed causes from which those with one crash are no longer among these."""
 MAX_REPEATED_CAUSES = 4
 """Unchanged quarantined causes in one message, in turn."""
 MAX_CRASHES = 32
@@ -551,13 +553,15 @@
             for cause_id, suspect in self._suspects.items()
             if now_s - suspect.changed_s < SHARE_S
         ]
-        repeated = [
-            cause_id
-            for cause_id in changed
-            if len(self._suspects[cause_id].crashes) >= MIN_CRASHES
-        ]
-        repeated.sort(key=lambda cause_id: -self._suspects[cause_id].excess())
-        urgent = repeated[:MAX_URGENT_CAUSES]
+        ranked = changed
+        if len(changed) > MAX_RANKED_CAUSES:
+            ranked = [
+                cause_id
+                for cause_id in changed
+                if len(self._suspects[cause_id].crashes) >= MIN_CRASHES
+            ]
+        by_excess = sorted(ranked, key=lambda each: -self._suspects[each].excess())
+        urgent = by_excess[:MAX_URGENT_CAUSES]
         others = [cause_id for cause_id in changed if cause_id not in urgent]
         return self._share(urgent, len(urgent), now_s) + self._share(
             others, MAX_SHARED_CAUSES - len(urgent), now_s
--- a/tests/core/retry/test_crash_causes.py
+++ b/tests/core/retry/test_crash_causes.py
@@ -433,3 +433,12 @@
             candidate = CrashCandidate((), digest, is_starting)
             causes.record_crash(f"i-{second}-{number}/1", [candidate], at_s)
     assert causes.quarantined == {request_cause(digest) for digest in digests}
+
+
+def test_request_that_was_starting_is_in_the_first_message_about_a_crash() -> None:
+    """Guards against evidence that waits behind that about dozens of neighbours."""
+    causes = CauseQuarantine()
+    neighbours = [f"{number:016x}" for number in range(60)]
+    candidates = [*running(*neighbours, parts=("root",)), *starting(DEADLY)]
+    causes.record_crash("i-1/1", candidates, 1.0)
+    assert "dead" in {each.cause_id for each in causes.changed_evidence(1.1)}
